--- /dev/null
+++ b/components/admission/src/lib.rs
@@ -0,0 +1,1 @@
+//! Limits, fairness between organisations and admission by deadline.
--- /dev/null
+++ b/components/bench/src/lib.rs
@@ -0,0 +1,1 @@
+//! Load scenarios that drive the decision components against the engine model.
--- /dev/null
+++ b/components/entry/src/lib.rs
@@ -0,0 +1,1 @@
+//! The HTTP edge towards callers and operators.
--- /dev/null
+++ b/components/membership/src/lib.rs
@@ -0,0 +1,1 @@
+//! Which nodes are alive, leaving or gone: pure decisions.
--- /dev/null
+++ b/components/node/src/engines.rs
@@ -0,0 +1,1 @@
+//! The engines service of a node.
--- /dev/null
+++ b/components/node/src/members.rs
@@ -0,0 +1,1 @@
+//! The members service of a node.
--- /dev/null
+++ b/components/node/src/notes.rs
@@ -0,0 +1,1 @@
+//! The notes service of a node.
--- /dev/null
+++ b/components/node/src/orders.rs
@@ -0,0 +1,1 @@
+//! The orders service of a node.
--- /dev/null
+++ b/components/node/src/prompts.rs
@@ -0,0 +1,1 @@
+//! The prompts service of a node.
--- /dev/null
+++ b/components/orders/src/lib.rs
@@ -0,0 +1,1 @@
+//! Orders that run at most once: pure decisions.
--- /dev/null
+++ b/components/settings/src/lib.rs
@@ -0,0 +1,1 @@
+//! Settings in JSON with comments, checked whole before anything starts.
--- /dev/null
+++ b/components/standins/src/lib.rs
@@ -0,0 +1,1 @@
+//! Small stand-ins of the platform, model engines and plain services.
--- /dev/null
+++ b/components/telemetry/src/lib.rs
@@ -0,0 +1,1 @@
+//! Logs, metrics and spans.
--- /dev/null
+++ b/components/types/src/lib.rs
@@ -0,0 +1,20 @@
+//! Identifiers and plain data that every component shares.
+//!
+//! Types here carry no behaviour beyond small conversions; decisions live in
+//! the component that owns the rule.
+
+mod engine;
+mod ids;
+mod plan;
+mod prompt;
+
+pub use engine::{
+    CacheEvent, EngineOrder, EngineProfile, EngineReport, EngineRole, LoadedModel, MemoryHold,
+};
+pub use ids::{
+    AdapterId, AttemptId, EngineId, FencingNumber, IncarnationNumber, ModelId, ModelVersion,
+    NodeId, NoteVersion, OrganisationId, PrefixHash, RegionId, RequestId, RowVersion, ServiceName,
+    TokenCount, UpstreamId, ZoneId,
+};
+pub use plan::PlanKind;
+pub use prompt::PromptJob;
--- /dev/null
+++ b/components/wire/src/lib.rs
@@ -0,0 +1,1 @@
+//! Typed messages between nodes and their codec.
--- /dev/null
+++ b/src/main.rs
@@ -0,0 +1,3 @@
+//! The operators' and users' command.
+
+fn main() {}
