--- a/components/membership/src/lib.rs
+++ b/components/membership/src/lib.rs
@@ -1,1 +1,5 @@
-//! Which nodes are alive, leaving or gone: pure decisions.
+//! Which nodes are alive, leaving or gone, and what follows from it: pure decisions.
+
+mod rendezvous;
+
+pub use rendezvous::{OwnerCandidate, owner_of};
