Add the member machine: probes, suspicion, leaving and gossip topics

Cause: nodes must find each other, tell dead from slow and leave without a balancer or a consensus group. Change: MemberMachine probes one ring neighbour and one shuffled member each 500 ms, asks three others before suspecting, gives a suspect 3 s to refute, keeps leaving as a state of its own, compares tables by 32 bucket digests and spreads topics within a byte budget: evidence epidemically, summaries from their origin alone, near members first. Note versions ride on every message.

--- a/components/membership/src/lib.rs
+++ b/components/membership/src/lib.rs
@@ -1,5 +1,23 @@
 //! Which nodes are alive, leaving or gone, and what follows from it: pure decisions.
 
+mod event;
+mod machine;
+mod member;
+mod message;
+mod probe;
 mod rendezvous;
+mod sample;
+mod settings;
+mod spread;
+mod table;
 
+pub use event::{MemberAction, MemberEvent, MemberIdentity};
+pub use machine::{BODY_LIMIT_BYTES, MemberMachine, suspicion_delay};
+pub use member::{MemberAddresses, MemberRecord, MemberState, MemberView};
+pub use message::{
+    DATAGRAM_OVERHEAD_BYTES, GossipTopic, MessageKind, PeerMessage, SpreadRule, TopicRecord,
+    encoded_size,
+};
 pub use rendezvous::{OwnerCandidate, owner_of};
+pub use settings::MemberSettings;
+pub use table::{DIGEST_BUCKETS, MemberEntry, MemberTable};
--- /dev/null
+++ b/components/membership/tests/members.rs
@@ -0,0 +1,265 @@
+//! Members find each other, tell the dead from the slow, and agree again.
+
+mod common;
+
+use std::time::Duration;
+
+use common::{NetworkFaults, SimulatedNetwork};
+use membership::{GossipTopic, MemberEvent, MemberState};
+use proptest::{prelude::*, test_runner::RngSeed};
+
+const fn seconds(count: u64) -> Duration {
+    Duration::from_secs(count)
+}
+
+fn joined(count: usize, seed: u64) -> SimulatedNetwork {
+    let mut network = SimulatedNetwork::new(count, 3, seed);
+    let joined = network.run_until(seconds(10), SimulatedNetwork::converged);
+    assert!(joined.is_some(), "seed {seed}: not joined");
+    network.run(seconds(5));
+    network
+}
+
+/// Whether a running node was ever held for dead by another.
+fn false_deaths(network: &SimulatedNetwork, except: usize) -> usize {
+    let dead = |node: &common::SimulatedNode| {
+        let deaths = node.changes.iter();
+        deaths
+            .filter(|(_, name, state)| {
+                *state == MemberState::Dead && *name != format!("node-{except}")
+            })
+            .count()
+    };
+    network.nodes.iter().map(dead).sum()
+}
+
+#[test]
+fn a_dead_node_is_suspected_everywhere_within_three_seconds() {
+    for seed in 0..5 {
+        let mut network = joined(8, seed);
+        network.nodes[3].running = false;
+        let suspected = network.run_until(seconds(3), |network| {
+            network.running().all(|at| {
+                let state = network.state(at, 3);
+                matches!(state, Some(MemberState::Suspect | MemberState::Dead))
+            })
+        });
+        assert!(suspected.is_some(), "seed {seed}");
+        let dead = network.run_until(seconds(5), |network| network.all_see(3, MemberState::Dead));
+        assert!(dead.is_some(), "seed {seed}");
+        assert_eq!(false_deaths(&network, 3), 0);
+    }
+}
+
+#[test]
+fn a_paused_node_blames_nobody_and_is_taken_back() {
+    let mut network = joined(8, 1);
+    network.nodes[2].paused = true;
+    network.run(seconds(20));
+    assert!(
+        (0..8)
+            .filter(|at| *at != 2)
+            .all(|at| network.state(at, 2) == Some(MemberState::Dead))
+    );
+    network.resume(2);
+    let back = network.run_until(seconds(10), SimulatedNetwork::converged);
+    assert!(back.is_some());
+    assert_eq!(false_deaths(&network, 2), 0);
+}
+
+#[test]
+fn both_sides_of_a_partition_go_on_and_find_each_other() {
+    let mut network = joined(9, 1);
+    for index in 0..9 {
+        network.nodes[index].group = u32::from(index % 3 == 0);
+    }
+    network.run(seconds(60));
+    assert_eq!(network.state(0, 1), Some(MemberState::Dead));
+    assert_eq!(network.state(1, 0), Some(MemberState::Dead));
+    assert_eq!(network.state(0, 3), Some(MemberState::Alive));
+    for node in &mut network.nodes {
+        node.group = 0;
+    }
+    let healed = network.run_until(seconds(15), SimulatedNetwork::converged);
+    assert!(healed.is_some());
+}
+
+#[test]
+fn a_leaving_node_is_never_suspected_while_it_serves() {
+    let mut network = joined(8, 1);
+    network.handle(4, MemberEvent::Leave);
+    let told = network.run_until(seconds(3), |network| {
+        network.all_see(4, MemberState::Leaving)
+    });
+    assert!(told.is_some());
+    network.run(seconds(20));
+    assert!(network.all_see(4, MemberState::Leaving));
+    network.handle(4, MemberEvent::Exit);
+    network.nodes[4].running = false;
+    let left = network.run_until(seconds(3), |network| network.all_see(4, MemberState::Left));
+    assert!(left.is_some());
+    let states = network.nodes.iter().flat_map(|node| &node.changes);
+    assert!(
+        !states
+            .clone()
+            .any(|(_, _, state)| *state == MemberState::Suspect)
+    );
+}
+
+#[test]
+fn a_new_process_whose_clock_is_behind_joins_under_its_old_id() {
+    let mut network = joined(5, 1);
+    network.add(3, 400);
+    let back = network.run_until(seconds(10), SimulatedNetwork::converged);
+    assert!(back.is_some());
+    assert!(network.nodes[3].machine.own().incarnation > 1_000);
+}
+
+#[test]
+fn evidence_reaches_all_and_the_newest_body_wins() {
+    let mut network = joined(20, 1);
+    network.faults.loss = 0.1;
+    for body in [b"old".to_vec(), b"new".to_vec()] {
+        let topic = GossipTopic::CrashEvidence;
+        network.handle(7, MemberEvent::Publish { topic, body });
+    }
+    let spread = network.run_until(seconds(5), |network| {
+        let others = network.running().filter(|at| *at != 7);
+        others.into_iter().all(|at| {
+            let machine = &network.nodes[at].machine;
+            let body = machine.body(GossipTopic::CrashEvidence, &"node-7".to_owned());
+            body.is_some_and(|record| record.body == b"new")
+        })
+    });
+    assert!(spread.is_some());
+    for node in &network.nodes {
+        let sequences: Vec<_> = node.bodies.iter().map(|record| record.sequence).collect();
+        assert!(sequences.is_sorted_by(|one, next| one < next));
+    }
+}
+
+#[test]
+fn summaries_reach_the_zone_more_often_and_stay_within_the_budget() {
+    let mut network = joined(60, 1);
+    let before: Vec<_> = network.nodes.iter().map(|node| node.sent_bytes).collect();
+    for second in 0..30_u8 {
+        for index in 0..60 {
+            let topic = GossipTopic::NodeSummary;
+            let body = vec![second; 300];
+            network.handle(index, MemberEvent::Publish { topic, body });
+        }
+        network.run(seconds(1));
+    }
+    let count = |near: bool| {
+        let own = network.zone(0);
+        let bodies = network.nodes[0].bodies.iter();
+        bodies
+            .filter(|record| {
+                let index: usize = record.origin["node-".len()..].parse().unwrap();
+                (network.zone(index) == own) == near
+            })
+            .count()
+    };
+    // 19 members in the zone, 40 outside it.
+    assert!(count(true) * 40 > 2 * count(false) * 19);
+    assert!(count(false) > 0);
+    for (node, before) in network.nodes.iter().zip(before) {
+        let rate = (node.sent_bytes - before) / 30;
+        assert!(rate < 2_500, "{} sent {rate} B/s", node.name);
+    }
+}
+
+#[test]
+fn a_note_version_is_heard_everywhere_and_never_goes_back() {
+    let mut network = joined(30, 1);
+    network.faults.loss = 0.05;
+    for version in [3, 2, 5] {
+        network.handle(11, MemberEvent::NoteInForce(version));
+        network.run(Duration::from_millis(20));
+    }
+    let heard = network.run_until(seconds(3), |network| {
+        network
+            .nodes
+            .iter()
+            .all(|node| node.machine.note_heard() == 5)
+    });
+    assert!(heard.is_some());
+    for node in &network.nodes {
+        assert!(node.notes.is_sorted_by(|one, next| one.1 < next.1));
+    }
+}
+
+#[derive(Clone, Debug)]
+enum Disturbance {
+    Pause(usize),
+    Cut(Vec<bool>),
+    Restart(usize, u64),
+    Loss(f64),
+}
+
+fn disturbances() -> impl Strategy<Value = Vec<(Disturbance, u64)>> {
+    let one = prop_oneof![
+        (0..7_usize).prop_map(Disturbance::Pause),
+        prop::collection::vec(any::<bool>(), 7).prop_map(Disturbance::Cut),
+        (0..7_usize, 1..5_000_u64).prop_map(|(node, life)| Disturbance::Restart(node, life)),
+        (0.0..0.4).prop_map(Disturbance::Loss),
+    ];
+    prop::collection::vec((one, 100..9_000_u64), 1..8)
+}
+
+fn fixed(cases: u32) -> ProptestConfig {
+    ProptestConfig {
+        cases,
+        rng_seed: RngSeed::Fixed(6),
+        ..ProptestConfig::default()
+    }
+}
+
+proptest! {
+    #![proptest_config(fixed(24))]
+
+    #[test]
+    fn loss_reordering_and_duplication_kill_nobody(
+        seed in any::<u64>(),
+        loss in 0.0..0.1,
+        most_delay in 1_u64..80,
+    ) {
+        let mut network = joined(7, seed);
+        network.faults = NetworkFaults {
+            loss,
+            duplication: 0.1,
+            least_delay: Duration::from_micros(100),
+            most_delay: Duration::from_millis(most_delay),
+        };
+        network.run(seconds(60));
+        prop_assert_eq!(false_deaths(&network, usize::MAX), 0);
+    }
+
+    #[test]
+    fn members_agree_again_after_any_disturbance(
+        seed in any::<u64>(),
+        steps in disturbances(),
+    ) {
+        let mut network = joined(7, seed);
+        for (step, time) in steps {
+            match step {
+                Disturbance::Pause(node) => network.nodes[node].paused = true,
+                Disturbance::Cut(groups) => {
+                    for (node, group) in network.nodes.iter_mut().zip(groups) {
+                        node.group = u32::from(group);
+                    }
+                }
+                Disturbance::Restart(node, life) => network.add(node, life),
+                Disturbance::Loss(loss) => network.faults.loss = loss,
+            }
+            network.run(Duration::from_millis(time));
+        }
+        network.faults = NetworkFaults::default();
+        for index in 0..7 {
+            network.nodes[index].group = 0;
+            network.resume(index);
+        }
+        let agreed = network.run_until(seconds(40), SimulatedNetwork::converged);
+        prop_assert!(agreed.is_some(), "not agreed after 40 s");
+    }
+}
--- a/components/wire/tests/datagram.rs
+++ b/components/wire/tests/datagram.rs
@@ -1,6 +1,6 @@
 //! Datagrams that are forged, replayed or meant for another are dropped.
 
-use proptest::prelude::*;
+use proptest::{prelude::*, test_runner::RngSeed};
 use wire::{DatagramFault, DatagramOpener, DatagramSealer, KeyRing, SealKey};
 
 fn key(id: u32) -> SealKey {
@@ -87,6 +87,11 @@
 }
 
 proptest! {
+    #![proptest_config(ProptestConfig {
+        rng_seed: RngSeed::Fixed(6),
+        ..ProptestConfig::default()
+    })]
+
     #[test]
     fn each_datagram_is_taken_at_most_once(
         order in prop::collection::vec(0_usize..300, 1..600),
