--- a/components/settings/src/lib.rs
+++ b/components/settings/src/lib.rs
@@ -1,1 +1,17 @@
 //! Settings in JSON with comments, checked whole before anything starts.
+//!
+//! `parse_document` reads any typed document and lists every fault with its
+//! place; `NodeSettings` is the document of a node.
+
+mod check;
+mod document;
+mod node;
+mod places;
+
+pub use check::FaultList;
+pub use document::{ParsedDocument, parse_document};
+pub use node::{
+    AddressSettings, ClusterKey, HostIdentity, LimitSettings, NodeSettings, PlatformSettings,
+    TimeoutSettings, UpstreamSettings, load_node_settings, parse_node_settings,
+};
+pub use places::PlaceIndex;
--- /dev/null
+++ b/components/settings/src/node.rs
@@ -0,0 +1,315 @@
+//! The settings of a node.
+
+use std::{fmt, fs, time::Duration};
+
+use errors::SettingsError;
+use serde::{Deserialize, Serialize};
+use types::{NodeId, RegionId, UpstreamId, ZoneId};
+
+use crate::{FaultList, ParsedDocument, parse_document};
+
+/// Who the node is.
+#[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct HostIdentity {
+    /// Unique name of the node.
+    pub id: NodeId,
+    /// Availability zone it runs in.
+    pub zone: ZoneId,
+    /// Region of the zone.
+    pub region: RegionId,
+}
+
+/// Addresses the node listens on; port 0 lets the system choose.
+#[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct AddressSettings {
+    /// HTTP for callers and operators.
+    pub callers: String,
+    /// TCP for other nodes.
+    pub peers: String,
+    /// UDP for membership messages.
+    pub members: String,
+}
+
+/// Addresses of the platform's services.
+#[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct PlatformSettings {
+    /// Table service.
+    pub table: String,
+    /// Object store.
+    pub objects: String,
+    /// Weight store.
+    pub weights: String,
+    /// Host list.
+    pub hosts: String,
+    /// Time limit of one call in milliseconds.
+    #[serde(default = "default_platform_timeout_ms")]
+    pub timeout_ms: u64,
+}
+
+/// A key that nodes share; the first of the list signs, all are accepted.
+#[derive(Clone, Eq, PartialEq, Deserialize, Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct ClusterKey {
+    /// Names the key in messages.
+    pub id: u32,
+    /// At least 32 bytes, in hexadecimal.
+    pub secret: String,
+}
+
+impl fmt::Debug for ClusterKey {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        formatter
+            .debug_struct("ClusterKey")
+            .field("id", &self.id)
+            .finish_non_exhaustive()
+    }
+}
+
+/// Limits that keep memory bounded.
+#[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct LimitSettings {
+    /// Longest request body in bytes.
+    pub body_bytes: u64,
+    /// Most connections from callers at once.
+    pub connections: u32,
+    /// Most bytes of all request bodies held at once.
+    pub held_body_bytes: u64,
+}
+
+impl Default for LimitSettings {
+    fn default() -> Self {
+        Self {
+            body_bytes: 16 * 1024 * 1024,
+            connections: 4_096,
+            held_body_bytes: 512 * 1024 * 1024,
+        }
+    }
+}
+
+/// Time limits in milliseconds.
+#[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct TimeoutSettings {
+    /// A caller sends its request head.
+    pub head_ms: u64,
+    /// A caller makes progress with its body.
+    pub body_ms: u64,
+    /// A caller takes a part of its answer.
+    pub write_ms: u64,
+    /// A request without a deadline of its own.
+    pub default_deadline_ms: u64,
+    /// Longest deadline a caller may ask for.
+    pub longest_deadline_ms: u64,
+    /// Time for which callers may keep an address answer.
+    pub address_lifetime_ms: u64,
+    /// A planned stop cuts what still runs after this time.
+    pub drain_ms: u64,
+}
+
+impl Default for TimeoutSettings {
+    fn default() -> Self {
+        Self {
+            head_ms: 10_000,
+            body_ms: 20_000,
+            write_ms: 20_000,
+            default_deadline_ms: 600_000,
+            longest_deadline_ms: 3_600_000,
+            address_lifetime_ms: 5_000,
+            drain_ms: 900_000,
+        }
+    }
+}
+
+impl TimeoutSettings {
+    /// A value of this group as a duration.
+    #[must_use]
+    pub fn duration(milliseconds: u64) -> Duration {
+        Duration::from_millis(milliseconds)
+    }
+}
+
+/// What upstreams check and what they don't.
+#[derive(Clone, Debug, Default, Eq, PartialEq, Deserialize, Serialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct UpstreamSettings {
+    /// Engines that ignore fencing numbers.
+    pub fencing_ignored: Vec<UpstreamId>,
+    /// Upstreams that check nobody's identity and may be reached all the same.
+    pub unchecked_identity: Vec<UpstreamId>,
+}
+
+/// The settings document of a node.
+#[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct NodeSettings {
+    /// Who the node is.
+    pub node: HostIdentity,
+    /// Addresses it listens on.
+    pub addresses: AddressSettings,
+    /// Addresses of the platform's services.
+    pub platform: PlatformSettings,
+    /// Keys that nodes share.
+    pub cluster_keys: Vec<ClusterKey>,
+    /// SHA-256 digests of operators' keys, in hexadecimal.
+    pub operator_key_digests: Vec<String>,
+    /// Membership addresses of nodes to ask first, beside the host list.
+    #[serde(default)]
+    pub seeds: Vec<String>,
+    /// Limits.
+    #[serde(default)]
+    pub limits: LimitSettings,
+    /// Time limits.
+    #[serde(default)]
+    pub timeouts: TimeoutSettings,
+    /// What upstreams check.
+    #[serde(default)]
+    pub upstreams: UpstreamSettings,
+}
+
+/// Reads and checks a node's settings file.
+///
+/// # Errors
+/// `SettingsError` with every fault.
+pub fn load_node_settings(file: &str) -> Result<NodeSettings, SettingsError> {
+    let text = fs::read_to_string(file).map_err(|error| SettingsError::Unreadable {
+        file: file.to_owned(),
+        cause: error.to_string(),
+    })?;
+    parse_node_settings(file, &text)
+}
+
+/// Reads and checks a node's settings from text.
+///
+/// # Errors
+/// `SettingsError::Faulty` with every fault.
+pub fn parse_node_settings(file: &str, text: &str) -> Result<NodeSettings, SettingsError> {
+    let document: ParsedDocument<NodeSettings> = parse_document(file, text)?;
+    let faults = check_settings(&document);
+    if !faults.is_empty() {
+        return Err(SettingsError::Faulty {
+            file: file.to_owned(),
+            faults,
+        });
+    }
+    Ok(document.value)
+}
+
+fn check_settings(document: &ParsedDocument<NodeSettings>) -> Vec<errors::DocumentFault> {
+    let settings = &document.value;
+    let mut list = FaultList::new(&document.places);
+    check_identity(&mut list, settings);
+    check_addresses(&mut list, settings);
+    check_keys(&mut list, settings);
+    check_limits(&mut list, settings);
+    check_timeouts(&mut list, settings);
+    list.into_faults()
+}
+
+fn check_identity(list: &mut FaultList<'_>, settings: &NodeSettings) {
+    list.require_name(&settings.node.id, "node.id");
+    list.require_name(&settings.node.zone, "node.zone");
+    list.require_name(&settings.node.region, "node.region");
+}
+
+fn check_addresses(list: &mut FaultList<'_>, settings: &NodeSettings) {
+    list.require_address(&settings.addresses.callers, "addresses.callers");
+    list.require_address(&settings.addresses.peers, "addresses.peers");
+    list.require_address(&settings.addresses.members, "addresses.members");
+    list.require_address(&settings.platform.table, "platform.table");
+    list.require_address(&settings.platform.objects, "platform.objects");
+    list.require_address(&settings.platform.weights, "platform.weights");
+    list.require_address(&settings.platform.hosts, "platform.hosts");
+    list.require_range(
+        settings.platform.timeout_ms,
+        10,
+        60_000,
+        "platform.timeout_ms",
+    );
+    for (position, seed) in settings.seeds.iter().enumerate() {
+        list.require_address(seed, &format!("seeds[{position}]"));
+    }
+}
+
+fn check_keys(list: &mut FaultList<'_>, settings: &NodeSettings) {
+    list.require(
+        !settings.cluster_keys.is_empty(),
+        "cluster_keys",
+        "expected at least one key",
+    );
+    for (position, key) in settings.cluster_keys.iter().enumerate() {
+        let path = format!("cluster_keys[{position}]");
+        let digits = key.secret.bytes().all(|byte| byte.is_ascii_hexdigit());
+        list.require(
+            digits && key.secret.len() >= 64 && key.secret.len().is_multiple_of(2),
+            &format!("{path}.secret"),
+            "expected at least 32 bytes in hexadecimal",
+        );
+        let doubled = settings.cluster_keys[..position]
+            .iter()
+            .any(|earlier| earlier.id == key.id);
+        list.require(!doubled, &format!("{path}.id"), "another key has this id");
+    }
+    list.require(
+        !settings.operator_key_digests.is_empty(),
+        "operator_key_digests",
+        "expected at least one digest",
+    );
+    for (position, digest) in settings.operator_key_digests.iter().enumerate() {
+        list.require_digest(digest, &format!("operator_key_digests[{position}]"));
+    }
+}
+
+fn check_limits(list: &mut FaultList<'_>, settings: &NodeSettings) {
+    let limits = &settings.limits;
+    list.require_range(limits.body_bytes, 1_024, 1 << 30, "limits.body_bytes");
+    list.require_range(
+        limits.connections.into(),
+        1,
+        1_000_000,
+        "limits.connections",
+    );
+    list.require(
+        limits.held_body_bytes >= limits.body_bytes,
+        "limits.held_body_bytes",
+        "must be at least limits.body_bytes",
+    );
+}
+
+fn check_timeouts(list: &mut FaultList<'_>, settings: &NodeSettings) {
+    let timeouts = &settings.timeouts;
+    let day_ms = 86_400_000;
+    list.require_range(timeouts.head_ms, 1, day_ms, "timeouts.head_ms");
+    list.require_range(timeouts.body_ms, 1, day_ms, "timeouts.body_ms");
+    list.require_range(timeouts.write_ms, 1, day_ms, "timeouts.write_ms");
+    list.require_range(
+        timeouts.default_deadline_ms,
+        1,
+        timeouts.longest_deadline_ms,
+        "timeouts.default_deadline_ms",
+    );
+    list.require_range(
+        timeouts.longest_deadline_ms,
+        1,
+        day_ms,
+        "timeouts.longest_deadline_ms",
+    );
+    list.require_range(
+        timeouts.address_lifetime_ms,
+        100,
+        60_000,
+        "timeouts.address_lifetime_ms",
+    );
+    list.require(
+        timeouts.drain_ms >= timeouts.address_lifetime_ms,
+        "timeouts.drain_ms",
+        "must be at least timeouts.address_lifetime_ms",
+    );
+}
+
+fn default_platform_timeout_ms() -> u64 {
+    2_000
+}
