Tell the scheduler how a forwarded prompt ended

A prompt handed to another node can be refused there, broken or finished; the scheduler needs each as an event to go on elsewhere. Standard and foreign derives stand on lines of their own, and the formatter keeps them so.

--- a/components/notes/src/document.rs
+++ b/components/notes/src/document.rs
@@ -6,7 +6,8 @@
 use types::{AdapterId, ModelId, ModelVersion, OrganisationId, PlanKind, ServiceName, TokenCount};
 
 /// Limits of one organisation, fleet-wide.
-#[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
 #[serde(deny_unknown_fields)]
 pub struct OrganisationLimits {
     /// Requests a second.
@@ -18,7 +19,8 @@
 }
 
 /// One organisation.
-#[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
 #[serde(deny_unknown_fields)]
 pub struct OrganisationEntry {
     /// Paying or trial.
@@ -41,7 +43,8 @@
 }
 
 /// One model.
-#[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
 #[serde(deny_unknown_fields)]
 pub struct ModelEntry {
     /// Version in force.
@@ -54,7 +57,8 @@
 }
 
 /// One adapter.
-#[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
 #[serde(deny_unknown_fields)]
 pub struct AdapterEntry {
     /// Model it belongs to.
@@ -64,7 +68,8 @@
 }
 
 /// What a service promises about repeated orders.
-#[derive(Clone, Copy, Debug, Eq, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
 #[serde(rename_all = "lowercase")]
 pub enum ServiceGuarantee {
     /// Repeating an order changes nothing.
@@ -78,7 +83,8 @@
 }
 
 /// One plain service.
-#[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
 #[serde(deny_unknown_fields)]
 pub struct ServiceEntry {
     /// What it promises about repeated orders.
@@ -89,7 +95,8 @@
 }
 
 /// A release note: entries added, changed and withdrawn.
-#[derive(Clone, Debug, Default, Eq, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
 #[serde(deny_unknown_fields, default)]
 pub struct NoteDocument {
     /// What the note is for, in the operator's words.
@@ -103,7 +110,8 @@
 }
 
 /// Entries by name.
-#[derive(Clone, Debug, Default, Eq, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
 #[serde(deny_unknown_fields, default)]
 pub struct NoteEntries {
     /// Organisations.
@@ -117,7 +125,8 @@
 }
 
 /// Names that go out of force.
-#[derive(Clone, Debug, Default, Eq, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
 #[serde(deny_unknown_fields, default)]
 pub struct WithdrawnNames {
     /// Organisations.
--- a/components/notes/src/state.rs
+++ b/components/notes/src/state.rs
@@ -8,7 +8,8 @@
 use crate::{AdapterEntry, ModelEntry, NoteDocument, OrganisationEntry, ServiceEntry};
 
 /// Everything in force under one note version.
-#[derive(Clone, Debug, Default, Eq, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
 pub struct FleetState {
     /// Version of the last note applied; 0 before the first.
     pub version: NoteVersion,
--- a/components/platform/src/edges.rs
+++ b/components/platform/src/edges.rs
@@ -24,7 +24,8 @@
 }
 
 /// Leave to load weights, given by the weight store.
-#[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
 pub struct WeightSlot {
     /// Names the slot towards the engine that loads.
     pub slot: String,
@@ -49,7 +50,8 @@
 }
 
 /// What runs on a listed host.
-#[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd, Deserialize, Serialize)]
+#[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+#[derive(Deserialize, Serialize)]
 #[serde(rename_all = "lowercase")]
 pub enum HostKind {
     /// An entry host with a node.
@@ -61,7 +63,8 @@
 }
 
 /// State of a listed host; the list lags.
-#[derive(Clone, Copy, Debug, Eq, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
 #[serde(rename_all = "lowercase")]
 pub enum HostState {
     /// Takes work.
@@ -71,7 +74,8 @@
 }
 
 /// One host of the list.
-#[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
 pub struct HostEntry {
     /// Unique id.
     pub id: UpstreamId,
--- a/components/platform/src/table.rs
+++ b/components/platform/src/table.rs
@@ -6,7 +6,8 @@
 use types::RowVersion;
 
 /// How fresh a read must be.
-#[derive(Clone, Copy, Debug, Eq, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
 #[serde(rename_all = "lowercase")]
 pub enum ReadMode {
     /// Sees every transaction acknowledged before the read began.
@@ -16,7 +17,8 @@
 }
 
 /// One row as read.
-#[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
 pub struct TableRow {
     /// Key within the table.
     pub key: String,
@@ -27,7 +29,8 @@
 }
 
 /// What a row must be for a write to take effect.
-#[derive(Clone, Copy, Debug, Eq, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
 #[serde(rename_all = "lowercase")]
 pub enum RowExpectation {
     /// The row does not exist.
@@ -39,7 +42,8 @@
 }
 
 /// One write of a transaction.
-#[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
 pub struct RowWrite {
     /// Table of the row.
     pub table: String,
--- a/components/routing/src/message.rs
+++ b/components/routing/src/message.rs
@@ -9,7 +9,8 @@
 };
 
 /// Load and readiness of the engines one node owns, for one model.
-#[derive(Clone, Debug, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Deserialize, Serialize)]
 pub struct PoolSummary {
     /// The model.
     pub model: ModelId,
@@ -24,7 +25,8 @@
 }
 
 /// Tokens one organisation was served by one node since it started.
-#[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
 pub struct OrganisationUsage {
     /// The organisation.
     pub organisation: OrganisationId,
@@ -35,7 +37,8 @@
 }
 
 /// What a node tells other nodes about itself; reaches them late or never.
-#[derive(Clone, Debug, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Deserialize, Serialize)]
 pub struct NodeSummary {
     /// The node.
     pub node: NodeId,
@@ -115,6 +118,36 @@
         /// Whether another engine may succeed.
         retryable: bool,
     },
+    /// A node that the prompt was forwarded to refused it; the scheduler may
+    /// forward it elsewhere, queue it here, or refuse it.
+    ForwardRefused {
+        /// The request.
+        request: RequestId,
+        /// The node.
+        node: NodeId,
+        /// Why.
+        reason: RefusalReason,
+        /// When that node would take it.
+        retry_after: Duration,
+    },
+    /// The hop to a node broke or the node died; the prompt may have run.
+    ForwardFailed {
+        /// The request.
+        request: RequestId,
+        /// The node.
+        node: NodeId,
+        /// Answer tokens the caller has already.
+        delivered: TokenCount,
+    },
+    /// A forwarded prompt ended, with its answer whole.
+    ForwardFinished {
+        /// The request.
+        request: RequestId,
+        /// The node.
+        node: NodeId,
+        /// Tokens generated.
+        output_tokens: TokenCount,
+    },
     /// Memory for an attempt over several engines could not be had.
     GangRefused {
         /// The request.
@@ -141,7 +174,8 @@
 }
 
 /// Why a prompt was refused. The caller is told at once.
-#[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd, Deserialize, Serialize)]
+#[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+#[derive(Deserialize, Serialize)]
 #[serde(rename_all = "snake_case")]
 pub enum RefusalReason {
     /// The organisation is over its limit.
--- a/components/settings/src/node.rs
+++ b/components/settings/src/node.rs
@@ -9,7 +9,8 @@
 use crate::{FaultList, ParsedDocument, parse_document};
 
 /// Who the node is.
-#[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
 #[serde(deny_unknown_fields)]
 pub struct HostIdentity {
     /// Unique name of the node.
@@ -21,7 +22,8 @@
 }
 
 /// Addresses the node listens on; port 0 lets the system choose.
-#[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
 #[serde(deny_unknown_fields)]
 pub struct AddressSettings {
     /// HTTP for callers and operators.
@@ -33,7 +35,8 @@
 }
 
 /// Addresses of the platform's services.
-#[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
 #[serde(deny_unknown_fields)]
 pub struct PlatformSettings {
     /// Table service.
@@ -50,7 +53,8 @@
 }
 
 /// A key that nodes share; the first of the list signs, all are accepted.
-#[derive(Clone, Eq, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
 #[serde(deny_unknown_fields)]
 pub struct ClusterKey {
     /// Names the key in messages.
@@ -69,7 +73,8 @@
 }
 
 /// Limits that keep memory bounded.
-#[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
 #[serde(deny_unknown_fields, default)]
 pub struct LimitSettings {
     /// Longest request body in bytes.
@@ -91,7 +96,8 @@
 }
 
 /// Time limits in milliseconds.
-#[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
 #[serde(deny_unknown_fields, default)]
 pub struct TimeoutSettings {
     /// A caller sends its request head.
@@ -133,7 +139,8 @@
 }
 
 /// What upstreams check and what they don't.
-#[derive(Clone, Debug, Default, Eq, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
 #[serde(deny_unknown_fields, default)]
 pub struct UpstreamSettings {
     /// Engines that ignore fencing numbers.
@@ -143,7 +150,8 @@
 }
 
 /// The settings document of a node.
-#[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
 #[serde(deny_unknown_fields)]
 pub struct NodeSettings {
     /// Who the node is.
--- a/components/telemetry/src/metrics.rs
+++ b/components/telemetry/src/metrics.rs
@@ -12,7 +12,8 @@
 };
 
 /// Labels of a finished call.
-#[derive(Clone, Debug, Eq, Hash, PartialEq, EncodeLabelSet)]
+#[derive(Clone, Debug, Eq, Hash, PartialEq)]
+#[derive(EncodeLabelSet)]
 pub struct RouteLabels {
     /// Route, with variable parts named.
     pub route: String,
@@ -21,7 +22,8 @@
 }
 
 /// Labels of a prompt's outcome.
-#[derive(Clone, Debug, Eq, Hash, PartialEq, EncodeLabelSet)]
+#[derive(Clone, Debug, Eq, Hash, PartialEq)]
+#[derive(EncodeLabelSet)]
 pub struct OutcomeLabels {
     /// `paying` or `trial`.
     pub plan: String,
@@ -30,7 +32,8 @@
 }
 
 /// Labels by prompt length.
-#[derive(Clone, Debug, Eq, Hash, PartialEq, EncodeLabelSet)]
+#[derive(Clone, Debug, Eq, Hash, PartialEq)]
+#[derive(EncodeLabelSet)]
 pub struct LengthLabels {
     /// `paying` or `trial`.
     pub plan: String,
@@ -39,7 +42,8 @@
 }
 
 /// Labels by peer and step.
-#[derive(Clone, Debug, Eq, Hash, PartialEq, EncodeLabelSet)]
+#[derive(Clone, Debug, Eq, Hash, PartialEq)]
+#[derive(EncodeLabelSet)]
 pub struct PeerLabels {
     /// What was tried.
     pub step: String,
--- a/components/telemetry/src/spans.rs
+++ b/components/telemetry/src/spans.rs
@@ -33,7 +33,8 @@
 }
 
 /// One ended span, as stored and shown.
-#[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
 pub struct SpanRecord {
     /// W3C trace id, 32 hexadecimal digits.
     pub trace: String,
--- a/components/types/src/engine.rs
+++ b/components/types/src/engine.rs
@@ -10,9 +10,8 @@
 };
 
 /// Which lengths an engine serves by preference.
-#[derive(
-    Clone, Copy, Debug, Default, Eq, Hash, Ord, PartialEq, PartialOrd, Deserialize, Serialize,
-)]
+#[derive(Clone, Copy, Debug, Default, Eq, Hash, Ord, PartialEq, PartialOrd)]
+#[derive(Deserialize, Serialize)]
 #[serde(rename_all = "lowercase")]
 pub enum EngineRole {
     /// Short prompts first; long work only while idle, preempted at once.
@@ -25,7 +24,8 @@
 }
 
 /// The fixed properties of one engine process.
-#[derive(Clone, Debug, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Deserialize, Serialize)]
 pub struct EngineProfile {
     /// The engine.
     pub engine: EngineId,
@@ -46,7 +46,8 @@
 }
 
 /// A model that an engine holds ready.
-#[derive(Clone, Debug, Eq, Hash, Ord, PartialEq, PartialOrd, Deserialize, Serialize)]
+#[derive(Clone, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+#[derive(Deserialize, Serialize)]
 pub struct LoadedModel {
     /// The model.
     pub model: ModelId,
@@ -57,7 +58,8 @@
 }
 
 /// KV memory that an engine holds for a reservation, export or import.
-#[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
 pub struct MemoryHold {
     /// The request it is held for.
     pub request: RequestId,
@@ -72,7 +74,8 @@
 }
 
 /// An engine's own report of its load; it reaches nodes late.
-#[derive(Clone, Debug, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Deserialize, Serialize)]
 pub struct EngineReport {
     /// Fixed properties of the process that reports.
     pub profile: EngineProfile,
@@ -99,7 +102,8 @@
 }
 
 /// One change of an engine's prefix cache; events come late and with gaps.
-#[derive(Clone, Copy, Debug, Eq, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
 #[serde(rename_all = "lowercase")]
 pub enum CacheEvent {
     /// The prefix is in the cache.
@@ -115,7 +119,8 @@
 }
 
 /// The state an owner wants an engine to be in.
-#[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
 pub struct EngineOrder {
     /// Node that gives the order.
     pub owner: String,
--- a/components/types/src/plan.rs
+++ b/components/types/src/plan.rs
@@ -3,7 +3,8 @@
 use serde::{Deserialize, Serialize};
 
 /// Whether an organisation pays; paying work goes before trial work.
-#[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd, Deserialize, Serialize)]
+#[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+#[derive(Deserialize, Serialize)]
 #[serde(rename_all = "lowercase")]
 pub enum PlanKind {
     /// A paying organisation.
--- a/components/upstream/src/engine.rs
+++ b/components/upstream/src/engine.rs
@@ -12,7 +12,8 @@
 };
 
 /// Another engine that shares the KV memory of one long sequence.
-#[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
 pub struct SequenceMember {
     /// The engine.
     pub engine: EngineId,
@@ -23,7 +24,8 @@
 }
 
 /// One attempt of a prompt on an engine.
-#[derive(Clone, Debug, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Deserialize, Serialize)]
 pub struct EngineCall {
     /// The request.
     pub request: RequestId,
@@ -53,7 +55,8 @@
 }
 
 /// What an engine sends back on a stream.
-#[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
 #[serde(rename_all = "lowercase", tag = "event")]
 pub enum EngineEvent {
     /// Prefill has begun.
@@ -94,7 +97,8 @@
 pub type TokenStream = Pin<Box<dyn Stream<Item = Result<EngineEvent, UpstreamError>> + Send>>;
 
 /// Cache events after a place in the engine's log.
-#[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
 pub struct CacheBatch {
     /// Place of the first event.
     pub first: u64,
@@ -105,7 +109,8 @@
 }
 
 /// A request to hold KV memory ahead of an attempt.
-#[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
 pub struct KvReservation {
     /// The request.
     pub request: RequestId,
@@ -120,7 +125,8 @@
 }
 
 /// A sequence's KV cache, named for another engine to import.
-#[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
 pub struct KvExport {
     /// Names the export on the engine that holds it.
     pub export: String,
@@ -129,7 +135,8 @@
 }
 
 /// An order to fetch an export from another engine.
-#[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
 pub struct KvImport {
     /// The request.
     pub request: RequestId,
--- a/components/upstream/src/service.rs
+++ b/components/upstream/src/service.rs
@@ -8,7 +8,8 @@
 use types::FencingNumber;
 
 /// What a plain service answered.
-#[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
 pub struct ServiceAnswer {
     /// HTTP status.
     pub status: u16,
