Model one engine: batch, cost and memory on a given clock

Change: components/model holds `EngineModel`: continuous batching with chunked prefill and a bounded step, priorities with preemption between steps, counted KV memory with a prefix cache, holds that expire, export and import, several engines on one sequence, crash and report. types gains CACHE_BLOCK_TOKENS.

Conclusion: the interface is ready for the stand-in engine.

--- /dev/null
+++ b/components/model/src/engine.rs
@@ -0,0 +1,348 @@
+//! The engine model: a batch of sequences stepped from event to event.
+
+use std::{
+    collections::{BTreeSet, HashMap},
+    time::{Duration, Instant},
+};
+
+use types::{
+    AttemptId, EngineOrder, EngineProfile, EngineReport, EngineRole, FencingNumber, LoadedModel,
+    RequestId, TokenCount,
+};
+
+use crate::{
+    AttemptSpec, CacheSlice, HoldSpec, KvExportRef, KvImportSpec, ModelError, ModelEvent,
+    PrefixCache, SequenceId,
+    batch::StepPlan,
+    cost,
+    memory::{AttemptKey, HoldTable},
+    sequence::{QueueKey, SequenceState},
+};
+
+/// One model engine on a clock that the caller moves.
+///
+/// Times given to its methods never go back. A method first brings the model
+/// to the time given; the events of that come out of the next `advance`.
+#[derive(Clone, Debug)]
+pub struct EngineModel {
+    pub(crate) profile: EngineProfile,
+    pub(crate) role: EngineRole,
+    pub(crate) models: Vec<LoadedModel>,
+    pub(crate) fencing: FencingNumber,
+    pub(crate) checks_fencing: bool,
+    pub(crate) sequences: HashMap<SequenceId, SequenceState>,
+    pub(crate) attempts: HashMap<AttemptKey, SequenceId>,
+    pub(crate) prefills: BTreeSet<QueueKey>,
+    pub(crate) decodes: BTreeSet<QueueKey>,
+    pub(crate) holds: HoldTable,
+    pub(crate) cache: PrefixCache,
+    pub(crate) private: TokenCount,
+    pub(crate) step: Option<StepPlan>,
+    pub(crate) wake: Option<Instant>,
+    pub(crate) events: Vec<ModelEvent>,
+    pub(crate) next_id: SequenceId,
+    pub(crate) generated: TokenCount,
+}
+
+impl EngineModel {
+    /// An idle engine that holds `models` ready.
+    #[must_use]
+    pub fn new(profile: EngineProfile, models: Vec<LoadedModel>) -> Self {
+        Self {
+            profile,
+            role: EngineRole::default(),
+            models,
+            fencing: 0,
+            checks_fencing: true,
+            sequences: HashMap::new(),
+            attempts: HashMap::new(),
+            prefills: BTreeSet::new(),
+            decodes: BTreeSet::new(),
+            holds: HoldTable::default(),
+            cache: PrefixCache::default(),
+            private: 0,
+            step: None,
+            wake: None,
+            events: Vec::new(),
+            next_id: 1,
+            generated: 0,
+        }
+    }
+
+    /// Whether orders with an old fencing number are refused.
+    pub fn set_checks_fencing(&mut self, checks: bool) {
+        self.checks_fencing = checks;
+    }
+
+    /// Fixed properties of the process.
+    #[must_use]
+    pub fn profile(&self) -> &EngineProfile {
+        &self.profile
+    }
+
+    /// Queues an attempt. Its prompt may be larger than what is free now, not
+    /// larger than the engine.
+    ///
+    /// # Errors
+    /// `ModelError::TooLarge` and `ModelError::Running`.
+    pub fn submit(&mut self, now: Instant, spec: AttemptSpec) -> Result<SequenceId, ModelError> {
+        self.run_until(now);
+        let key = AttemptKey::new(&spec.request, spec.attempt);
+        if self.attempts.contains_key(&key) {
+            return Err(ModelError::Running);
+        }
+        self.check_size(spec.own_tokens())?;
+        let id = self.next_id;
+        self.next_id += 1;
+        let sequence = SequenceState::new(id, spec);
+        self.prefills.insert(sequence.key());
+        self.attempts.insert(key, id);
+        self.sequences.insert(id, sequence);
+        self.plan_step(now);
+        Ok(id)
+    }
+
+    /// Ends an attempt and frees its memory and hold; unknown ones are no
+    /// error. Returns whether it ran.
+    pub fn cancel(&mut self, now: Instant, request: &RequestId, attempt: AttemptId) -> bool {
+        self.run_until(now);
+        let key = AttemptKey::new(request, attempt);
+        self.holds.remove(&key);
+        let ran = match self.attempts.get(&key).copied() {
+            Some(id) => {
+                self.end_sequence(id);
+                true
+            }
+            None => false,
+        };
+        self.plan_step(now);
+        ran
+    }
+
+    /// Holds memory for an attempt, or renews its hold.
+    ///
+    /// # Errors
+    /// `ModelError::TooLarge` and `ModelError::NoMemory`.
+    pub fn reserve(&mut self, now: Instant, spec: &HoldSpec) -> Result<(), ModelError> {
+        self.run_until(now);
+        self.check_size(spec.tokens)?;
+        let key = AttemptKey::new(&spec.request, spec.attempt);
+        let free = self.free_tokens() + self.holds.size_of(&key);
+        if spec.tokens > free {
+            return Err(ModelError::NoMemory {
+                tokens: spec.tokens,
+                free,
+            });
+        }
+        self.holds.insert(now, spec);
+        self.shrink_cache();
+        Ok(())
+    }
+
+    /// Frees what an attempt holds beside its sequence; unknown ones are no
+    /// error.
+    pub fn release(&mut self, now: Instant, request: &RequestId, attempt: AttemptId) {
+        self.run_until(now);
+        self.holds.remove(&AttemptKey::new(request, attempt));
+        self.plan_step(now);
+    }
+
+    /// Says whether the engine computes for the attempt whose memory it
+    /// holds; while it does, its own steps take twice as long.
+    pub fn set_lending(
+        &mut self,
+        now: Instant,
+        request: &RequestId,
+        attempt: AttemptId,
+        lending: bool,
+    ) {
+        self.run_until(now);
+        let key = AttemptKey::new(request, attempt);
+        self.holds.set_lending(&key, lending);
+    }
+
+    /// Sets an attempt's prefill speed over that of one engine, from the next
+    /// step on.
+    pub fn set_pace(&mut self, now: Instant, request: &RequestId, attempt: AttemptId, pace: f64) {
+        self.run_until(now);
+        let key = AttemptKey::new(request, attempt);
+        let id = self.attempts.get(&key);
+        if let Some(sequence) = id.and_then(|id| self.sequences.get_mut(id)) {
+            sequence.pace = pace;
+        }
+    }
+
+    /// Stops an attempt and keeps its KV cache as a hold for another engine
+    /// to import.
+    ///
+    /// # Errors
+    /// `ModelError::Unknown` when no such attempt holds memory here.
+    pub fn export_kv(
+        &mut self,
+        now: Instant,
+        request: &RequestId,
+        attempt: AttemptId,
+        lifetime: Duration,
+    ) -> Result<KvExportRef, ModelError> {
+        self.run_until(now);
+        let key = AttemptKey::new(request, attempt);
+        let id = self.attempts.get(&key).copied();
+        let id = id.ok_or(ModelError::Unknown)?;
+        let tokens = self.sequences[&id].computed;
+        if tokens == 0 {
+            return Err(ModelError::Unknown);
+        }
+        self.end_sequence(id);
+        let spec = HoldSpec {
+            request: request.clone(),
+            attempt,
+            holder: "export".to_owned(),
+            tokens,
+            lifetime,
+        };
+        self.holds.insert(now, &spec);
+        self.holds.fill(&key, tokens, now);
+        self.shrink_cache();
+        self.plan_step(now);
+        Ok(KvExportRef {
+            export: format!("{request}/{attempt}"),
+            tokens,
+        })
+    }
+
+    /// Holds memory for an attempt and fills it from another engine; the
+    /// attempt starts when the transfer is complete.
+    ///
+    /// # Errors
+    /// `ModelError::TooLarge` and `ModelError::NoMemory`.
+    pub fn import_kv(
+        &mut self,
+        now: Instant,
+        import: &KvImportSpec,
+    ) -> Result<Instant, ModelError> {
+        self.reserve(now, &import.hold)?;
+        let key = AttemptKey::new(&import.hold.request, import.hold.attempt);
+        let ready = now + cost::transfer_time(import.filled);
+        self.holds.fill(&key, import.filled, ready);
+        Ok(ready)
+    }
+
+    /// Takes an order to change role or models.
+    ///
+    /// # Errors
+    /// `ModelError::Fenced` when the engine checks the number and it is old.
+    pub fn take_order(&mut self, order: &EngineOrder) -> Result<(), ModelError> {
+        if self.checks_fencing && order.fencing < self.fencing {
+            return Err(ModelError::Fenced {
+                newest: self.fencing,
+            });
+        }
+        self.fencing = self.fencing.max(order.fencing);
+        self.role = order.role;
+        self.models.clone_from(&order.models);
+        Ok(())
+    }
+
+    /// Changes the role, as an order does.
+    pub fn set_role(&mut self, role: EngineRole) {
+        self.role = role;
+    }
+
+    /// Changes the models held ready.
+    pub fn set_models(&mut self, models: Vec<LoadedModel>) {
+        self.models = models;
+    }
+
+    /// The process dies and another takes its place, empty. Returns the
+    /// sequences lost.
+    pub fn crash(&mut self, now: Instant) -> Vec<SequenceId> {
+        self.run_until(now);
+        let mut lost: Vec<SequenceId> = self.sequences.keys().copied().collect();
+        lost.sort_unstable();
+        self.sequences.clear();
+        self.attempts.clear();
+        self.prefills.clear();
+        self.decodes.clear();
+        self.holds.clear();
+        self.cache.clear();
+        self.private = 0;
+        self.step = None;
+        self.wake = None;
+        self.generated = 0;
+        self.profile.incarnation += 1;
+        lost
+    }
+
+    /// When the model has something to do next, if nothing else is asked.
+    #[must_use]
+    pub fn next_event_at(&self) -> Option<Instant> {
+        let step = self.step.as_ref().map(|step| step.ends);
+        let times = [step, self.wake, self.holds.next_expiry()];
+        times.into_iter().flatten().min()
+    }
+
+    /// Brings the model to `now` and returns what happened since the last
+    /// call, in order.
+    pub fn advance(&mut self, now: Instant) -> Vec<ModelEvent> {
+        self.run_until(now);
+        std::mem::take(&mut self.events)
+    }
+
+    /// The engine's report of its load.
+    pub fn report(&mut self, now: Instant) -> EngineReport {
+        self.run_until(now);
+        let backlog = self.prefills.iter();
+        let backlog = backlog.map(|key| self.sequences[&key.sequence].prefill_left());
+        EngineReport {
+            profile: self.profile.clone(),
+            role: self.role,
+            models: self.models.clone(),
+            age: Duration::ZERO,
+            kv_used: self.used_tokens(),
+            decoding: u32::try_from(self.decodes.len()).unwrap_or(u32::MAX),
+            waiting: u32::try_from(self.prefills.len()).unwrap_or(u32::MAX),
+            prefill_backlog: backlog.sum(),
+            generated: self.generated,
+            holds: self.holds.report(now),
+            fencing: self.fencing,
+        }
+    }
+
+    /// Cache events after a place in the engine's log.
+    #[must_use]
+    pub fn cache_events(&self, after: u64) -> CacheSlice {
+        self.cache.events_after(after)
+    }
+
+    /// Whether the engine computes now.
+    #[must_use]
+    pub fn is_busy(&self) -> bool {
+        self.step.is_some()
+    }
+
+    /// KV memory in use, holds included and idle cache blocks not, in tokens.
+    #[must_use]
+    pub fn used_tokens(&self) -> TokenCount {
+        self.private + self.holds.tokens() + self.cache.used_tokens()
+    }
+
+    /// KV memory that can be had now, in tokens.
+    #[must_use]
+    pub fn free_tokens(&self) -> TokenCount {
+        self.profile.kv_capacity.saturating_sub(self.used_tokens())
+    }
+
+    /// KV memory that can be had at once by evicting idle cache blocks.
+    #[must_use]
+    pub fn idle_cache_tokens(&self) -> TokenCount {
+        self.cache.idle_tokens()
+    }
+
+    fn check_size(&self, tokens: TokenCount) -> Result<(), ModelError> {
+        let capacity = self.profile.kv_capacity;
+        if tokens > capacity {
+            return Err(ModelError::TooLarge { tokens, capacity });
+        }
+        Ok(())
+    }
+}
--- a/components/types/src/lib.rs
+++ b/components/types/src/lib.rs
@@ -17,4 +17,4 @@
     TokenCount, UpstreamId, ZoneId,
 };
 pub use plan::PlanKind;
-pub use prompt::PromptJob;
+pub use prompt::{CACHE_BLOCK_TOKENS, PromptJob};
--- a/components/types/src/prompt.rs
+++ b/components/types/src/prompt.rs
@@ -7,6 +7,9 @@
     TokenCount, ZoneId,
 };
 
+/// Tokens in one block of an engine's prefix cache.
+pub const CACHE_BLOCK_TOKENS: TokenCount = 512;
+
 /// One admitted prompt as the decision components see it, without its text.
 #[derive(Clone, Debug, PartialEq)]
 pub struct PromptJob {
