--- a/components/entry/src/connection.rs
+++ b/components/entry/src/connection.rs
@@ -26,7 +26,7 @@
 
 enum HeadOutcome {
     Closed,
-    Request(Request),
+    Request(Box<Request>),
     Faulty(ApiFailure),
 }
 
@@ -42,7 +42,7 @@
             .await;
             let keep = match head {
                 HeadOutcome::Closed => false,
-                HeadOutcome::Request(request) => self.answer(request, &token).await,
+                HeadOutcome::Request(request) => self.answer(*request, &token).await,
                 HeadOutcome::Faulty(failure) => {
                     self.write(failure.response(), Method::Get, true).await;
                     false
@@ -60,7 +60,7 @@
         let decoding = decode(self.stream.clone());
         let decoded = self.clock.timeout(self.limits.head_time, decoding).await;
         match decoded {
-            Some(Ok(Some((request, _body)))) => HeadOutcome::Request(request),
+            Some(Ok(Some((request, _body)))) => HeadOutcome::Request(Box::new(request)),
             Some(Ok(None)) => HeadOutcome::Closed,
             Some(Err(_)) if self.stream.is_exhausted() => HeadOutcome::Faulty(head_too_large()),
             Some(Err(error)) => HeadOutcome::Faulty(head_failure(&error)),
--- a/components/entry/src/server.rs
+++ b/components/entry/src/server.rs
@@ -120,13 +120,11 @@
             self.clock.sleep(ACCEPT_PAUSE).await;
             return None;
         }
-        match self.listener.accept().await {
-            Ok((stream, _)) => Some(stream),
-            Err(_) => {
-                self.clock.sleep(ACCEPT_PAUSE).await;
-                None
-            }
+        if let Ok((stream, _)) = self.listener.accept().await {
+            return Some(stream);
         }
+        self.clock.sleep(ACCEPT_PAUSE).await;
+        None
     }
 
     fn spawn(&self, stream: TcpStream, token: CancellationToken) {
