Add the HTTP adapters of the platform and upstream edges

Each call opens one connection, sends once and tells whether any byte was written when it failed. The in-memory edges with faults serve tests and the stand-ins.

--- /dev/null
+++ b/components/platform/src/fakes/mod.rs
@@ -0,0 +1,14 @@
+//! In-memory edges with faults, for tests and for the stand-ins.
+
+mod faults;
+mod hosts;
+mod objects;
+mod store;
+mod table;
+mod weights;
+
+pub use faults::{CallKind, EdgeFaults, FaultSwitch, OutageKind};
+pub use hosts::MemoryHosts;
+pub use objects::MemoryObjects;
+pub use table::MemoryTable;
+pub use weights::{MemoryWeights, WeightRate};
--- /dev/null
+++ b/components/platform/src/http/hosts.rs
@@ -0,0 +1,109 @@
+//! The host list over HTTP.
+
+use std::time::Duration;
+
+use async_trait::async_trait;
+use errors::PlatformError;
+use http_types::Method;
+use kernel::ClockSource;
+use serde::Serialize;
+use transport::HttpCaller;
+
+use crate::{
+    HostEntry, HostList,
+    http::{
+        answer::{check, decode},
+        wire::HostDeparture,
+    },
+};
+
+/// The host list at one address.
+#[derive(Clone, Debug)]
+pub struct HttpHosts {
+    caller: HttpCaller,
+}
+
+impl HttpHosts {
+    /// The list at `address`, an IP number and port, with at most `limit` a
+    /// call.
+    #[must_use]
+    pub fn new(address: String, clock: ClockSource, limit: Duration) -> Self {
+        Self {
+            caller: HttpCaller::new(address, clock, limit),
+        }
+    }
+}
+
+#[async_trait]
+impl HostList for HttpHosts {
+    async fn hosts(&self) -> Result<Vec<HostEntry>, PlatformError> {
+        let step = "host list";
+        let request = self.caller.request(step, Method::Get, "/hosts")?;
+        let answer = self.caller.call(step, request).await?;
+        decode(&self.caller, step, answer)
+    }
+}
+
+/// Puts a process's own entry on the host list and takes it off.
+#[derive(Clone, Debug)]
+pub struct HostRegistrar {
+    caller: HttpCaller,
+}
+
+impl HostRegistrar {
+    /// The list at `address`, an IP number and port, with at most `limit` a
+    /// call.
+    #[must_use]
+    pub fn new(address: String, clock: ClockSource, limit: Duration) -> Self {
+        Self {
+            caller: HttpCaller::new(address, clock, limit),
+        }
+    }
+
+    /// Lists `entry`, or replaces an older incarnation of it.
+    ///
+    /// # Errors
+    /// `PlatformError`.
+    pub async fn register(&self, entry: &HostEntry) -> Result<(), PlatformError> {
+        self.tell("host register", "/hosts/register", entry).await
+    }
+
+    /// Marks `entry` as leaving.
+    ///
+    /// # Errors
+    /// `PlatformError`.
+    pub async fn leave(&self, entry: &HostEntry) -> Result<(), PlatformError> {
+        let departure = departure(entry);
+        self.tell("host leaving", "/hosts/leaving", &departure)
+            .await
+    }
+
+    /// Takes `entry` off the list.
+    ///
+    /// # Errors
+    /// `PlatformError`.
+    pub async fn deregister(&self, entry: &HostEntry) -> Result<(), PlatformError> {
+        let departure = departure(entry);
+        self.tell("host deregister", "/hosts/deregister", &departure)
+            .await
+    }
+
+    async fn tell<T: Serialize + Sync>(
+        &self,
+        step: &str,
+        path: &str,
+        body: &T,
+    ) -> Result<(), PlatformError> {
+        let request = self.caller.post(step, path, body)?;
+        let answer = self.caller.call(step, request).await?;
+        check(&self.caller, step, answer)?;
+        Ok(())
+    }
+}
+
+fn departure(entry: &HostEntry) -> HostDeparture {
+    HostDeparture {
+        id: entry.id.clone(),
+        incarnation: entry.incarnation,
+    }
+}
--- /dev/null
+++ b/components/platform/src/http/mod.rs
@@ -0,0 +1,17 @@
+//! The HTTP adapters: JSON bodies over HTTP/1.1, one connection a call.
+
+mod answer;
+mod hosts;
+mod objects;
+mod table;
+mod weights;
+mod wire;
+
+pub use hosts::{HostRegistrar, HttpHosts};
+pub use objects::HttpObjects;
+pub use table::HttpTable;
+pub use weights::HttpWeights;
+pub use wire::{
+    ConflictAnswer, HostDeparture, ReadAnswer, ReadCall, ScanAnswer, ScanCall, SlotCall,
+    TransactAnswer, TransactCall,
+};
--- /dev/null
+++ b/components/platform/src/http/weights.rs
@@ -0,0 +1,49 @@
+//! The weight store over HTTP.
+
+use std::time::Duration;
+
+use async_trait::async_trait;
+use errors::PlatformError;
+use kernel::ClockSource;
+use transport::HttpCaller;
+use types::{ModelId, ModelVersion};
+
+use crate::{
+    WeightSlot, WeightStore,
+    http::{answer::decode, wire::SlotCall},
+};
+
+/// The weight store at one address.
+#[derive(Clone, Debug)]
+pub struct HttpWeights {
+    caller: HttpCaller,
+}
+
+impl HttpWeights {
+    /// The store at `address`, an IP number and port, with at most `limit` a
+    /// call.
+    #[must_use]
+    pub fn new(address: String, clock: ClockSource, limit: Duration) -> Self {
+        Self {
+            caller: HttpCaller::new(address, clock, limit),
+        }
+    }
+}
+
+#[async_trait]
+impl WeightStore for HttpWeights {
+    async fn slot(
+        &self,
+        model: &ModelId,
+        version: &ModelVersion,
+    ) -> Result<WeightSlot, PlatformError> {
+        let step = "weight slot";
+        let body = SlotCall {
+            model: model.clone(),
+            version: version.clone(),
+        };
+        let request = self.caller.post(step, "/weights/slot", &body)?;
+        let answer = self.caller.call(step, request).await?;
+        decode(&self.caller, step, answer)
+    }
+}
--- /dev/null
+++ b/components/platform/src/http/wire.rs
@@ -0,0 +1,87 @@
+//! Bodies of the platform's HTTP calls.
+
+use serde::{Deserialize, Serialize};
+use types::{IncarnationNumber, ModelId, ModelVersion, RowVersion, UpstreamId};
+
+use crate::{ReadMode, RowWrite, TableRow};
+
+/// Body of `POST /table/read`.
+#[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
+pub struct ReadCall {
+    /// Table of the row.
+    pub table: String,
+    /// Key within the table.
+    pub key: String,
+    /// How fresh the read must be.
+    pub mode: ReadMode,
+}
+
+/// Answer to `POST /table/read`.
+#[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
+pub struct ReadAnswer {
+    /// The row, if there is one.
+    pub row: Option<TableRow>,
+}
+
+/// Body of `POST /table/scan`.
+#[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
+pub struct ScanCall {
+    /// Table of the rows.
+    pub table: String,
+    /// What the keys start with.
+    pub prefix: String,
+    /// The key after which to begin.
+    pub after: Option<String>,
+    /// Most rows to answer.
+    pub limit: usize,
+    /// How fresh the read must be.
+    pub mode: ReadMode,
+}
+
+/// Answer to `POST /table/scan`.
+#[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
+pub struct ScanAnswer {
+    /// The rows, in key order.
+    pub rows: Vec<TableRow>,
+}
+
+/// Body of `POST /table/transact`.
+#[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
+pub struct TransactCall {
+    /// The writes; all take effect or none.
+    pub writes: Vec<RowWrite>,
+}
+
+/// Answer to `POST /table/transact` with status 200.
+#[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
+pub struct TransactAnswer {
+    /// New versions in the order of the writes; 0 for a deleted row.
+    pub versions: Vec<RowVersion>,
+}
+
+/// Answer to `POST /table/transact` with status 409.
+#[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
+pub struct ConflictAnswer {
+    /// Key of the first row that differed.
+    pub key: String,
+    /// Version the row has; `null` when it is absent.
+    pub found: Option<RowVersion>,
+}
+
+/// Body of `POST /weights/slot`.
+#[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
+pub struct SlotCall {
+    /// Model to load.
+    pub model: ModelId,
+    /// Version of its weights.
+    pub version: ModelVersion,
+}
+
+/// Body of `POST /hosts/leaving` and `POST /hosts/deregister`.
+#[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
+pub struct HostDeparture {
+    /// The host.
+    pub id: UpstreamId,
+    /// Life of the process that departs; an older one than listed is ignored.
+    pub incarnation: IncarnationNumber,
+}
--- /dev/null
+++ b/components/transport/src/lib.rs
@@ -0,0 +1,13 @@
+//! One HTTP call on one connection, with truthful faults.
+//!
+//! A call opens a connection, sends once and never repeats anything. Its
+//! faults tell whether any byte had been written when it failed.
+
+mod answer;
+mod caller;
+mod fault;
+mod stream;
+
+pub use answer::{ANSWER_LIMIT_BYTES, HttpAnswer};
+pub use caller::HttpCaller;
+pub use fault::CallFault;
--- a/components/types/src/lib.rs
+++ b/components/types/src/lib.rs
@@ -7,6 +7,7 @@
 mod ids;
 mod plan;
 mod prompt;
+mod tokens;
 
 pub use engine::{
     CacheEvent, EngineOrder, EngineProfile, EngineReport, EngineRole, LoadedModel, MemoryHold,
@@ -18,3 +19,4 @@
 };
 pub use plan::PlanKind;
 pub use prompt::PromptJob;
+pub use tokens::estimate_tokens;
--- /dev/null
+++ b/components/upstream/src/http/engine.rs
@@ -0,0 +1,132 @@
+//! A model engine over HTTP.
+
+use std::time::Duration;
+
+use async_trait::async_trait;
+use errors::UpstreamError;
+use http_types::Method;
+use kernel::ClockSource;
+use serde::Serialize;
+use transport::HttpCaller;
+use types::{AttemptId, EngineOrder, EngineReport, RequestId};
+
+use crate::{
+    CacheBatch, EngineCall, KvExport, KvImport, KvReservation, ModelEngine, TokenStream,
+    http::{
+        answer::{STATUS_OK, check, decode},
+        service::TRACE_HEADER,
+        stream::event_stream,
+        wire::{AttemptCall, ExportCall},
+    },
+};
+
+/// The engine at one address.
+#[derive(Clone, Debug)]
+pub struct HttpEngine {
+    caller: HttpCaller,
+}
+
+impl HttpEngine {
+    /// The engine at `address`, an IP number and port, with at most `limit` a
+    /// call; for `submit` that is the time until the stream begins, and the
+    /// stream itself may last until the call's deadline.
+    #[must_use]
+    pub fn new(address: String, clock: ClockSource, limit: Duration) -> Self {
+        Self {
+            caller: HttpCaller::new(address, clock, limit),
+        }
+    }
+
+    async fn tell<T: Serialize + Sync>(
+        &self,
+        step: &str,
+        path: &str,
+        body: &T,
+    ) -> Result<(), UpstreamError> {
+        let request = self.caller.post(step, path, body)?;
+        let answer = self.caller.call(step, request).await?;
+        check(&self.caller, step, answer)?;
+        Ok(())
+    }
+}
+
+#[async_trait]
+impl ModelEngine for HttpEngine {
+    async fn submit(&self, call: EngineCall) -> Result<TokenStream, UpstreamError> {
+        let step = "engine submit";
+        let deadline = self.caller.clock().now() + call.deadline_in;
+        let limit = self.caller.limit().min(call.deadline_in);
+        let mut request = self.caller.post(step, "/engine/submit", &call)?;
+        self.caller
+            .set_header(step, &mut request, TRACE_HEADER, &call.traceparent)?;
+        let response = self.caller.open(step, request, limit).await?;
+        if u16::from(response.status()) == STATUS_OK {
+            return Ok(event_stream(self.caller.clone(), response, deadline));
+        }
+        let answer = self.caller.read_within(step, response, limit).await?;
+        let answer = check(&self.caller, step, answer)?;
+        let cause = format!("status {} without a stream", answer.status());
+        Err(self.caller.malformed(step, cause).into())
+    }
+
+    async fn cancel(&self, request: &RequestId, attempt: AttemptId) -> Result<(), UpstreamError> {
+        let body = AttemptCall {
+            request: request.clone(),
+            attempt,
+        };
+        self.tell("engine cancel", "/engine/cancel", &body).await
+    }
+
+    async fn report(&self) -> Result<EngineReport, UpstreamError> {
+        let step = "engine report";
+        let request = self.caller.request(step, Method::Get, "/engine/report")?;
+        let answer = self.caller.call(step, request).await?;
+        decode(&self.caller, step, answer)
+    }
+
+    async fn cache_events(&self, after: u64) -> Result<CacheBatch, UpstreamError> {
+        let step = "engine cache events";
+        let path = format!("/engine/cache?after={after}");
+        let request = self.caller.request(step, Method::Get, &path)?;
+        let answer = self.caller.call(step, request).await?;
+        decode(&self.caller, step, answer)
+    }
+
+    async fn order(&self, order: EngineOrder) -> Result<(), UpstreamError> {
+        self.tell("engine order", "/engine/order", &order).await
+    }
+
+    async fn reserve(&self, reservation: KvReservation) -> Result<(), UpstreamError> {
+        self.tell("engine reserve", "/engine/reserve", &reservation)
+            .await
+    }
+
+    async fn release(&self, request: &RequestId, attempt: AttemptId) -> Result<(), UpstreamError> {
+        let body = AttemptCall {
+            request: request.clone(),
+            attempt,
+        };
+        self.tell("engine release", "/engine/release", &body).await
+    }
+
+    async fn export_kv(
+        &self,
+        request: &RequestId,
+        attempt: AttemptId,
+        lifetime: Duration,
+    ) -> Result<KvExport, UpstreamError> {
+        let step = "engine export";
+        let body = ExportCall {
+            request: request.clone(),
+            attempt,
+            lifetime,
+        };
+        let request = self.caller.post(step, "/engine/export", &body)?;
+        let answer = self.caller.call(step, request).await?;
+        decode(&self.caller, step, answer)
+    }
+
+    async fn import_kv(&self, import: KvImport) -> Result<(), UpstreamError> {
+        self.tell("engine import", "/engine/import", &import).await
+    }
+}
--- /dev/null
+++ b/components/upstream/src/http/mod.rs
@@ -0,0 +1,14 @@
+//! The HTTP adapters: JSON bodies over HTTP/1.1, one connection a call.
+
+mod answer;
+mod engine;
+mod service;
+mod stream;
+mod wire;
+
+pub use engine::HttpEngine;
+pub use service::{
+    DEADLINE_HEADER, FENCING_HEADER, FENCING_NEWEST_HEADER, HttpService, IDEMPOTENCY_HEADER,
+    NOT_RUN_HEADER, TRACE_HEADER,
+};
+pub use wire::{AttemptCall, ExportCall, FencedAnswer, RefusedAnswer};
--- /dev/null
+++ b/components/upstream/src/http/service.rs
@@ -0,0 +1,121 @@
+//! A plain service over HTTP.
+
+use std::time::Duration;
+
+use async_trait::async_trait;
+use errors::UpstreamError;
+use http_types::{Method, Request};
+use kernel::ClockSource;
+use transport::{CallFault, HttpAnswer, HttpCaller};
+
+use crate::{OrderCall, PlainService, ServiceAnswer};
+
+/// Header of an order's deduplication key.
+pub const IDEMPOTENCY_HEADER: &str = "idempotency-key";
+/// Header of an order's fencing number.
+pub const FENCING_HEADER: &str = "fencing-number";
+/// Header of a refused order's answer: the newest number the service took.
+pub const FENCING_NEWEST_HEADER: &str = "fencing-newest";
+/// Header of the milliseconds left until the answer has no more use.
+pub const DEADLINE_HEADER: &str = "deadline-ms";
+/// Header by which a service states, with the value `true`, that it did not
+/// and will not run a call. A status alone never states that.
+pub const NOT_RUN_HEADER: &str = "not-run";
+/// Header of the W3C trace context.
+pub const TRACE_HEADER: &str = "traceparent";
+
+/// The plain service at one address.
+#[derive(Clone, Debug)]
+pub struct HttpService {
+    caller: HttpCaller,
+}
+
+impl HttpService {
+    /// The service at `address`, an IP number and port, with at most `limit` a
+    /// call.
+    #[must_use]
+    pub fn new(address: String, clock: ClockSource, limit: Duration) -> Self {
+        Self {
+            caller: HttpCaller::new(address, clock, limit),
+        }
+    }
+
+    fn order_request(
+        &self,
+        step: &str,
+        call: OrderCall,
+        limit: Duration,
+    ) -> Result<Request, CallFault> {
+        let caller = &self.caller;
+        let mut request = caller.request(step, Method::Post, &rooted(&call.path))?;
+        request.set_body(call.body);
+        caller.set_header(step, &mut request, "content-type", &call.content_type)?;
+        caller.set_header(step, &mut request, TRACE_HEADER, &call.traceparent)?;
+        request.insert_header(DEADLINE_HEADER, limit.as_millis().to_string());
+        if let Some(key) = call.dedup_key {
+            caller.set_header(step, &mut request, IDEMPOTENCY_HEADER, &key)?;
+        }
+        if let Some(fencing) = call.fencing {
+            request.insert_header(FENCING_HEADER, fencing.to_string());
+        }
+        Ok(request)
+    }
+
+    fn take(&self, step: &str, answer: HttpAnswer) -> Result<ServiceAnswer, UpstreamError> {
+        if let Some(newest) = answer.number(FENCING_NEWEST_HEADER) {
+            return Err(UpstreamError::Fenced {
+                step: step.to_owned(),
+                peer: self.caller.peer().to_owned(),
+                newest,
+            });
+        }
+        if answer.header(NOT_RUN_HEADER) == Some("true") {
+            return Err(UpstreamError::Refused {
+                step: step.to_owned(),
+                peer: self.caller.peer().to_owned(),
+                status: answer.status(),
+                cause: answer.text(),
+                retry_after: answer.retry_after(),
+            });
+        }
+        let status = answer.status();
+        let content_type = answer.header("content-type").unwrap_or_default().to_owned();
+        let body = String::from_utf8(answer.into_body())
+            .map_err(|fault| self.caller.malformed(step, fault.to_string()))?;
+        Ok(ServiceAnswer {
+            status,
+            content_type,
+            body,
+        })
+    }
+}
+
+#[async_trait]
+impl PlainService for HttpService {
+    async fn read(
+        &self,
+        path: &str,
+        limit: Duration,
+        traceparent: &str,
+    ) -> Result<ServiceAnswer, UpstreamError> {
+        let step = "service read";
+        let limit = limit.min(self.caller.limit());
+        let mut request = self.caller.request(step, Method::Get, &rooted(path))?;
+        self.caller
+            .set_header(step, &mut request, TRACE_HEADER, traceparent)?;
+        let answer = self.caller.call_within(step, request, limit).await?;
+        self.take(step, answer)
+    }
+
+    async fn order(&self, call: OrderCall) -> Result<ServiceAnswer, UpstreamError> {
+        let step = "service order";
+        let limit = call.deadline_in.min(self.caller.limit());
+        let request = self.order_request(step, call, limit)?;
+        let answer = self.caller.call_within(step, request, limit).await?;
+        self.take(step, answer)
+    }
+}
+
+fn rooted(path: &str) -> String {
+    format!("/{}", path.trim_start_matches('/'))
+}
--- a/components/upstream/src/lib.rs
+++ b/components/upstream/src/lib.rs
@@ -4,10 +4,15 @@
 //! sends once. Retries are decided by the components that call.
 
 mod engine;
+mod http;
 mod service;
 
 pub use engine::{
     CacheBatch, EngineCall, EngineEvent, KvExport, KvImport, KvReservation, ModelEngine,
     SequenceMember, TokenStream,
 };
+pub use http::{
+    AttemptCall, DEADLINE_HEADER, ExportCall, FENCING_HEADER, FENCING_NEWEST_HEADER, FencedAnswer,
+    HttpEngine, HttpService, IDEMPOTENCY_HEADER, NOT_RUN_HEADER, RefusedAnswer, TRACE_HEADER,
+};
 pub use service::{OrderCall, PlainService, ServiceAnswer};
