--- a/components/types/src/lib.rs
+++ b/components/types/src/lib.rs
@@ -19,4 +19,4 @@
 };
 pub use plan::PlanKind;
 pub use prompt::{CACHE_BLOCK_TOKENS, PromptJob};
-pub use tokens::estimate_tokens;
+pub use tokens::{estimate_tokens, prefix_hashes};
--- a/components/types/src/tokens.rs
+++ b/components/types/src/tokens.rs
@@ -1,6 +1,8 @@
-//! How a prompt's length in tokens is estimated from its text.
+//! How a prompt's length and its cache prefixes follow from its text.
 
-use crate::TokenCount;
+use xxhash_rust::xxh3::Xxh3;
+
+use crate::{AdapterId, CACHE_BLOCK_TOKENS, ModelId, ModelVersion, PrefixHash, TokenCount};
 
 const BYTES_PER_TOKEN: usize = 4;
 
@@ -9,3 +11,27 @@
 pub fn estimate_tokens(text: &str) -> TokenCount {
     text.len().div_ceil(BYTES_PER_TOKEN) as TokenCount
 }
+
+/// Hashes of the prefixes of `text` that end on a cache block border,
+/// shortest first; a prefix is cached for one model, version and adapter.
+#[must_use]
+pub fn prefix_hashes(
+    model: &ModelId,
+    version: &ModelVersion,
+    adapter: Option<&AdapterId>,
+    text: &str,
+) -> Vec<PrefixHash> {
+    let mut hasher = Xxh3::new();
+    for part in [model, version, adapter.unwrap_or(&String::new())] {
+        hasher.update(part.as_bytes());
+        hasher.update(&[0]);
+    }
+    let block = usize::try_from(CACHE_BLOCK_TOKENS).unwrap_or(usize::MAX) * BYTES_PER_TOKEN;
+    text.as_bytes()
+        .chunks_exact(block)
+        .map(|bytes| {
+            hasher.update(bytes);
+            hasher.digest()
+        })
+        .collect()
+}
