--- a/components/types/src/lib.rs
+++ b/components/types/src/lib.rs
@@ -7,6 +7,7 @@
 mod ids;
 mod plan;
 mod prompt;
+mod tokens;
 
 pub use engine::{
     CacheEvent, EngineOrder, EngineProfile, EngineReport, EngineRole, LoadedModel, MemoryHold,
@@ -17,4 +18,5 @@
     TokenCount, UpstreamId, ZoneId,
 };
 pub use plan::PlanKind;
-pub use prompt::PromptJob;
+pub use prompt::{CACHE_BLOCK_TOKENS, PromptJob};
+pub use tokens::{estimate_tokens, prefix_hashes};
