Run membership on a UDP socket as a service of the node

Cause: the member machine needs a driver that other services can use. Conclusion: the node can start membership.

--- a/components/membership/src/lib.rs
+++ b/components/membership/src/lib.rs
@@ -8,6 +8,7 @@
 mod rendezvous;
 mod sample;
 mod settings;
+mod snapshot;
 mod spread;
 mod table;
 
@@ -20,4 +21,5 @@
 };
 pub use rendezvous::{OwnerCandidate, owner_of};
 pub use settings::MemberSettings;
+pub use snapshot::MemberSnapshot;
 pub use table::{DIGEST_BUCKETS, MemberEntry, MemberTable};
--- a/components/membership/src/machine.rs
+++ b/components/membership/src/machine.rs
@@ -124,7 +124,10 @@
             MemberEvent::Seeds(seeds) => self.seeds = seeds,
             MemberEvent::Publish { topic, body } => self.publish(topic, body),
             MemberEvent::NoteInForce(version) => self.note_in_force(now, version),
-            MemberEvent::Leave => self.change_own(now, MemberState::Leaving),
+            MemberEvent::Leave => {
+                self.change_own(now, MemberState::Leaving);
+                self.push_news();
+            }
             MemberEvent::Exit => {
                 self.change_own(now, MemberState::Left);
                 self.push_news();
--- a/components/membership/src/member.rs
+++ b/components/membership/src/member.rs
@@ -6,7 +6,18 @@
 use types::{IncarnationNumber, NodeId, NoteVersion, RegionId, ZoneId};
 
 /// State of a member. Within one incarnation a later state replaces an earlier.
-#[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd, Deserialize, Serialize)]
+#[derive(
+    Clone,
+    Copy,
+    Debug,
+    Eq,
+    Hash,
+    Ord,
+    PartialEq,
+    PartialOrd,
+    Deserialize,
+    Serialize
+)]
 #[serde(rename_all = "lowercase")]
 pub enum MemberState {
     /// Answers probes and takes work.
--- a/components/membership/src/message.rs
+++ b/components/membership/src/message.rs
@@ -12,7 +12,18 @@
 pub const DATAGRAM_OVERHEAD_BYTES: usize = 72;
 
 /// What a topic's bodies are about.
-#[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd, Deserialize, Serialize)]
+#[derive(
+    Clone,
+    Copy,
+    Debug,
+    Eq,
+    Hash,
+    Ord,
+    PartialEq,
+    PartialOrd,
+    Deserialize,
+    Serialize
+)]
 #[serde(rename_all = "snake_case")]
 pub enum GossipTopic {
     /// Load of the engines a node owns.
--- a/components/node/src/lib.rs
+++ b/components/node/src/lib.rs
@@ -1,7 +1,7 @@
 //! The daemon of an entry host: services composed on the kernel.
 
 mod engines;
-mod members;
+pub mod members;
 mod notes;
 mod orders;
 mod prompts;
--- /dev/null
+++ b/components/node/src/members/core.rs
@@ -0,0 +1,212 @@
+//! The member machine with its seals and its subscribers; no I/O.
+
+use std::{
+    collections::BTreeMap,
+    net::SocketAddr,
+    sync::Arc,
+    time::{Duration, Instant},
+};
+
+use membership::{
+    GossipTopic, MemberAction, MemberEvent, MemberMachine, MemberSnapshot, PeerMessage, TopicRecord,
+};
+use smol::channel::{Receiver, Sender, bounded};
+use types::NodeId;
+use wire::{DatagramFault, DatagramOpener, DatagramSealer};
+
+use super::{DatagramCounters, HeardNote, MemberConfig};
+
+/// Bodies a slow subscriber may fall behind.
+const SUBSCRIPTION_LIMIT: usize = 1_024;
+
+/// Longest age of the snapshot that services read.
+const SNAPSHOT_AGE: Duration = Duration::from_millis(500);
+
+/// A datagram to send.
+pub struct OutgoingDatagram {
+    /// Address to send to.
+    pub to: SocketAddr,
+    /// The sealed message.
+    pub bytes: Vec<u8>,
+}
+
+/// Everything the service's tasks share.
+pub struct MemberCore {
+    machine: MemberMachine,
+    sealer: DatagramSealer,
+    opener: DatagramOpener,
+    counters: Arc<DatagramCounters>,
+    snapshot: Arc<MemberSnapshot>,
+    taken: Instant,
+    bodies: BTreeMap<GossipTopic, Vec<Sender<TopicRecord>>>,
+    changes: Vec<Sender<()>>,
+    notes: Vec<Sender<HeardNote>>,
+}
+
+impl MemberCore {
+    /// A core that knows only this node.
+    pub fn new(now: Instant, config: &MemberConfig, counters: Arc<DatagramCounters>) -> Self {
+        let identity = config.identity.clone();
+        let node = identity.node.clone();
+        let ring = config.ring.clone();
+        let sealer = DatagramSealer::new(ring.clone(), node.clone(), identity.life);
+        let settings = config.settings.clone();
+        let machine = MemberMachine::new(now, identity, config.seeds.clone(), settings);
+        let mut core = Self {
+            machine,
+            sealer,
+            opener: DatagramOpener::new(ring, node),
+            counters,
+            snapshot: Arc::default(),
+            taken: now,
+            bodies: BTreeMap::new(),
+            changes: Vec::new(),
+            notes: Vec::new(),
+        };
+        core.take_snapshot(now);
+        core
+    }
+
+    /// The members as last seen.
+    pub fn snapshot(&self) -> Arc<MemberSnapshot> {
+        Arc::clone(&self.snapshot)
+    }
+
+    /// A reader of `topic`.
+    pub fn subscribe(&mut self, topic: GossipTopic) -> Receiver<TopicRecord> {
+        let (sender, receiver) = bounded(SUBSCRIPTION_LIMIT);
+        self.bodies.entry(topic).or_default().push(sender);
+        receiver
+    }
+
+    /// A reader that is woken after changes.
+    pub fn changes(&mut self) -> Receiver<()> {
+        let (sender, receiver) = bounded(1);
+        self.changes.push(sender);
+        receiver
+    }
+
+    /// A reader of release notes heard of.
+    pub fn heard_notes(&mut self) -> Receiver<HeardNote> {
+        let (sender, receiver) = bounded(SUBSCRIPTION_LIMIT);
+        self.notes.push(sender);
+        receiver
+    }
+
+    /// Takes a datagram and returns what to send.
+    pub fn receive(
+        &mut self,
+        now: Instant,
+        from: SocketAddr,
+        bytes: &[u8],
+    ) -> Vec<OutgoingDatagram> {
+        DatagramCounters::add(&self.counters.received_bytes, bytes.len());
+        match self.open(from, bytes) {
+            Ok(event) => {
+                DatagramCounters::add(&self.counters.accepted, 1);
+                self.handle(now, event)
+            }
+            Err(fault) => {
+                self.counters.dropped(&fault);
+                match fault {
+                    DatagramFault::StaleLife { sender, newest } => self.handle(
+                        now,
+                        MemberEvent::StaleLife {
+                            sender,
+                            from,
+                            newest,
+                        },
+                    ),
+                    _ => Vec::new(),
+                }
+            }
+        }
+    }
+
+    /// Takes an event and returns what to send.
+    pub fn handle(&mut self, now: Instant, event: MemberEvent) -> Vec<OutgoingDatagram> {
+        let mut changed = matches!(event, MemberEvent::Leave | MemberEvent::Exit);
+        let actions = self.machine.handle(now, event);
+        let mut out = Vec::new();
+        for action in actions {
+            match action {
+                MemberAction::Send {
+                    to,
+                    recipient,
+                    message,
+                } => out.extend(self.seal(to, recipient.as_ref(), &message)),
+                MemberAction::Changed(record) => {
+                    log::info!(
+                        "event=member_changed node={} state={:?} incarnation={}",
+                        record.node,
+                        record.state,
+                        record.incarnation
+                    );
+                    changed = true;
+                }
+                MemberAction::Body(record) => self.hand_out(&record),
+                MemberAction::NoteHeard { version, from } => {
+                    let note = HeardNote { version, from };
+                    offer(&mut self.notes, &note);
+                }
+                MemberAction::RaiseLife(life) => {
+                    log::warn!("event=life_raised life={life}");
+                    self.sealer.raise_life(life);
+                }
+                MemberAction::Forgotten(node) => {
+                    self.opener.forget(&node);
+                    changed = true;
+                }
+            }
+        }
+        if changed || now.saturating_duration_since(self.taken) >= SNAPSHOT_AGE {
+            self.take_snapshot(now);
+        }
+        if changed {
+            offer(&mut self.changes, &());
+        }
+        out
+    }
+
+    fn open(&mut self, from: SocketAddr, bytes: &[u8]) -> Result<MemberEvent, DatagramFault> {
+        let datagram = self.opener.open(bytes)?;
+        let message = postcard::from_bytes::<PeerMessage>(&datagram.body);
+        Ok(MemberEvent::Received {
+            sender: datagram.sender,
+            from,
+            message: message.map_err(|_| DatagramFault::Malformed)?,
+        })
+    }
+
+    fn seal(
+        &mut self,
+        to: SocketAddr,
+        recipient: Option<&NodeId>,
+        message: &PeerMessage,
+    ) -> Option<OutgoingDatagram> {
+        let body = postcard::to_stdvec(message).ok()?;
+        let bytes = self.sealer.seal(recipient, &body);
+        DatagramCounters::add(&self.counters.sent_bytes, bytes.len());
+        Some(OutgoingDatagram { to, bytes })
+    }
+
+    fn take_snapshot(&mut self, now: Instant) {
+        self.taken = now;
+        self.snapshot = Arc::new(MemberSnapshot {
+            own: self.machine.own().node.clone(),
+            views: self.machine.views(now),
+        });
+    }
+
+    fn hand_out(&mut self, record: &TopicRecord) {
+        if let Some(senders) = self.bodies.get_mut(&record.topic) {
+            offer(senders, record);
+        }
+    }
+}
+
+/// Gives `item` to each reader; a full reader loses its oldest item, and one
+/// that is gone is dropped.
+fn offer<T: Clone>(senders: &mut Vec<Sender<T>>, item: &T) {
+    senders.retain(|sender| sender.force_send(item.clone()).is_ok());
+}
