--- /dev/null
+++ b/components/membership/examples/membership_figures.rs
@@ -0,0 +1,176 @@
+//! Prints membership's figures in virtual time as JSON: detection time and
+//! false suspicions against loss, bytes and processor time a node, and the
+//! time until a release note is heard of everywhere.
+
+#[path = "../tests/common/mod.rs"]
+mod common;
+
+use std::time::Duration;
+
+use common::SimulatedNetwork;
+use membership::{GossipTopic, MemberEvent, MemberState};
+use serde_json::{Value, json};
+
+/// Body of a node summary with ten pools.
+const SUMMARY_BYTES: usize = 300;
+
+/// Deaths observed for each size and loss rate.
+const DEATHS: usize = 8;
+
+/// Notes observed for each size.
+const NOTES: u64 = 20;
+
+fn main() {
+    let mut reports = Vec::new();
+    for (count, zones) in [(8, 3), (50, 10), (200, 10), (380, 10)] {
+        for loss in [0.0, 0.01, 0.05, 0.1, 0.2] {
+            let large = count > 50;
+            if large && loss > 0.0 && (loss - 0.05_f64).abs() > 1e-9 {
+                continue;
+            }
+            reports.push(measure(count, zones, loss));
+        }
+    }
+    let text = serde_json::to_string_pretty(&reports).expect("a JSON value has a text");
+    println!("{text}");
+}
+
+fn measure(count: usize, zones: usize, loss: f64) -> Value {
+    let mut network = SimulatedNetwork::new(count, zones, 6);
+    let joined = network.run_until(Duration::from_mins(1), SimulatedNetwork::converged);
+    network.run(Duration::from_secs(5));
+    network.faults.loss = loss;
+    let steady = steady(&mut network);
+    let notes = notes(&mut network);
+    let deaths = deaths(&mut network);
+    let back = back_after_pause(&mut network);
+    json!({
+        "nodes": count,
+        "zones": zones,
+        "loss": loss,
+        "join_ms": joined.map(millis),
+        "steady": steady,
+        "note_heard_ms": notes,
+        "death": deaths,
+        "back_after_pause_ms": back.map(millis),
+    })
+}
+
+/// A minute in which each node publishes a summary a second.
+fn steady(network: &mut SimulatedNetwork) -> Value {
+    let count = network.nodes.len();
+    for node in &mut network.nodes {
+        node.sent_bytes = 0;
+        node.received_bytes = 0;
+        node.busy = Duration::ZERO;
+        node.changes.clear();
+        node.bodies.clear();
+    }
+    for _ in 0..60 {
+        for index in 0..count {
+            let topic = GossipTopic::NodeSummary;
+            let body = vec![0; SUMMARY_BYTES];
+            network.handle(index, MemberEvent::Publish { topic, body });
+        }
+        network.run(Duration::from_secs(1));
+    }
+    let nodes = &network.nodes;
+    let most = |rate: fn(&common::SimulatedNode) -> usize| nodes.iter().map(rate).max();
+    let changes = |state| {
+        let all = nodes.iter().flat_map(|node| &node.changes);
+        all.filter(|(_, _, found)| *found == state).count()
+    };
+    let busy: Duration = nodes.iter().map(|node| node.busy).sum();
+    let busy = busy.as_secs_f64() / 60.0 / as_f64(count);
+    let own_zone = network.zone(0);
+    let near = |record: &&membership::TopicRecord| {
+        let index: usize = record.origin["node-".len()..].parse().unwrap_or(0);
+        network.zone(index) == own_zone
+    };
+    let mean =
+        |rate: fn(&common::SimulatedNode) -> usize| nodes.iter().map(rate).sum::<usize>() / count;
+    let bodies = &nodes[0].bodies;
+    let near_bodies = bodies.iter().filter(near).count();
+    let near_members = network.nodes.iter().filter(|node| node.zone() == own_zone);
+    let near_members = near_members.count() - 1;
+    let far_members = count - 1 - near_members;
+    json!({
+        "most_sent_bytes_per_second": most(|node| node.sent_bytes / 60),
+        "mean_sent_bytes_per_second": mean(|node| node.sent_bytes / 60),
+        "most_received_bytes_per_second": most(|node| node.received_bytes / 60),
+        "core_percent": busy * 100.0,
+        "false_suspicions_heard": changes(MemberState::Suspect),
+        "false_deaths": changes(MemberState::Dead),
+        "near_summary_period_s": 60.0 * as_f64(near_members) / as_f64(near_bodies),
+        "far_summary_period_s":
+            60.0 * as_f64(far_members) / as_f64(bodies.len() - near_bodies),
+    })
+}
+
+/// Time from a note's publication at one node until each other hears of it.
+fn notes(network: &mut SimulatedNetwork) -> Value {
+    let mut times = Vec::new();
+    for version in 1..=NOTES {
+        let index = usize::try_from(version).unwrap_or(0) % network.nodes.len();
+        let begin = network.elapsed();
+        network.handle(index, MemberEvent::NoteInForce(version));
+        network.run(Duration::from_secs(3));
+        for node in &network.nodes {
+            let heard = node.notes.iter().find(|(_, heard)| *heard >= version);
+            times.extend(heard.map(|(at, _)| at.saturating_sub(begin)));
+        }
+    }
+    let expected = (network.nodes.len() - 1) * usize::try_from(NOTES).unwrap_or(0);
+    json!({ "expected": expected, "times": quantiles(times) })
+}
+
+/// Time from a death until every other node stops naming the dead one, and
+/// until every other node holds it for dead.
+fn deaths(network: &mut SimulatedNetwork) -> Value {
+    let mut suspected = Vec::new();
+    let mut dead = Vec::new();
+    for index in 1..=DEATHS.min(network.nodes.len() / 2) {
+        network.run(Duration::from_millis(137));
+        network.nodes[index].running = false;
+        let limit = Duration::from_secs(30);
+        let suspicion = network.run_until(limit, |network| {
+            let states = network.running().map(|at| network.state(at, index));
+            states
+                .into_iter()
+                .all(|state| matches!(state, Some(MemberState::Suspect | MemberState::Dead)))
+        });
+        suspected.extend(suspicion);
+        let death = network.run_until(limit, |network| network.all_see(index, MemberState::Dead));
+        dead.extend(death.map(|death| death + suspicion.unwrap_or_default()));
+    }
+    json!({
+        "out_of_answers_everywhere_ms": quantiles(suspected),
+        "dead_everywhere_ms": quantiles(dead),
+    })
+}
+
+/// Time until all see a node as alive again that was paused for 20 s.
+fn back_after_pause(network: &mut SimulatedNetwork) -> Option<Duration> {
+    let paused = network.nodes.len() - 1;
+    network.nodes[paused].paused = true;
+    network.run(Duration::from_secs(20));
+    network.resume(paused);
+    network.run_until(Duration::from_mins(1), SimulatedNetwork::converged)
+}
+
+fn quantiles(mut times: Vec<Duration>) -> Value {
+    times.sort_unstable();
+    let at = |part: usize| {
+        let place = (times.len() * part).div_ceil(100).max(1) - 1;
+        times.get(place).copied().map(millis)
+    };
+    json!({ "count": times.len(), "p50": at(50), "p99": at(99), "most": at(100) })
+}
+
+fn millis(time: Duration) -> u64 {
+    u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
+}
+
+fn as_f64(count: usize) -> f64 {
+    f64::from(u32::try_from(count).unwrap_or(u32::MAX))
+}
--- a/components/membership/src/lib.rs
+++ b/components/membership/src/lib.rs
@@ -1,5 +1,7 @@
 //! Which nodes are alive, leaving or gone, and what follows from it: pure decisions.
 
+mod address;
+mod drain;
 mod event;
 mod machine;
 mod member;
@@ -11,7 +13,12 @@
 mod snapshot;
 mod spread;
 mod table;
+mod upstream;
 
+pub use address::{
+    AddressAnswer, AddressCandidate, AddressPlanner, AddressRequest, AddressSettings, NamedAddress,
+};
+pub use drain::{DrainAction, DrainPhase, DrainPlan, DrainSettings, HeldWork};
 pub use event::{MemberAction, MemberEvent, MemberIdentity};
 pub use machine::{BODY_LIMIT_BYTES, MemberMachine, suspicion_delay};
 pub use member::{MemberAddresses, MemberRecord, MemberState, MemberView};
@@ -23,3 +30,7 @@
 pub use settings::MemberSettings;
 pub use snapshot::MemberSnapshot;
 pub use table::{DIGEST_BUCKETS, MemberEntry, MemberTable};
+pub use upstream::{
+    CallEvidence, ListedUpstream, UpstreamChange, UpstreamEvent, UpstreamEvidence,
+    UpstreamSettings, UpstreamState, UpstreamTable,
+};
--- a/components/membership/src/machine.rs
+++ b/components/membership/src/machine.rs
@@ -29,7 +29,8 @@
 /// Seeds that are asked in one round while no member is known.
 const JOIN_SEEDS: usize = 3;
 
-/// Times an update is sent, for each decimal digit of the member count.
+/// Times an update is sent, for each decimal digit of the member count and
+/// once more.
 const SENDS_PER_DIGIT: u32 = 4;
 
 /// Decides everything about one node's membership.
@@ -89,7 +90,7 @@
             order: ProbeOrder::default(),
             updates,
             topics: TopicStore::default(),
-            samples: SampleOrder::new(settings.far_sample_interval),
+            samples: SampleOrder::new(&own.node, settings.far_sample_interval),
             budget: SendBudget::new(now, settings.bytes_per_second),
             note_heard: 0,
             topic_sequence: 0,
--- a/components/membership/src/machine/send.rs
+++ b/components/membership/src/machine/send.rs
@@ -55,6 +55,7 @@
         self.table
             .present()
             .filter(|record| record.node != self.own.node)
+            .filter(|record| record.state != MemberState::Suspect)
             .map(|record| record.node.clone())
             .sample(&mut self.rng, count)
     }
@@ -82,12 +83,30 @@
             room = room.saturating_sub(encoded_size(&record));
             message.updates.push(record);
         }
+        if self.answers(recipient.as_ref()) {
+            self.add_news(&mut message, &mut room);
+        }
+        self.dispatch(to, recipient, message);
+    }
+
+    /// Whether `recipient` is likely to get what it is sent; news sent to one
+    /// that is not would count as passed on.
+    fn answers(&self, recipient: Option<&NodeId>) -> bool {
+        let entry = recipient.and_then(|node| self.table.get(node));
+        entry.is_some_and(|entry| {
+            matches!(
+                entry.record.state,
+                MemberState::Alive | MemberState::Leaving
+            )
+        })
+    }
+
+    fn add_news(&mut self, message: &mut PeerMessage, room: &mut usize) {
         let times = self.sends();
-        message.updates.extend(self.updates.take(&mut room, times));
+        message.updates.extend(self.updates.take(room, times));
         if self.topics.relays() && self.budget.allows(self.settings.datagram_limit) {
-            message.topics = self.topics.take_relayed(&mut room, times);
+            message.topics = self.topics.take_relayed(room, times);
         }
-        self.dispatch(to, recipient, message);
     }
 
     pub(super) fn introduction(&self, recipient: Option<&NodeId>) -> Vec<MemberRecord> {
@@ -121,7 +140,7 @@
     }
 
     pub(super) fn sends(&self) -> u32 {
-        let digits = (self.table.present().count() + 1).ilog10() + 1;
+        let digits = (self.table.present().count() + 1).ilog10() + 2;
         SENDS_PER_DIGIT * digits
     }
 
--- a/components/membership/src/sample.rs
+++ b/components/membership/src/sample.rs
@@ -19,15 +19,16 @@
 
 impl SampleOrder {
     /// An order in which every `far_interval`th sample goes to another zone.
+    /// It starts after `own`, so that members don't all send to the same one.
     #[must_use]
-    pub fn new(far_interval: u64) -> Self {
+    pub fn new(own: &NodeId, far_interval: u64) -> Self {
         Self {
             far_interval: far_interval.max(1),
             count: 0,
             edition: 0,
             sent: BTreeMap::new(),
-            near: NodeId::new(),
-            far: NodeId::new(),
+            near: own.clone(),
+            far: own.clone(),
         }
     }
 
--- a/components/membership/tests/common/mod.rs
+++ b/components/membership/tests/common/mod.rs
@@ -38,6 +38,12 @@
     }
 }
 
+impl SimulatedNode {
+    pub fn zone(&self) -> &str {
+        &self.zone
+    }
+}
+
 pub struct SimulatedNode {
     pub name: NodeId,
     pub machine: MemberMachine,
@@ -236,7 +242,7 @@
     }
 
     pub fn zone(&self, index: usize) -> &str {
-        &self.nodes[index].zone
+        self.nodes[index].zone()
     }
 
     fn schedule(&mut self, delay: Duration, event: NetworkEvent) {
