Validate, chain, compare and adopt release notes

Cause: a note must be refused whole with every fault named, and a node must never go back to a lower one. Change: parse_document finds doubled entries, validate names every fault, AcceptedNote chains by content id, diff and overlaps compare, and NoteAdopter decides when a version is in force and when a node may serve: after the store or enough serving peers told the newest, again after a pause, never with neither.

--- a/components/notes/src/lib.rs
+++ b/components/notes/src/lib.rs
@@ -1,10 +1,26 @@
 //! Release notes: what they say, and what is in force after them.
 
+mod adopter;
+mod chain;
+mod diff;
 mod document;
+mod fault;
+mod parse;
 mod state;
+mod validate;
 
+pub use adopter::{
+    AdopterAction, AdopterEvent, AdopterSettings, NoteAdopter, NoteHolder, NoteSource, VersionGate,
+};
+pub use chain::{
+    AcceptedNote, ChainFault, ChainHead, ChainState, NoteId, NotesReply, NotesRequest, note_id,
+};
+pub use diff::{ChangeKind, EntryChange, diff, overlaps};
 pub use document::{
     AdapterEntry, ModelEntry, NoteDocument, NoteEntries, OrganisationEntry, OrganisationLimits,
     ServiceEntry, ServiceGuarantee, WithdrawnNames,
 };
+pub use fault::{EntryKind, EntryName, NoteFault};
+pub use parse::parse_document;
 pub use state::FleetState;
+pub use validate::{NOTE_LIMIT_BYTES, ORGANISATION_LIMIT, OTHER_LIMIT, validate};
