Publish notes through the table service and adopt them on each node

Cause: operators race, answers get lost, and every node must get to the newest note within seconds without reading the store each time.

--- a/components/membership/examples/membership_figures.rs
+++ b/components/membership/examples/membership_figures.rs
@@ -1,6 +1,6 @@
 //! Prints membership's figures in virtual time as JSON: detection time and
 //! false suspicions against loss, bytes and processor time a node, and the
-//! time until a release note is heard of everywhere.
+//! time until a release note is in force everywhere.
 
 #[path = "../tests/common/mod.rs"]
 mod common;
@@ -50,7 +50,7 @@
         "loss": loss,
         "join_ms": joined.map(millis),
         "steady": steady,
-        "note_heard_ms": notes,
+        "note_in_force_ms": notes,
         "death": deaths,
         "back_after_pause_ms": back.map(millis),
     })
@@ -107,7 +107,8 @@
     })
 }
 
-/// Time from a note's publication at one node until each other hears of it.
+/// Time from a note's publication at one node until it is in force at each
+/// other one, with a fetch from the one that told.
 fn notes(network: &mut SimulatedNetwork) -> Value {
     let mut times = Vec::new();
     for version in 1..=NOTES {
--- a/components/membership/src/event.rs
+++ b/components/membership/src/event.rs
@@ -77,12 +77,12 @@
     Changed(MemberRecord),
     /// A newer body of a topic came from another node.
     Body(TopicRecord),
-    /// A higher release note exists than any heard of before.
+    /// A higher release note exists than any told of before.
     NoteHeard {
         /// Its version.
         version: NoteVersion,
-        /// Node that told.
-        from: NodeId,
+        /// Node that has it in force; `None` when it is only known of.
+        holder: Option<NodeId>,
     },
     /// Seal as this newer life from now on.
     RaiseLife(IncarnationNumber),
--- a/components/membership/src/machine.rs
+++ b/components/membership/src/machine.rs
@@ -48,6 +48,7 @@
     samples: SampleOrder,
     budget: SendBudget,
     note_heard: NoteVersion,
+    note_held: NoteVersion,
     topic_sequence: u64,
     joined: bool,
     differing: Option<(NodeId, SocketAddr)>,
@@ -93,6 +94,7 @@
             samples: SampleOrder::new(&own.node, settings.far_sample_interval),
             budget: SendBudget::new(now, settings.bytes_per_second),
             note_heard: 0,
+            note_held: 0,
             topic_sequence: 0,
             joined: false,
             differing: None,
@@ -217,13 +219,16 @@
     }
 
     fn note_in_force(&mut self, now: Instant, version: NoteVersion) {
-        self.own.note_version = self.own.note_version.max(version);
+        if version <= self.own.note_version {
+            return;
+        }
+        self.own.note_version = version;
         let node = self.own.node.clone();
         self.table.heard(now, &node, version);
-        if version > self.note_heard {
-            self.note_heard = version;
-            self.push_news();
-        }
+        self.note_heard = self.note_heard.max(version);
+        self.note_held = self.note_held.max(version);
+        // Who has it tells of it, so that those who hear can fetch it there.
+        self.push_news();
     }
 
     fn change_own(&mut self, now: Instant, state: MemberState) {
--- a/components/membership/src/machine/receive.rs
+++ b/components/membership/src/machine/receive.rs
@@ -2,7 +2,7 @@
 
 use std::{net::SocketAddr, time::Instant};
 
-use types::{IncarnationNumber, NodeId, NoteVersion};
+use types::{IncarnationNumber, NodeId};
 
 use crate::{
     MemberAction, MemberEntry, MemberRecord, MemberTable, MessageKind, PeerMessage, TopicRecord,
@@ -22,7 +22,7 @@
             self.learn(now, record, !synced);
         }
         self.table.heard(now, sender, message.note);
-        self.hear_note(sender, message.note.max(message.note_heard));
+        self.hear_note(sender, &message);
         for record in message.topics {
             self.take_body(record);
         }
@@ -86,16 +86,22 @@
         self.actions.push(MemberAction::Changed(record.clone()));
     }
 
-    pub(super) fn hear_note(&mut self, sender: &NodeId, version: NoteVersion) {
-        if version <= self.note_heard {
-            return;
+    fn hear_note(&mut self, sender: &NodeId, message: &PeerMessage) {
+        if message.note > self.note_held {
+            self.note_held = message.note;
+            self.actions.push(MemberAction::NoteHeard {
+                version: message.note,
+                holder: Some(sender.clone()),
+            });
         }
-        self.note_heard = version;
-        self.actions.push(MemberAction::NoteHeard {
-            version,
-            from: sender.clone(),
-        });
-        self.push_news();
+        let heard = message.note.max(message.note_heard);
+        if heard > self.note_heard && heard > self.note_held {
+            self.actions.push(MemberAction::NoteHeard {
+                version: heard,
+                holder: None,
+            });
+        }
+        self.note_heard = self.note_heard.max(heard);
     }
 
     pub(super) fn take_body(&mut self, record: TopicRecord) {
--- a/components/membership/tests/common/mod.rs
+++ b/components/membership/tests/common/mod.rs
@@ -75,6 +75,7 @@
 #[derive(Eq, Ord, PartialEq, PartialOrd)]
 enum NetworkEvent {
     Tick(usize),
+    Adopt(usize, u64),
     Packet {
         from: SocketAddr,
         to: SocketAddr,
@@ -264,6 +265,11 @@
                 }
                 self.schedule(self.settings.tick, NetworkEvent::Tick(index));
             }
+            NetworkEvent::Adopt(index, version) => {
+                let elapsed = self.elapsed();
+                self.nodes[index].notes.push((elapsed, version));
+                self.handle(index, MemberEvent::NoteInForce(version));
+            }
             NetworkEvent::Packet { from, to, bytes } => self.deliver(from, to, bytes),
         }
     }
@@ -330,7 +336,14 @@
                 node.changes.push((elapsed, record.node, record.state));
             }
             MemberAction::Body(record) => node.bodies.push(record),
-            MemberAction::NoteHeard { version, .. } => node.notes.push((elapsed, version)),
+            MemberAction::NoteHeard {
+                version,
+                holder: Some(_),
+            } => {
+                let fetch = self.faults.most_delay * 2;
+                self.schedule(fetch, NetworkEvent::Adopt(index, version));
+            }
+            MemberAction::NoteHeard { holder: None, .. } => {}
             MemberAction::RaiseLife(life) => node.sealer.raise_life(life),
             MemberAction::Forgotten(name) => node.opener.forget(&name),
         }
--- a/components/membership/tests/members.rs
+++ b/components/membership/tests/members.rs
@@ -170,7 +170,7 @@
 }
 
 #[test]
-fn a_note_version_is_heard_everywhere_and_never_goes_back() {
+fn a_note_version_comes_into_force_everywhere_and_never_goes_back() {
     let mut network = joined(30, 1);
     network.faults.loss = 0.05;
     for version in [3, 2, 5] {
--- a/components/node/src/lib.rs
+++ b/components/node/src/lib.rs
@@ -2,6 +2,6 @@
 
 mod engines;
 pub mod members;
-mod notes;
+pub mod notes;
 mod orders;
 mod prompts;
--- a/components/node/src/members.rs
+++ b/components/node/src/members.rs
@@ -49,8 +49,8 @@
 pub struct HeardNote {
     /// Its version.
     pub version: NoteVersion,
-    /// The node that told.
-    pub from: NodeId,
+    /// Node that has it in force; `None` when it is only known of.
+    pub holder: Option<NodeId>,
 }
 
 /// Why a body was not published.
--- a/components/node/src/members/core.rs
+++ b/components/node/src/members/core.rs
@@ -145,8 +145,8 @@
                     changed = true;
                 }
                 MemberAction::Body(record) => self.hand_out(&record),
-                MemberAction::NoteHeard { version, from } => {
-                    let note = HeardNote { version, from };
+                MemberAction::NoteHeard { version, holder } => {
+                    let note = HeardNote { version, holder };
                     offer(&mut self.notes, &note);
                 }
                 MemberAction::RaiseLife(life) => {
--- a/components/node/src/notes.rs
+++ b/components/node/src/notes.rs
@@ -1,1 +1,9 @@
-//! The notes service of a node.
+//! The notes service of a node: publishing, adoption and what is in force.
+
+mod publish;
+mod service;
+mod store;
+
+pub use publish::{NoteConflict, PublishOptions, PublishOutcome};
+pub use service::{NOTE_SERVICE, NotePeer, NotePeerFault, NoteService, NoteStatus};
+pub use store::{NoteStore, SNAPSHOT_INTERVAL};
--- a/components/notes/src/adopter.rs
+++ b/components/notes/src/adopter.rs
@@ -29,6 +29,8 @@
     chain: Arc<ChainState>,
     kept: VecDeque<AcceptedNote>,
     wanted: NoteVersion,
+    // A version that no node is known to have, and when to want it.
+    known: Option<(NoteVersion, Instant)>,
     ready: bool,
     store_learned: bool,
     store_failed: bool,
@@ -53,6 +55,7 @@
             chain: Arc::default(),
             kept: VecDeque::new(),
             wanted: 0,
+            known: None,
             ready: false,
             store_learned: false,
             store_failed: false,
@@ -73,7 +76,7 @@
     pub fn handle(&mut self, now: Instant, event: AdopterEvent) -> Vec<AdopterAction> {
         match event {
             AdopterEvent::Tick(holders) => self.tick(now, holders),
-            AdopterEvent::Heard { version, from } => self.heard(version, from),
+            AdopterEvent::Heard { version, holder } => self.heard(now, version, holder),
             AdopterEvent::HeadRead(head) => self.head_read(&head),
             AdopterEvent::HeadUnread => {
                 self.head_due = None;
@@ -144,6 +147,12 @@
         for holder in &holders {
             self.wanted = self.wanted.max(holder.version);
         }
+        if let Some((version, due)) = self.known
+            && due <= now
+        {
+            self.known = None;
+            self.wanted = self.wanted.max(version);
+        }
         self.holders = holders;
         if self.head_due.is_some_and(|due| due <= now) {
             self.head_due = None;
@@ -182,15 +191,17 @@
         self.next_head = now;
     }
 
-    fn heard(&mut self, version: NoteVersion, from: NodeId) {
-        self.wanted = self.wanted.max(version);
-        self.holders.retain(|holder| holder.node != from);
-        let holder = NoteHolder {
-            node: from,
-            version,
+    fn heard(&mut self, now: Instant, version: NoteVersion, holder: Option<NodeId>) {
+        let Some(node) = holder else {
+            let due = self.known.map(|(_, due)| due);
+            let due = due.unwrap_or(now + self.settings.rumour_patience);
+            self.known = Some((version, due));
+            return;
         };
+        self.wanted = self.wanted.max(version);
+        self.holders.retain(|holder| holder.node != node);
         // The one that told is asked first.
-        self.holders.insert(0, holder);
+        self.holders.insert(0, NoteHolder { node, version });
         self.turn = 0;
     }
 
--- a/components/notes/src/adopter/event.rs
+++ b/components/notes/src/adopter/event.rs
@@ -18,6 +18,9 @@
     /// Serving nodes that must answer, if there are as many, before this node
     /// serves without the store.
     pub peer_answers: usize,
+    /// Time in which a node is expected to tell that it has a version that is
+    /// only known of; then the store is asked.
+    pub rumour_patience: Duration,
     /// Notes kept for other nodes.
     pub kept_notes: usize,
     /// Time without a tick after which this process was paused: it learns the
@@ -35,6 +38,7 @@
             retry_period: Duration::from_millis(500),
             fetch_timeout: Duration::from_secs(2),
             peer_answers: 3,
+            rumour_patience: Duration::from_secs(1),
             kept_notes: 512,
             pause_limit: Duration::from_secs(2),
             relearn_limit: Duration::from_secs(5),
@@ -69,8 +73,8 @@
     Heard {
         /// The version.
         version: NoteVersion,
-        /// The node.
-        from: NodeId,
+        /// Node that has it in force; `None` when it is only known of.
+        holder: Option<NodeId>,
     },
     /// The store's head was read; it may lag.
     HeadRead(ChainHead),
--- a/components/notes/tests/adopter.rs
+++ b/components/notes/tests/adopter.rs
@@ -217,6 +217,19 @@
     assert_eq!(node.adopter.version(), 9);
 }
 
+#[test]
+fn a_version_that_no_node_has_is_fetched_from_the_store() {
+    let mut node = Adopting::new();
+    node.run(SECOND, Some(3), &[]);
+    // The publisher told and died; the next poll is 14 s away.
+    node.handle(AdopterEvent::Heard {
+        version: 4,
+        holder: None,
+    });
+    node.run(SECOND * 2, Some(4), &[]);
+    assert_eq!(node.adopter.version(), 4);
+}
+
 #[test]
 fn another_chain_is_rejected_and_fetched_elsewhere() {
     let mut node = Adopting::new();
@@ -304,8 +317,8 @@
                     node.run(Duration::from_millis(100) * u32::try_from(time).unwrap(), store, &peers);
                 }
                 Step::Hear(version) => {
-                    let from = "node-0".to_owned();
-                    node.handle(AdopterEvent::Heard { version, from });
+                    let holder = (version % 2 == 0).then(|| "node-0".to_owned());
+                    node.handle(AdopterEvent::Heard { version, holder });
                 }
                 Step::Late(newest, after) => {
                     let source = NoteSource::Peer("node-2".to_owned());
