Test lost answers and pauses that the earlier tests passed over

Cause: trials that broke the code on purpose showed two rules without a test: the pause rule of the member machine, and a lost answer told as accepted. Change: one test for each.

--- a/components/membership/examples/membership_figures.rs
+++ b/components/membership/examples/membership_figures.rs
@@ -155,6 +155,7 @@
     let paused = network.nodes.len() - 1;
     network.nodes[paused].paused = true;
     network.run(Duration::from_secs(20));
+    network.drop_backlog(paused);
     network.resume(paused);
     network.run_until(Duration::from_mins(1), SimulatedNetwork::converged)
 }
--- a/components/membership/tests/common/mod.rs
+++ b/components/membership/tests/common/mod.rs
@@ -170,6 +170,11 @@
         }
     }
 
+    /// Loses what a paused node's socket could not hold.
+    pub fn drop_backlog(&mut self, index: usize) {
+        self.nodes[index].backlog.clear();
+    }
+
     pub fn resume(&mut self, index: usize) {
         self.nodes[index].paused = false;
         for (from, bytes) in std::mem::take(&mut self.nodes[index].backlog) {
--- a/components/membership/tests/members.rs
+++ b/components/membership/tests/members.rs
@@ -67,6 +67,30 @@
     assert_eq!(false_deaths(&network, 2), 0);
 }
 
+#[test]
+fn suspicions_do_not_run_out_while_the_one_that_holds_them_is_paused() {
+    let mut network = joined(4, 1);
+    // Cut off just long enough to suspect the others, then paused.
+    network.nodes[2].group = 1;
+    let suspects = network.run_until(seconds(3), |network| {
+        network.state(2, 0) == Some(MemberState::Suspect)
+    });
+    assert!(suspects.is_some());
+    network.nodes[2].group = 0;
+    network.nodes[2].paused = true;
+    network.run(seconds(20));
+    network.drop_backlog(2);
+    network.resume(2);
+    let back = network.run_until(seconds(10), SimulatedNetwork::converged);
+    assert!(back.is_some());
+    let changes = &network.nodes[2].changes;
+    assert!(
+        !changes
+            .iter()
+            .any(|(_, _, state)| *state == MemberState::Dead)
+    );
+}
+
 #[test]
 fn both_sides_of_a_partition_go_on_and_find_each_other() {
     let mut network = joined(9, 1);
--- a/components/node/tests/notes.rs
+++ b/components/node/tests/notes.rs
@@ -110,6 +110,19 @@
     });
 }
 
+#[test]
+fn a_lost_answer_is_resolved_by_the_notes_id() {
+    smol::block_on(async {
+        let platform = FakePlatform::new(1, 0.0);
+        let store = store(&platform);
+        platform.lose_next_answer();
+        let options = PublishOptions::default();
+        let outcome = publish(&store, &system(), &model_note("a"), &options).await;
+        assert!(matches!(outcome, PublishOutcome::Accepted(note) if note.version == 1));
+        assert_eq!(store.notes_after(0, 10).await.unwrap().len(), 1);
+    });
+}
+
 #[test]
 fn a_store_that_is_down_is_said_so_and_nothing_changes() {
     smol::block_on(async {
--- a/components/node/tests/notes_service.rs
+++ b/components/node/tests/notes_service.rs
@@ -262,7 +262,10 @@
         }
         fleet.until("in force", |nodes| all_serve(nodes, 6)).await;
         fleet.platform.heal();
-        assert_eq!(fleet.nodes[0].notes.history(0, 10).await.unwrap().len(), 6);
+        fleet.platform.lose_next_answer();
+        fleet.publish_surely(0, "model-7").await;
+        fleet.until("in force", |nodes| all_serve(nodes, 7)).await;
+        assert_eq!(fleet.nodes[0].notes.history(0, 10).await.unwrap().len(), 7);
     });
 }
 
--- a/components/node/tests/support/mod.rs
+++ b/components/node/tests/support/mod.rs
@@ -18,6 +18,7 @@
     rng: StdRng,
     fault_rate: f64,
     down: bool,
+    lose_next: bool,
 }
 
 /// Loses answers before, after and long before a write takes effect.
@@ -34,6 +35,7 @@
             rng: StdRng::seed_from_u64(seed),
             fault_rate,
             down: false,
+            lose_next: false,
         };
         Arc::new(Self {
             state: Mutex::new(state),
@@ -44,6 +46,11 @@
         self.state.lock().unwrap().fault_rate = rate;
     }
 
+    /// The next write takes effect and its answer is lost.
+    pub fn lose_next_answer(&self) {
+        self.state.lock().unwrap().lose_next = true;
+    }
+
     pub fn set_down(&self, down: bool) {
         self.state.lock().unwrap().down = down;
     }
@@ -161,6 +168,10 @@
 
     async fn transact(&self, writes: Vec<RowWrite>) -> Result<Vec<RowVersion>, PlatformError> {
         let mut state = self.enter().await?;
+        if std::mem::take(&mut state.lose_next) {
+            apply(&mut state, &writes)?;
+            return Err(unanswered());
+        }
         let rate = state.fault_rate;
         if state.rng.random_bool(rate) {
             return Err(unreachable());
