--- /dev/null
+++ b/components/notes/examples/note_figures.rs
@@ -0,0 +1,121 @@
+//! Prints, as JSON, what 6,100 organisations cost: sizes of notes and of the
+//! whole state, and the time to validate and apply one more note.
+
+use std::time::{Duration, Instant};
+
+use notes::{
+    AcceptedNote, ChainState, ModelEntry, NoteDocument, OrganisationEntry, OrganisationLimits,
+    validate,
+};
+use serde_json::json;
+use types::PlanKind;
+
+/// Organisations in all.
+const ORGANISATIONS: usize = 6_100;
+
+/// Organisations added by one note.
+const PER_NOTE: usize = 500;
+
+/// Models in all.
+const MODELS: usize = 35;
+
+/// Notes measured on top.
+const CHANGES: u32 = 100;
+
+fn main() {
+    let mut chain = ChainState::default();
+    let mut largest = 0;
+    let mut notes = 0;
+    for note in founding_notes() {
+        validate(&chain.state, &note).expect("the note is valid");
+        largest = largest.max(bytes(&note));
+        notes += 1;
+        let note = AcceptedNote::following(&chain.head(), note);
+        chain.apply(&note).expect("the note follows");
+    }
+    let mut validating = Duration::ZERO;
+    let mut applying = Duration::ZERO;
+    for number in 0..CHANGES {
+        let note = change(number);
+        let begun = Instant::now();
+        validate(&chain.state, &note).expect("the note is valid");
+        validating += begun.elapsed();
+        let note = AcceptedNote::following(&chain.head(), note);
+        let begun = Instant::now();
+        chain.apply(&note).expect("the note follows");
+        applying += begun.elapsed();
+    }
+    let report = json!({
+        "organisations": ORGANISATIONS,
+        "founding_notes": notes,
+        "largest_note_bytes": largest,
+        "state_bytes_as_json": bytes(&chain),
+        "change_note_bytes": bytes(&change(0)),
+        "validate_ms": (validating / CHANGES).as_secs_f64() * 1_000.0,
+        "apply_ms": (applying / CHANGES).as_secs_f64() * 1_000.0,
+    });
+    println!("{report:#}");
+}
+
+fn bytes<T: serde::Serialize>(value: &T) -> usize {
+    serde_json::to_vec(value).map_or(0, |text| text.len())
+}
+
+fn founding_notes() -> Vec<NoteDocument> {
+    let mut models = NoteDocument::default();
+    for index in 0..MODELS {
+        let model = ModelEntry {
+            version: "1".to_owned(),
+            context_tokens: 1_000_000,
+            copies: 4,
+        };
+        models.added.models.insert(model_name(index), model);
+    }
+    let mut notes = vec![models];
+    for first in (0..ORGANISATIONS).step_by(PER_NOTE) {
+        let mut note = NoteDocument::default();
+        for index in first..(first + PER_NOTE).min(ORGANISATIONS) {
+            let name = format!("organisation-{index}");
+            note.added.organisations.insert(name, organisation(index));
+        }
+        notes.push(note);
+    }
+    notes
+}
+
+fn change(number: u32) -> NoteDocument {
+    let mut note = NoteDocument {
+        summary: format!("raise a limit, change {number}"),
+        ..NoteDocument::default()
+    };
+    let index = usize::try_from(number).unwrap_or(0);
+    let name = format!("organisation-{index}");
+    note.changed.organisations.insert(name, organisation(index));
+    note
+}
+
+fn organisation(index: usize) -> OrganisationEntry {
+    OrganisationEntry {
+        plan: if index.is_multiple_of(5) {
+            PlanKind::Paying
+        } else {
+            PlanKind::Trial
+        },
+        key_digests: vec![format!("{index:064x}")],
+        weight: 1,
+        limits: OrganisationLimits {
+            requests_per_second: 5,
+            tokens_per_minute: 1_000_000,
+            concurrent_requests: 8,
+        },
+        models: (0..4)
+            .map(|step| model_name((index + step) % MODELS))
+            .collect(),
+        adapters: Vec::new(),
+        services: Vec::new(),
+    }
+}
+
+fn model_name(index: usize) -> String {
+    format!("model-{index}")
+}
