--- /dev/null
+++ b/components/node/src/api/access.rs
@@ -0,0 +1,159 @@
+//! Who a caller is and what it may use.
+
+use std::sync::Arc;
+
+use entry::{ApiFailure, EntryRequest, FailureKind, HeaderName, digest_matches};
+use notes::{FleetState, OrganisationEntry};
+use types::{AdapterId, ModelId, ModelVersion, NoteVersion, OrganisationId, ServiceName};
+
+use super::ApiParts;
+
+/// A caller whose key has been recognised, under one release note.
+pub struct CallerAccess {
+    /// The organisation.
+    pub organisation: OrganisationId,
+    /// Its entry.
+    pub entry: OrganisationEntry,
+    /// The state in force when the request was admitted.
+    pub state: Arc<FleetState>,
+}
+
+/// What a model name stands for under one release note.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct ResolvedModel {
+    /// The model.
+    pub model: ModelId,
+    /// Its version.
+    pub version: ModelVersion,
+    /// The adapter, if the name was an adapter's.
+    pub adapter: Option<AdapterId>,
+}
+
+/// Recognises the caller.
+///
+/// # Errors
+/// `ApiFailure` without a known key, or when this node has an older note in
+/// force than the caller has been served under.
+pub fn recognise(parts: &ApiParts, request: &EntryRequest) -> Result<CallerAccess, ApiFailure> {
+    let state = parts.notes.current();
+    let least: NoteVersion = request.number(HeaderName::NoteVersion)?.unwrap_or(0);
+    if state.version < least {
+        return Err(note_behind(state.version, least));
+    }
+    let digest = request.key_digest().ok_or_else(missing_key)?;
+    let found = state.organisations.iter().find(|(_, entry)| {
+        entry
+            .key_digests
+            .iter()
+            .fold(false, |found, known| digest_matches(known, &digest) | found)
+    });
+    let (organisation, entry) = found.ok_or_else(unknown_key)?;
+    Ok(CallerAccess {
+        organisation: organisation.clone(),
+        entry: entry.clone(),
+        state: Arc::clone(&state),
+    })
+}
+
+/// Requires an operator's key.
+///
+/// # Errors
+/// `ApiFailure` without one.
+pub fn require_operator(parts: &ApiParts, request: &EntryRequest) -> Result<(), ApiFailure> {
+    let digest = request.key_digest().ok_or_else(missing_key)?;
+    let known = &parts.settings.operator_key_digests;
+    if known
+        .iter()
+        .fold(false, |found, known| digest_matches(known, &digest) | found)
+    {
+        return Ok(());
+    }
+    Err(ApiFailure::new(
+        FailureKind::Forbidden,
+        "operator_key_required",
+        "this needs an operator's key; see operator_key_digests in the node's settings",
+    ))
+}
+
+impl CallerAccess {
+    /// What `name`, a model or an adapter, stands for.
+    ///
+    /// # Errors
+    /// `ApiFailure` when the organisation may not use it.
+    pub fn resolve(&self, name: &str) -> Result<ResolvedModel, ApiFailure> {
+        let name = name.to_owned();
+        if self.entry.models.contains(&name)
+            && let Some(model) = self.state.models.get(&name)
+        {
+            return Ok(ResolvedModel {
+                version: model.version.clone(),
+                model: name,
+                adapter: None,
+            });
+        }
+        self.resolve_adapter(&name).ok_or_else(|| {
+            let message = format!(
+                "{name} is no model or adapter of organisation {} under release note {}",
+                self.organisation, self.state.version
+            );
+            ApiFailure::new(FailureKind::NotFound, "unknown_model", message).with_param("model")
+        })
+    }
+
+    fn resolve_adapter(&self, name: &AdapterId) -> Option<ResolvedModel> {
+        if !self.entry.adapters.contains(name) {
+            return None;
+        }
+        let adapter = self.state.adapters.get(name)?;
+        let model = self.state.models.get(&adapter.model)?;
+        Some(ResolvedModel {
+            model: adapter.model.clone(),
+            version: model.version.clone(),
+            adapter: Some(name.clone()),
+        })
+    }
+
+    /// Requires that the organisation may use a service.
+    ///
+    /// # Errors
+    /// `ApiFailure` when it may not.
+    pub fn require_service(&self, name: &ServiceName) -> Result<(), ApiFailure> {
+        if self.entry.services.contains(name) && self.state.services.contains_key(name) {
+            return Ok(());
+        }
+        let message = format!(
+            "{name} is no service of organisation {} under release note {}; nothing was run",
+            self.organisation, self.state.version
+        );
+        Err(ApiFailure::new(
+            FailureKind::NotFound,
+            "unknown_service",
+            message,
+        ))
+    }
+}
+
+fn missing_key() -> ApiFailure {
+    ApiFailure::new(
+        FailureKind::Unauthorized,
+        "missing_key",
+        "send the key as: Authorization: Bearer KEY",
+    )
+}
+
+fn unknown_key() -> ApiFailure {
+    ApiFailure::new(
+        FailureKind::Unauthorized,
+        "unknown_key",
+        "no organisation of the release note in force has this key",
+    )
+}
+
+fn note_behind(version: NoteVersion, least: NoteVersion) -> ApiFailure {
+    let message = format!(
+        "this node has release note {version} in force, and you were served under {least}; \
+         nothing was run; use another address"
+    );
+    ApiFailure::new(FailureKind::Unavailable, "note_behind", message)
+        .with_retry_after(std::time::Duration::from_secs(1))
+}
--- /dev/null
+++ b/components/node/src/api/mod.rs
@@ -0,0 +1,16 @@
+//! The HTTP interface: routes, keys and handlers.
+
+mod access;
+mod addresses;
+mod answer;
+mod completions;
+mod operator;
+mod parts;
+mod prompt_body;
+mod prompt_run;
+mod router;
+mod services;
+mod shape;
+
+pub use parts::ApiParts;
+pub use router::api_handler;
--- /dev/null
+++ b/components/node/src/api/router.rs
@@ -0,0 +1,159 @@
+//! From a path to its handler.
+
+use std::sync::Arc;
+
+use entry::{ApiFailure, EntryHandler, EntryRequest, FailureKind};
+use http_types::{Method, Response};
+use telemetry::RouteLabels;
+
+use super::{
+    ApiParts, addresses,
+    answer::{ApiResult, json_response, text_response},
+    completions::complete,
+    operator,
+    services::{ServicePath, call_service},
+    shape::AnswerShape,
+};
+
+/// A path that the interface knows.
+enum ApiRoute {
+    Addresses,
+    Completion(AnswerShape),
+    Service(ServicePath),
+    Live,
+    Ready,
+    Metrics,
+    OperatorStatus,
+    OperatorNotes,
+    OperatorTrace(String),
+}
+
+/// The handler for all callers and operators.
+#[must_use]
+pub fn api_handler(parts: Arc<ApiParts>) -> EntryHandler {
+    Arc::new(move |request| {
+        let parts = Arc::clone(&parts);
+        Box::pin(answer(parts, request))
+    })
+}
+
+async fn answer(parts: Arc<ApiParts>, request: EntryRequest) -> Response {
+    let Some(route) = find_route(&request) else {
+        let message = format!("there is nothing at {}", request.path());
+        return ApiFailure::new(FailureKind::NotFound, "unknown_path", message).response();
+    };
+    let name = route_name(&route);
+    let metrics = Arc::clone(&parts.metrics);
+    let response = match dispatch(parts, request, route).await {
+        Ok(response) => response,
+        Err(failure) => failure.response(),
+    };
+    let labels = RouteLabels {
+        route: name.to_owned(),
+        status: u16::from(response.status()),
+    };
+    metrics.calls.get_or_create(&labels).inc();
+    response
+}
+
+fn find_route(request: &EntryRequest) -> Option<ApiRoute> {
+    let path = request.path();
+    let route = match path {
+        "/v1/addresses" => ApiRoute::Addresses,
+        "/v1/completions" => ApiRoute::Completion(AnswerShape::Text),
+        "/v1/chat/completions" => ApiRoute::Completion(AnswerShape::Chat),
+        "/health/live" => ApiRoute::Live,
+        "/health/ready" => ApiRoute::Ready,
+        "/metrics" => ApiRoute::Metrics,
+        "/v1/operator/status" => ApiRoute::OperatorStatus,
+        "/v1/operator/notes" => ApiRoute::OperatorNotes,
+        _ => return find_named_route(request, path),
+    };
+    Some(route)
+}
+
+fn find_named_route(request: &EntryRequest, path: &str) -> Option<ApiRoute> {
+    if let Some(id) = path.strip_prefix("/v1/operator/traces/") {
+        return Some(ApiRoute::OperatorTrace(id.to_owned()));
+    }
+    let rest = path.strip_prefix("/v1/services/")?;
+    let (name, below) = rest.split_once('/').unwrap_or((rest, ""));
+    let rest = match request.raw_query() {
+        Some(query) => format!("{below}?{query}"),
+        None => below.to_owned(),
+    };
+    Some(ApiRoute::Service(ServicePath {
+        name: name.to_owned(),
+        rest,
+    }))
+}
+
+fn route_name(route: &ApiRoute) -> &'static str {
+    match route {
+        ApiRoute::Addresses => "addresses",
+        ApiRoute::Completion(AnswerShape::Text) => "completions",
+        ApiRoute::Completion(AnswerShape::Chat) => "chat_completions",
+        ApiRoute::Service(_) => "services",
+        ApiRoute::Live | ApiRoute::Ready => "health",
+        ApiRoute::Metrics => "metrics",
+        ApiRoute::OperatorStatus | ApiRoute::OperatorNotes | ApiRoute::OperatorTrace(_) => {
+            "operator"
+        }
+    }
+}
+
+async fn dispatch(parts: Arc<ApiParts>, request: EntryRequest, route: ApiRoute) -> ApiResult {
+    require_method(&request, &route)?;
+    match route {
+        ApiRoute::Addresses => addresses::addresses(parts, request).await,
+        ApiRoute::Completion(shape) => complete(parts, request, shape).await,
+        ApiRoute::Service(path) => call_service(parts, request, path).await,
+        ApiRoute::Live => Ok(text_response("live")),
+        ApiRoute::Ready => ready(&parts),
+        ApiRoute::Metrics => Ok(metrics(&parts)),
+        ApiRoute::OperatorStatus => operator::status(&parts, &request),
+        ApiRoute::OperatorNotes if request.method() == Method::Post => {
+            operator::publish(parts, request).await
+        }
+        ApiRoute::OperatorNotes => Ok(json_response(&*parts.notes.current())),
+        ApiRoute::OperatorTrace(id) => operator::trace(&parts, &request, &id),
+    }
+}
+
+fn require_method(request: &EntryRequest, route: &ApiRoute) -> Result<(), ApiFailure> {
+    let allowed: &[Method] = match route {
+        ApiRoute::Completion(_) => &[Method::Post],
+        ApiRoute::Service(_) | ApiRoute::OperatorNotes => &[Method::Get, Method::Post],
+        _ => &[Method::Get],
+    };
+    if allowed.contains(&request.method()) {
+        return Ok(());
+    }
+    let names: Vec<String> = allowed.iter().map(ToString::to_string).collect();
+    let message = format!("{} takes {}", request.path(), names.join(" or "));
+    Err(ApiFailure::new(
+        FailureKind::MethodNotAllowed,
+        "method_not_allowed",
+        message,
+    ))
+}
+
+fn ready(parts: &ApiParts) -> ApiResult {
+    if parts.notes.current().version > 0 {
+        return Ok(text_response("ready"));
+    }
+    Err(ApiFailure::new(
+        FailureKind::Unavailable,
+        "not_ready",
+        "no release note is in force on this node yet",
+    ))
+}
+
+fn metrics(parts: &ApiParts) -> Response {
+    let mut response = text_response(&parts.metrics.encode());
+    response.insert_header(
+        "Content-Type",
+        "application/openmetrics-text; version=1.0.0; charset=utf-8",
+    );
+    response
+}
--- a/components/node/src/lib.rs
+++ b/components/node/src/lib.rs
@@ -1,7 +1,15 @@
 //! The daemon of an entry host: services composed on the kernel.
 
-mod engines;
-mod members;
-mod notes;
-mod orders;
-mod prompts;
+pub mod api;
+pub mod daemon;
+pub mod directory;
+pub mod engines;
+pub mod fleet;
+pub mod members;
+pub mod notes;
+pub mod orders;
+pub mod peers;
+pub mod prompts;
+pub mod watch;
+
+pub use daemon::{NodeDaemon, NodeError};
--- /dev/null
+++ b/components/node/src/peers/client.rs
@@ -0,0 +1,161 @@
+//! The calling side.
+
+use std::{
+    collections::HashMap,
+    sync::{Arc, Mutex, PoisonError},
+    time::Duration,
+};
+
+use kernel::ClockSource;
+use serde::{Serialize, de::DeserializeOwned};
+use smol::net::TcpStream;
+use types::{NodeId, RequestId};
+use wire::{FrameError, KeyRing, receive_frame, send_frame};
+
+use super::{ForwardedPrompt, PeerReply, PeerRequest, handshake::prove_caller};
+
+const CONNECT_LIMIT: Duration = Duration::from_secs(1);
+
+/// Calls other nodes; it is told their addresses by membership.
+pub struct PeerClient {
+    own: NodeId,
+    ring: Arc<KeyRing>,
+    clock: ClockSource,
+    addresses: Mutex<HashMap<NodeId, String>>,
+}
+
+impl PeerClient {
+    /// A client that knows no address yet.
+    #[must_use]
+    pub fn new(own: NodeId, ring: Arc<KeyRing>, clock: ClockSource) -> Arc<Self> {
+        Arc::new(Self {
+            own,
+            ring,
+            clock,
+            addresses: Mutex::default(),
+        })
+    }
+
+    /// Replaces the known addresses.
+    pub fn set_addresses(&self, addresses: HashMap<NodeId, String>) {
+        let mut known = self
+            .addresses
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner);
+        *known = addresses;
+    }
+
+    /// Hands a prompt to `node`.
+    ///
+    /// # Errors
+    /// `FrameError` when the node can't be reached in time.
+    pub async fn send_prompt(
+        &self,
+        node: &NodeId,
+        prompt: &ForwardedPrompt,
+    ) -> Result<PromptExchange, FrameError> {
+        let mut stream = self.connect(node).await?;
+        let request = PeerRequest::Prompt(Box::new(prompt.clone()));
+        send_frame(&mut stream, node, &request).await?;
+        Ok(PromptExchange {
+            stream,
+            node: node.clone(),
+            request: prompt.request.clone(),
+        })
+    }
+
+    /// Sends one request and awaits its one reply, within `limit`.
+    ///
+    /// # Errors
+    /// `FrameError` when no whole reply came in time.
+    pub async fn ask<T: DeserializeOwned>(
+        &self,
+        node: &NodeId,
+        request: &PeerRequest,
+        limit: Duration,
+    ) -> Result<T, FrameError> {
+        let call = async {
+            let mut stream = self.connect(node).await?;
+            send_frame(&mut stream, node, request).await?;
+            receive_frame(&mut stream, node).await
+        };
+        self.clock
+            .timeout(limit, call)
+            .await
+            .unwrap_or_else(|| Err(overdue("ask", node)))
+    }
+
+    async fn connect(&self, node: &NodeId) -> Result<TcpStream, FrameError> {
+        let address = self.address(node)?;
+        let connecting = async {
+            let mut stream = TcpStream::connect(&address)
+                .await
+                .map_err(|error| broken("connect", node, &error.to_string()))?;
+            stream.set_nodelay(true).ok();
+            prove_caller(&mut stream, node, &self.ring, &self.own).await?;
+            Ok(stream)
+        };
+        self.clock
+            .timeout(CONNECT_LIMIT, connecting)
+            .await
+            .unwrap_or_else(|| Err(overdue("connect", node)))
+    }
+
+    fn address(&self, node: &NodeId) -> Result<String, FrameError> {
+        let known = self
+            .addresses
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner);
+        known
+            .get(node)
+            .cloned()
+            .ok_or_else(|| broken("connect", node, "the node's address is not known"))
+    }
+}
+
+/// A prompt under way on another node; dropping it cancels the prompt there.
+pub struct PromptExchange {
+    stream: TcpStream,
+    node: NodeId,
+    request: RequestId,
+}
+
+impl PromptExchange {
+    /// The next reply.
+    ///
+    /// # Errors
+    /// `FrameError` when the connection ended or a reply belongs to another
+    /// request.
+    pub async fn receive(&mut self) -> Result<PeerReply, FrameError> {
+        let reply: PeerReply = receive_frame(&mut self.stream, &self.node).await?;
+        if *reply.request() == self.request {
+            return Ok(reply);
+        }
+        Err(FrameError::Malformed {
+            step: "receive".to_owned(),
+            peer: self.node.clone(),
+            cause: format!("a reply for {} came instead", reply.request()),
+        })
+    }
+}
+
+/// Sends one reply on a connection that a peer opened.
+pub(super) async fn reply<T: Serialize>(
+    stream: &mut TcpStream,
+    peer: &str,
+    message: &T,
+) -> Result<(), FrameError> {
+    send_frame(stream, peer, message).await
+}
+
+fn broken(step: &str, node: &NodeId, cause: &str) -> FrameError {
+    FrameError::Broken {
+        step: step.to_owned(),
+        peer: node.clone(),
+        cause: cause.to_owned(),
+    }
+}
+
+fn overdue(step: &str, node: &NodeId) -> FrameError {
+    broken(step, node, "no answer in time")
+}
--- /dev/null
+++ b/components/node/src/peers/server.rs
@@ -0,0 +1,214 @@
+//! The called side.
+
+use std::{io, net::SocketAddr, sync::Arc, time::Duration};
+
+use futures_lite::AsyncReadExt;
+use kernel::{CancellationToken, ClockSource};
+use smol::net::{TcpListener, TcpStream};
+use types::{NodeId, PromptJob, RequestId};
+use wire::{FrameError, KeyRing, receive_frame};
+
+use super::{ForwardedPrompt, PeerReply, PeerRequest, client::reply, handshake::prove_called};
+use crate::{
+    notes::NoteService,
+    prompts::{PromptService, PromptSubmission, PromptTicket, PromptUpdate},
+};
+
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+const REQUEST_LIMIT: Duration = Duration::from_secs(20);
+
+/// What answers other nodes.
+pub struct PeerHandler {
+    /// This node.
+    pub own: NodeId,
+    /// Cluster keys.
+    pub ring: Arc<KeyRing>,
+    /// Clock.
+    pub clock: ClockSource,
+    /// Runs forwarded prompts.
+    pub prompts: Arc<PromptService>,
+    /// Hands out release notes.
+    pub notes: Arc<NoteService>,
+}
+
+/// Accepts connections of other nodes.
+pub struct PeerServer {
+    listener: TcpListener,
+    handler: Arc<PeerHandler>,
+}
+
+impl PeerServer {
+    /// Wraps a bound listener.
+    #[must_use]
+    pub fn new(listener: TcpListener, handler: PeerHandler) -> Self {
+        Self {
+            listener,
+            handler: Arc::new(handler),
+        }
+    }
+
+    /// The address it listens on.
+    ///
+    /// # Errors
+    /// The system's error.
+    pub fn local_address(&self) -> io::Result<SocketAddr> {
+        self.listener.local_addr()
+    }
+
+    /// Serves until `token` is cancelled; exchanges under way go on.
+    pub async fn run(self, token: CancellationToken) {
+        loop {
+            let accepted = smol::future::or(async { Some(self.listener.accept().await) }, async {
+                token.cancelled().await;
+                None
+            })
+            .await;
+            match accepted {
+                Some(Ok((stream, address))) => {
+                    let handler = Arc::clone(&self.handler);
+                    smol::spawn(handler.serve(stream, address)).detach();
+                }
+                Some(Err(_)) => self.handler.clock.sleep(ACCEPT_PAUSE).await,
+                None => return,
+            }
+        }
+    }
+}
+
+impl PeerHandler {
+    async fn serve(self: Arc<Self>, mut stream: TcpStream, address: SocketAddr) {
+        stream.set_nodelay(true).ok();
+        let opening = self.open(&mut stream, address);
+        let opened = self.clock.timeout(REQUEST_LIMIT, opening).await;
+        let (caller, request) = match opened {
+            Some(Ok(opened)) => opened,
+            Some(Err(error)) => {
+                log::warn!("event=peer_rejected address={address} cause=\"{error}\"");
+                return;
+            }
+            None => {
+                log::warn!("event=peer_rejected address={address} cause=\"too slow\"");
+                return;
+            }
+        };
+        let outcome = match request {
+            PeerRequest::Prompt(prompt) => self.run_prompt(stream, &caller, *prompt).await,
+            PeerRequest::Notes { after, .. } => {
+                let answer = self.notes.answer_peer(after);
+                reply(&mut stream, &caller, &answer).await
+            }
+        };
+        if let Err(error) = outcome {
+            log::info!("event=peer_call_ended node={caller} cause=\"{error}\"");
+        }
+    }
+
+    async fn open(
+        &self,
+        stream: &mut TcpStream,
+        address: SocketAddr,
+    ) -> Result<(NodeId, PeerRequest), FrameError> {
+        let peer = address.to_string();
+        let caller = prove_called(stream, &peer, &self.ring, &self.own).await?;
+        let request = receive_frame(stream, &caller).await?;
+        Ok((caller, request))
+    }
+
+    async fn run_prompt(
+        &self,
+        mut stream: TcpStream,
+        caller: &NodeId,
+        prompt: ForwardedPrompt,
+    ) -> Result<(), FrameError> {
+        let request = prompt.request.clone();
+        let ticket = self.prompts.submit(self.submission(caller, prompt));
+        let mut watched = stream.clone();
+        let relay = relay_updates(&mut stream, caller, &request, &ticket);
+        // The other side sends nothing more: an end or a byte means it left.
+        let left = async {
+            let mut byte = [0_u8; 1];
+            watched.read(&mut byte).await.ok();
+            Ok(())
+        };
+        smol::future::or(relay, left).await
+    }
+
+    fn submission(&self, caller: &NodeId, prompt: ForwardedPrompt) -> PromptSubmission {
+        let now = self.clock.now();
+        let prefixes = types::prefix_hashes(
+            &prompt.model,
+            &prompt.version,
+            prompt.adapter.as_ref(),
+            &prompt.text,
+        );
+        let job = PromptJob {
+            request: prompt.request,
+            organisation: prompt.organisation,
+            plan: prompt.plan,
+            weight: prompt.weight,
+            model: prompt.model,
+            version: prompt.version,
+            adapter: prompt.adapter,
+            note_version: prompt.note_version,
+            prompt_tokens: prompt.prompt_tokens,
+            output_tokens: prompt.output_tokens,
+            prefixes,
+            zone: prompt.zone,
+            arrived: now.checked_sub(prompt.waited).unwrap_or(now),
+            deadline: now + prompt.deadline_in,
+        };
+        PromptSubmission {
+            job,
+            text: prompt.text.into(),
+            resume_at: prompt.resume_at,
+            via: Some(caller.clone()),
+            traceparent: prompt.traceparent,
+        }
+    }
+}
+
+async fn relay_updates(
+    stream: &mut TcpStream,
+    caller: &NodeId,
+    request: &RequestId,
+    ticket: &PromptTicket,
+) -> Result<(), FrameError> {
+    while let Some(update) = ticket.next().await {
+        let last = matches!(
+            update,
+            PromptUpdate::Finished { .. } | PromptUpdate::Refused { .. }
+        );
+        reply(stream, caller, &peer_reply(request.clone(), update)).await?;
+        if last {
+            return Ok(());
+        }
+    }
+    Ok(())
+}
+
+fn peer_reply(request: RequestId, update: PromptUpdate) -> PeerReply {
+    match update {
+        PromptUpdate::Started {
+            prompt_tokens,
+            cached_tokens,
+        } => PeerReply::Started {
+            request,
+            prompt_tokens,
+            cached_tokens,
+        },
+        PromptUpdate::Token { index, text } => PeerReply::Token {
+            request,
+            index,
+            text,
+        },
+        PromptUpdate::Finished { tokens } => PeerReply::Finished { request, tokens },
+        PromptUpdate::Refused {
+            reason,
+            retry_after,
+        } => PeerReply::Refused {
+            request,
+            reason,
+            retry_after,
+        },
+    }
+}
--- a/components/node/src/prompts.rs
+++ /dev/null
@@ -1,1 +0,0 @@
-//! The prompts service of a node.
--- /dev/null
+++ b/components/node/src/prompts/attempt.rs
@@ -0,0 +1,393 @@
+//! One attempt of a prompt on this node's engines.
+
+use std::{sync::Arc, time::Duration};
+
+use errors::UpstreamError;
+use futures_lite::StreamExt;
+use kernel::CancellationToken;
+use routing::SchedulerEvent;
+use smol::channel::Sender;
+use telemetry::{HopKind, HopSpan};
+use types::{AttemptId, EngineId, RequestId, TokenCount};
+use upstream::{EngineCall, EngineEvent};
+
+use super::{
+    PromptService, PromptUpdate,
+    gang::GangHold,
+    open::{OpenPrompt, PromptWork},
+};
+
+/// An attempt under way.
+pub(super) struct RunningAttempt {
+    service: Arc<PromptService>,
+    request: RequestId,
+    attempt: AttemptId,
+    engines: Vec<EngineId>,
+    call: EngineCall,
+    token: CancellationToken,
+    span: HopSpan,
+}
+
+enum AttemptEnd {
+    Finished(TokenCount),
+    /// The prompt was given up or taken from this attempt.
+    Dropped,
+    NoMemory(EngineId),
+    Failed(UpstreamError),
+}
+
+impl PromptService {
+    pub(super) fn start_attempt(
+        self: &Arc<Self>,
+        request: RequestId,
+        attempt: AttemptId,
+        engines: Vec<EngineId>,
+        priority: u32,
+    ) {
+        let Some(first) = engines.first().cloned() else {
+            return;
+        };
+        let prepared = self.with_open(|open| {
+            let prompt = open.get_mut(&request)?;
+            prompt.token = CancellationToken::new();
+            prompt.work = PromptWork::Attempt(attempt);
+            let span = self.tracer.start(
+                "engine",
+                HopKind::Client,
+                &prompt.traceparent,
+                &request,
+                &first,
+            );
+            let call = engine_call(prompt, attempt, priority, &span, self.deadline_in(prompt));
+            Some((call, prompt.token.clone(), span))
+        });
+        let Some((call, token, span)) = prepared else {
+            return;
+        };
+        let running = RunningAttempt {
+            service: Arc::clone(self),
+            request,
+            attempt,
+            engines,
+            call,
+            token,
+            span,
+        };
+        smol::spawn(running.run()).detach();
+    }
+
+    fn deadline_in(&self, prompt: &OpenPrompt) -> Duration {
+        let now = self.clock.now();
+        prompt.job.deadline.saturating_duration_since(now)
+    }
+
+    /// Stops an attempt; its engines are told and its memory is freed.
+    pub(super) fn abandon(
+        self: &Arc<Self>,
+        request: &RequestId,
+        attempt: AttemptId,
+        engines: Vec<EngineId>,
+    ) {
+        self.with_open(|open| {
+            if let Some(prompt) = open.get_mut(request)
+                && prompt.work == PromptWork::Attempt(attempt)
+            {
+                prompt.token.cancel();
+                prompt.work = PromptWork::Queued;
+            }
+        });
+        let service = Arc::clone(self);
+        let request = request.clone();
+        smol::spawn(async move {
+            for engine in engines {
+                service.cancel_on(&engine, &request, attempt).await;
+            }
+        })
+        .detach();
+    }
+
+    async fn cancel_on(&self, engine: &EngineId, request: &RequestId, attempt: AttemptId) {
+        let Some(known) = self.directory.engine(engine) else {
+            return;
+        };
+        if let Err(error) = known.client.cancel(request, attempt).await {
+            self.metrics.count_failure("cancel", engine);
+            log::warn!(
+                "event=cancel_failed request={request} attempt={attempt} engine={engine} \
+                 cause=\"{error}\""
+            );
+        }
+    }
+}
+
+fn engine_call(
+    prompt: &OpenPrompt,
+    attempt: AttemptId,
+    priority: u32,
+    span: &HopSpan,
+    deadline_in: Duration,
+) -> EngineCall {
+    EngineCall {
+        request: prompt.job.request.clone(),
+        attempt,
+        model: prompt.job.model.clone(),
+        version: prompt.job.version.clone(),
+        adapter: prompt.job.adapter.clone(),
+        prompt: prompt.text.to_string(),
+        output_tokens: prompt.job.output_tokens,
+        resume_at: prompt.delivered,
+        priority,
+        deadline_in,
+        members: Vec::new(),
+        traceparent: span.traceparent(),
+    }
+}
+
+impl RunningAttempt {
+    async fn run(self) {
+        let token = self.token.clone();
+        let end = smol::future::or(self.try_run(), async {
+            token.cancelled().await;
+            AttemptEnd::Dropped
+        })
+        .await;
+        self.report(end);
+    }
+
+    async fn try_run(&self) -> AttemptEnd {
+        let mut call = self.call.clone();
+        let _hold = if self.engines.len() > 1 {
+            match self.reserve_gang(&mut call).await {
+                Ok(hold) => Some(hold),
+                Err(end) => return end,
+            }
+        } else {
+            None
+        };
+        match self.stream(call).await {
+            Ok(end) => end,
+            Err(error) => AttemptEnd::Failed(error),
+        }
+    }
+
+    async fn reserve_gang(&self, call: &mut EngineCall) -> Result<GangHold, AttemptEnd> {
+        let tokens = estimate_total(call);
+        let hold = GangHold::reserve(
+            &self.service,
+            &self.request,
+            self.attempt,
+            &self.engines,
+            tokens,
+        )
+        .await
+        .map_err(AttemptEnd::NoMemory)?;
+        call.members = hold.members()[1..].to_vec();
+        Ok(hold)
+    }
+
+    async fn stream(&self, call: EngineCall) -> Result<AttemptEnd, UpstreamError> {
+        let engine = &self.engines[0];
+        let known = self
+            .service
+            .directory
+            .engine(engine)
+            .ok_or_else(|| unknown_engine(engine))?;
+        let mut stream = known.client.submit(call).await?;
+        while let Some(event) = stream.next().await {
+            if let Some(end) = self.take(event?).await? {
+                return Ok(end);
+            }
+        }
+        Err(UpstreamError::Malformed {
+            step: "stream".to_owned(),
+            peer: engine.clone(),
+            cause: "the stream ended without an end event".to_owned(),
+        })
+    }
+
+    async fn take(&self, event: EngineEvent) -> Result<Option<AttemptEnd>, UpstreamError> {
+        match event {
+            EngineEvent::Started {
+                attempt,
+                prompt_tokens,
+                cached_tokens,
+            } if attempt == self.attempt => {
+                self.started(prompt_tokens, cached_tokens).await;
+                Ok(None)
+            }
+            EngineEvent::Token {
+                attempt,
+                index,
+                text,
+            } if attempt == self.attempt => {
+                let delivered = self.deliver(index, text).await?;
+                Ok((!delivered).then_some(AttemptEnd::Dropped))
+            }
+            EngineEvent::Finished { attempt, tokens } if attempt == self.attempt => {
+                Ok(Some(AttemptEnd::Finished(tokens)))
+            }
+            EngineEvent::Failed { attempt, cause } if attempt == self.attempt => {
+                Err(UpstreamError::Malformed {
+                    step: "generate".to_owned(),
+                    peer: self.engines[0].clone(),
+                    cause,
+                })
+            }
+            // Another attempt's late event: not this caller's answer.
+            _ => Ok(None),
+        }
+    }
+
+    async fn started(&self, prompt_tokens: TokenCount, cached_tokens: TokenCount) {
+        self.service.handle(SchedulerEvent::Started {
+            request: self.request.clone(),
+            attempt: self.attempt,
+            prompt_tokens,
+            cached_tokens,
+        });
+        let updates = self.service.with_open(|open| {
+            let prompt = open.get(&self.request)?;
+            Some(prompt.updates.clone())
+        });
+        if let Some(updates) = updates {
+            let update = PromptUpdate::Started {
+                prompt_tokens,
+                cached_tokens,
+            };
+            updates.send(update).await.ok();
+        }
+    }
+
+    /// Hands a token on; `false` when the prompt is not this attempt's.
+    async fn deliver(&self, index: TokenCount, text: String) -> Result<bool, UpstreamError> {
+        let Some((updates, expected)) = self.next_place() else {
+            return Ok(false);
+        };
+        if index < expected {
+            return Ok(true);
+        }
+        if index > expected {
+            return Err(UpstreamError::Malformed {
+                step: "stream".to_owned(),
+                peer: self.engines[0].clone(),
+                cause: format!("token {index} came where {expected} was due"),
+            });
+        }
+        if updates
+            .send(PromptUpdate::Token { index, text })
+            .await
+            .is_err()
+        {
+            return Ok(false);
+        }
+        self.count_delivered(index);
+        Ok(true)
+    }
+
+    fn next_place(&self) -> Option<(Sender<PromptUpdate>, TokenCount)> {
+        self.service.with_open(|open| {
+            let prompt = open.get(&self.request)?;
+            let current = prompt.work == PromptWork::Attempt(self.attempt);
+            current.then(|| (prompt.updates.clone(), prompt.delivered))
+        })
+    }
+
+    fn count_delivered(&self, index: TokenCount) {
+        let first = self.service.with_open(|open| {
+            let prompt = open.get_mut(&self.request)?;
+            prompt.delivered = index + 1;
+            let first = !prompt.first_token_seen;
+            prompt.first_token_seen = true;
+            first.then(|| prompt.job.clone())
+        });
+        self.service.metrics.tokens.inc();
+        if let Some(job) = first {
+            self.service.count_first_token(&job);
+            self.service.handle(SchedulerEvent::FirstToken {
+                request: self.request.clone(),
+                attempt: self.attempt,
+            });
+        }
+    }
+
+    fn report(&self, end: AttemptEnd) {
+        let request = self.request.clone();
+        let attempt = self.attempt;
+        match end {
+            AttemptEnd::Finished(output_tokens) => {
+                self.service.handle(SchedulerEvent::Finished {
+                    request: request.clone(),
+                    attempt,
+                    output_tokens,
+                });
+                self.service.finish(&request, output_tokens);
+            }
+            AttemptEnd::Dropped => self.span.fail("dropped"),
+            AttemptEnd::NoMemory(engine) => {
+                self.span.fail("no memory for the group");
+                self.release_work();
+                self.service.handle(SchedulerEvent::GangRefused {
+                    request,
+                    attempt,
+                    engine,
+                });
+            }
+            AttemptEnd::Failed(error) => self.report_failure(&error),
+        }
+    }
+
+    fn report_failure(&self, error: &UpstreamError) {
+        self.span.fail(&error.to_string());
+        self.service
+            .metrics
+            .count_failure("attempt", &self.engines[0]);
+        log::warn!(
+            "event=attempt_failed request={} attempt={} engine={} cause=\"{error}\"",
+            self.request,
+            self.attempt,
+            self.engines[0]
+        );
+        let delivered = self.release_work();
+        self.service.handle(SchedulerEvent::Failed {
+            request: self.request.clone(),
+            attempt: self.attempt,
+            delivered,
+            retryable: is_retryable(error),
+        });
+    }
+
+    /// Takes the prompt off this attempt; returns the tokens delivered.
+    fn release_work(&self) -> TokenCount {
+        self.service.with_open(|open| {
+            let Some(prompt) = open.get_mut(&self.request) else {
+                return 0;
+            };
+            if prompt.work == PromptWork::Attempt(self.attempt) {
+                prompt.work = PromptWork::Queued;
+            }
+            prompt.delivered
+        })
+    }
+}
+
+fn estimate_total(call: &EngineCall) -> TokenCount {
+    types::estimate_tokens(&call.prompt) + call.output_tokens
+}
+
+fn unknown_engine(engine: &EngineId) -> UpstreamError {
+    UpstreamError::Refused {
+        step: "submit".to_owned(),
+        peer: engine.clone(),
+        status: 0,
+        cause: "the engine is not listed any more".to_owned(),
+        retry_after: None,
+    }
+}
+
+/// Prompts are idempotent: only a refusal of the content is final.
+fn is_retryable(error: &UpstreamError) -> bool {
+    match error {
+        UpstreamError::Refused { status, .. } => !matches!(status, 400 | 413 | 422),
+        _ => true,
+    }
+}
--- /dev/null
+++ b/components/node/src/prompts/forward.rs
@@ -0,0 +1,258 @@
+//! A prompt handed to another node.
+
+use std::sync::Arc;
+
+use kernel::CancellationToken;
+use routing::{RefusalReason, SchedulerEvent};
+use telemetry::{HopKind, HopSpan};
+use types::{NodeId, RequestId, TokenCount};
+use wire::FrameError;
+
+use super::{
+    PromptService, PromptUpdate,
+    open::{OpenPrompt, PromptWork},
+};
+use crate::peers::{ForwardedPrompt, PeerReply, PromptExchange};
+
+struct ForwardHop {
+    service: Arc<PromptService>,
+    request: RequestId,
+    node: NodeId,
+    prompt: ForwardedPrompt,
+    token: CancellationToken,
+    span: HopSpan,
+}
+
+enum ForwardEnd {
+    Finished(TokenCount),
+    Dropped,
+    Refused {
+        reason: RefusalReason,
+        retry_after: std::time::Duration,
+    },
+    Failed(FrameError),
+}
+
+impl PromptService {
+    pub(super) fn start_forward(self: &Arc<Self>, request: RequestId, node: NodeId) {
+        let prepared = self.with_open(|open| {
+            let prompt = open.get_mut(&request)?;
+            prompt.token = CancellationToken::new();
+            prompt.work = PromptWork::Forwarded(node.clone());
+            let span = self.tracer.start(
+                "forward",
+                HopKind::Client,
+                &prompt.traceparent,
+                &request,
+                &node,
+            );
+            Some((self.forwarded(prompt, &span), prompt.token.clone(), span))
+        });
+        let Some((prompt, token, span)) = prepared else {
+            return;
+        };
+        let hop = ForwardHop {
+            service: Arc::clone(self),
+            request,
+            node,
+            prompt,
+            token,
+            span,
+        };
+        smol::spawn(hop.run()).detach();
+    }
+
+    fn forwarded(&self, prompt: &OpenPrompt, span: &HopSpan) -> ForwardedPrompt {
+        let now = self.clock.now();
+        let job = &prompt.job;
+        ForwardedPrompt {
+            // A name of its own, so that a second hop to the same node is
+            // never taken for the first.
+            request: format!("{}~{:08x}", job.request, rand::random::<u32>()),
+            organisation: job.organisation.clone(),
+            plan: job.plan,
+            weight: job.weight,
+            model: job.model.clone(),
+            version: job.version.clone(),
+            adapter: job.adapter.clone(),
+            note_version: job.note_version,
+            prompt_tokens: job.prompt_tokens,
+            output_tokens: job.output_tokens,
+            zone: job.zone.clone(),
+            waited: now.saturating_duration_since(job.arrived),
+            deadline_in: job.deadline.saturating_duration_since(now),
+            resume_at: prompt.delivered,
+            traceparent: span.traceparent(),
+            text: prompt.text.to_string(),
+        }
+    }
+}
+
+impl ForwardHop {
+    async fn run(self) {
+        let token = self.token.clone();
+        let end = smol::future::or(self.exchange(), async {
+            token.cancelled().await;
+            ForwardEnd::Dropped
+        })
+        .await;
+        self.report(end);
+    }
+
+    async fn exchange(&self) -> ForwardEnd {
+        match self.try_exchange().await {
+            Ok(end) => end,
+            Err(error) => ForwardEnd::Failed(error),
+        }
+    }
+
+    async fn try_exchange(&self) -> Result<ForwardEnd, FrameError> {
+        let peers = &self.service.peers;
+        let mut exchange: PromptExchange = peers.send_prompt(&self.node, &self.prompt).await?;
+        loop {
+            match exchange.receive().await? {
+                PeerReply::Started {
+                    prompt_tokens,
+                    cached_tokens,
+                    ..
+                } => {
+                    let update = PromptUpdate::Started {
+                        prompt_tokens,
+                        cached_tokens,
+                    };
+                    if !self.hand_on(update).await {
+                        return Ok(ForwardEnd::Dropped);
+                    }
+                }
+                PeerReply::Token { index, text, .. } => {
+                    if !self.deliver(index, text).await? {
+                        return Ok(ForwardEnd::Dropped);
+                    }
+                }
+                PeerReply::Finished { tokens, .. } => return Ok(ForwardEnd::Finished(tokens)),
+                PeerReply::Refused {
+                    reason,
+                    retry_after,
+                    ..
+                } => {
+                    return Ok(ForwardEnd::Refused {
+                        reason,
+                        retry_after,
+                    });
+                }
+            }
+        }
+    }
+
+    async fn hand_on(&self, update: PromptUpdate) -> bool {
+        let updates = self.service.with_open(|open| {
+            let prompt = open.get(&self.request)?;
+            (prompt.work == self.work()).then(|| prompt.updates.clone())
+        });
+        match updates {
+            Some(updates) => updates.send(update).await.is_ok(),
+            None => false,
+        }
+    }
+
+    async fn deliver(&self, index: TokenCount, text: String) -> Result<bool, FrameError> {
+        let expected = self
+            .service
+            .with_open(|open| open.get(&self.request).map(|prompt| prompt.delivered));
+        let Some(expected) = expected else {
+            return Ok(false);
+        };
+        if index < expected {
+            return Ok(true);
+        }
+        if index > expected {
+            return Err(FrameError::Malformed {
+                step: "stream".to_owned(),
+                peer: self.node.clone(),
+                cause: format!("token {index} came where {expected} was due"),
+            });
+        }
+        if !self.hand_on(PromptUpdate::Token { index, text }).await {
+            return Ok(false);
+        }
+        self.count_delivered(index);
+        Ok(true)
+    }
+
+    fn count_delivered(&self, index: TokenCount) {
+        let first = self.service.with_open(|open| {
+            let prompt = open.get_mut(&self.request)?;
+            prompt.delivered = index + 1;
+            let first = !prompt.first_token_seen;
+            prompt.first_token_seen = true;
+            first.then(|| prompt.job.clone())
+        });
+        self.service.metrics.tokens.inc();
+        if let Some(job) = first {
+            self.service.count_first_token(&job);
+        }
+    }
+
+    fn work(&self) -> PromptWork {
+        PromptWork::Forwarded(self.node.clone())
+    }
+
+    fn report(&self, end: ForwardEnd) {
+        let request = self.request.clone();
+        let node = self.node.clone();
+        match end {
+            ForwardEnd::Finished(output_tokens) => {
+                self.service.handle(SchedulerEvent::ForwardFinished {
+                    request: request.clone(),
+                    node,
+                    output_tokens,
+                });
+                self.service.finish(&request, output_tokens);
+            }
+            ForwardEnd::Dropped => self.span.fail("dropped"),
+            ForwardEnd::Refused {
+                reason,
+                retry_after,
+            } => {
+                self.span.fail(super::refusal_code(reason));
+                self.release_work();
+                self.service.handle(SchedulerEvent::ForwardRefused {
+                    request,
+                    node,
+                    reason,
+                    retry_after,
+                });
+            }
+            ForwardEnd::Failed(error) => self.report_failure(&error),
+        }
+    }
+
+    fn report_failure(&self, error: &FrameError) {
+        self.span.fail(&error.to_string());
+        self.service.metrics.count_failure("forward", &self.node);
+        log::warn!(
+            "event=forward_failed request={} node={} cause=\"{error}\"",
+            self.request,
+            self.node
+        );
+        let delivered = self.release_work();
+        self.service.handle(SchedulerEvent::ForwardFailed {
+            request: self.request.clone(),
+            node: self.node.clone(),
+            delivered,
+        });
+    }
+
+    /// Takes the prompt off this hop; returns the tokens delivered.
+    fn release_work(&self) -> TokenCount {
+        self.service.with_open(|open| {
+            let Some(prompt) = open.get_mut(&self.request) else {
+                return 0;
+            };
+            if prompt.work == self.work() {
+                prompt.work = PromptWork::Queued;
+            }
+            prompt.delivered
+        })
+    }
+}
--- /dev/null
+++ b/components/node/src/prompts/mod.rs
@@ -0,0 +1,11 @@
+//! The prompt service: drives the scheduler and carries out its actions.
+
+mod attempt;
+mod forward;
+mod gang;
+mod open;
+mod service;
+mod ticker;
+
+pub use open::{PromptTicket, PromptUpdate};
+pub use service::{PromptParts, PromptService, PromptSubmission, refusal_code};
--- /dev/null
+++ b/components/node/src/prompts/open.rs
@@ -0,0 +1,87 @@
+//! Prompts that are open on this node, and what their callers are told.
+
+use std::{sync::Arc, time::Duration};
+
+use kernel::CancellationToken;
+use routing::RefusalReason;
+use smol::channel::{Receiver, Sender};
+use types::{AttemptId, NodeId, PromptJob, RequestId, TokenCount};
+
+use super::PromptService;
+
+/// What happens to an open prompt, in order.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum PromptUpdate {
+    /// Prefill began.
+    Started {
+        /// Prompt length as the engine counts it.
+        prompt_tokens: TokenCount,
+        /// Prompt tokens found in the engine's cache.
+        cached_tokens: TokenCount,
+    },
+    /// The next token of the answer.
+    Token {
+        /// Place in the answer, from 0, without gaps.
+        index: TokenCount,
+        /// Its text.
+        text: String,
+    },
+    /// The answer is whole; the last update.
+    Finished {
+        /// Tokens in the answer.
+        tokens: TokenCount,
+    },
+    /// The prompt was not or not wholly run; the last update.
+    Refused {
+        /// Why.
+        reason: RefusalReason,
+        /// When to come back.
+        retry_after: Duration,
+    },
+}
+
+/// A caller's hold on an open prompt; dropping it cancels the prompt.
+pub struct PromptTicket {
+    pub(super) service: Arc<PromptService>,
+    pub(super) request: RequestId,
+    pub(super) updates: Receiver<PromptUpdate>,
+}
+
+impl PromptTicket {
+    /// The next update; `None` when the node gave the prompt up.
+    pub async fn next(&self) -> Option<PromptUpdate> {
+        self.updates.recv().await.ok()
+    }
+}
+
+impl Drop for PromptTicket {
+    fn drop(&mut self) {
+        self.service.cancel(&self.request);
+    }
+}
+
+/// Who works on an open prompt now.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub(super) enum PromptWork {
+    /// Nobody: it waits in the scheduler.
+    Queued,
+    /// An attempt on this node's engines.
+    Attempt(AttemptId),
+    /// Another node.
+    Forwarded(NodeId),
+}
+
+/// One open prompt.
+pub(super) struct OpenPrompt {
+    pub(super) job: PromptJob,
+    pub(super) text: Arc<str>,
+    pub(super) traceparent: String,
+    pub(super) updates: Sender<PromptUpdate>,
+    /// Answer tokens handed to `updates`.
+    pub(super) delivered: TokenCount,
+    pub(super) work: PromptWork,
+    /// Cancels the work under way.
+    pub(super) token: CancellationToken,
+    /// Whether the first token has been counted.
+    pub(super) first_token_seen: bool,
+}
--- /dev/null
+++ b/components/node/src/prompts/service.rs
@@ -0,0 +1,291 @@
+//! The service itself: events in, actions carried out.
+
+use std::{
+    collections::HashMap,
+    sync::{Arc, Mutex, PoisonError},
+    time::Duration,
+};
+
+use kernel::{CancellationToken, ClockSource};
+use routing::{
+    NodeScheduler, NodeSummary, RefusalReason, SchedulerAction, SchedulerEvent, SchedulerSettings,
+};
+use smol::channel::bounded;
+use telemetry::{HopTracer, LengthLabels, NodeMetrics, OutcomeLabels, length_bucket};
+use types::{EngineId, EngineRole, NodeId, PlanKind, PromptJob, RequestId, TokenCount, ZoneId};
+
+use super::{
+    PromptTicket, PromptUpdate,
+    open::{OpenPrompt, PromptWork},
+};
+use crate::{directory::UpstreamDirectory, peers::PeerClient};
+
+const UPDATE_CAPACITY: usize = 256;
+
+/// A prompt handed in by a caller's connection or by another node.
+pub struct PromptSubmission {
+    /// What the scheduler needs to know.
+    pub job: PromptJob,
+    /// The prompt's text.
+    pub text: Arc<str>,
+    /// Answer tokens the caller has already.
+    pub resume_at: TokenCount,
+    /// The node that forwarded it, if one did.
+    pub via: Option<NodeId>,
+    /// W3C trace context of the hop to this node.
+    pub traceparent: String,
+}
+
+/// Holds every open prompt of the node and its scheduler.
+pub struct PromptService {
+    pub(super) node: NodeId,
+    pub(super) clock: ClockSource,
+    pub(super) directory: Arc<UpstreamDirectory>,
+    pub(super) peers: Arc<PeerClient>,
+    pub(super) tracer: HopTracer,
+    pub(super) metrics: Arc<NodeMetrics>,
+    scheduler: Mutex<NodeScheduler>,
+    open: Mutex<HashMap<RequestId, OpenPrompt>>,
+    roles: Mutex<HashMap<EngineId, EngineRole>>,
+}
+
+/// What a prompt service works with.
+pub struct PromptParts {
+    /// This node.
+    pub node: NodeId,
+    /// Its availability zone.
+    pub zone: ZoneId,
+    /// Clock.
+    pub clock: ClockSource,
+    /// Known upstreams.
+    pub directory: Arc<UpstreamDirectory>,
+    /// Calls to other nodes.
+    pub peers: Arc<PeerClient>,
+    /// Spans.
+    pub tracer: HopTracer,
+    /// Metrics.
+    pub metrics: Arc<NodeMetrics>,
+    /// Knobs of the scheduler.
+    pub settings: SchedulerSettings,
+}
+
+impl PromptService {
+    /// A service with no open prompt.
+    #[must_use]
+    pub fn new(parts: PromptParts) -> Arc<Self> {
+        let scheduler = NodeScheduler::new(parts.node.clone(), parts.zone, parts.settings);
+        Arc::new(Self {
+            node: parts.node,
+            clock: parts.clock,
+            directory: parts.directory,
+            peers: parts.peers,
+            tracer: parts.tracer,
+            metrics: parts.metrics,
+            scheduler: Mutex::new(scheduler),
+            open: Mutex::default(),
+            roles: Mutex::default(),
+        })
+    }
+
+    /// Takes a prompt; the ticket tells what becomes of it.
+    #[must_use]
+    pub fn submit(self: &Arc<Self>, submission: PromptSubmission) -> PromptTicket {
+        let (updates, receiver) = bounded(UPDATE_CAPACITY);
+        let request = submission.job.request.clone();
+        let prompt = OpenPrompt {
+            job: submission.job.clone(),
+            text: submission.text,
+            traceparent: submission.traceparent,
+            updates,
+            delivered: submission.resume_at,
+            work: PromptWork::Queued,
+            token: CancellationToken::new(),
+            first_token_seen: submission.resume_at > 0,
+        };
+        self.with_open(|open| open.insert(request.clone(), prompt));
+        self.metrics.open_prompts.inc();
+        self.handle(SchedulerEvent::Arrived {
+            job: submission.job,
+            via: submission.via,
+        });
+        PromptTicket {
+            service: Arc::clone(self),
+            request,
+            updates: receiver,
+        }
+    }
+
+    /// Gives a prompt up; nothing happens when it has ended already.
+    pub fn cancel(self: &Arc<Self>, request: &RequestId) {
+        let Some(prompt) = self.remove(request) else {
+            return;
+        };
+        prompt.token.cancel();
+        self.count_outcome(prompt.job.plan, "cancelled");
+        self.handle(SchedulerEvent::Cancelled {
+            request: request.clone(),
+        });
+    }
+
+    /// Feeds the scheduler one event and carries out what it decides.
+    pub fn handle(self: &Arc<Self>, event: SchedulerEvent) {
+        let now = self.clock.now();
+        // Held until the actions are carried out, so that those of two events
+        // never change places.
+        let mut scheduler = self
+            .scheduler
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner);
+        for action in scheduler.handle(now, event) {
+            self.carry_out(action);
+        }
+    }
+
+    /// What this node tells other nodes about itself.
+    #[must_use]
+    pub fn summary(&self) -> NodeSummary {
+        let now = self.clock.now();
+        let mut scheduler = self
+            .scheduler
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner);
+        scheduler.summary(now)
+    }
+
+    /// Number of prompts open on this node.
+    #[must_use]
+    pub fn open_count(&self) -> usize {
+        self.with_open(|open| open.len())
+    }
+
+    /// The role last wanted of an engine.
+    #[must_use]
+    pub fn wanted_role(&self, engine: &EngineId) -> EngineRole {
+        let roles = self.roles.lock().unwrap_or_else(PoisonError::into_inner);
+        roles.get(engine).copied().unwrap_or_default()
+    }
+
+    fn carry_out(self: &Arc<Self>, action: SchedulerAction) {
+        match action {
+            SchedulerAction::Dispatch {
+                request,
+                attempt,
+                engines,
+                priority,
+                resume_at: _,
+            } => self.start_attempt(request, attempt, engines, priority),
+            SchedulerAction::Forward { request, node } => self.start_forward(request, node),
+            SchedulerAction::Abandon {
+                request,
+                attempt,
+                engines,
+            } => self.abandon(&request, attempt, engines),
+            SchedulerAction::Refuse {
+                request,
+                reason,
+                retry_after,
+            } => self.refuse(&request, reason, retry_after),
+            SchedulerAction::ChangeRole { engine, role } => {
+                let mut roles = self.roles.lock().unwrap_or_else(PoisonError::into_inner);
+                roles.insert(engine, role);
+            }
+        }
+    }
+
+    fn refuse(&self, request: &RequestId, reason: RefusalReason, retry_after: Duration) {
+        let Some(prompt) = self.remove(request) else {
+            return;
+        };
+        prompt.token.cancel();
+        let reason_name = refusal_code(reason);
+        self.count_outcome(prompt.job.plan, reason_name);
+        log::info!(
+            "event=prompt_refused request={request} organisation={} reason={reason_name} \
+             retry_after_ms={}",
+            prompt.job.organisation,
+            retry_after.as_millis()
+        );
+        let update = PromptUpdate::Refused {
+            reason,
+            retry_after,
+        };
+        send_last(&prompt, update);
+    }
+
+    /// Ends a prompt whose answer is whole.
+    pub(super) fn finish(&self, request: &RequestId, tokens: TokenCount) {
+        let Some(prompt) = self.remove(request) else {
+            return;
+        };
+        self.count_outcome(prompt.job.plan, "finished");
+        send_last(&prompt, PromptUpdate::Finished { tokens });
+    }
+
+    /// Counts the first token of a prompt that a caller sent to this node.
+    pub(super) fn count_first_token(&self, job: &PromptJob) {
+        let labels = LengthLabels {
+            plan: plan_name(job.plan).to_owned(),
+            length: length_bucket(job.prompt_tokens).to_owned(),
+        };
+        let waited = self.clock.now().saturating_duration_since(job.arrived);
+        self.metrics
+            .first_token
+            .get_or_create(&labels)
+            .observe(waited.as_secs_f64());
+    }
+
+    pub(super) fn with_open<T>(
+        &self,
+        change: impl FnOnce(&mut HashMap<RequestId, OpenPrompt>) -> T,
+    ) -> T {
+        let mut open = self.open.lock().unwrap_or_else(PoisonError::into_inner);
+        change(&mut open)
+    }
+
+    fn remove(&self, request: &RequestId) -> Option<OpenPrompt> {
+        let prompt = self.with_open(|open| open.remove(request))?;
+        self.metrics.open_prompts.dec();
+        Some(prompt)
+    }
+
+    fn count_outcome(&self, plan: PlanKind, outcome: &str) {
+        let labels = OutcomeLabels {
+            plan: plan_name(plan).to_owned(),
+            outcome: outcome.to_owned(),
+        };
+        self.metrics.prompts.get_or_create(&labels).inc();
+    }
+}
+
+/// Machine-readable code of a refusal.
+#[must_use]
+pub fn refusal_code(reason: RefusalReason) -> &'static str {
+    match reason {
+        RefusalReason::OrganisationLimit => "organisation_limit",
+        RefusalReason::DeadlineUnreachable => "deadline_unreachable",
+        RefusalReason::QueueFull => "queue_full",
+        RefusalReason::TrialShed => "trial_shed",
+        RefusalReason::TooLong => "too_long",
+        RefusalReason::ModelNotReady => "model_not_ready",
+        RefusalReason::RetriesExhausted => "retries_exhausted",
+    }
+}
+
+fn plan_name(plan: PlanKind) -> &'static str {
+    match plan {
+        PlanKind::Paying => "paying",
+        PlanKind::Trial => "trial",
+    }
+}
+
+/// Sends the last update behind those that wait, without blocking.
+fn send_last(prompt: &OpenPrompt, update: PromptUpdate) {
+    if prompt.updates.try_send(update.clone()).is_ok() {
+        return;
+    }
+    let updates = prompt.updates.clone();
+    smol::spawn(async move {
+        updates.send(update).await.ok();
+    })
+    .detach();
+}
--- /dev/null
+++ b/components/node/src/prompts/ticker.rs
@@ -0,0 +1,18 @@
+//! Time for the scheduler.
+
+use std::{sync::Arc, time::Duration};
+
+use kernel::CancellationToken;
+use routing::SchedulerEvent;
+
+use super::PromptService;
+
+impl PromptService {
+    /// Sends `Tick` events every `pause` until `token` is cancelled.
+    pub async fn run_ticker(self: Arc<Self>, pause: Duration, token: CancellationToken) {
+        while !token.is_cancelled() {
+            smol::future::or(self.clock.sleep(pause), token.cancelled()).await;
+            self.handle(SchedulerEvent::Tick);
+        }
+    }
+}
--- /dev/null
+++ b/components/node/src/watch.rs
@@ -0,0 +1,139 @@
+//! Watching the engines this node owns: reports and cache events.
+
+use std::{collections::HashMap, sync::Arc, time::Duration};
+
+use kernel::{CancellationToken, ClockSource};
+use platform::HostState;
+use routing::SchedulerEvent;
+use smol::Task;
+use types::{EngineId, IncarnationNumber};
+
+use crate::{
+    directory::{KnownEngine, UpstreamDirectory},
+    fleet::FleetView,
+    prompts::PromptService,
+};
+
+const REVIEW_PAUSE: Duration = Duration::from_millis(250);
+const REPORT_PAUSE: Duration = Duration::from_millis(250);
+const MISSED_REPORTS_LIMIT: u32 = 3;
+
+/// Watches the owned engines and tells the scheduler.
+pub struct EngineWatch {
+    clock: ClockSource,
+    directory: Arc<UpstreamDirectory>,
+    fleet: Arc<FleetView>,
+    prompts: Arc<PromptService>,
+}
+
+struct WatchedEngine {
+    incarnation: IncarnationNumber,
+    _task: Task<()>,
+}
+
+impl EngineWatch {
+    /// A watch over what `directory` lists and `fleet` deals to this node.
+    #[must_use]
+    pub fn new(
+        clock: ClockSource,
+        directory: Arc<UpstreamDirectory>,
+        fleet: Arc<FleetView>,
+        prompts: Arc<PromptService>,
+    ) -> Self {
+        Self {
+            clock,
+            directory,
+            fleet,
+            prompts,
+        }
+    }
+
+    /// Reviews ownership until `token` is cancelled.
+    pub async fn run(self, token: CancellationToken) {
+        let mut watched: HashMap<EngineId, WatchedEngine> = HashMap::new();
+        while !token.is_cancelled() {
+            self.review(&mut watched);
+            smol::future::or(self.clock.sleep(REVIEW_PAUSE), token.cancelled()).await;
+        }
+    }
+
+    fn review(&self, watched: &mut HashMap<EngineId, WatchedEngine>) {
+        let owned: Vec<KnownEngine> = self
+            .directory
+            .engines()
+            .into_iter()
+            .filter(|engine| engine.state == HostState::Live)
+            .filter(|engine| self.fleet.owns(&engine.id, &engine.zone))
+            .collect();
+        watched.retain(|id, engine| {
+            let kept = owned
+                .iter()
+                .any(|known| known.id == *id && known.incarnation == engine.incarnation);
+            if !kept {
+                log::info!("event=engine_released engine={id}");
+                self.prompts
+                    .handle(SchedulerEvent::EngineGone { engine: id.clone() });
+            }
+            kept
+        });
+        for engine in owned {
+            if watched.contains_key(&engine.id) {
+                continue;
+            }
+            log::info!(
+                "event=engine_owned engine={} incarnation={}",
+                engine.id,
+                engine.incarnation
+            );
+            let id = engine.id.clone();
+            let entry = WatchedEngine {
+                incarnation: engine.incarnation,
+                _task: smol::spawn(poll_engine(
+                    self.clock.clone(),
+                    Arc::clone(&self.prompts),
+                    engine,
+                )),
+            };
+            watched.insert(id, entry);
+        }
+    }
+}
+
+async fn poll_engine(clock: ClockSource, prompts: Arc<PromptService>, engine: KnownEngine) {
+    let mut missed = 0;
+    let mut place = 0;
+    loop {
+        match engine.client.report().await {
+            Ok(report) => {
+                missed = 0;
+                prompts.handle(SchedulerEvent::Reported(report));
+                place = poll_cache(&prompts, &engine, place).await;
+            }
+            Err(error) => {
+                missed += 1;
+                if missed == MISSED_REPORTS_LIMIT {
+                    log::warn!("event=engine_silent engine={} cause=\"{error}\"", engine.id);
+                    prompts.handle(SchedulerEvent::EngineGone {
+                        engine: engine.id.clone(),
+                    });
+                }
+            }
+        }
+        clock.sleep(REPORT_PAUSE).await;
+    }
+}
+
+/// Reads cache events from `place` on; returns the next place.
+async fn poll_cache(prompts: &Arc<PromptService>, engine: &KnownEngine, place: u64) -> u64 {
+    let Ok(batch) = engine.client.cache_events(place).await else {
+        return place;
+    };
+    if !batch.events.is_empty() {
+        prompts.handle(SchedulerEvent::Cached {
+            engine: engine.id.clone(),
+            gap: batch.first > place,
+            events: batch.events,
+        });
+    }
+    batch.next
+}
