Decide about prompts: fair queue, deadlines, engines, groups and nodes

Cause: the scheduler took the engine with the fewest attempts and knew no fairness, no deadline and no other node.

Change: a fair queue (paying before trial, virtual token counters between organisations, shortest first with ageing inside one), admission by deadline, views of engines that count the node's own attempts until a report tells of them, forwarding by the better of two summaries, and groups of engines for prompts larger than one. Prompts handed to another node are kept until that node has told how they ended.

--- a/components/admission/src/lib.rs
+++ b/components/admission/src/lib.rs
@@ -1,1 +1,18 @@
 //! Limits, fairness between organisations and admission by deadline.
+//!
+//! Pure state: times are passed in, nothing is read or written. `FairQueue`
+//! orders what waits, `ShareTable` counts what organisations were served,
+//! `LimitTable` holds them to their limits, and `DeadlineGate` says whether
+//! a prompt can be answered in time.
+
+mod cost;
+mod gate;
+mod length;
+mod queue;
+mod shares;
+
+pub use cost::job_cost;
+pub use gate::{DeadlineGate, GateVerdict, WaitEstimate};
+pub use length::LengthClass;
+pub use queue::{FairQueue, PoolIndex, QueueBounds, QueuedJob};
+pub use shares::{OrganisationIndex, ServedShare, ShareTable, VirtualTokens};
--- /dev/null
+++ b/components/routing/src/dispatch.rs
@@ -0,0 +1,161 @@
+//! Which engine takes what waits.
+
+use std::time::{Duration, Instant};
+
+use admission::{LengthClass, PoolIndex, QueuedJob};
+use types::{EngineId, RequestId, TokenCount};
+
+use crate::{
+    NodeScheduler, SchedulerAction,
+    load::LoadMeter,
+    placement::{engine_priority, needed_tokens, place},
+    pool::PoolKey,
+    scheduler::RunningJob,
+    view::{EngineFlight, EngineView, FlightPhase},
+};
+
+/// Classes that run on one engine, in the order they are served.
+const SINGLE_CLASSES: [LengthClass; 3] =
+    [LengthClass::Short, LengthClass::Medium, LengthClass::Long];
+
+impl NodeScheduler {
+    /// Starts everything that an engine can take now.
+    pub(crate) fn dispatch_all(&mut self, now: Instant, actions: &mut Vec<SchedulerAction>) {
+        if self.queue.is_empty() {
+            return;
+        }
+        for view in self.engines.values_mut() {
+            view.advance(now);
+        }
+        for pool in self.queue.pools() {
+            for class in SINGLE_CLASSES {
+                self.dispatch_lane(now, pool, class, actions);
+            }
+            self.dispatch_gangs(now, pool, actions);
+        }
+    }
+
+    fn dispatch_lane(
+        &mut self,
+        now: Instant,
+        pool: PoolIndex,
+        class: LengthClass,
+        actions: &mut Vec<SchedulerAction>,
+    ) {
+        let Some(key) = self.pools.key(pool).cloned() else {
+            return;
+        };
+        while let Some(engine) = self.choose_engine(pool, class, &key) {
+            let Some(request) = self.head_request(pool, class) else {
+                return;
+            };
+            let started = self.start(now, &request, vec![engine]);
+            actions.extend(started);
+        }
+    }
+
+    fn head_request(&mut self, pool: PoolIndex, class: LengthClass) -> Option<RequestId> {
+        let head = self.queue.head(pool, class, &self.shares)?;
+        Some(head.job.request.clone())
+    }
+
+    /// The engine that suits the head of a lane best, if one takes it now.
+    fn choose_engine(
+        &mut self,
+        pool: PoolIndex,
+        class: LengthClass,
+        key: &PoolKey,
+    ) -> Option<EngineId> {
+        let head = self.queue.head(pool, class, &self.shares)?;
+        let mut best: Option<(Duration, bool, &EngineId)> = None;
+        for (engine, view) in &self.engines {
+            if !key.served_by(&view.report) {
+                continue;
+            }
+            let reserved = self.gangs.reserves(engine);
+            let Some(score) = place(view, &self.node, head, &self.settings, reserved) else {
+                continue;
+            };
+            let entry = (score, view.report.profile.zone != head.job.zone, engine);
+            if best.is_none_or(|known| entry < known) {
+                best = Some(entry);
+            }
+        }
+        best.map(|(_, _, engine)| engine.clone())
+    }
+
+    /// Takes a job out of the queue and starts it on `engines`.
+    pub(crate) fn start(
+        &mut self,
+        now: Instant,
+        request: &RequestId,
+        engines: Vec<EngineId>,
+    ) -> Option<SchedulerAction> {
+        let queued = self.queue.start(request, &mut self.shares)?;
+        self.shares.start(queued.organisation);
+        let meter = self.meter.get_or_insert_with(|| LoadMeter::new(now));
+        meter.record(now, queued.class, queued.work);
+        let priority = engine_priority(queued.job.plan, queued.job.prompt_tokens);
+        let count = u64::try_from(engines.len().max(1)).unwrap_or(1);
+        let share = needed_tokens(&queued).div_ceil(count);
+        let mut expected = queued.work;
+        for (place, engine) in engines.iter().enumerate() {
+            let Some(view) = self.engines.get_mut(engine) else {
+                continue;
+            };
+            if place == 0 && queued.class != LengthClass::Gang {
+                expected = left_on(view, &queued);
+            }
+            view.add(now, flight(now, &queued, priority, share, expected));
+        }
+        let action = SchedulerAction::Dispatch {
+            request: request.clone(),
+            attempt: queued.attempt,
+            engines: engines.clone(),
+            priority,
+            resume_at: queued.resume_at,
+        };
+        self.deadlines
+            .insert((queued.job.deadline, request.clone()));
+        if queued.class == LengthClass::Gang {
+            self.groups.insert(request.clone(), engines.clone());
+        }
+        let running = RunningJob {
+            charged: queued.cost,
+            queued,
+            engines,
+            started: now,
+            first_token: None,
+            expected,
+        };
+        self.running.insert(request.clone(), running);
+        Some(action)
+    }
+}
+
+fn left_on(view: &EngineView, queued: &QueuedJob) -> Duration {
+    let cached = view.prefixes.cached_tokens(&queued.job);
+    let profile = &view.report.profile;
+    view.speed
+        .prefill(profile, cached, queued.job.prompt_tokens)
+}
+
+fn flight(
+    now: Instant,
+    queued: &QueuedJob,
+    priority: u32,
+    tokens: TokenCount,
+    left: Duration,
+) -> EngineFlight {
+    EngineFlight {
+        request: queued.job.request.clone(),
+        attempt: queued.attempt,
+        class: queued.class,
+        priority,
+        tokens,
+        phase: FlightPhase::Prefill,
+        left,
+        dispatched: now,
+        shared: false,
+    }
+}
--- /dev/null
+++ b/components/routing/src/gang.rs
@@ -0,0 +1,408 @@
+//! Prompts larger than one engine's memory: groups of engines, all or
+//! nothing.
+//!
+//! The reservation on each engine is the arbiter. A node reserves a group in
+//! ascending order of engine ids and keeps nothing when one refuses, so among
+//! nodes that compete the one that got furthest in the order is refused by
+//! running work only. Claims in summaries make owners run engines empty for
+//! the prompt that has waited longest; a claim holds nothing.
+
+use std::{
+    cmp::Reverse,
+    collections::{BTreeMap, HashMap},
+    hash::{DefaultHasher, Hash, Hasher},
+    time::{Duration, Instant},
+};
+
+use admission::{LengthClass, PoolIndex, QueuedJob};
+use rand::RngExt;
+use types::{AttemptId, EngineId, EngineRole, NodeId, PromptJob, RequestId, TokenCount};
+
+use crate::{
+    EngineClaim, NodeScheduler, RefusalReason, SchedulerAction,
+    arrival::Rejection,
+    estimate::{float, whole},
+    peers::PoolNeed,
+    placement::needed_tokens,
+    pool::PoolKey,
+};
+
+/// Share of its speed that a further engine adds to one prefill.
+const MEMBER_EFFICIENCY: f64 = 0.9;
+/// Time an engine that refused is left out.
+const REFUSED_TIME: Duration = Duration::from_secs(2);
+/// Time a claim of another node counts after it was heard.
+const CLAIM_LIFETIME: Duration = Duration::from_secs(5);
+/// Bounds of the pause after a refused group.
+const BACKOFF_MIN: Duration = Duration::from_millis(100);
+const BACKOFF_MAX: Duration = Duration::from_secs(3);
+/// Most engines of other nodes named in a summary.
+const CLAIM_LIMIT: usize = 8;
+
+/// One engine that could join a group.
+#[derive(Clone, Debug)]
+struct GangCandidate {
+    engine: EngineId,
+    role: EngineRole,
+    kv_capacity: TokenCount,
+    kv_free: TokenCount,
+    owned: bool,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct GangBackoff {
+    until: Instant,
+    refusals: u32,
+}
+
+#[derive(Clone, Debug)]
+struct ForeignClaim {
+    node: NodeId,
+    since: Instant,
+    heard: Instant,
+}
+
+/// Reservations wanted and refused.
+#[derive(Debug, Default)]
+pub(crate) struct GangPlanner {
+    /// Engines kept free for the prompt that waits longest in each pool.
+    wanted: BTreeMap<EngineId, (RequestId, Instant)>,
+    backoffs: HashMap<RequestId, GangBackoff>,
+    refused: BTreeMap<EngineId, Instant>,
+    claims: BTreeMap<EngineId, ForeignClaim>,
+}
+
+impl GangPlanner {
+    /// Whether the engine is kept free for a group, of this node or another.
+    pub(crate) fn reserves(&self, engine: &EngineId) -> bool {
+        self.wanted.contains_key(engine) || self.claims.contains_key(engine)
+    }
+
+    /// Takes the claims that another node tells of.
+    pub(crate) fn take_claims(&mut self, now: Instant, node: &NodeId, claims: &[EngineClaim]) {
+        self.forget_node(node);
+        for claim in claims {
+            let since = now.checked_sub(claim.waited).unwrap_or(now);
+            let known = self.claims.get(&claim.engine);
+            if known.is_some_and(|known| (known.since, &known.node) < (since, node)) {
+                continue;
+            }
+            let claim_heard = ForeignClaim {
+                node: node.clone(),
+                since,
+                heard: now,
+            };
+            self.claims.insert(claim.engine.clone(), claim_heard);
+        }
+    }
+
+    pub(crate) fn forget_node(&mut self, node: &NodeId) {
+        self.claims.retain(|_, claim| claim.node != *node);
+    }
+
+    /// Claims to tell of: wanted engines that are not in `owned`.
+    pub(crate) fn claims(
+        &self,
+        now: Instant,
+        owned: impl Fn(&EngineId) -> bool,
+    ) -> Vec<EngineClaim> {
+        self.wanted
+            .iter()
+            .filter(|(engine, _)| !owned(engine))
+            .take(CLAIM_LIMIT)
+            .map(|(engine, (_, since))| EngineClaim {
+                engine: engine.clone(),
+                waited: now.saturating_duration_since(*since),
+            })
+            .collect()
+    }
+
+    /// Drops what has expired, and what was wanted for `request`.
+    fn release(&mut self, now: Instant, request: &RequestId) {
+        self.wanted.retain(|_, (wanted, _)| wanted != request);
+        self.refused.retain(|_, until| *until > now);
+        self.claims
+            .retain(|_, claim| now.saturating_duration_since(claim.heard) < CLAIM_LIFETIME);
+    }
+
+    pub(crate) fn forget(&mut self, request: &RequestId) {
+        self.wanted.retain(|_, (wanted, _)| wanted != request);
+        self.backoffs.remove(request);
+    }
+
+    /// Whether another node that waits longer claims the engine.
+    fn yields(&self, engine: &EngineId, since: Instant, node: &NodeId) -> bool {
+        self.claims
+            .get(engine)
+            .is_some_and(|claim| (claim.since, &claim.node) < (since, node))
+    }
+}
+
+impl NodeScheduler {
+    /// The class of a prompt, by the memory of the engines that can run it.
+    pub(crate) fn class_of(&self, now: Instant, job: &PromptJob) -> Result<LengthClass, Rejection> {
+        let needed = job.prompt_tokens.saturating_add(job.output_tokens);
+        let candidates = self.candidates(now, &PoolKey::of(job));
+        let capacity = candidates.iter().map(|one| one.kv_capacity).max();
+        let Some(capacity) = capacity else {
+            if self.has_peer_with(now, job) {
+                return Ok(LengthClass::of(job.prompt_tokens));
+            }
+            return Err(Rejection::new(
+                RefusalReason::ModelNotReady,
+                Duration::from_secs(2),
+            ));
+        };
+        if needed <= self.usable(capacity) {
+            return Ok(LengthClass::of(job.prompt_tokens));
+        }
+        let size = self.group_size(needed, capacity);
+        if size > self.engines_known(now, job) {
+            return Err(Rejection::new(RefusalReason::TooLong, Duration::MAX));
+        }
+        Ok(LengthClass::Gang)
+    }
+
+    /// Prefill speed of a prompt's group over that of one engine.
+    pub(crate) fn gang_pace(&self, job: &PromptJob, class: LengthClass) -> Option<f64> {
+        if class != LengthClass::Gang {
+            return None;
+        }
+        let views = self.engines.values();
+        let capacity = views.map(|view| view.report.profile.kv_capacity).max()?;
+        let needed = job.prompt_tokens.saturating_add(job.output_tokens);
+        let others = self.group_size(needed, capacity).saturating_sub(1);
+        let others = u32::try_from(others).unwrap_or(u32::MAX);
+        Some(1.0 + MEMBER_EFFICIENCY * f64::from(others))
+    }
+
+    /// The node that should gather the group, unless it is this one: one
+    /// that owns enough engines, else the same one for all nodes.
+    pub(crate) fn gang_node(&self, now: Instant, job: &PromptJob) -> Option<NodeId> {
+        let key = PoolKey::of(job);
+        let own = self.candidates(now, &key);
+        let own: Vec<&GangCandidate> = own.iter().filter(|one| one.owned).collect();
+        let needed = job.prompt_tokens.saturating_add(job.output_tokens);
+        let need = PoolNeed::of(job);
+        let lifetime = self.settings.summary_lifetime;
+        let capacity = self
+            .candidates(now, &key)
+            .iter()
+            .map(|one| one.kv_capacity)
+            .max()?;
+        let size = self.group_size(needed, capacity);
+        if own.len() >= size {
+            return None;
+        }
+        let mut enough: Option<(u64, &NodeId)> = None;
+        let mut any: Option<(u64, &NodeId)> = None;
+        for peer in self.peers.fresh(now, lifetime) {
+            let Some(pool) = peer.pool(need) else {
+                continue;
+            };
+            let node = &peer.summary.node;
+            let entry = Some((rendezvous(node, job), node));
+            any = any.max(entry);
+            if usize::try_from(pool.engines).unwrap_or(usize::MAX) >= size {
+                enough = enough.max(entry);
+            }
+        }
+        if let Some((_, node)) = enough {
+            return Some(node.clone());
+        }
+        if !own.is_empty() {
+            any = any.max(Some((rendezvous(&self.node, job), &self.node)));
+        }
+        any.map(|(_, node)| node.clone())
+            .filter(|node| *node != self.node)
+    }
+
+    /// Starts the first prompt that waits for a group, or keeps engines free
+    /// for it.
+    pub(crate) fn dispatch_gangs(
+        &mut self,
+        now: Instant,
+        pool: PoolIndex,
+        actions: &mut Vec<SchedulerAction>,
+    ) {
+        let Some(key) = self.pools.key(pool).cloned() else {
+            return;
+        };
+        while let Some(head) = self.queue.head(pool, LengthClass::Gang, &self.shares) {
+            let head = head.clone();
+            let Some(group) = self.gather(now, &key, &head) else {
+                return;
+            };
+            let started = self.start(now, &head.job.request, group);
+            actions.extend(started);
+            self.gangs.forget(&head.job.request);
+        }
+    }
+
+    /// Memory for an attempt over several engines could not be had.
+    pub(crate) fn gang_refused(
+        &mut self,
+        now: Instant,
+        request: &RequestId,
+        attempt: AttemptId,
+        engine: &EngineId,
+        actions: &mut Vec<SchedulerAction>,
+    ) {
+        let running = self.running.get(request);
+        if running.is_none_or(|running| running.queued.attempt != attempt) {
+            return;
+        }
+        let Some(running) = self.end_attempt(now, request) else {
+            return;
+        };
+        self.shares
+            .refund(running.queued.organisation, running.charged);
+        self.gangs
+            .refused
+            .insert(engine.clone(), now + REFUSED_TIME);
+        let refusals = self.gangs.backoffs.get(request).map_or(0, |b| b.refusals);
+        let longest = (BACKOFF_MIN * (1 << refusals.min(5))).min(BACKOFF_MAX);
+        let pause = longest.mul_f64(self.rng.random_range(0.5..1.0));
+        let backoff = GangBackoff {
+            until: now + pause,
+            refusals: refusals + 1,
+        };
+        self.gangs.backoffs.insert(request.clone(), backoff);
+        self.requeue(now, running.queued, actions);
+    }
+
+    /// A whole group for the prompt, in ascending order; else notes which
+    /// engines to keep free for it.
+    fn gather(&mut self, now: Instant, key: &PoolKey, head: &QueuedJob) -> Option<Vec<EngineId>> {
+        let request = &head.job.request;
+        let backoff = self.gangs.backoffs.get(request);
+        if backoff.is_some_and(|backoff| backoff.until > now) {
+            return None;
+        }
+        let mut candidates = self.candidates(now, key);
+        candidates.retain(|one| !self.gangs.yields(&one.engine, head.since, &self.node));
+        let capacity = candidates.iter().map(|one| one.kv_capacity).max()?;
+        let needed = needed_tokens(head);
+        let size = self.group_size(needed, capacity);
+        if candidates.len() < size {
+            return None;
+        }
+        let share = needed.div_ceil(u64::try_from(size).unwrap_or(1).max(1));
+        candidates.sort_by_key(|one| {
+            let kept = self.gangs.wanted.contains_key(&one.engine);
+            let ready = one.kv_free >= share;
+            let long = one.role == EngineRole::Long;
+            (
+                Reverse(ready),
+                Reverse(kept),
+                Reverse(long),
+                Reverse(one.owned),
+                Reverse(one.kv_free),
+            )
+        });
+        candidates.truncate(size);
+        let ready = candidates.iter().all(|one| one.kv_free >= share);
+        let mut group: Vec<EngineId> = candidates.into_iter().map(|one| one.engine).collect();
+        group.sort_unstable();
+        self.gangs.release(now, request);
+        if ready {
+            return Some(group);
+        }
+        for engine in group {
+            self.gangs
+                .wanted
+                .insert(engine, (request.clone(), head.since));
+        }
+        None
+    }
+
+    /// Engines of this node and of others that serve a pool and are not in a
+    /// group already.
+    fn candidates(&self, now: Instant, key: &PoolKey) -> Vec<GangCandidate> {
+        let mut candidates = Vec::new();
+        for (engine, view) in &self.engines {
+            if !key.served_by(&view.report) {
+                continue;
+            }
+            candidates.push(GangCandidate {
+                engine: engine.clone(),
+                role: view.wanted_role,
+                kv_capacity: view.report.profile.kv_capacity,
+                kv_free: if view.lends(&self.node) {
+                    0
+                } else {
+                    view.kv_free(&self.node)
+                },
+                owned: true,
+            });
+        }
+        let lifetime = self.settings.summary_lifetime;
+        for peer in self.peers.fresh(now, lifetime) {
+            let pools = peer.summary.pools.iter();
+            let served =
+                pools.filter(|pool| pool.model == key.model && pool.version == key.version);
+            for digest in served.flat_map(|pool| &pool.digests) {
+                if self.engines.contains_key(&digest.engine) {
+                    continue;
+                }
+                candidates.push(GangCandidate {
+                    engine: digest.engine.clone(),
+                    role: digest.role,
+                    kv_capacity: digest.kv_capacity,
+                    kv_free: digest.kv_free,
+                    owned: false,
+                });
+            }
+        }
+        for candidate in &mut candidates {
+            let refused = self.gangs.refused.get(&candidate.engine);
+            let busy = self.in_group(&candidate.engine);
+            if busy || refused.is_some_and(|until| *until > now) {
+                candidate.kv_free = 0;
+            }
+        }
+        candidates
+    }
+
+    /// Whether a group of this node runs on the engine.
+    fn in_group(&self, engine: &EngineId) -> bool {
+        self.groups.values().any(|engines| engines.contains(engine))
+    }
+
+    /// Memory of an engine that longer work may fill.
+    fn usable(&self, capacity: TokenCount) -> TokenCount {
+        whole(float(capacity) * (1.0 - self.settings.short_headroom))
+    }
+
+    fn group_size(&self, needed: TokenCount, capacity: TokenCount) -> usize {
+        let size = needed.div_ceil(self.usable(capacity).max(1));
+        usize::try_from(size).unwrap_or(usize::MAX)
+    }
+
+    /// Engines of the pool in the fleet, as far as this node knows.
+    fn engines_known(&self, now: Instant, job: &PromptJob) -> usize {
+        let key = PoolKey::of(job);
+        let own = self
+            .engines
+            .values()
+            .filter(|view| key.served_by(&view.report))
+            .count();
+        let need = PoolNeed::of(job);
+        let others: u32 = self
+            .peers
+            .fresh(now, self.settings.summary_lifetime)
+            .filter_map(|peer| peer.pool(need))
+            .map(|pool| pool.engines)
+            .sum();
+        own + usize::try_from(others).unwrap_or(usize::MAX)
+    }
+}
+
+/// Weight of a node as the one that gathers a model's groups.
+fn rendezvous(node: &NodeId, job: &PromptJob) -> u64 {
+    let mut hasher = DefaultHasher::new();
+    node.hash(&mut hasher);
+    job.model.hash(&mut hasher);
+    job.version.hash(&mut hasher);
+    hasher.finish()
+}
--- a/components/routing/src/lib.rs
+++ b/components/routing/src/lib.rs
@@ -4,10 +4,27 @@
 //! a state machine: events go in with the time, actions come out. The node
 //! and the bench drive the same code.
 
+mod arrival;
+mod dispatch;
+mod estimate;
+mod forwarding;
+mod gang;
+mod load;
 mod message;
+mod outcome;
+mod peers;
+mod placement;
+mod pool;
+mod prefix;
+mod retry;
 mod scheduler;
+mod settings;
+mod summary;
+mod view;
 
 pub use message::{
-    NodeSummary, OrganisationUsage, PoolSummary, RefusalReason, SchedulerAction, SchedulerEvent,
+    EngineClaim, EngineDigest, NodeSummary, OrganisationUsage, PoolSummary, RefusalReason,
+    SchedulerAction, SchedulerEvent,
 };
-pub use scheduler::{NodeScheduler, SchedulerSettings};
+pub use scheduler::{NodeScheduler, SchedulerLoad};
+pub use settings::SchedulerSettings;
--- a/components/routing/src/message.rs
+++ b/components/routing/src/message.rs
@@ -4,22 +4,60 @@
 
 use serde::{Deserialize, Serialize};
 use types::{
-    AttemptId, CacheEvent, EngineId, EngineReport, EngineRole, ModelId, NodeId, OrganisationId,
-    PromptJob, RequestId, TokenCount, ZoneId,
+    AdapterId, AttemptId, CacheEvent, EngineId, EngineReport, EngineRole, ModelId, ModelVersion,
+    NodeId, OrganisationId, PromptJob, RequestId, TokenCount, ZoneId,
 };
 
+/// What a node tells of one engine it owns, for groups of engines that no
+/// node owns whole.
+#[derive(Clone, Debug, PartialEq, Deserialize, Serialize)]
+pub struct EngineDigest {
+    /// The engine.
+    pub engine: EngineId,
+    /// Its availability zone.
+    pub zone: ZoneId,
+    /// Role wanted of it.
+    pub role: EngineRole,
+    /// KV memory in tokens.
+    pub kv_capacity: TokenCount,
+    /// KV memory that a group could reserve now, in tokens.
+    pub kv_free: TokenCount,
+}
+
+/// An engine that a node wants for a group; its owner lets it run empty.
+#[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
+pub struct EngineClaim {
+    /// The engine.
+    pub engine: EngineId,
+    /// How long the prompt has waited; the longest wait goes first.
+    pub waited: Duration,
+}
+
 /// Load and readiness of the engines one node owns, for one model.
 #[derive(Clone, Debug, PartialEq)]
 #[derive(Deserialize, Serialize)]
 pub struct PoolSummary {
     /// The model.
     pub model: ModelId,
+    /// Version of the model.
+    pub version: ModelVersion,
+    /// Adapters that at least one of the engines holds.
+    pub adapters: Vec<AdapterId>,
     /// Engines that hold it ready.
     pub engines: u32,
+    /// Engines that a short prompt would start on at once.
+    pub idle: u32,
+    /// Part of its time that one of the engines spends on short prompts, in
+    /// thousandths.
+    pub short_load: u16,
+    /// Some of the engines, those with most free memory first.
+    pub digests: Vec<EngineDigest>,
     /// Expected wait of a short prompt.
     pub short_wait: Duration,
     /// Expected wait of a long prompt.
     pub long_wait: Duration,
+    /// Expected wait of a short prompt on trial.
+    pub trial_wait: Duration,
     /// Free KV memory over all its engines, in tokens.
     pub kv_free: TokenCount,
 }
@@ -50,6 +88,8 @@
     pub pools: Vec<PoolSummary>,
     /// The organisations it serves most.
     pub usage: Vec<OrganisationUsage>,
+    /// Engines of other nodes that it wants for groups.
+    pub claims: Vec<EngineClaim>,
 }
 
 /// What happened, as the scheduler needs to know it.
--- a/components/routing/src/scheduler.rs
+++ b/components/routing/src/scheduler.rs
@@ -1,139 +1,272 @@
 //! The scheduler of a node.
 
 use std::{
-    collections::BTreeMap,
+    collections::{BTreeMap, BTreeSet, HashMap},
     time::{Duration, Instant},
 };
 
-use types::{AttemptId, EngineId, EngineReport, NodeId, PromptJob, RequestId, ZoneId};
+use admission::{DeadlineGate, FairQueue, QueuedJob, ShareTable};
+use rand::{SeedableRng, rngs::StdRng};
+use types::{EngineId, EngineReport, NodeId, RequestId, ZoneId};
 
-use crate::{NodeSummary, RefusalReason, SchedulerAction, SchedulerEvent};
-
-/// Knobs of the scheduler.
-#[derive(Clone, Debug, PartialEq)]
-pub struct SchedulerSettings {
-    /// Longest time between two `Tick` events.
-    pub tick: Duration,
-    /// Seed of the randomised choices.
-    pub seed: u64,
-}
-
-impl Default for SchedulerSettings {
-    fn default() -> Self {
-        Self {
-            tick: Duration::from_millis(50),
-            seed: 1,
-        }
-    }
-}
+use crate::{
+    RefusalReason, SchedulerAction, SchedulerEvent, SchedulerSettings, arrival::Rejection,
+    forwarding::ForwardedJob, gang::GangPlanner, load::LoadMeter, peers::PeerTable,
+    pool::PoolTable, retry::RetryBudget, view::EngineView,
+};
 
 /// Decides about every prompt that a node holds.
 #[derive(Debug)]
 pub struct NodeScheduler {
-    node: NodeId,
-    zone: ZoneId,
-    engines: BTreeMap<EngineId, EngineReport>,
-    running: BTreeMap<RequestId, RunningJob>,
-    sequence: u64,
+    pub(crate) node: NodeId,
+    pub(crate) zone: ZoneId,
+    pub(crate) settings: SchedulerSettings,
+    pub(crate) engines: BTreeMap<EngineId, EngineView>,
+    pub(crate) pools: PoolTable,
+    pub(crate) peers: PeerTable,
+    pub(crate) queue: FairQueue,
+    pub(crate) shares: ShareTable,
+    pub(crate) gate: DeadlineGate,
+    pub(crate) gangs: GangPlanner,
+    /// Engines of each group of this node that runs.
+    pub(crate) groups: HashMap<RequestId, Vec<EngineId>>,
+    pub(crate) retries: RetryBudget,
+    pub(crate) running: HashMap<RequestId, RunningJob>,
+    pub(crate) forwarded: HashMap<RequestId, ForwardedJob>,
+    pub(crate) silences: BTreeSet<(Instant, RequestId)>,
+    pub(crate) deadlines: BTreeSet<(Instant, RequestId)>,
+    pub(crate) meter: Option<LoadMeter>,
+    pub(crate) rng: StdRng,
+    pub(crate) sequence: u64,
 }
 
+/// One prompt that an attempt runs for.
 #[derive(Debug)]
-struct RunningJob {
-    job: PromptJob,
-    attempt: AttemptId,
-    engine: EngineId,
+pub(crate) struct RunningJob {
+    pub(crate) queued: QueuedJob,
+    pub(crate) engines: Vec<EngineId>,
+    /// When its prefill began, as far as known.
+    pub(crate) started: Instant,
+    pub(crate) first_token: Option<Instant>,
+    /// Prefill time expected at the start.
+    pub(crate) expected: Duration,
+    /// Tokens charged that may be given back.
+    pub(crate) charged: u64,
+}
+
+/// How many prompts a node has, by state.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct SchedulerLoad {
+    /// Waiting for an engine.
+    pub queued: usize,
+    /// On an engine.
+    pub running: usize,
+    /// With another node.
+    pub forwarded: usize,
 }
 
 impl NodeScheduler {
     /// A scheduler that knows no engine yet.
     #[must_use]
-    pub fn new(node: NodeId, zone: ZoneId, _settings: SchedulerSettings) -> Self {
+    pub fn new(node: NodeId, zone: ZoneId, settings: SchedulerSettings) -> Self {
         Self {
             node,
             zone,
             engines: BTreeMap::new(),
-            running: BTreeMap::new(),
+            pools: PoolTable::default(),
+            peers: PeerTable::default(),
+            queue: FairQueue::new(settings.trial_floor),
+            shares: ShareTable::new(settings.fairness_lead_tokens),
+            gate: DeadlineGate {
+                wait_margin: settings.wait_margin,
+            },
+            gangs: GangPlanner::default(),
+            groups: HashMap::new(),
+            retries: RetryBudget::new(settings.retry_ratio, settings.retry_burst),
+            running: HashMap::new(),
+            forwarded: HashMap::new(),
+            silences: BTreeSet::new(),
+            deadlines: BTreeSet::new(),
+            meter: None,
+            rng: StdRng::seed_from_u64(settings.seed),
             sequence: 0,
+            settings,
+        }
+    }
+
+    /// How many prompts this node has now.
+    #[must_use]
+    pub fn load(&self) -> SchedulerLoad {
+        SchedulerLoad {
+            queued: self.queue.len(),
+            running: self.running.len(),
+            forwarded: self.forwarded.len(),
         }
     }
 
     /// Takes one event and returns what to do, in order.
-    pub fn handle(&mut self, _now: Instant, event: SchedulerEvent) -> Vec<SchedulerAction> {
+    pub fn handle(&mut self, now: Instant, event: SchedulerEvent) -> Vec<SchedulerAction> {
+        let mut actions = Vec::new();
+        self.apply(now, event, &mut actions);
+        self.expire(now, &mut actions);
+        self.end_silent(now, &mut actions);
+        self.dispatch_all(now, &mut actions);
+        actions
+    }
+
+    fn apply(&mut self, now: Instant, event: SchedulerEvent, actions: &mut Vec<SchedulerAction>) {
         match event {
-            SchedulerEvent::Arrived { job, .. } => self.dispatch(job, 1, 0),
-            SchedulerEvent::Reported(report) => {
-                self.engines.insert(report.profile.engine.clone(), report);
-                Vec::new()
-            }
+            SchedulerEvent::Arrived { job, via } => self.arrive(now, job, via.as_ref(), actions),
+            SchedulerEvent::Reported(report) => self.take_report(now, report),
             SchedulerEvent::EngineGone { engine } => {
                 self.engines.remove(&engine);
-                Vec::new()
             }
-            SchedulerEvent::Finished { request, .. } | SchedulerEvent::Cancelled { request } => {
-                self.running.remove(&request);
-                Vec::new()
+            SchedulerEvent::Cached { engine, events, .. } => {
+                if let Some(view) = self.engines.get_mut(&engine) {
+                    view.prefixes.apply(&events);
+                }
             }
+            SchedulerEvent::Started {
+                request,
+                attempt,
+                cached_tokens,
+                ..
+            } => self.started(now, &request, attempt, cached_tokens),
+            SchedulerEvent::FirstToken { request, attempt } => {
+                self.first_token(now, &request, attempt);
+            }
+            SchedulerEvent::Finished {
+                request,
+                attempt,
+                output_tokens,
+            } => self.finished(now, &request, attempt, output_tokens),
             SchedulerEvent::Failed {
-                request, delivered, ..
-            } => match self.running.remove(&request) {
-                Some(running) => self.dispatch(running.job, running.attempt + 1, delivered),
-                None => Vec::new(),
-            },
-            _ => Vec::new(),
+                request,
+                attempt,
+                delivered,
+                retryable,
+            } => self.failed(now, &request, attempt, delivered, retryable, actions),
+            SchedulerEvent::ForwardRefused {
+                request,
+                node,
+                reason,
+                retry_after,
+            } => {
+                let rejection = Rejection {
+                    reason,
+                    retry_after,
+                };
+                self.forward_refused(now, &request, &node, rejection, actions);
+            }
+            SchedulerEvent::ForwardFailed {
+                request,
+                node,
+                delivered,
+            } => self.forward_failed(now, &request, &node, delivered, actions),
+            SchedulerEvent::ForwardFinished { request, node, .. } => {
+                self.end_forward(&request, Some(&node));
+            }
+            SchedulerEvent::GangRefused {
+                request,
+                attempt,
+                engine,
+            } => self.gang_refused(now, &request, attempt, &engine, actions),
+            SchedulerEvent::Cancelled { request } => self.cancelled(now, &request, actions),
+            SchedulerEvent::Summary(summary) => self.take_summary(now, summary),
+            SchedulerEvent::NodeGone { node } => {
+                self.peers.remove(&node);
+                self.shares.forget_node(&node);
+                self.gangs.forget_node(&node);
+            }
+            SchedulerEvent::Tick => {}
         }
     }
 
-    /// What this node tells the others.
-    pub fn summary(&mut self, _now: Instant) -> NodeSummary {
-        self.sequence += 1;
-        NodeSummary {
-            node: self.node.clone(),
-            zone: self.zone.clone(),
-            sequence: self.sequence,
-            pools: Vec::new(),
-            usage: Vec::new(),
+    fn take_report(&mut self, now: Instant, report: EngineReport) {
+        let engine = report.profile.engine.clone();
+        match self.engines.get_mut(&engine) {
+            Some(view) => {
+                view.update(now, report);
+            }
+            None => {
+                self.engines.insert(engine, EngineView::new(now, report));
+            }
         }
     }
 
-    fn dispatch(
-        &mut self,
-        job: PromptJob,
-        attempt: AttemptId,
-        resume_at: u64,
-    ) -> Vec<SchedulerAction> {
-        let request = job.request.clone();
-        let Some(engine) = self.least_loaded() else {
-            return vec![SchedulerAction::Refuse {
+    /// Whether the request waits or runs here.
+    pub(crate) fn knows(&self, request: &RequestId) -> bool {
+        self.queue.contains(request)
+            || self.running.contains_key(request)
+            || self.forwarded.contains_key(request)
+    }
+
+    /// Ends what can't meet its deadline any more.
+    fn expire(&mut self, now: Instant, actions: &mut Vec<SchedulerAction>) {
+        while let Some(queued) = self.queue.expire(now, &mut self.shares) {
+            self.gangs.forget(&queued.job.request);
+            let retry_after = self.retry_after(now, &queued);
+            actions.push(refusal(
+                queued.job.request,
+                RefusalReason::DeadlineUnreachable,
+                retry_after,
+            ));
+        }
+        while let Some((deadline, request)) = self.deadlines.first() {
+            if *deadline > now {
+                return;
+            }
+            let request = request.clone();
+            self.abandon(now, &request, actions);
+            let retry_after = DeadlineGate::retry_after(Duration::ZERO);
+            actions.push(refusal(
                 request,
-                reason: RefusalReason::ModelNotReady,
-                retry_after: Duration::from_secs(1),
-            }];
-        };
-        let running = RunningJob {
-            job,
-            attempt,
-            engine: engine.clone(),
-        };
-        self.running.insert(request.clone(), running);
-        vec![SchedulerAction::Dispatch {
-            request,
-            attempt,
-            engines: vec![engine],
-            priority: 0,
-            resume_at,
-        }]
+                RefusalReason::DeadlineUnreachable,
+                retry_after,
+            ));
+        }
+    }
+
+    /// Takes a running attempt off its engines.
+    pub(crate) fn abandon(
+        &mut self,
+        now: Instant,
+        request: &RequestId,
+        actions: &mut Vec<SchedulerAction>,
+    ) -> Option<RunningJob> {
+        let running = self.end_attempt(now, request)?;
+        actions.push(SchedulerAction::Abandon {
+            request: request.clone(),
+            attempt: running.queued.attempt,
+            engines: running.engines.clone(),
+        });
+        Some(running)
     }
 
-    fn least_loaded(&self) -> Option<EngineId> {
-        let count = |engine: &EngineId| {
-            self.running
-                .values()
-                .filter(|running| running.engine == *engine)
-                .count()
-        };
-        self.engines
-            .keys()
-            .min_by_key(|engine| count(engine))
-            .cloned()
+    /// Forgets an attempt that runs no more.
+    pub(crate) fn end_attempt(&mut self, now: Instant, request: &RequestId) -> Option<RunningJob> {
+        let running = self.running.remove(request)?;
+        self.groups.remove(request);
+        let deadline = running.queued.job.deadline;
+        self.deadlines.remove(&(deadline, request.clone()));
+        for engine in &running.engines {
+            if let Some(view) = self.engines.get_mut(engine) {
+                view.remove(now, request, running.queued.attempt);
+            }
+        }
+        self.shares.stop(running.queued.organisation);
+        Some(running)
+    }
+}
+
+pub(crate) fn refusal(
+    request: RequestId,
+    reason: RefusalReason,
+    retry_after: Duration,
+) -> SchedulerAction {
+    SchedulerAction::Refuse {
+        request,
+        reason,
+        retry_after,
     }
 }
