Let membership move engines, addresses and summaries

Calls and membership share one port number, which the host list names. A summary goes out every half second; membership samples who gets it. A node that stops serving is taken out of the scheduler's view at once.

--- a/components/entry/src/server.rs
+++ b/components/entry/src/server.rs
@@ -42,7 +42,7 @@
 /// Accepts connections and hands requests to the handler.
 pub struct EntryServer {
     listener: TcpListener,
-    handler: EntryHandler,
+    handler: Option<EntryHandler>,
     limits: EntryLimits,
     budget: Arc<BodyBudget>,
     clock: ClockSource,
@@ -58,13 +58,13 @@
 }
 
 impl EntryServer {
-    /// Binds to `address`, an IP number with a port.
+    /// Binds to `address`, an IP number with a port. Connections wait until
+    /// the server runs with a handler.
     ///
     /// # Errors
     /// The system's error when the address can't be bound.
     pub async fn bind(
         address: &str,
-        handler: EntryHandler,
         limits: EntryLimits,
         budget: Arc<BodyBudget>,
         clock: ClockSource,
@@ -72,7 +72,7 @@
         let listener = TcpListener::bind(address).await?;
         Ok(Self {
             listener,
-            handler,
+            handler: None,
             limits,
             budget,
             clock,
@@ -80,6 +80,13 @@
         })
     }
 
+    /// The server, answering with `handler`.
+    #[must_use]
+    pub fn with_handler(mut self, handler: EntryHandler) -> Self {
+        self.handler = Some(handler);
+        self
+    }
+
     /// The address it listens on.
     ///
     /// # Errors
@@ -128,6 +135,9 @@
     }
 
     fn spawn(&self, stream: TcpStream, token: CancellationToken) {
+        let Some(handler) = self.handler.clone() else {
+            return;
+        };
         stream.set_nodelay(true).ok();
         self.open.fetch_add(1, Ordering::Relaxed);
         let guard = OpenGuard(Arc::clone(&self.open));
@@ -138,7 +148,7 @@
                 self.limits.body_time,
                 self.limits.write_time,
             ),
-            handler: Arc::clone(&self.handler),
+            handler,
             limits: self.limits.clone(),
             budget: Arc::clone(&self.budget),
             clock: self.clock.clone(),
--- a/components/node/src/api/addresses.rs
+++ b/components/node/src/api/addresses.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 
 use entry::EntryRequest;
+use membership::MemberRecord;
 use serde::{Deserialize, Serialize};
 
 use super::{
@@ -27,8 +28,20 @@
 #[allow(clippy::unused_async)]
 pub async fn addresses(parts: Arc<ApiParts>, _request: EntryRequest) -> ApiResult {
     let answer = AddressAnswer {
-        addresses: parts.caller_addresses(),
+        addresses: caller_addresses(&parts),
         keep_for_ms: parts.settings.timeouts.address_lifetime_ms,
     };
     Ok(json_response(&answer))
 }
+
+/// Serving nodes, those of this node's availability zone first.
+fn caller_addresses(parts: &ApiParts) -> Vec<String> {
+    let snapshot = parts.members.members();
+    let zone = &parts.settings.node.zone;
+    let mut records: Vec<&MemberRecord> = snapshot.serving().collect();
+    records.sort_by_key(|record| record.zone != *zone);
+    records
+        .into_iter()
+        .map(|record| record.addresses.callers.to_string())
+        .collect()
+}
--- a/components/node/src/api/parts.rs
+++ b/components/node/src/api/parts.rs
@@ -6,7 +6,10 @@
 use settings::NodeSettings;
 use telemetry::{HopTracer, NodeMetrics};
 
-use crate::{directory::UpstreamDirectory, notes::NoteService, prompts::PromptService};
+use crate::{
+    directory::UpstreamDirectory, members::MemberService, notes::NoteService,
+    prompts::PromptService,
+};
 
 /// The services behind the HTTP interface.
 pub struct ApiParts {
@@ -18,6 +21,8 @@
     pub notes: Arc<NoteService>,
     /// Prompts.
     pub prompts: Arc<PromptService>,
+    /// Membership.
+    pub members: Arc<MemberService>,
     /// Upstreams.
     pub directory: Arc<UpstreamDirectory>,
     /// Spans.
@@ -25,11 +30,3 @@
     /// Metrics.
     pub metrics: Arc<NodeMetrics>,
 }
-
-impl ApiParts {
-    /// Addresses of the nodes that callers should use, best first.
-    #[must_use]
-    pub fn caller_addresses(&self) -> Vec<String> {
-        vec![self.settings.addresses.callers.clone()]
-    }
-}
--- a/components/node/src/daemon.rs
+++ b/components/node/src/daemon.rs
@@ -1,102 +1,71 @@
 //! Composing the services of a node, and stopping them.
 
-use std::{error::Error, fmt, net::SocketAddr, sync::Arc, time::Duration};
+use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 use entry::{BodyBudget, EntryLimits, EntryServer};
-use kernel::{CancellationToken, ClockSource, KernelError, ServiceKernel};
-use platform::{HttpHosts, HttpTable};
+use kernel::{CancellationToken, ClockSource, ServiceKernel};
+use membership::MemberSettings;
+use platform::{HostList, HttpHosts, HttpTable, TableService};
 use routing::SchedulerSettings;
 use settings::NodeSettings;
-use smol::net::TcpListener;
 use telemetry::{HopTracer, NodeMetrics};
 use wire::{KeyRing, SealKey};
 
 use crate::{
+    NodeError,
     api::{ApiParts, api_handler},
     directory::UpstreamDirectory,
     fleet::FleetView,
+    links::MemberLinks,
+    members::{MemberConfig, MemberService},
     notes::NoteService,
     peers::{PeerClient, PeerHandler, PeerServer},
     prompts::{PromptParts, PromptService},
+    sockets::{PeerSockets, member_identity},
     watch::EngineWatch,
 };
 
 const SPAN_CAPACITY: usize = 20_000;
 const TICK_PAUSE: Duration = Duration::from_millis(20);
+const LIST_PAUSE: Duration = Duration::from_secs(2);
 const STOP_LIMIT: Duration = Duration::from_secs(5);
 
-/// Why a node could not start.
-#[derive(Debug)]
-pub enum NodeError {
-    /// An address could not be bound.
-    Bind {
-        /// What was tried.
-        step: String,
-        /// The address.
-        peer: String,
-        /// What came back.
-        cause: String,
-    },
-    /// Services could not be composed.
-    Kernel(KernelError),
-}
-
-impl fmt::Display for NodeError {
-    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
-        match self {
-            Self::Bind { step, peer, cause } => write!(
-                formatter,
-                "{step} {peer}: {cause}; choose another address in the settings, or end the \
-                 process that has it"
-            ),
-            Self::Kernel(error) => error.fmt(formatter),
-        }
-    }
-}
-
-impl Error for NodeError {}
-
-impl From<KernelError> for NodeError {
-    fn from(error: KernelError) -> Self {
-        Self::Kernel(error)
-    }
-}
-
 /// A running node.
 pub struct NodeDaemon {
     kernel: Arc<ServiceKernel>,
     callers: SocketAddr,
+    peers: SocketAddr,
 }
 
-impl NodeDaemon {
-    /// Starts every service of a node; `token` cuts them all at once.
-    ///
-    /// # Errors
-    /// `NodeError` when an address can't be bound.
-    pub async fn start(
-        settings: NodeSettings,
-        clock: ClockSource,
-        token: CancellationToken,
-    ) -> Result<Self, NodeError> {
-        let kernel = ServiceKernel::new(clock.clone(), token);
-        let table_limit = Duration::from_millis(settings.platform.timeout_ms);
-        let table = Arc::new(HttpTable::new(
+/// What every service is built from.
+struct DaemonBase {
+    settings: NodeSettings,
+    clock: ClockSource,
+    ring: Arc<KeyRing>,
+    metrics: Arc<NodeMetrics>,
+    tracer: HopTracer,
+    directory: Arc<UpstreamDirectory>,
+    fleet: Arc<FleetView>,
+    peers: Arc<PeerClient>,
+    notes: Arc<NoteService>,
+    prompts: Arc<PromptService>,
+    hosts: Arc<dyn HostList>,
+}
+
+impl DaemonBase {
+    fn new(settings: NodeSettings, clock: ClockSource) -> Self {
+        let limit = Duration::from_millis(settings.platform.timeout_ms);
+        let table: Arc<dyn TableService> = Arc::new(HttpTable::new(
             settings.platform.table.clone(),
             clock.clone(),
-            table_limit,
-        ));
-        let hosts = Arc::new(HttpHosts::new(
-            settings.platform.hosts.clone(),
-            clock.clone(),
-            table_limit,
+            limit,
         ));
+        let hosts = HttpHosts::new(settings.platform.hosts.clone(), clock.clone(), limit);
         let ring = Arc::new(key_ring(&settings));
         let metrics = Arc::new(NodeMetrics::default());
         let tracer = HopTracer::new(&settings.node.id, SPAN_CAPACITY);
         let directory = UpstreamDirectory::new(clock.clone());
-        let fleet = FleetView::new(&settings.node.id, &settings.node.zone);
         let peers = PeerClient::new(settings.node.id.clone(), Arc::clone(&ring), clock.clone());
-        let notes = NoteService::new(table, clock.clone());
         let prompts = PromptService::new(PromptParts {
             node: settings.node.id.clone(),
             zone: settings.node.zone.clone(),
@@ -105,54 +74,128 @@
             peers: Arc::clone(&peers),
             tracer: tracer.clone(),
             metrics: Arc::clone(&metrics),
-            settings: SchedulerSettings::default(),
-        });
-        let peer_listener = bind(&settings.addresses.peers).await?;
-        let peer_server = PeerServer::new(
-            peer_listener,
-            PeerHandler {
-                own: settings.node.id.clone(),
-                ring,
-                clock: clock.clone(),
-                prompts: Arc::clone(&prompts),
-                notes: Arc::clone(&notes),
+            settings: SchedulerSettings {
+                seed: rand::random(),
+                ..SchedulerSettings::default()
             },
-        );
-        let budget = BodyBudget::new(settings.limits.held_body_bytes);
-        let limits = entry_limits(&settings);
-        let callers_address = settings.addresses.callers.clone();
-        let parts = Arc::new(ApiParts {
+        });
+        Self {
+            fleet: FleetView::new(&settings.node.id, &settings.node.zone),
+            notes: NoteService::new(table, clock.clone()),
+            hosts: Arc::new(hosts),
             settings,
-            clock: clock.clone(),
-            notes: Arc::clone(&notes),
-            prompts: Arc::clone(&prompts),
-            directory: Arc::clone(&directory),
-            tracer,
+            clock,
+            ring,
             metrics,
-        });
-        let entry = EntryServer::bind(
-            &callers_address,
-            api_handler(parts),
-            limits,
-            budget,
-            clock.clone(),
+            tracer,
+            directory,
+            peers,
+            prompts,
+        }
+    }
+
+    fn api_parts(&self, members: Arc<MemberService>) -> ApiParts {
+        ApiParts {
+            settings: self.settings.clone(),
+            clock: self.clock.clone(),
+            notes: Arc::clone(&self.notes),
+            prompts: Arc::clone(&self.prompts),
+            members,
+            directory: Arc::clone(&self.directory),
+            tracer: self.tracer.clone(),
+            metrics: Arc::clone(&self.metrics),
+        }
+    }
+
+    fn peer_handler(&self) -> PeerHandler {
+        PeerHandler {
+            own: self.settings.node.id.clone(),
+            ring: Arc::clone(&self.ring),
+            clock: self.clock.clone(),
+            prompts: Arc::clone(&self.prompts),
+            notes: Arc::clone(&self.notes),
+        }
+    }
+
+    fn links(&self, members: Arc<MemberService>) -> MemberLinks {
+        MemberLinks {
+            clock: self.clock.clone(),
+            members,
+            fleet: Arc::clone(&self.fleet),
+            peers: Arc::clone(&self.peers),
+            prompts: Arc::clone(&self.prompts),
+            metrics: Arc::clone(&self.metrics),
+        }
+    }
+
+    fn watch(&self) -> EngineWatch {
+        EngineWatch::new(
+            self.clock.clone(),
+            Arc::clone(&self.directory),
+            Arc::clone(&self.fleet),
+            Arc::clone(&self.prompts),
         )
-        .await
-        .map_err(|error| bind_error(&callers_address, &error))?;
-        let callers = entry
-            .local_address()
-            .map_err(|error| bind_error(&callers_address, &error))?;
-        let watch = EngineWatch::new(clock, Arc::clone(&directory), fleet, Arc::clone(&prompts));
-        kernel.register("notes", Arc::clone(&notes))?;
-        kernel.register("prompts", Arc::clone(&prompts))?;
-        kernel.register("directory", Arc::clone(&directory))?;
-        kernel.start("notes", |token| notes.run(token));
-        kernel.start("directory", |token| directory.run(hosts, token));
-        kernel.start("ticker", |token| prompts.run_ticker(TICK_PAUSE, token));
-        kernel.start("watch", |token| watch.run(token));
+    }
+
+    fn start_members(
+        &self,
+        kernel: &ServiceKernel,
+        sockets: &PeerSockets,
+        callers: SocketAddr,
+    ) -> Arc<MemberService> {
+        let seeds = self.settings.seeds.iter();
+        let config = MemberConfig {
+            identity: member_identity(&self.settings, sockets.address, callers),
+            ring: (*self.ring).clone(),
+            seeds: seeds.filter_map(|seed| seed.parse().ok()).collect(),
+            settings: MemberSettings {
+                seed: rand::random(),
+                ..MemberSettings::default()
+            },
+            list_period: LIST_PAUSE,
+        };
+        MemberService::start(
+            kernel,
+            sockets.datagrams.clone(),
+            config,
+            Arc::clone(&self.hosts),
+        )
+    }
+}
+
+impl NodeDaemon {
+    /// Starts every service of a node; `token` cuts them all at once.
+    ///
+    /// # Errors
+    /// `NodeError` when an address can't be bound.
+    pub async fn start(
+        settings: NodeSettings,
+        clock: ClockSource,
+        token: CancellationToken,
+    ) -> Result<Self, NodeError> {
+        let base = DaemonBase::new(settings, clock.clone());
+        let kernel = ServiceKernel::new(clock, token);
+        let sockets = PeerSockets::bind(&base.settings.addresses.peers).await?;
+        let entry = bind_entry(&base).await?;
+        let callers = entry.callers;
+        let peers = sockets.address;
+        let members = base.start_members(&kernel, &sockets, callers);
+        register(&kernel, &base)?;
+        start_background(&kernel, &base, &members);
+        let peer_server = PeerServer::new(sockets.listener, base.peer_handler());
         kernel.start("peers", |token| peer_server.run(token));
-        kernel.start("entry", |token| entry.run(token));
-        Ok(Self { kernel, callers })
+        let handler = api_handler(Arc::new(base.api_parts(members)));
+        let server = entry.server.with_handler(handler);
+        kernel.start("entry", |token| server.run(token));
+        log::info!(
+            "event=node_started node={} callers={callers} peers={peers}",
+            base.settings.node.id
+        );
+        Ok(Self {
+            kernel,
+            callers,
+            peers,
+        })
     }
 
     /// The address for callers and operators.
@@ -161,24 +204,56 @@
         self.callers
     }
 
+    /// The address for other nodes.
+    #[must_use]
+    pub fn peers_address(&self) -> SocketAddr {
+        self.peers
+    }
+
     /// Stops every service; returns the names of those that had to be cut.
     pub async fn stop(self) -> Vec<String> {
         self.kernel.stop(STOP_LIMIT).await
     }
 }
 
-async fn bind(address: &str) -> Result<TcpListener, NodeError> {
-    TcpListener::bind(address)
+struct BoundEntry {
+    server: EntryServer,
+    callers: SocketAddr,
+}
+
+async fn bind_entry(base: &DaemonBase) -> Result<BoundEntry, NodeError> {
+    let address = &base.settings.addresses.callers;
+    let fault = |error: std::io::Error| NodeError::bind(address, &error);
+    let budget = BodyBudget::new(base.settings.limits.held_body_bytes);
+    let limits = entry_limits(&base.settings);
+    let server = EntryServer::bind(address, limits, budget, base.clock.clone())
         .await
-        .map_err(|error| bind_error(address, &error))
+        .map_err(fault)?;
+    let callers = server.local_address().map_err(fault)?;
+    Ok(BoundEntry { server, callers })
 }
 
-fn bind_error(address: &str, error: &std::io::Error) -> NodeError {
-    NodeError::Bind {
-        step: "listen on".to_owned(),
-        peer: address.to_owned(),
-        cause: error.to_string(),
-    }
+fn register(kernel: &ServiceKernel, base: &DaemonBase) -> Result<(), NodeError> {
+    kernel.register("notes", Arc::clone(&base.notes))?;
+    kernel.register("prompts", Arc::clone(&base.prompts))?;
+    kernel.register("directory", Arc::clone(&base.directory))?;
+    Ok(())
+}
+
+fn start_background(kernel: &ServiceKernel, base: &DaemonBase, members: &Arc<MemberService>) {
+    let notes = Arc::clone(&base.notes);
+    kernel.start("notes", |token| notes.run(token));
+    let directory = Arc::clone(&base.directory);
+    let hosts = Arc::clone(&base.hosts);
+    kernel.start("directory", |token| directory.run(hosts, token));
+    let prompts = Arc::clone(&base.prompts);
+    kernel.start("ticker", |token| prompts.run_ticker(TICK_PAUSE, token));
+    let watch = base.watch();
+    kernel.start("watch", |token| watch.run(token));
+    let links = base.links(Arc::clone(members));
+    kernel.start("changes", |token| links.clone().run_changes(token));
+    kernel.start("publisher", |token| links.clone().run_publisher(token));
+    kernel.start("reader", |token| links.run_reader(token));
 }
 
 fn entry_limits(settings: &NodeSettings) -> EntryLimits {
--- a/components/node/src/lib.rs
+++ b/components/node/src/lib.rs
@@ -4,12 +4,16 @@
 pub mod daemon;
 pub mod directory;
 pub mod engines;
+mod failure;
 pub mod fleet;
+pub mod links;
 pub mod members;
 pub mod notes;
 pub mod orders;
 pub mod peers;
 pub mod prompts;
+pub mod sockets;
 pub mod watch;
 
-pub use daemon::{NodeDaemon, NodeError};
+pub use daemon::NodeDaemon;
+pub use failure::NodeError;
--- /dev/null
+++ b/components/node/src/links.rs
@@ -0,0 +1,118 @@
+//! What membership tells the other services, and what they tell members.
+
+use std::{
+    collections::{HashMap, HashSet},
+    sync::Arc,
+    time::Duration,
+};
+
+use kernel::{CancellationToken, ClockSource};
+use membership::{GossipTopic, MemberSnapshot};
+use routing::SchedulerEvent;
+use telemetry::NodeMetrics;
+use types::NodeId;
+
+use crate::{fleet::FleetView, members::MemberService, peers::PeerClient, prompts::PromptService};
+
+/// Summaries are made at this pace; membership sends each to few members.
+const SUMMARY_PAUSE: Duration = Duration::from_millis(500);
+const REVIEW_PAUSE: Duration = Duration::from_secs(1);
+
+/// Carries news between membership and the services that decide by it.
+#[derive(Clone)]
+pub struct MemberLinks {
+    /// Clock.
+    pub clock: ClockSource,
+    /// Membership.
+    pub members: Arc<MemberService>,
+    /// Who may own engines.
+    pub fleet: Arc<FleetView>,
+    /// Addresses of nodes.
+    pub peers: Arc<PeerClient>,
+    /// The scheduler's service.
+    pub prompts: Arc<PromptService>,
+    /// Metrics.
+    pub metrics: Arc<NodeMetrics>,
+}
+
+impl MemberLinks {
+    /// Hands on changes of membership until `token` is cancelled.
+    pub async fn run_changes(self, token: CancellationToken) {
+        let changes = self.members.changes();
+        let mut serving: HashSet<NodeId> = HashSet::new();
+        while !token.is_cancelled() {
+            serving = self.review(&self.members.members(), &serving);
+            let woken = async {
+                changes.recv().await.ok();
+            };
+            let rested = smol::future::or(woken, self.clock.sleep(REVIEW_PAUSE));
+            smol::future::or(rested, token.cancelled()).await;
+        }
+    }
+
+    fn review(&self, snapshot: &MemberSnapshot, before: &HashSet<NodeId>) -> HashSet<NodeId> {
+        self.fleet.set(snapshot.owner_candidates());
+        let addresses: HashMap<NodeId, String> = snapshot
+            .views
+            .iter()
+            .filter(|view| view.record.state.is_present())
+            .map(|view| {
+                let record = &view.record;
+                (record.node.clone(), record.addresses.peer.to_string())
+            })
+            .collect();
+        self.peers.set_addresses(addresses);
+        let serving: HashSet<NodeId> = snapshot
+            .serving()
+            .map(|record| record.node.clone())
+            .collect();
+        for node in before.difference(&serving) {
+            log::info!("event=node_gone node={node}");
+            self.prompts
+                .handle(SchedulerEvent::NodeGone { node: node.clone() });
+        }
+        let count = i64::try_from(serving.len()).unwrap_or(i64::MAX);
+        self.metrics.live_members.set(count);
+        serving
+    }
+
+    /// Publishes this node's summary until `token` is cancelled.
+    pub async fn run_publisher(self, token: CancellationToken) {
+        while !token.is_cancelled() {
+            self.publish_summary().await;
+            smol::future::or(self.clock.sleep(SUMMARY_PAUSE), token.cancelled()).await;
+        }
+    }
+
+    async fn publish_summary(&self) {
+        let summary = self.prompts.summary();
+        let body = match postcard::to_stdvec(&summary) {
+            Ok(body) => body,
+            Err(error) => {
+                log::error!("event=summary_not_encoded cause=\"{error}\"");
+                return;
+            }
+        };
+        if let Err(fault) = self.members.publish(GossipTopic::NodeSummary, body).await {
+            log::warn!("event=summary_not_sent cause=\"{fault}\"");
+        }
+    }
+
+    /// Hands other nodes' summaries to the scheduler until `token` is
+    /// cancelled.
+    pub async fn run_reader(self, token: CancellationToken) {
+        let summaries = self.members.subscribe(GossipTopic::NodeSummary);
+        let reading = async {
+            while let Ok(record) = summaries.recv().await {
+                match postcard::from_bytes(&record.body) {
+                    Ok(summary) => self.prompts.handle(SchedulerEvent::Summary(summary)),
+                    Err(error) => log::warn!(
+                        "event=summary_not_read node={} cause=\"{error}\"",
+                        record.origin
+                    ),
+                }
+            }
+        };
+        smol::future::or(reading, token.cancelled()).await;
+    }
+}
--- a/components/settings/src/node.rs
+++ b/components/settings/src/node.rs
@@ -28,10 +28,8 @@
 pub struct AddressSettings {
     /// HTTP for callers and operators.
     pub callers: String,
-    /// TCP for other nodes.
+    /// Other nodes: TCP for calls and UDP for membership, on one port number.
     pub peers: String,
-    /// UDP for membership messages.
-    pub members: String,
 }
 
 /// Addresses of the platform's services.
@@ -164,7 +162,7 @@
     pub cluster_keys: Vec<ClusterKey>,
     /// SHA-256 digests of operators' keys, in hexadecimal.
     pub operator_key_digests: Vec<String>,
-    /// Membership addresses of nodes to ask first, beside the host list.
+    /// Peer addresses of nodes to ask first, beside the host list.
     #[serde(default)]
     pub seeds: Vec<String>,
     /// Limits.
@@ -226,7 +224,6 @@
 fn check_addresses(list: &mut FaultList<'_>, settings: &NodeSettings) {
     list.require_address(&settings.addresses.callers, "addresses.callers");
     list.require_address(&settings.addresses.peers, "addresses.peers");
-    list.require_address(&settings.addresses.members, "addresses.members");
     list.require_address(&settings.platform.table, "platform.table");
     list.require_address(&settings.platform.objects, "platform.objects");
     list.require_address(&settings.platform.weights, "platform.weights");
--- a/components/settings/tests/faults.rs
+++ b/components/settings/tests/faults.rs
@@ -6,7 +6,7 @@
 const VALID: &str = r#"{
   // who we are
   "node": {"id": "duluth-1", "zone": "duluth", "region": "lakes"},
-  "addresses": {"callers": "127.0.0.1:0", "peers": "127.0.0.1:0", "members": "127.0.0.1:0"},
+  "addresses": {"callers": "127.0.0.1:0", "peers": "127.0.0.1:0"},
   "platform": {
     "table": "127.0.0.1:1", "objects": "127.0.0.1:2",
     "weights": "127.0.0.1:3", "hosts": "127.0.0.1:4",
