--- a/components/types/src/lib.rs
+++ b/components/types/src/lib.rs
@@ -18,5 +18,5 @@
     TokenCount, UpstreamId, ZoneId,
 };
 pub use plan::PlanKind;
-pub use prompt::PromptJob;
-pub use tokens::estimate_tokens;
+pub use prompt::{CACHE_BLOCK_TOKENS, PromptJob};
+pub use tokens::{estimate_tokens, prefix_hashes};
