--- /dev/null
+++ b/components/standins/src/documents.rs
@@ -0,0 +1,84 @@
+//! Settings documents of the stand-ins: JSON with comments, checked whole.
+
+use std::fs;
+
+use errors::{DocumentFault, SettingsError};
+use serde::de::DeserializeOwned;
+use settings::{FaultList, ParsedDocument, parse_document};
+
+use crate::{EngineSettings, PlatformSettings, ServiceSettings};
+
+const SCALE_CAUSE: &str = "expected a number above 0 and at most 1000";
+const LONGEST_SCALE: f64 = 1_000.0;
+
+/// Reads and checks an engine's settings; no file gives the defaults.
+///
+/// # Errors
+/// `SettingsError` with every fault.
+pub fn load_engine_settings(file: Option<&str>) -> Result<EngineSettings, SettingsError> {
+    load(file, |list, settings: &EngineSettings| {
+        list.require_name(&settings.id, "id");
+        list.require_name(&settings.zone, "zone");
+        let scale = settings.time_scale;
+        let valid = scale > 0.0 && scale <= LONGEST_SCALE;
+        list.require(valid, "time_scale", SCALE_CAUSE);
+        check_listing(list, &settings.listing.platform);
+    })
+}
+
+/// Reads and checks a plain service's settings; no file gives the defaults.
+///
+/// # Errors
+/// `SettingsError` with every fault.
+pub fn load_service_settings(file: Option<&str>) -> Result<ServiceSettings, SettingsError> {
+    load(file, |list, settings: &ServiceSettings| {
+        list.require_name(&settings.id, "id");
+        list.require_name(&settings.service, "service");
+        list.require_name(&settings.zone, "zone");
+        check_listing(list, &settings.listing.platform);
+    })
+}
+
+/// Reads and checks the platform's settings; no file gives the defaults.
+///
+/// # Errors
+/// `SettingsError` with every fault.
+pub fn load_platform_settings(file: Option<&str>) -> Result<PlatformSettings, SettingsError> {
+    load(file, |list, settings: &PlatformSettings| {
+        let given = settings.weight_interval_ms > 0 && settings.weight_burst > 0;
+        list.require(given, "weight_burst", "expected a rate above 0");
+    })
+}
+
+fn check_listing(list: &mut FaultList<'_>, platform: &str) {
+    if !platform.is_empty() {
+        list.require_address(platform, "listing.platform");
+    }
+}
+
+fn load<T: DeserializeOwned + Default>(
+    file: Option<&str>,
+    check: impl FnOnce(&mut FaultList<'_>, &T),
+) -> Result<T, SettingsError> {
+    let Some(file) = file else {
+        return Ok(T::default());
+    };
+    let text = fs::read_to_string(file).map_err(|fault| SettingsError::Unreadable {
+        file: file.to_owned(),
+        cause: fault.to_string(),
+    })?;
+    let document: ParsedDocument<T> = parse_document(file, &text)?;
+    let mut list = FaultList::new(&document.places);
+    check(&mut list, &document.value);
+    accept(file, document.value, list.into_faults())
+}
+
+fn accept<T>(file: &str, value: T, faults: Vec<DocumentFault>) -> Result<T, SettingsError> {
+    if faults.is_empty() {
+        return Ok(value);
+    }
+    Err(SettingsError::Faulty {
+        file: file.to_owned(),
+        faults,
+    })
+}
--- /dev/null
+++ b/components/standins/src/engine/mod.rs
@@ -0,0 +1,17 @@
+//! A model engine: the engine model driven by the clock.
+
+mod attempts;
+mod cache_log;
+mod control;
+mod drive;
+mod lending;
+mod loads;
+mod report_log;
+mod scale;
+mod server;
+mod settings;
+mod standin;
+
+pub use server::EngineServer;
+pub use settings::EngineSettings;
+pub use standin::StandinEngine;
--- a/components/standins/src/lib.rs
+++ b/components/standins/src/lib.rs
@@ -1,1 +1,21 @@
 //! Small stand-ins of the platform, model engines and plain services.
+//!
+//! Each is a library task bound to a loopback port, and a process of
+//! `gentiantally-standin`. Faults are switched by methods or by HTTP.
+
+mod answer;
+mod documents;
+mod engine;
+mod platform;
+mod registration;
+mod reply;
+mod serve;
+mod service;
+mod stream_body;
+
+pub use answer::{expected_answer, expected_token};
+pub use documents::{load_engine_settings, load_platform_settings, load_service_settings};
+pub use engine::{EngineServer, EngineSettings, StandinEngine};
+pub use platform::{PlatformServer, PlatformSettings};
+pub use registration::HostListing;
+pub use service::{ServiceEffect, ServiceServer, ServiceSettings, StandinService};
--- /dev/null
+++ b/components/standins/src/platform.rs
@@ -0,0 +1,282 @@
+//! The platform: table service, object store, weight store and host list
+//! behind one address.
+
+use std::{io, sync::Arc, time::Duration};
+
+use ::platform::{
+    HostDeparture, HostEntry, HostList, ObjectStore, ReadAnswer, ReadCall, ScanAnswer, ScanCall,
+    SlotCall, TableService, TransactAnswer, TransactCall, WeightStore,
+    fakes::{
+        EdgeFaults, FaultSwitch, MemoryHosts, MemoryObjects, MemoryTable, MemoryWeights, WeightRate,
+    },
+};
+use http_types::{Method, Request, Response, StatusCode};
+use kernel::{CancellationToken, ClockSource};
+use serde::{Deserialize, Serialize};
+use smol::net::TcpListener;
+
+use crate::{
+    reply::{Reply, empty, json, platform_reply, read_json, unknown_path},
+    serve::{StandinCall, serve},
+};
+
+/// Settings of the platform stand-in. Sizes in bytes, times in milliseconds.
+#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct PlatformSettings {
+    /// Faults and limits of the table service.
+    pub table: EdgeFaults,
+    /// Faults and limits of the object store.
+    pub objects: EdgeFaults,
+    /// Faults and limits of the weight store.
+    pub weights: EdgeFaults,
+    /// Faults and lag of the host list.
+    pub hosts: EdgeFaults,
+    /// Time between two weight slots.
+    pub weight_interval_ms: u64,
+    /// Weight slots given at once after a pause.
+    pub weight_burst: u32,
+    /// Size of each model's weights.
+    pub weight_bytes: u64,
+    /// Time within which a load must begin.
+    pub weight_valid_ms: u64,
+}
+
+impl Default for PlatformSettings {
+    fn default() -> Self {
+        Self {
+            table: EdgeFaults::default(),
+            objects: EdgeFaults::default(),
+            weights: EdgeFaults::default(),
+            hosts: EdgeFaults::default(),
+            weight_interval_ms: 1_000,
+            weight_burst: 4,
+            weight_bytes: 140_000_000_000,
+            weight_valid_ms: 30_000,
+        }
+    }
+}
+
+impl PlatformSettings {
+    fn weight_rate(&self) -> WeightRate {
+        WeightRate {
+            interval: Duration::from_millis(self.weight_interval_ms),
+            burst: self.weight_burst,
+            bytes: self.weight_bytes,
+            valid_for: Duration::from_millis(self.weight_valid_ms),
+        }
+    }
+}
+
+/// The platform stand-in, bound to its address.
+pub struct PlatformServer {
+    listener: TcpListener,
+    address: String,
+    table: MemoryTable,
+    objects: MemoryObjects,
+    weights: MemoryWeights,
+    hosts: MemoryHosts,
+}
+
+impl PlatformServer {
+    /// Binds to `address`, an IP number and port; port 0 lets the system
+    /// choose.
+    ///
+    /// # Errors
+    /// What the system said.
+    pub async fn bind(
+        address: &str,
+        settings: PlatformSettings,
+        clock: ClockSource,
+    ) -> io::Result<Arc<Self>> {
+        let listener = TcpListener::bind(address).await?;
+        let address = listener.local_addr()?.to_string();
+        let rate = settings.weight_rate();
+        let server = Self {
+            listener,
+            address,
+            table: MemoryTable::new(clock.clone()),
+            objects: MemoryObjects::new(clock.clone()),
+            weights: MemoryWeights::new(clock.clone(), rate),
+            hosts: MemoryHosts::new(clock),
+        };
+        server.table.switch().set(settings.table);
+        server.objects.switch().set(settings.objects);
+        server.weights.switch().set(settings.weights);
+        server.hosts.switch().set(settings.hosts);
+        Ok(Arc::new(server))
+    }
+
+    /// The address it is bound to.
+    #[must_use]
+    pub fn address(&self) -> &str {
+        &self.address
+    }
+
+    /// The table service, for its faults.
+    #[must_use]
+    pub fn table(&self) -> &MemoryTable {
+        &self.table
+    }
+
+    /// The object store, for its faults.
+    #[must_use]
+    pub fn objects(&self) -> &MemoryObjects {
+        &self.objects
+    }
+
+    /// The weight store, for its faults.
+    #[must_use]
+    pub fn weights(&self) -> &MemoryWeights {
+        &self.weights
+    }
+
+    /// The host list, for its lag and faults.
+    #[must_use]
+    pub fn hosts(&self) -> &MemoryHosts {
+        &self.hosts
+    }
+
+    /// Serves until `token` is cancelled.
+    pub async fn run(self: Arc<Self>, token: CancellationToken) {
+        let server = self.clone();
+        let endpoint = move |call: StandinCall| {
+            let server = server.clone();
+            async move { server.answer(call.request).await }
+        };
+        serve(&self.listener, &token, endpoint).await;
+    }
+
+    async fn answer(&self, mut request: Request) -> Reply {
+        let path = request.url().path().to_owned();
+        if let Some(edge) = path.strip_prefix("/control/faults/") {
+            return self.control(edge, &mut request).await;
+        }
+        match (request.method(), path.as_str()) {
+            (Method::Post, "/table/read") => self.read(&mut request).await,
+            (Method::Post, "/table/scan") => self.scan(&mut request).await,
+            (Method::Post, "/table/transact") => self.transact(&mut request).await,
+            (Method::Get, "/objects") => self.get_object(&request).await,
+            (Method::Put, "/objects") => self.put_object(&mut request).await,
+            (Method::Post, "/weights/slot") => self.slot(&mut request).await,
+            (Method::Get, "/hosts") => self.list_hosts().await,
+            (Method::Post, "/hosts/register") => self.register(&mut request).await,
+            (Method::Post, "/hosts/leaving") => self.leave(&mut request).await,
+            (Method::Post, "/hosts/deregister") => self.deregister(&mut request).await,
+            (Method::Post, "/control/release") => Ok(self.release()),
+            _ => Ok(unknown_path()),
+        }
+    }
+
+    async fn read(&self, request: &mut Request) -> Reply {
+        let call: ReadCall = read_json(request).await?;
+        let outcome = self.table.read(&call.table, &call.key, call.mode).await;
+        let success = |row| json(StatusCode::Ok, &ReadAnswer { row });
+        platform_reply(outcome, success)
+    }
+
+    async fn scan(&self, request: &mut Request) -> Reply {
+        let call: ScanCall = read_json(request).await?;
+        let after = call.after.as_deref();
+        let scan = self
+            .table
+            .scan(&call.table, &call.prefix, after, call.limit, call.mode);
+        let success = |rows| json(StatusCode::Ok, &ScanAnswer { rows });
+        platform_reply(scan.await, success)
+    }
+
+    async fn transact(&self, request: &mut Request) -> Reply {
+        let call: TransactCall = read_json(request).await?;
+        let outcome = self.table.transact(call.writes).await;
+        let success = |versions| json(StatusCode::Ok, &TransactAnswer { versions });
+        platform_reply(outcome, success)
+    }
+
+    async fn get_object(&self, request: &Request) -> Reply {
+        let key = object_key(request);
+        let outcome = self.objects.get(&key).await;
+        platform_reply(outcome, object_answer)
+    }
+
+    async fn put_object(&self, request: &mut Request) -> Reply {
+        let key = object_key(request);
+        let body = request.body_bytes().await?;
+        let outcome = self.objects.put(&key, body).await;
+        platform_reply(outcome, |()| empty())
+    }
+
+    async fn slot(&self, request: &mut Request) -> Reply {
+        let call: SlotCall = read_json(request).await?;
+        let outcome = self.weights.slot(&call.model, &call.version).await;
+        platform_reply(outcome, |slot| json(StatusCode::Ok, &slot))
+    }
+
+    async fn list_hosts(&self) -> Reply {
+        let outcome = self.hosts.hosts().await;
+        platform_reply(outcome, |hosts| json(StatusCode::Ok, &hosts))
+    }
+
+    async fn register(&self, request: &mut Request) -> Reply {
+        let entry: HostEntry = read_json(request).await?;
+        self.hosts.register(entry);
+        Ok(empty())
+    }
+
+    async fn leave(&self, request: &mut Request) -> Reply {
+        let departure: HostDeparture = read_json(request).await?;
+        self.hosts.leave(&departure);
+        Ok(empty())
+    }
+
+    async fn deregister(&self, request: &mut Request) -> Reply {
+        let departure: HostDeparture = read_json(request).await?;
+        self.hosts.deregister(&departure);
+        Ok(empty())
+    }
+
+    fn release(&self) -> Response {
+        let released = self.table.release_held();
+        json(StatusCode::Ok, &released)
+    }
+
+    async fn control(&self, edge: &str, request: &mut Request) -> Reply {
+        let Some(switch) = self.switch(edge) else {
+            return Ok(unknown_path());
+        };
+        if request.method() == Method::Get {
+            return Ok(json(StatusCode::Ok, &switch.faults()));
+        }
+        let faults: EdgeFaults = read_json(request).await?;
+        log::info!("event=standin_faults_set edge={edge}");
+        switch.set(faults);
+        Ok(empty())
+    }
+
+    fn switch(&self, edge: &str) -> Option<&FaultSwitch> {
+        match edge {
+            "table" => Some(self.table.switch()),
+            "objects" => Some(self.objects.switch()),
+            "weights" => Some(self.weights.switch()),
+            "hosts" => Some(self.hosts.switch()),
+            _ => None,
+        }
+    }
+}
+
+fn object_key(request: &Request) -> String {
+    let pairs = request.url().query_pairs();
+    let key = pairs.into_iter().find(|(name, _)| name == "key");
+    key.map(|(_, value)| value.into_owned()).unwrap_or_default()
+}
+
+fn object_answer(object: Option<Vec<u8>>) -> Response {
+    match object {
+        Some(body) => {
+            let mut response = Response::new(StatusCode::Ok);
+            response.set_body(body);
+            response
+        }
+        None => Response::new(StatusCode::NotFound),
+    }
+}
--- /dev/null
+++ b/components/standins/src/serve.rs
@@ -0,0 +1,79 @@
+//! Accepts connections and hands their requests to an endpoint.
+
+use std::io;
+
+use async_h1::server;
+use http_types::{Request, Response};
+use kernel::CancellationToken;
+use smol::{
+    future,
+    net::{TcpListener, TcpStream},
+};
+
+use crate::reply::fault_reply;
+
+/// A request with the connection it came on.
+pub(crate) struct StandinCall {
+    pub(crate) request: Request,
+    pub(crate) stream: TcpStream,
+}
+
+/// Serves `listener` until `token` is cancelled, which also cuts every open
+/// connection. An endpoint that returns an error cuts its connection.
+pub(crate) async fn serve<F, W>(listener: &TcpListener, token: &CancellationToken, endpoint: F)
+where
+    F: Fn(StandinCall) -> W + Clone + Send + Sync + 'static,
+    W: Future<Output = http_types::Result<Response>> + Send + 'static,
+{
+    loop {
+        let accepted = future::or(async { Some(listener.accept().await) }, async {
+            token.cancelled().await;
+            None
+        });
+        match accepted.await {
+            Some(Ok((stream, _))) => {
+                let connection = connection(stream, token.clone(), endpoint.clone());
+                smol::spawn(connection).detach();
+            }
+            Some(Err(fault)) => log::warn!("event=standin_accept_failed cause=\"{fault}\""),
+            None => return,
+        }
+    }
+}
+
+async fn connection<F, W>(stream: TcpStream, token: CancellationToken, endpoint: F)
+where
+    F: Fn(StandinCall) -> W + Send + Sync + 'static,
+    W: Future<Output = http_types::Result<Response>> + Send + 'static,
+{
+    stream.set_nodelay(true).ok();
+    let answer = |request| {
+        let call = StandinCall {
+            request,
+            stream: stream.clone(),
+        };
+        let work = endpoint(call);
+        async { work.await.or_else(fault_reply) }
+    };
+    let work = Box::pin(server::accept(stream.clone(), answer));
+    let cut = async {
+        token.cancelled().await;
+        Ok(())
+    };
+    // A cut connection is what a fault asks for, or the caller's own doing.
+    future::or(work, cut).await.ok();
+}
+
+/// Resolves when the peer has closed its connection or it broke. Only for a
+/// connection on which nothing more is expected.
+pub(crate) async fn closed_by_peer(stream: TcpStream) {
+    let mut byte = [0];
+    loop {
+        match stream.peek(&mut byte).await {
+            Ok(0) => return,
+            Ok(_) => future::pending().await,
+            Err(fault) if fault.kind() == io::ErrorKind::Interrupted => {}
+            Err(_) => return,
+        }
+    }
+}
--- /dev/null
+++ b/components/standins/src/service/standin.rs
@@ -0,0 +1,221 @@
+//! The plain service itself.
+
+use std::{
+    collections::BTreeMap,
+    sync::{Mutex, PoisonError},
+    time::Duration,
+};
+
+use ::platform::fakes::{CallKind, FaultSwitch};
+use async_trait::async_trait;
+use errors::{PlatformError, SendPhase, UpstreamError};
+use kernel::ClockSource;
+use serde::{Deserialize, Serialize};
+use types::FencingNumber;
+use upstream::{OrderCall, PlainService, ServiceAnswer};
+
+use crate::service::ServiceSettings;
+
+const STATUS_OK: u16 = 200;
+const STATUS_UNAVAILABLE: u16 = 503;
+const JSON_TYPE: &str = "application/json";
+
+/// One effect of an order.
+#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
+pub struct ServiceEffect {
+    /// Number of the effect, from 1.
+    pub number: u64,
+    /// Path of the order.
+    pub path: String,
+    /// Body of the order.
+    pub body: String,
+    /// Deduplication key, if the order had one.
+    pub dedup_key: Option<String>,
+    /// Fencing number, if the order had one.
+    pub fencing: Option<FencingNumber>,
+}
+
+#[derive(Debug, Default)]
+struct ServiceState {
+    effects: Vec<ServiceEffect>,
+    answers: BTreeMap<String, ServiceAnswer>,
+    // The newest number taken for each deduplication key, or path.
+    fencing: BTreeMap<String, FencingNumber>,
+}
+
+/// A plain service in memory, with switchable faults.
+#[derive(Debug)]
+pub struct StandinService {
+    settings: ServiceSettings,
+    switch: FaultSwitch,
+    state: Mutex<ServiceState>,
+}
+
+impl StandinService {
+    /// A service with no effects yet.
+    #[must_use]
+    pub fn new(settings: ServiceSettings, clock: ClockSource) -> Self {
+        let switch = FaultSwitch::new(&settings.id, clock);
+        switch.set(settings.faults.clone());
+        Self {
+            settings,
+            switch,
+            state: Mutex::default(),
+        }
+    }
+
+    /// The faults; a held order is lost.
+    #[must_use]
+    pub fn switch(&self) -> &FaultSwitch {
+        &self.switch
+    }
+
+    /// All effects, in their order.
+    #[must_use]
+    pub fn effects(&self) -> Vec<ServiceEffect> {
+        self.locked(|state| state.effects.clone())
+    }
+
+    fn read_answer(&self, path: &str) -> ServiceAnswer {
+        let effects = self.locked(|state| state.effects.len());
+        json_answer(&serde_json::json!({
+            "service": self.settings.service,
+            "path": path,
+            "effects": effects,
+        }))
+    }
+
+    fn take_order(&self, call: OrderCall) -> Result<ServiceAnswer, UpstreamError> {
+        self.locked(|state| {
+            if let Some(answer) = self.known_answer(state, &call) {
+                return Ok(answer);
+            }
+            self.check_fencing(state, &call)?;
+            Ok(self.run(state, call))
+        })
+    }
+
+    fn known_answer(&self, state: &ServiceState, call: &OrderCall) -> Option<ServiceAnswer> {
+        if !self.settings.deduplicates {
+            return None;
+        }
+        state.answers.get(call.dedup_key.as_ref()?).cloned()
+    }
+
+    fn check_fencing(
+        &self,
+        state: &mut ServiceState,
+        call: &OrderCall,
+    ) -> Result<(), UpstreamError> {
+        let Some(fencing) = call.fencing.filter(|_| self.settings.checks_fencing) else {
+            return Ok(());
+        };
+        let scope = call.dedup_key.as_ref().unwrap_or(&call.path);
+        let newest = state.fencing.entry(scope.clone()).or_insert(fencing);
+        if fencing < *newest {
+            return Err(UpstreamError::Fenced {
+                step: "service order".to_owned(),
+                peer: self.settings.id.clone(),
+                newest: *newest,
+            });
+        }
+        *newest = fencing;
+        Ok(())
+    }
+
+    fn run(&self, state: &mut ServiceState, call: OrderCall) -> ServiceAnswer {
+        let number = state.effects.len() as u64 + 1;
+        let answer = json_answer(&serde_json::json!({
+            "service": self.settings.service,
+            "effect": number,
+        }));
+        if let Some(key) = &call.dedup_key {
+            state.answers.insert(key.clone(), answer.clone());
+        }
+        state.effects.push(ServiceEffect {
+            number,
+            path: call.path,
+            body: call.body,
+            dedup_key: call.dedup_key,
+            fencing: call.fencing,
+        });
+        answer
+    }
+
+    fn locked<T>(&self, change: impl FnOnce(&mut ServiceState) -> T) -> T {
+        let mut state = self.state.lock().unwrap_or_else(PoisonError::into_inner);
+        change(&mut state)
+    }
+}
+
+#[async_trait]
+impl PlainService for StandinService {
+    async fn read(
+        &self,
+        path: &str,
+        _limit: Duration,
+        _traceparent: &str,
+    ) -> Result<ServiceAnswer, UpstreamError> {
+        let effect = |_| Ok(self.read_answer(path));
+        let outcome = self.switch.run("service read", CallKind::Read, effect);
+        outcome.await.map_err(upstream_error)
+    }
+
+    async fn order(&self, call: OrderCall) -> Result<ServiceAnswer, UpstreamError> {
+        let effect = |held: bool| Ok((!held).then(|| self.take_order(call)));
+        let outcome = self.switch.run("service order", CallKind::Write, effect);
+        match outcome.await {
+            Ok(Some(answer)) => answer,
+            Ok(None) => Err(self.unanswered()),
+            Err(fault) => Err(upstream_error(fault)),
+        }
+    }
+}
+
+impl StandinService {
+    fn unanswered(&self) -> UpstreamError {
+        UpstreamError::Broken {
+            step: "service order".to_owned(),
+            peer: self.settings.id.clone(),
+            phase: SendPhase::AfterFirstByte,
+            cause: "held".to_owned(),
+        }
+    }
+}
+
+fn json_answer(value: &serde_json::Value) -> ServiceAnswer {
+    ServiceAnswer {
+        status: STATUS_OK,
+        content_type: JSON_TYPE.to_owned(),
+        body: value.to_string(),
+    }
+}
+
+fn upstream_error(fault: PlatformError) -> UpstreamError {
+    match fault {
+        PlatformError::Refused {
+            step,
+            peer,
+            retry_after,
+        } => UpstreamError::Refused {
+            step,
+            peer,
+            status: STATUS_UNAVAILABLE,
+            cause: "down".to_owned(),
+            retry_after,
+        },
+        PlatformError::Unreachable { step, peer, cause } => UpstreamError::Broken {
+            step,
+            peer,
+            phase: SendPhase::BeforeFirstByte,
+            cause,
+        },
+        other => UpstreamError::Broken {
+            step: "call".to_owned(),
+            peer: "service".to_owned(),
+            phase: SendPhase::AfterFirstByte,
+            cause: other.to_string(),
+        },
+    }
+}
