--- a/components/node/src/api/mod.rs
+++ b/components/node/src/api/mod.rs
@@ -11,6 +11,10 @@
 mod router;
 mod services;
 mod shape;
+mod status;
 
+pub use addresses::AddressAnswer;
+pub use operator::PublishAnswer;
 pub use parts::ApiParts;
 pub use router::api_handler;
+pub use status::{EngineStatus, FleetStatus, MemberStatus};
--- a/components/node/src/api/operator.rs
+++ b/components/node/src/api/operator.rs
@@ -4,26 +4,22 @@
 
 use entry::{ApiFailure, EntryRequest, FailureKind};
 use notes::NoteDocument;
-use serde::Serialize;
-use types::{NodeId, NoteVersion, ZoneId};
+use serde::{Deserialize, Serialize};
+use types::NoteVersion;
 
 use super::{
     ApiParts,
     access::require_operator,
     answer::{ApiResult, json_response},
+    status::FleetStatus,
 };
 
-#[derive(Serialize)]
-struct NodeStatus {
-    node: NodeId,
-    zone: ZoneId,
-    note_version: NoteVersion,
-    open_prompts: usize,
-}
-
-#[derive(Serialize)]
-struct PublishAnswer {
-    version: NoteVersion,
+/// The answer to a release note that was accepted.
+#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
+pub struct PublishAnswer {
+    /// Its version.
+    pub version: NoteVersion,
 }
 
 /// The node's own status.
@@ -32,12 +28,7 @@
 /// `ApiFailure` without an operator's key.
 pub fn status(parts: &Arc<ApiParts>, request: &EntryRequest) -> ApiResult {
     require_operator(parts, request)?;
-    Ok(json_response(&NodeStatus {
-        node: parts.settings.node.id.clone(),
-        zone: parts.settings.node.zone.clone(),
-        note_version: parts.notes.current().version,
-        open_prompts: parts.prompts.open_count(),
-    }))
+    Ok(json_response(&FleetStatus::of(parts)))
 }
 
 /// Publishes a release note.
--- a/components/node/src/api/parts.rs
+++ b/components/node/src/api/parts.rs
@@ -7,7 +7,7 @@
 use telemetry::{HopTracer, NodeMetrics};
 
 use crate::{
-    directory::UpstreamDirectory, members::MemberService, notes::NoteService,
+    directory::UpstreamDirectory, fleet::FleetView, members::MemberService, notes::NoteService,
     prompts::PromptService,
 };
 
@@ -23,6 +23,8 @@
     pub prompts: Arc<PromptService>,
     /// Membership.
     pub members: Arc<MemberService>,
+    /// Who owns which engine.
+    pub fleet: Arc<FleetView>,
     /// Upstreams.
     pub directory: Arc<UpstreamDirectory>,
     /// Spans.
--- /dev/null
+++ b/components/node/src/api/status.rs
@@ -0,0 +1,117 @@
+//! What operators see of a node and its fleet.
+
+use membership::MemberState;
+use platform::HostState;
+use serde::{Deserialize, Serialize};
+use types::{EngineId, IncarnationNumber, NodeId, NoteVersion, ZoneId};
+
+use super::ApiParts;
+
+/// A node and what it knows of the others.
+#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
+pub struct FleetStatus {
+    /// The node that was asked.
+    pub node: NodeId,
+    /// Its availability zone.
+    pub zone: ZoneId,
+    /// Release note in force on it.
+    pub note_version: NoteVersion,
+    /// Prompts open on it.
+    pub open_prompts: usize,
+    /// The members it knows, itself among them.
+    pub members: Vec<MemberStatus>,
+    /// The engines it knows.
+    pub engines: Vec<EngineStatus>,
+}
+
+/// One member.
+#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
+pub struct MemberStatus {
+    /// The node.
+    pub node: NodeId,
+    /// Its availability zone.
+    pub zone: ZoneId,
+    /// `alive`, `leaving`, `suspect`, `dead` or `left`.
+    pub state: String,
+    /// Release note in force on it, as last heard.
+    pub note_version: NoteVersion,
+    /// Address for callers and operators.
+    pub callers: String,
+}
+
+/// One engine.
+#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
+pub struct EngineStatus {
+    /// The engine.
+    pub engine: EngineId,
+    /// Its availability zone.
+    pub zone: ZoneId,
+    /// `live` or `leaving`.
+    pub state: String,
+    /// Life of its process.
+    pub incarnation: IncarnationNumber,
+    /// Whether the node that was asked owns it.
+    pub owned: bool,
+}
+
+impl FleetStatus {
+    /// The status of the node behind `parts`.
+    #[must_use]
+    pub fn of(parts: &ApiParts) -> Self {
+        let snapshot = parts.members.members();
+        Self {
+            node: parts.settings.node.id.clone(),
+            zone: parts.settings.node.zone.clone(),
+            note_version: parts.notes.current().version,
+            open_prompts: parts.prompts.open_count(),
+            members: snapshot
+                .views
+                .iter()
+                .map(|view| &view.record)
+                .map(|record| MemberStatus {
+                    node: record.node.clone(),
+                    zone: record.zone.clone(),
+                    state: member_state(record.state).to_owned(),
+                    note_version: record.note_version,
+                    callers: record.addresses.callers.to_string(),
+                })
+                .collect(),
+            engines: engine_statuses(parts),
+        }
+    }
+}
+
+fn engine_statuses(parts: &ApiParts) -> Vec<EngineStatus> {
+    parts
+        .directory
+        .engines()
+        .into_iter()
+        .map(|engine| EngineStatus {
+            owned: parts.fleet.owns(&engine.id, &engine.zone),
+            state: host_state(engine.state).to_owned(),
+            engine: engine.id,
+            zone: engine.zone,
+            incarnation: engine.incarnation,
+        })
+        .collect()
+}
+
+fn member_state(state: MemberState) -> &'static str {
+    match state {
+        MemberState::Alive => "alive",
+        MemberState::Leaving => "leaving",
+        MemberState::Suspect => "suspect",
+        MemberState::Dead => "dead",
+        MemberState::Left => "left",
+    }
+}
+
+fn host_state(state: HostState) -> &'static str {
+    match state {
+        HostState::Live => "live",
+        HostState::Leaving => "leaving",
+    }
+}
--- a/components/node/src/daemon.rs
+++ b/components/node/src/daemon.rs
@@ -9,6 +9,7 @@
 use routing::SchedulerSettings;
 use settings::NodeSettings;
 use telemetry::{HopTracer, NodeMetrics};
+use types::NoteVersion;
 use wire::{KeyRing, SealKey};
 
 use crate::{
@@ -35,6 +36,8 @@
     kernel: Arc<ServiceKernel>,
     callers: SocketAddr,
     peers: SocketAddr,
+    members: Arc<MemberService>,
+    notes: Arc<NoteService>,
 }
 
 /// What every service is built from.
@@ -101,6 +104,7 @@
             notes: Arc::clone(&self.notes),
             prompts: Arc::clone(&self.prompts),
             members,
+            fleet: Arc::clone(&self.fleet),
             directory: Arc::clone(&self.directory),
             tracer: self.tracer.clone(),
             metrics: Arc::clone(&self.metrics),
@@ -184,7 +188,7 @@
         start_background(&kernel, &base, &members);
         let peer_server = PeerServer::new(sockets.listener, base.peer_handler());
         kernel.start("peers", |token| peer_server.run(token));
-        let handler = api_handler(Arc::new(base.api_parts(members)));
+        let handler = api_handler(Arc::new(base.api_parts(Arc::clone(&members))));
         let server = entry.server.with_handler(handler);
         kernel.start("entry", |token| server.run(token));
         log::info!(
@@ -195,6 +199,8 @@
             kernel,
             callers,
             peers,
+            members,
+            notes: base.notes,
         })
     }
 
@@ -210,6 +216,18 @@
         self.peers
     }
 
+    /// Number of members that take new work, as this node sees them.
+    #[must_use]
+    pub fn serving_members(&self) -> usize {
+        self.members.members().serving().count()
+    }
+
+    /// Whether at least release note `version` is in force here.
+    #[must_use]
+    pub fn is_ready(&self, version: NoteVersion) -> bool {
+        self.notes.current().version >= version
+    }
+
     /// Stops every service; returns the names of those that had to be cut.
     pub async fn stop(self) -> Vec<String> {
         self.kernel.stop(STOP_LIMIT).await
--- a/components/telemetry/src/spans.rs
+++ b/components/telemetry/src/spans.rs
@@ -113,14 +113,15 @@
         }
     }
 
-    /// Stored spans whose trace id or request is `id`, oldest first.
+    /// Stored spans whose trace id or request is `id`, or whose request's name
+    /// goes on from it behind a dot or tilde; oldest first.
     #[must_use]
     pub fn find(&self, id: &str) -> Vec<SpanRecord> {
         let records = self.store.records.lock();
         let records = records.unwrap_or_else(PoisonError::into_inner);
         records
             .iter()
-            .filter(|record| record.trace == id || record.request == id)
+            .filter(|record| record.trace == id || is_of_request(&record.request, id))
             .cloned()
             .collect()
     }
@@ -197,6 +198,12 @@
     }
 }
 
+fn is_of_request(request: &str, id: &str) -> bool {
+    request
+        .strip_prefix(id)
+        .is_some_and(|rest| rest.is_empty() || rest.starts_with(['.', '~']))
+}
+
 fn span_record(node: &str, span: &SpanData) -> SpanRecord {
     let mut request = String::new();
     let mut attributes = Vec::new();
--- /dev/null
+++ b/src/bin/gentiantally-node.rs
@@ -0,0 +1,11 @@
+//! The daemon of an entry host.
+
+use std::process::ExitCode;
+
+use gentiantally::{cli::NodeArguments, cmd, launch};
+
+fn main() -> ExitCode {
+    launch::launch("gentiantally-node", |arguments: NodeArguments| {
+        cmd::node::run(&arguments)
+    })
+}
--- /dev/null
+++ b/src/cli.rs
@@ -0,0 +1,191 @@
+//! The arguments of the programs; nothing else.
+
+use argh::FromArgs;
+
+use crate::cmd::bench::BenchCommand;
+
+/// Serves language-model prompts of very unlike lengths.
+#[derive(FromArgs)]
+pub struct CommandArguments {
+    /// what to do
+    #[argh(subcommand)]
+    pub command: SubCommand,
+}
+
+/// What to do.
+#[derive(FromArgs)]
+#[argh(subcommand)]
+pub enum SubCommand {
+    /// Run a fleet on this machine.
+    Local(LocalCommand),
+    /// Check a settings file.
+    Check(CheckCommand),
+    /// Release notes.
+    Note(NoteCommand),
+    /// Status of nodes.
+    Status(StatusCommand),
+    /// Addresses to use.
+    Resolve(ResolveCommand),
+    /// Spans of a request.
+    Trace(TraceCommand),
+    /// Load scenarios.
+    Bench(BenchCommand),
+}
+
+/// Run nodes and stand-ins on loopback ports that the system chooses.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "local")]
+pub struct LocalCommand {
+    /// run the tour and exit; 0 only if every step's outcome was as it should
+    #[argh(switch)]
+    pub once: bool,
+    /// number of nodes (default 3)
+    #[argh(option, default = "3")]
+    pub nodes: usize,
+    /// number of model engines (default 9)
+    #[argh(option, default = "9")]
+    pub engines: usize,
+    /// log level on standard error: off, error, warn, info, debug (default warn)
+    #[argh(option, default = "log::LevelFilter::Warn")]
+    pub log: log::LevelFilter,
+}
+
+/// Check a node's settings file and list every fault.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "check")]
+pub struct CheckCommand {
+    /// settings file in JSON with comments
+    #[argh(positional)]
+    pub settings: String,
+}
+
+/// Publish and show release notes.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "note")]
+pub struct NoteCommand {
+    /// what to do with release notes
+    #[argh(subcommand)]
+    pub action: NoteAction,
+}
+
+/// What to do with release notes.
+#[derive(FromArgs)]
+#[argh(subcommand)]
+pub enum NoteAction {
+    /// Publish a note.
+    Publish(NotePublish),
+    /// Show what is in force.
+    Show(NoteShow),
+    /// Show which nodes have which version in force.
+    Status(NoteStatus),
+}
+
+/// Publish a release note.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "publish")]
+pub struct NotePublish {
+    /// release note in JSON with comments
+    #[argh(positional)]
+    pub file: String,
+    /// address of any node, as IP number and port
+    #[argh(option)]
+    pub node: String,
+    /// operator's key; else the environment's GENTIANTALLY_KEY
+    #[argh(option)]
+    pub key: Option<String>,
+    /// write one JSON document
+    #[argh(switch)]
+    pub json: bool,
+}
+
+/// Show everything that is in force.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "show")]
+pub struct NoteShow {
+    /// address of any node, as IP number and port
+    #[argh(option)]
+    pub node: String,
+    /// operator's key; else the environment's GENTIANTALLY_KEY
+    #[argh(option)]
+    pub key: Option<String>,
+    /// write one JSON document
+    #[argh(switch)]
+    pub json: bool,
+}
+
+/// Show which release note each node has in force.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "status")]
+pub struct NoteStatus {
+    /// address of any node, as IP number and port
+    #[argh(option)]
+    pub node: String,
+    /// operator's key; else the environment's GENTIANTALLY_KEY
+    #[argh(option)]
+    pub key: Option<String>,
+    /// write one JSON document
+    #[argh(switch)]
+    pub json: bool,
+}
+
+/// Show the nodes as one of them sees them.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "status")]
+pub struct StatusCommand {
+    /// address of any node, as IP number and port
+    #[argh(option)]
+    pub node: String,
+    /// operator's key; else the environment's GENTIANTALLY_KEY
+    #[argh(option)]
+    pub key: Option<String>,
+    /// write one JSON document
+    #[argh(switch)]
+    pub json: bool,
+}
+
+/// Ask which addresses a caller should use.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "resolve")]
+pub struct ResolveCommand {
+    /// address of any node, as IP number and port
+    #[argh(option)]
+    pub node: String,
+    /// model the prompt is for
+    #[argh(option)]
+    pub model: Option<String>,
+    /// length of the prompt in tokens
+    #[argh(option)]
+    pub prompt_tokens: Option<u64>,
+    /// write one JSON document
+    #[argh(switch)]
+    pub json: bool,
+}
+
+/// Show the spans of one request, from every node.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "trace")]
+pub struct TraceCommand {
+    /// id of the request (X-Request-Id) or of the trace
+    #[argh(positional)]
+    pub id: String,
+    /// address of any node, as IP number and port
+    #[argh(option)]
+    pub node: String,
+    /// operator's key; else the environment's GENTIANTALLY_KEY
+    #[argh(option)]
+    pub key: Option<String>,
+    /// write one JSON document
+    #[argh(switch)]
+    pub json: bool,
+}
+
+/// Runs everything that an entry host runs.
+#[derive(FromArgs)]
+pub struct NodeArguments {
+    /// settings file in JSON with comments
+    #[argh(option)]
+    pub settings: String,
+    /// log level on standard error: off, error, warn, info, debug (default info)
+    #[argh(option, default = "log::LevelFilter::Info")]
+    pub log: log::LevelFilter,
+}
--- /dev/null
+++ b/src/cmd/check.rs
@@ -0,0 +1,18 @@
+//! `gentiantally check`.
+
+use settings::load_node_settings;
+
+use super::client::write_line;
+use crate::{cli::CheckCommand, launch::LaunchError};
+
+/// Checks a settings file.
+///
+/// # Errors
+/// `LaunchError::Usage` with every fault.
+pub fn run(command: &CheckCommand) -> Result<(), LaunchError> {
+    let settings = load_node_settings(&command.settings)?;
+    write_line(&format!(
+        "{}: valid settings of node {} in {}",
+        command.settings, settings.node.id, settings.node.zone
+    ))
+}
--- /dev/null
+++ b/src/cmd/local/fleet.rs
@@ -0,0 +1,242 @@
+//! Nodes and stand-ins as tasks of one process.
+
+use std::{io, sync::Arc, time::Duration};
+
+use entry::key_digest;
+use kernel::{CancellationToken, ClockSource};
+use node::NodeDaemon;
+use settings::{
+    AddressSettings, ClusterKey, HostIdentity, LimitSettings, NodeSettings, PlatformSettings,
+    TimeoutSettings, UpstreamSettings,
+};
+use standins::{
+    EngineServer, EngineSettings, HostListing, PlatformServer, ServiceServer, ServiceSettings,
+};
+use types::LoadedModel;
+
+use super::note::{LOCAL_MODEL, LOCAL_SERVICE, MODEL_VERSION, OPERATOR_KEY};
+use crate::launch::LaunchError;
+
+const ANY_PORT: &str = "127.0.0.1:0";
+const ZONES: [&str; 3] = ["duluth", "thunder-bay", "sault"];
+const REGION: &str = "great-lakes";
+/// Work on the stand-in engines takes a fiftieth of its time.
+const TIME_SCALE: f64 = 0.02;
+const ENGINE_RESTART_MS: u64 = 3_000;
+const ADDRESS_LIFETIME_MS: u64 = 1_000;
+const PLATFORM_TIMEOUT_MS: u64 = 2_000;
+const DRAIN_MS: u64 = 60_000;
+const STARTUP_PAUSE: Duration = Duration::from_millis(50);
+const STARTUP_LIMIT: Duration = Duration::from_secs(20);
+
+/// How large a local fleet is.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct FleetPlan {
+    /// Number of nodes.
+    pub nodes: usize,
+    /// Number of model engines.
+    pub engines: usize,
+}
+
+/// A running local fleet.
+pub struct LocalFleet {
+    /// The platform stand-in.
+    pub platform: Arc<PlatformServer>,
+    /// The model engine stand-ins.
+    pub engines: Vec<Arc<EngineServer>>,
+    /// The plain service stand-in.
+    pub service: Arc<ServiceServer>,
+    /// The nodes.
+    pub nodes: Vec<NodeDaemon>,
+    clock: ClockSource,
+    platform_token: CancellationToken,
+    upstream_token: CancellationToken,
+    upstreams: Vec<smol::Task<()>>,
+}
+
+impl LocalFleet {
+    /// Starts stand-ins and nodes and waits until the nodes know each other.
+    ///
+    /// # Errors
+    /// `LaunchError::Failed` when one does not start.
+    pub async fn start(plan: &FleetPlan) -> Result<Self, LaunchError> {
+        if plan.nodes == 0 || plan.engines == 0 {
+            return Err(LaunchError::Usage(
+                "a fleet needs at least one node and one engine".to_owned(),
+            ));
+        }
+        let clock = ClockSource::System;
+        let platform_token = CancellationToken::new();
+        let platform = PlatformServer::bind(
+            ANY_PORT,
+            standins::PlatformSettings::default(),
+            clock.clone(),
+        )
+        .await
+        .map_err(|error| not_started("platform", &error))?;
+        smol::spawn(Arc::clone(&platform).run(platform_token.clone())).detach();
+        let mut fleet = Self {
+            service: bind_service(&platform, &clock).await?,
+            platform,
+            engines: Vec::new(),
+            nodes: Vec::new(),
+            clock,
+            platform_token,
+            upstream_token: CancellationToken::new(),
+            upstreams: Vec::new(),
+        };
+        let service = Arc::clone(&fleet.service);
+        let serving = smol::spawn(service.run(fleet.upstream_token.clone()));
+        fleet.upstreams.push(serving);
+        for position in 0..plan.engines {
+            fleet.start_engine(position).await?;
+        }
+        for position in 0..plan.nodes {
+            fleet.start_node(position).await?;
+        }
+        fleet.await_members().await?;
+        Ok(fleet)
+    }
+
+    async fn start_engine(&mut self, position: usize) -> Result<(), LaunchError> {
+        let settings = EngineSettings {
+            id: format!("engine-{}", position + 1),
+            zone: zone(position),
+            time_scale: TIME_SCALE,
+            restart_ms: Some(ENGINE_RESTART_MS),
+            models: vec![LoadedModel {
+                model: LOCAL_MODEL.to_owned(),
+                version: MODEL_VERSION.to_owned(),
+                adapters: Vec::new(),
+            }],
+            listing: self.listing(),
+            ..EngineSettings::default()
+        };
+        let server = EngineServer::bind(ANY_PORT, settings, self.clock.clone())
+            .await
+            .map_err(|error| not_started("engine", &error))?;
+        let serving = smol::spawn(Arc::clone(&server).run(self.upstream_token.clone()));
+        self.upstreams.push(serving);
+        self.engines.push(server);
+        Ok(())
+    }
+
+    async fn start_node(&mut self, position: usize) -> Result<(), LaunchError> {
+        let seeds = self
+            .nodes
+            .first()
+            .map(|node| node.peers_address().to_string());
+        let settings = node_settings(position, self.platform.address(), seeds);
+        let daemon = NodeDaemon::start(settings, self.clock.clone(), CancellationToken::new())
+            .await
+            .map_err(|error| LaunchError::Failed(error.to_string()))?;
+        self.nodes.push(daemon);
+        Ok(())
+    }
+
+    /// Waits until the last node that started is known to the first.
+    async fn await_members(&self) -> Result<(), LaunchError> {
+        let waiting = async {
+            while self
+                .nodes
+                .iter()
+                .any(|node| node.serving_members() < self.nodes.len())
+            {
+                self.clock.sleep(STARTUP_PAUSE).await;
+            }
+        };
+        self.clock
+            .timeout(STARTUP_LIMIT, waiting)
+            .await
+            .ok_or_else(|| LaunchError::Failed("the nodes did not find each other".to_owned()))
+    }
+
+    /// Address of a node for callers and operators.
+    #[must_use]
+    pub fn callers_address(&self, position: usize) -> String {
+        self.nodes[position].callers_address().to_string()
+    }
+
+    /// The clock of the fleet.
+    #[must_use]
+    pub fn clock(&self) -> &ClockSource {
+        &self.clock
+    }
+
+    /// Stops everything: nodes, then upstreams, then the platform.
+    pub async fn stop(self) {
+        for node in self.nodes {
+            node.stop().await;
+        }
+        self.upstream_token.cancel();
+        for serving in self.upstreams {
+            serving.await;
+        }
+        self.platform_token.cancel();
+    }
+
+    fn listing(&self) -> HostListing {
+        HostListing {
+            platform: self.platform.address().to_owned(),
+        }
+    }
+}
+
+async fn bind_service(
+    platform: &PlatformServer,
+    clock: &ClockSource,
+) -> Result<Arc<ServiceServer>, LaunchError> {
+    let settings = ServiceSettings {
+        service: LOCAL_SERVICE.to_owned(),
+        zone: zone(0),
+        listing: HostListing {
+            platform: platform.address().to_owned(),
+        },
+        ..ServiceSettings::default()
+    };
+    ServiceServer::bind(ANY_PORT, settings, clock.clone())
+        .await
+        .map_err(|error| not_started("service", &error))
+}
+
+fn node_settings(position: usize, platform: &str, seed: Option<String>) -> NodeSettings {
+    NodeSettings {
+        node: HostIdentity {
+            id: format!("node-{}", position + 1),
+            zone: zone(position),
+            region: REGION.to_owned(),
+        },
+        addresses: AddressSettings {
+            callers: ANY_PORT.to_owned(),
+            peers: ANY_PORT.to_owned(),
+        },
+        platform: PlatformSettings {
+            table: platform.to_owned(),
+            objects: platform.to_owned(),
+            weights: platform.to_owned(),
+            hosts: platform.to_owned(),
+            timeout_ms: PLATFORM_TIMEOUT_MS,
+        },
+        cluster_keys: vec![ClusterKey {
+            id: 1,
+            secret: key_digest("local-cluster-key"),
+        }],
+        operator_key_digests: vec![key_digest(OPERATOR_KEY)],
+        seeds: seed.into_iter().collect(),
+        limits: LimitSettings::default(),
+        timeouts: TimeoutSettings {
+            address_lifetime_ms: ADDRESS_LIFETIME_MS,
+            drain_ms: DRAIN_MS,
+            ..TimeoutSettings::default()
+        },
+        upstreams: UpstreamSettings::default(),
+    }
+}
+
+fn zone(position: usize) -> String {
+    ZONES[position % ZONES.len()].to_owned()
+}
+
+fn not_started(peer: &str, error: &io::Error) -> LaunchError {
+    LaunchError::failed("start", peer, error, "free a port on 127.0.0.1")
+}
--- /dev/null
+++ b/src/cmd/mod.rs
@@ -0,0 +1,29 @@
+//! The subcommands, one file each.
+
+pub mod bench;
+pub mod check;
+pub mod client;
+pub mod local;
+pub mod node;
+pub mod note;
+pub mod resolve;
+pub mod status;
+pub mod trace;
+
+use crate::{cli::SubCommand, launch::LaunchError};
+
+/// Runs one subcommand.
+///
+/// # Errors
+/// `LaunchError` when it does not succeed.
+pub fn run(command: SubCommand) -> Result<(), LaunchError> {
+    match command {
+        SubCommand::Local(command) => local::run(&command),
+        SubCommand::Check(command) => check::run(&command),
+        SubCommand::Note(command) => note::run(command.action),
+        SubCommand::Status(command) => status::run(&command),
+        SubCommand::Resolve(command) => resolve::run(&command),
+        SubCommand::Trace(command) => trace::run(&command),
+        SubCommand::Bench(command) => bench::run(&command).map_err(LaunchError::Failed),
+    }
+}
--- /dev/null
+++ b/src/cmd/node.rs
@@ -0,0 +1,32 @@
+//! `gentiantally-node`.
+
+use kernel::{CancellationToken, ClockSource};
+use node::NodeDaemon;
+use settings::load_node_settings;
+
+use super::client::write_line;
+use crate::{
+    cli::NodeArguments,
+    launch::{LaunchError, cancel_on_signal},
+};
+
+/// Runs a node until SIGTERM or Ctrl-C.
+///
+/// # Errors
+/// `LaunchError` when the settings are faulty or an address can't be bound.
+pub fn run(arguments: &NodeArguments) -> Result<(), LaunchError> {
+    telemetry::init_logs(arguments.log);
+    let settings = load_node_settings(&arguments.settings)?;
+    smol::block_on(async {
+        let stop = CancellationToken::new();
+        cancel_on_signal(stop.clone())?;
+        let daemon = NodeDaemon::start(settings, ClockSource::System, CancellationToken::new())
+            .await
+            .map_err(|error| LaunchError::Failed(error.to_string()))?;
+        write_line(&format!("callers={}", daemon.callers_address()))?;
+        write_line(&format!("peers={}", daemon.peers_address()))?;
+        stop.cancelled().await;
+        daemon.stop().await;
+        Ok(())
+    })
+}
--- /dev/null
+++ b/src/cmd/note.rs
@@ -0,0 +1,90 @@
+//! `gentiantally note`.
+
+use std::fs;
+
+use node::api::{FleetStatus, PublishAnswer};
+use notes::FleetState;
+
+use super::client::{NodeClient, write_json, write_line};
+use crate::{
+    cli::{NoteAction, NotePublish, NoteShow, NoteStatus},
+    launch::LaunchError,
+};
+
+/// Runs one of the actions on release notes.
+///
+/// # Errors
+/// `LaunchError`.
+pub fn run(action: NoteAction) -> Result<(), LaunchError> {
+    match action {
+        NoteAction::Publish(command) => publish(&command),
+        NoteAction::Show(command) => show(&command),
+        NoteAction::Status(command) => status(&command),
+    }
+}
+
+fn publish(command: &NotePublish) -> Result<(), LaunchError> {
+    let text = fs::read_to_string(&command.file)
+        .map_err(|error| LaunchError::Usage(format!("{}: {error}", command.file)))?;
+    let client = NodeClient::new(&command.node, command.key.as_deref());
+    let answer: PublishAnswer = smol::block_on(client.post("publish", "/v1/operator/notes", text))?;
+    if command.json {
+        return write_json(&answer);
+    }
+    write_line(&format!("accepted as release note {}", answer.version))
+}
+
+fn show(command: &NoteShow) -> Result<(), LaunchError> {
+    let client = NodeClient::new(&command.node, command.key.as_deref());
+    let state: FleetState = smol::block_on(client.get("show", "/v1/operator/notes"))?;
+    if command.json {
+        return write_json(&state);
+    }
+    write_line(&format!("release note {}", state.version))?;
+    for (name, entry) in &state.organisations {
+        write_line(&format!(
+            "organisation {name}: {:?}, models {}, services {}",
+            entry.plan,
+            entry.models.join(" "),
+            entry.services.join(" ")
+        ))?;
+    }
+    for (name, entry) in &state.models {
+        write_line(&format!("model {name}: version {}", entry.version))?;
+    }
+    for (name, entry) in &state.adapters {
+        write_line(&format!(
+            "adapter {name}: of {}, version {}",
+            entry.model, entry.version
+        ))?;
+    }
+    for (name, entry) in &state.services {
+        write_line(&format!("service {name}: {:?}", entry.guarantee))?;
+    }
+    Ok(())
+}
+
+fn status(command: &NoteStatus) -> Result<(), LaunchError> {
+    let client = NodeClient::new(&command.node, command.key.as_deref());
+    let status: FleetStatus = smol::block_on(client.get("status", "/v1/operator/status"))?;
+    if command.json {
+        return write_json(&status.members);
+    }
+    let newest = status
+        .members
+        .iter()
+        .map(|member| member.note_version)
+        .max();
+    let newest = newest.unwrap_or(0).max(status.note_version);
+    write_line(&format!("newest release note {newest}"))?;
+    for member in &status.members {
+        let lag = newest - member.note_version;
+        write_line(&format!(
+            "{}: {} in force, {}",
+            member.node,
+            member.note_version,
+            if lag == 0 { "up to date" } else { "lagging" }
+        ))?;
+    }
+    Ok(())
+}
--- a/src/main.rs
+++ b/src/main.rs
@@ -1,3 +1,11 @@
 //! The operators' and users' command.
 
-fn main() {}
+use std::process::ExitCode;
+
+use gentiantally::{cli::CommandArguments, cmd, launch};
+
+fn main() -> ExitCode {
+    launch::launch("gentiantally", |arguments: CommandArguments| {
+        cmd::run(arguments.command)
+    })
+}
