--- /dev/null
+++ b/components/bench/src/baseline.rs
@@ -0,0 +1,334 @@
+//! The usual balancers, for comparison: each node sends straight to engines.
+//!
+//! Engines queue in order of arrival. A prompt larger than one engine gets
+//! several when all of them can reserve memory at once, and is tried again
+//! otherwise. Failed attempts go elsewhere.
+
+use std::{
+    collections::HashMap,
+    time::{Duration, Instant},
+};
+
+use rand::{RngExt, SeedableRng, rngs::StdRng};
+use routing::{RefusalReason, SchedulerAction, SchedulerEvent};
+use types::{AttemptId, EngineId, EngineReport, PromptJob, RequestId, TokenCount};
+
+/// Time until a prompt that got no memory on several engines is tried again.
+const GANG_RETRY: Duration = Duration::from_millis(500);
+/// Part of an engine's memory that a prompt over several engines plans with.
+const GANG_FILL_PERCENT: TokenCount = 95;
+/// Most attempts of one request that failed.
+const FAILURES_MAX: u32 = 4;
+/// Prompt tokens that weigh as much as one sequence being decoded.
+const DECODING_WEIGHT: TokenCount = 32;
+/// Time after which a refused caller may come back.
+const RETRY_AFTER: Duration = Duration::from_secs(1);
+
+/// Which baseline.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum BaselineKind {
+    /// Engines in turn.
+    RoundRobin,
+    /// The engine with the least work by its report and the node's own
+    /// attempts since.
+    LeastLoaded,
+}
+
+#[derive(Clone, Debug)]
+struct SentWork {
+    request: RequestId,
+    at: Instant,
+    tokens: TokenCount,
+    memory: TokenCount,
+}
+
+#[derive(Clone, Debug)]
+struct EngineRow {
+    report: EngineReport,
+    taken: Instant,
+    sent: Vec<SentWork>,
+    /// A call to it failed since its last report.
+    suspect: bool,
+}
+
+impl EngineRow {
+    fn unseen(&self) -> impl Iterator<Item = &SentWork> {
+        self.sent.iter().filter(|work| work.at >= self.taken)
+    }
+
+    fn load(&self) -> TokenCount {
+        let unseen: TokenCount = self.unseen().map(|work| work.tokens).sum();
+        let decoding = TokenCount::from(self.report.decoding) * DECODING_WEIGHT;
+        self.report.prefill_backlog + unseen + decoding
+    }
+
+    fn used(&self) -> TokenCount {
+        let unseen: TokenCount = self.unseen().map(|work| work.memory).sum();
+        self.report.kv_used + unseen
+    }
+}
+
+#[derive(Clone, Debug)]
+struct RouterJob {
+    job: PromptJob,
+    attempt: AttemptId,
+    failures: u32,
+    resume_at: TokenCount,
+    engines: Vec<EngineId>,
+    /// When a prompt that waits for memory is tried again.
+    retry: Option<Instant>,
+}
+
+/// A balancer on one node.
+#[derive(Debug)]
+pub struct BaselineRouter {
+    kind: BaselineKind,
+    engines: Vec<EngineRow>,
+    jobs: HashMap<RequestId, RouterJob>,
+    waiting: Vec<RequestId>,
+    cursor: usize,
+    rng: StdRng,
+}
+
+impl BaselineRouter {
+    /// A balancer that knows no engine yet.
+    #[must_use]
+    pub fn new(kind: BaselineKind, seed: u64) -> Self {
+        let mut rng = StdRng::seed_from_u64(seed);
+        Self {
+            kind,
+            engines: Vec::new(),
+            jobs: HashMap::new(),
+            waiting: Vec::new(),
+            cursor: usize::from(rng.random::<u8>()),
+            rng,
+        }
+    }
+
+    /// Takes one event and returns what to do.
+    pub fn handle(&mut self, now: Instant, event: SchedulerEvent) -> Vec<SchedulerAction> {
+        match event {
+            SchedulerEvent::Arrived { job, .. } => self.arrive(now, job),
+            SchedulerEvent::Reported(report) => {
+                self.take_report(now, report);
+                Vec::new()
+            }
+            SchedulerEvent::EngineGone { engine } => {
+                self.engines
+                    .retain(|row| row.report.profile.engine != engine);
+                Vec::new()
+            }
+            SchedulerEvent::Finished { request, .. } | SchedulerEvent::Cancelled { request } => {
+                self.forget(&request);
+                Vec::new()
+            }
+            SchedulerEvent::Failed {
+                request, delivered, ..
+            } => self.fail(now, &request, delivered),
+            SchedulerEvent::GangRefused { request, .. } => {
+                self.wait(now, &request);
+                Vec::new()
+            }
+            SchedulerEvent::Tick => self.retry_waiting(now),
+            _ => Vec::new(),
+        }
+    }
+
+    fn arrive(&mut self, now: Instant, job: PromptJob) -> Vec<SchedulerAction> {
+        let request = job.request.clone();
+        let entry = RouterJob {
+            job,
+            attempt: 0,
+            failures: 0,
+            resume_at: 0,
+            engines: Vec::new(),
+            retry: None,
+        };
+        self.jobs.insert(request.clone(), entry);
+        self.dispatch(now, &request)
+    }
+
+    fn take_report(&mut self, now: Instant, report: EngineReport) {
+        let taken = now.checked_sub(report.age).unwrap_or(now);
+        let known = self
+            .engines
+            .iter_mut()
+            .find(|row| row.report.profile.engine == report.profile.engine);
+        if let Some(row) = known {
+            row.taken = taken;
+            row.report = report;
+            row.suspect = false;
+            row.sent.retain(|work| work.at >= taken);
+            return;
+        }
+        self.engines.push(EngineRow {
+            report,
+            taken,
+            sent: Vec::new(),
+            suspect: false,
+        });
+        self.engines
+            .sort_by(|left, right| left.report.profile.engine.cmp(&right.report.profile.engine));
+    }
+
+    fn dispatch(&mut self, now: Instant, request: &RequestId) -> Vec<SchedulerAction> {
+        let Some(entry) = self.jobs.get(request) else {
+            return Vec::new();
+        };
+        let total = entry.job.prompt_tokens + entry.job.output_tokens;
+        let prefill = entry.job.prompt_tokens;
+        let places = self.choose(total);
+        let Some(count) = TokenCount::try_from(places.len())
+            .ok()
+            .filter(|count| *count > 0)
+        else {
+            return self.refuse(request, RefusalReason::ModelNotReady);
+        };
+        for place in &places {
+            self.engines[*place].sent.push(SentWork {
+                request: request.clone(),
+                at: now,
+                tokens: prefill / count,
+                memory: total / count,
+            });
+        }
+        let engines: Vec<EngineId> = places
+            .iter()
+            .map(|place| self.engines[*place].report.profile.engine.clone())
+            .collect();
+        let Some(entry) = self.jobs.get_mut(request) else {
+            return Vec::new();
+        };
+        entry.attempt += 1;
+        entry.engines.clone_from(&engines);
+        entry.retry = None;
+        vec![SchedulerAction::Dispatch {
+            request: request.clone(),
+            attempt: entry.attempt,
+            engines,
+            priority: 0,
+            resume_at: entry.resume_at,
+        }]
+    }
+
+    /// Places of the engines for a sequence of `total` tokens.
+    fn choose(&mut self, total: TokenCount) -> Vec<usize> {
+        let usable: Vec<usize> = (0..self.engines.len())
+            .filter(|place| !self.engines[*place].suspect)
+            .collect();
+        let Some(first) = usable.first() else {
+            return Vec::new();
+        };
+        let capacity = self.engines[*first].report.profile.kv_capacity;
+        let count = engines_needed(total, capacity).min(usable.len());
+        match self.kind {
+            BaselineKind::RoundRobin => self.take_turns(&usable, count),
+            BaselineKind::LeastLoaded if count > 1 => self.emptiest(usable, count, total),
+            BaselineKind::LeastLoaded => self.least_loaded(usable),
+        }
+    }
+
+    fn take_turns(&mut self, usable: &[usize], count: usize) -> Vec<usize> {
+        let first = self.cursor;
+        self.cursor += count;
+        (first..first + count)
+            .map(|turn| usable[turn % usable.len()])
+            .collect()
+    }
+
+    fn least_loaded(&mut self, usable: Vec<usize>) -> Vec<usize> {
+        let least = usable
+            .into_iter()
+            .min_by_key(|place| (self.engines[*place].load(), self.rng.random::<u32>()));
+        least.into_iter().collect()
+    }
+
+    /// The emptiest engines: at least `count`, and more when their free memory
+    /// would not hold an even share each.
+    fn emptiest(&self, mut usable: Vec<usize>, count: usize, total: TokenCount) -> Vec<usize> {
+        usable.sort_by_key(|place| (self.engines[*place].used(), self.engines[*place].load()));
+        let fits = |count: &usize| {
+            let row = &self.engines[usable[*count - 1]];
+            let free = row.report.profile.kv_capacity.saturating_sub(row.used());
+            let share = TokenCount::try_from(*count).map_or(total, |count| total.div_ceil(count));
+            share <= free
+        };
+        let most = (count * 2).min(usable.len());
+        let wanted = (count..=most).find(fits).unwrap_or(count);
+        usable.truncate(wanted);
+        usable
+    }
+
+    fn fail(
+        &mut self,
+        now: Instant,
+        request: &RequestId,
+        delivered: TokenCount,
+    ) -> Vec<SchedulerAction> {
+        let Some(entry) = self.jobs.get_mut(request) else {
+            return Vec::new();
+        };
+        entry.failures += 1;
+        entry.resume_at = delivered;
+        let exhausted = entry.failures >= FAILURES_MAX;
+        let engines = entry.engines.clone();
+        for row in &mut self.engines {
+            row.suspect |= engines.contains(&row.report.profile.engine);
+        }
+        if exhausted {
+            return self.refuse(request, RefusalReason::RetriesExhausted);
+        }
+        self.dispatch(now, request)
+    }
+
+    fn wait(&mut self, now: Instant, request: &RequestId) {
+        for row in &mut self.engines {
+            row.sent.retain(|work| work.request != *request);
+        }
+        if let Some(entry) = self.jobs.get_mut(request) {
+            entry.retry = Some(now + GANG_RETRY);
+            self.waiting.push(request.clone());
+        }
+    }
+
+    fn retry_waiting(&mut self, now: Instant) -> Vec<SchedulerAction> {
+        let mut actions = Vec::new();
+        for request in std::mem::take(&mut self.waiting) {
+            match self.jobs.get(&request).and_then(|entry| entry.retry) {
+                Some(retry) if retry <= now => actions.extend(self.dispatch(now, &request)),
+                Some(_) => self.waiting.push(request),
+                None => {}
+            }
+        }
+        actions
+    }
+
+    fn refuse(&mut self, request: &RequestId, reason: RefusalReason) -> Vec<SchedulerAction> {
+        self.forget(request);
+        vec![SchedulerAction::Refuse {
+            request: request.clone(),
+            reason,
+            retry_after: RETRY_AFTER,
+        }]
+    }
+
+    fn forget(&mut self, request: &RequestId) {
+        let Some(entry) = self.jobs.remove(request) else {
+            return;
+        };
+        for row in &mut self.engines {
+            if entry.engines.contains(&row.report.profile.engine) {
+                row.sent.retain(|work| work.request != *request);
+            }
+        }
+    }
+}
+
+/// Engines that a sequence of `total` tokens needs.
+fn engines_needed(total: TokenCount, capacity: TokenCount) -> usize {
+    if total <= capacity {
+        return 1;
+    }
+    let usable = (capacity * GANG_FILL_PERCENT / 100).max(1);
+    usize::try_from(total.div_ceil(usable)).unwrap_or(usize::MAX)
+}
--- /dev/null
+++ b/components/bench/src/brain.rs
@@ -0,0 +1,85 @@
+//! The policies that a run can put into its nodes.
+
+use std::time::Instant;
+
+use routing::{NodeScheduler, NodeSummary, SchedulerAction, SchedulerEvent, SchedulerSettings};
+use types::{NodeId, ZoneId};
+
+use crate::{BaselineKind, BaselineRouter, workload::mix};
+
+/// A policy under which a fleet runs.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum PolicyKind {
+    /// A baseline.
+    Baseline(BaselineKind),
+    /// The scheduler of the product.
+    Gentiantally,
+}
+
+impl PolicyKind {
+    pub(crate) const ALL: [Self; 3] = [
+        Self::Baseline(BaselineKind::RoundRobin),
+        Self::Baseline(BaselineKind::LeastLoaded),
+        Self::Gentiantally,
+    ];
+
+    pub(crate) fn name(self) -> &'static str {
+        match self {
+            Self::Baseline(BaselineKind::RoundRobin) => "round-robin",
+            Self::Baseline(BaselineKind::LeastLoaded) => "least-loaded",
+            Self::Gentiantally => "gentiantally",
+        }
+    }
+
+    /// Whether every node sees every engine, or each its own.
+    pub(crate) fn sees_all(self) -> bool {
+        matches!(self, Self::Baseline(_))
+    }
+}
+
+/// What decides on one node.
+#[derive(Debug)]
+pub(crate) enum NodeBrain {
+    Baseline(Box<BaselineRouter>),
+    Scheduler(Box<NodeScheduler>),
+}
+
+impl NodeBrain {
+    pub(crate) fn new(
+        policy: PolicyKind,
+        seed: u64,
+        place: usize,
+        node: NodeId,
+        zone: ZoneId,
+    ) -> Self {
+        let number = u64::try_from(place).unwrap_or(0);
+        match policy {
+            PolicyKind::Baseline(kind) => {
+                let router = BaselineRouter::new(kind, mix(seed, number));
+                Self::Baseline(Box::new(router))
+            }
+            PolicyKind::Gentiantally => {
+                let settings = SchedulerSettings {
+                    seed: mix(seed, number),
+                    ..SchedulerSettings::default()
+                };
+                let scheduler = NodeScheduler::new(node, zone, settings);
+                Self::Scheduler(Box::new(scheduler))
+            }
+        }
+    }
+
+    pub(crate) fn handle(&mut self, now: Instant, event: SchedulerEvent) -> Vec<SchedulerAction> {
+        match self {
+            Self::Baseline(router) => router.handle(now, event),
+            Self::Scheduler(scheduler) => scheduler.handle(now, event),
+        }
+    }
+
+    pub(crate) fn summary(&mut self, now: Instant) -> Option<NodeSummary> {
+        match self {
+            Self::Baseline(_) => None,
+            Self::Scheduler(scheduler) => Some(scheduler.summary(now)),
+        }
+    }
+}
--- /dev/null
+++ b/components/bench/src/driver.rs
@@ -0,0 +1,386 @@
+//! One fleet under one policy, driven from event to event.
+
+mod engines;
+
+use std::time::{Duration, Instant};
+
+use routing::{RefusalReason, SchedulerAction, SchedulerEvent, SchedulerSettings};
+use types::{EngineId, EngineRole, RequestId};
+
+use crate::{
+    FleetShape, ScenarioPlan,
+    brain::{NodeBrain, PolicyKind},
+    caller::{CallerState, request_place},
+    fleet::{EngineHost, HOP},
+    flight::{FlightState, RENEW_PERIOD},
+    ledger::{CallerOutcome, Ledger, LedgerPlan},
+    schedule::{DriverEvent, EventSchedule},
+    workload::mix,
+};
+
+/// Time until an owner notices that an engine died.
+const DEATH_NOTICE: Duration = Duration::from_millis(500);
+
+/// A fleet in a run.
+pub(crate) struct FleetDriver {
+    pub(crate) shape: FleetShape,
+    pub(crate) policy: PolicyKind,
+    pub(crate) schedule: EventSchedule,
+    pub(crate) nodes: Vec<NodeBrain>,
+    pub(crate) engines: Vec<EngineHost>,
+    pub(crate) callers: Vec<CallerState>,
+    pub(crate) flights: Vec<FlightState>,
+    /// Flights over several engines that hold memory.
+    pub(crate) gangs: Vec<usize>,
+    pub(crate) ledger: Ledger,
+    pub(crate) open: usize,
+    pub(crate) draws: u64,
+}
+
+impl FleetDriver {
+    pub(crate) fn new(plan: &ScenarioPlan, seed: u64, policy: PolicyKind) -> Self {
+        let start = Instant::now();
+        let shape = plan.shape.clone();
+        let nodes = (0..shape.nodes)
+            .map(|place| {
+                let node = FleetShape::node_id(place);
+                NodeBrain::new(policy, seed, place, node, shape.zone_of(place))
+            })
+            .collect();
+        let callers: Vec<CallerState> = plan
+            .requests
+            .iter()
+            .map(|spec| CallerState::new(&shape, start, spec))
+            .collect();
+        let mut driver = Self {
+            policy,
+            schedule: EventSchedule::new(start),
+            nodes,
+            engines: EngineHost::deal(&shape),
+            open: callers.len(),
+            callers,
+            flights: Vec::new(),
+            gangs: Vec::new(),
+            ledger: Ledger::new(LedgerPlan {
+                requests: plan.requests.clone(),
+                start,
+                duration: plan.duration,
+            }),
+            draws: mix(seed, 3_000),
+            shape,
+        };
+        driver.schedule_start(plan, start);
+        driver
+    }
+
+    /// Runs until every request has ended or its deadline is long past.
+    pub(crate) fn run(mut self) -> Ledger {
+        while self.open > 0 {
+            let Some(event) = self.schedule.pop() else {
+                break;
+            };
+            self.handle(event);
+        }
+        self.ledger
+    }
+
+    fn schedule_start(&mut self, plan: &ScenarioPlan, start: Instant) {
+        for engine in 0..self.engines.len() {
+            self.share_report(engine, Duration::ZERO);
+            let period = self.shape.report_period;
+            let phase = period.mul_f64(ratio(engine, self.engines.len()));
+            self.schedule.after(phase, DriverEvent::Report { engine });
+            let phase = self
+                .shape
+                .cache_period
+                .mul_f64(ratio(engine, self.engines.len()));
+            self.schedule
+                .after(phase, DriverEvent::ReadCache { engine });
+        }
+        let tick = SchedulerSettings::default().tick;
+        for node in 0..self.nodes.len() {
+            let part = ratio(node, self.nodes.len());
+            self.schedule
+                .after(tick.mul_f64(part), DriverEvent::Tick { node });
+            let phase = self.shape.summary_period.mul_f64(part);
+            self.schedule.after(phase, DriverEvent::Summarise { node });
+        }
+        self.schedule.after(RENEW_PERIOD, DriverEvent::Renew);
+        for request in 0..self.callers.len() {
+            let sent = self.callers[request].sent;
+            let deadline = self.callers[request].deadline;
+            self.schedule
+                .at(sent + HOP, DriverEvent::Arrive { request });
+            self.schedule
+                .at(deadline, DriverEvent::Deadline { request });
+        }
+        for fault in &plan.faults {
+            let engine = fault.engine;
+            self.schedule
+                .at(start + fault.at, DriverEvent::Crash { engine });
+        }
+    }
+
+    fn handle(&mut self, event: DriverEvent) {
+        match event {
+            DriverEvent::Arrive { request } => self.arrive(request),
+            DriverEvent::Forwarded { request, node, via } => self.forwarded(request, node, via),
+            DriverEvent::Learn { node, event } => self.learn(node, event),
+            DriverEvent::Reported { engine, report } => self.reported(engine, &report),
+            DriverEvent::Submit { flight } => self.submit(flight),
+            DriverEvent::Start { flight } => self.start(flight),
+            DriverEvent::Cancel { flight } => self.cancel(flight),
+            DriverEvent::Wake { engine } => self.wake(engine),
+            DriverEvent::Report { engine } => self.report(engine),
+            DriverEvent::ReadCache { engine } => self.read_cache(engine),
+            DriverEvent::Summarise { node } => self.summarise(node),
+            DriverEvent::Tick { node } => self.tick(node),
+            DriverEvent::Renew => self.renew(),
+            DriverEvent::Deadline { request } => self.give_up(request),
+            DriverEvent::Crash { engine } => self.crash(engine),
+        }
+    }
+
+    fn arrive(&mut self, request: usize) {
+        if !self.ledger.is_open(request) {
+            return;
+        }
+        let now = self.schedule.now();
+        let caller = &mut self.callers[request];
+        caller.sends += 1;
+        caller.forwarded = None;
+        let entry = caller.entry;
+        let event = caller.arrival(&self.shape, now, None);
+        self.learn(entry, event);
+    }
+
+    fn forwarded(&mut self, request: usize, node: usize, via: usize) {
+        if !self.ledger.is_open(request) {
+            return;
+        }
+        let now = self.schedule.now();
+        let via = Some(FleetShape::node_id(via));
+        let event = self.callers[request].arrival(&self.shape, now, via);
+        self.learn(node, event);
+    }
+
+    /// Gives an event to a node's policy and does what it says.
+    pub(crate) fn learn(&mut self, node: usize, event: SchedulerEvent) {
+        let now = self.schedule.now();
+        for action in self.nodes[node].handle(now, event) {
+            self.act(node, action);
+        }
+    }
+
+    /// Gives an event to a node one hop later.
+    pub(crate) fn tell(&mut self, node: usize, event: SchedulerEvent) {
+        self.schedule.after(HOP, DriverEvent::Learn { node, event });
+    }
+
+    fn act(&mut self, node: usize, action: SchedulerAction) {
+        match action {
+            SchedulerAction::Dispatch {
+                request,
+                attempt,
+                engines,
+                priority,
+                resume_at,
+            } => {
+                let Some(place) = self.open_request(&request) else {
+                    return;
+                };
+                let engines = engines.iter().filter_map(engine_place).collect();
+                let flight = FlightState {
+                    resume_at: resume_at.max(self.ledger.delivered(place)),
+                    ..FlightState::new(place, request, attempt, node, engines, priority)
+                };
+                self.send_flight(flight);
+            }
+            SchedulerAction::Forward { request, node: to } => self.forward(node, &request, &to),
+            SchedulerAction::Abandon {
+                request, attempt, ..
+            } => {
+                if let Some(place) = request_place(&request) {
+                    self.abandon(node, place, attempt);
+                }
+            }
+            SchedulerAction::Refuse {
+                request,
+                reason,
+                retry_after,
+            } => self.refuse(node, &request, reason, retry_after),
+            SchedulerAction::ChangeRole { engine, role } => self.change_role(&engine, role),
+        }
+    }
+
+    /// Place of a request that its caller still waits for.
+    fn open_request(&self, id: &RequestId) -> Option<usize> {
+        let place = request_place(id)?;
+        let current = self.callers[place].request_id() == *id;
+        (current && self.ledger.is_open(place)).then_some(place)
+    }
+
+    fn forward(&mut self, from: usize, id: &RequestId, to: &str) {
+        let Some(request) = self.open_request(id) else {
+            return;
+        };
+        let Some(node) = (0..self.nodes.len()).find(|node| FleetShape::node_id(*node) == to) else {
+            return;
+        };
+        self.callers[request].forwarded = Some(node);
+        let event = DriverEvent::Forwarded {
+            request,
+            node,
+            via: from,
+        };
+        self.schedule.after(HOP, event);
+    }
+
+    fn refuse(
+        &mut self,
+        node: usize,
+        id: &RequestId,
+        reason: RefusalReason,
+        retry_after: Duration,
+    ) {
+        let Some(request) = self.open_request(id) else {
+            return;
+        };
+        let entry = self.callers[request].entry;
+        if node != entry {
+            self.refuse_forward(node, request, id, reason, retry_after);
+            return;
+        }
+        if self.ledger.delivered(request) > 0 {
+            self.close(request, CallerOutcome::Failed);
+            return;
+        }
+        let now = self.schedule.now();
+        match self.callers[request].comes_back(now, retry_after) {
+            Some(back) => self.schedule.at(back, DriverEvent::Arrive { request }),
+            None => self.close(request, CallerOutcome::Refused),
+        }
+    }
+
+    /// Tells the entry node that the node it forwarded to gave up.
+    fn refuse_forward(
+        &mut self,
+        node: usize,
+        request: usize,
+        id: &RequestId,
+        reason: RefusalReason,
+        retry_after: Duration,
+    ) {
+        self.callers[request].forwarded = None;
+        let entry = self.callers[request].entry;
+        let delivered = self.ledger.delivered(request);
+        let node = FleetShape::node_id(node);
+        let request = id.clone();
+        let event = if delivered > 0 {
+            SchedulerEvent::ForwardFailed {
+                request,
+                node,
+                delivered,
+            }
+        } else {
+            SchedulerEvent::ForwardRefused {
+                request,
+                node,
+                reason,
+                retry_after,
+            }
+        };
+        self.tell(entry, event);
+    }
+
+    /// Ends a request for its caller.
+    pub(crate) fn close(&mut self, request: usize, outcome: CallerOutcome) {
+        let open = self.ledger.is_open(request);
+        self.ledger.end(request, outcome);
+        self.open -= usize::from(open);
+    }
+
+    /// A caller leaves at its deadline: what still runs is cancelled.
+    fn give_up(&mut self, request: usize) {
+        if !self.ledger.is_open(request) {
+            return;
+        }
+        let outcome = if self.callers[request].sends == 0 {
+            CallerOutcome::Refused
+        } else {
+            CallerOutcome::Failed
+        };
+        self.close(request, outcome);
+        let caller = &self.callers[request];
+        let id = caller.request_id();
+        let nodes = [Some(caller.entry), caller.forwarded];
+        for flight in caller.flights.clone() {
+            self.schedule.after(HOP * 2, DriverEvent::Cancel { flight });
+        }
+        for node in nodes.into_iter().flatten() {
+            let request = id.clone();
+            self.tell(node, SchedulerEvent::Cancelled { request });
+        }
+    }
+
+    fn change_role(&mut self, engine: &EngineId, role: EngineRole) {
+        let Some(place) = engine_place(engine) else {
+            return;
+        };
+        if self.engines[place].alive {
+            self.engines[place].set_role(role);
+        }
+    }
+
+    fn tick(&mut self, node: usize) {
+        self.learn(node, SchedulerEvent::Tick);
+        let tick = SchedulerSettings::default().tick;
+        self.schedule.after(tick, DriverEvent::Tick { node });
+    }
+
+    fn summarise(&mut self, node: usize) {
+        let now = self.schedule.now();
+        let period = self.shape.summary_period;
+        if let Some(summary) = self.nodes[node].summary(now) {
+            for other in (0..self.nodes.len()).filter(|other| *other != node) {
+                let event = SchedulerEvent::Summary(summary.clone());
+                let learn = DriverEvent::Learn { node: other, event };
+                self.schedule.after(self.shape.summary_lag, learn);
+            }
+        }
+        self.schedule.after(period, DriverEvent::Summarise { node });
+    }
+
+    fn crash(&mut self, engine: usize) {
+        let now = self.schedule.now();
+        self.wake(engine);
+        self.engines[engine].alive = false;
+        self.engines[engine].model.crash(now);
+        self.fail_flights_on(engine);
+        let id = self.engines[engine].id.clone();
+        for node in self.watchers(engine) {
+            let event = SchedulerEvent::EngineGone { engine: id.clone() };
+            let learn = DriverEvent::Learn { node, event };
+            self.schedule.after(DEATH_NOTICE, learn);
+        }
+    }
+
+    /// Nodes that receive an engine's reports.
+    pub(crate) fn watchers(&self, engine: usize) -> Vec<usize> {
+        if self.policy.sees_all() {
+            return (0..self.nodes.len()).collect();
+        }
+        vec![self.engines[engine].owner]
+    }
+}
+
+/// Place of the engine that an id was made for.
+fn engine_place(id: &EngineId) -> Option<usize> {
+    let number: usize = id.strip_prefix("engine-")?.parse().ok()?;
+    number.checked_sub(1)
+}
+
+fn ratio(part: usize, whole: usize) -> f64 {
+    let float = |value: usize| f64::from(u32::try_from(value).unwrap_or(u32::MAX));
+    float(part) / float(whole)
+}
--- /dev/null
+++ b/components/bench/src/fleet.rs
@@ -0,0 +1,166 @@
+//! The hosts of a scenario: zones, nodes, engines and who owns which.
+
+use std::{
+    collections::HashMap,
+    time::{Duration, Instant},
+};
+
+use membership::{OwnerCandidate, owner_of};
+use model::{EngineModel, SequenceId, engine_profile};
+use types::{EngineId, EngineReport, EngineRole, LoadedModel, NodeId, ZoneId};
+
+/// Model that every engine of the bench serves.
+pub(crate) const MODEL: &str = "alder-70b";
+/// Version of that model.
+pub(crate) const VERSION: &str = "1";
+/// Delay of one hop between two processes.
+pub(crate) const HOP: Duration = Duration::from_millis(1);
+
+/// Size of a fleet and the lags of what its nodes learn.
+#[derive(Clone, Debug, PartialEq)]
+pub struct FleetShape {
+    /// Availability zones.
+    pub zones: Vec<ZoneId>,
+    /// Model engines, dealt to the zones in turn.
+    pub engines: usize,
+    /// Nodes, dealt to the zones in turn.
+    pub nodes: usize,
+    /// Time between two reports of one engine.
+    pub report_period: Duration,
+    /// Age of a report when it reaches a node.
+    pub report_lag: Duration,
+    /// Time between two summaries of one node.
+    pub summary_period: Duration,
+    /// Age of a summary when it reaches another node.
+    pub summary_lag: Duration,
+    /// Time between two reads of one engine's cache events.
+    pub cache_period: Duration,
+    /// Age of cache events when they reach a node.
+    pub cache_lag: Duration,
+    /// Part of the cache reads that lose some events, 0 to 1.
+    pub cache_gaps: f64,
+}
+
+impl FleetShape {
+    /// A fleet with the usual lags.
+    #[must_use]
+    pub fn new(zones: &[&str], engines: usize, nodes: usize) -> Self {
+        Self {
+            zones: zones.iter().map(|zone| (*zone).to_owned()).collect(),
+            engines,
+            nodes,
+            report_period: Duration::from_millis(250),
+            report_lag: Duration::from_millis(100),
+            summary_period: Duration::from_secs(1),
+            summary_lag: Duration::from_millis(100),
+            cache_period: Duration::from_millis(500),
+            cache_lag: Duration::from_millis(500),
+            cache_gaps: 0.05,
+        }
+    }
+
+    /// Zone of an engine or node by its place.
+    #[must_use]
+    pub fn zone_of(&self, place: usize) -> ZoneId {
+        self.zones[place % self.zones.len()].clone()
+    }
+
+    pub(crate) fn node_id(place: usize) -> NodeId {
+        format!("node-{:03}", place + 1)
+    }
+
+    pub(crate) fn engine_id(place: usize) -> EngineId {
+        format!("engine-{:03}", place + 1)
+    }
+
+    /// Nodes of one zone; all nodes when it has none.
+    pub(crate) fn nodes_in(&self, zone: &ZoneId) -> Vec<usize> {
+        let all = 0..self.nodes;
+        let local: Vec<usize> = all
+            .clone()
+            .filter(|node| self.zone_of(*node) == *zone)
+            .collect();
+        if local.is_empty() {
+            return all.collect();
+        }
+        local
+    }
+
+    /// The owner of each engine, by place.
+    pub(crate) fn owners(&self) -> Vec<usize> {
+        let candidates: Vec<OwnerCandidate> = (0..self.nodes)
+            .map(|node| OwnerCandidate {
+                node: Self::node_id(node),
+                zone: self.zone_of(node),
+            })
+            .collect();
+        let place = |owner: &NodeId| {
+            candidates
+                .iter()
+                .position(|candidate| candidate.node == *owner)
+        };
+        (0..self.engines)
+            .map(|engine| {
+                let id = Self::engine_id(engine);
+                let owner = owner_of(&id, &self.zone_of(engine), &candidates);
+                owner.as_ref().and_then(place).unwrap_or(0)
+            })
+            .collect()
+    }
+}
+
+/// One engine of the fleet with what the bench keeps beside it.
+#[derive(Debug)]
+pub(crate) struct EngineHost {
+    pub(crate) id: EngineId,
+    pub(crate) model: EngineModel,
+    pub(crate) owner: usize,
+    pub(crate) alive: bool,
+    /// Flights by their sequence on this engine.
+    pub(crate) sequences: HashMap<SequenceId, usize>,
+    /// Next wake-up that is scheduled.
+    pub(crate) wake: Option<Instant>,
+    /// Place in the cache log that was read last.
+    pub(crate) cache_place: u64,
+}
+
+impl EngineHost {
+    pub(crate) fn deal(shape: &FleetShape) -> Vec<Self> {
+        let owners = shape.owners();
+        owners
+            .into_iter()
+            .enumerate()
+            .map(|(place, owner)| Self::new(shape, place, owner))
+            .collect()
+    }
+
+    fn new(shape: &FleetShape, place: usize, owner: usize) -> Self {
+        let id = FleetShape::engine_id(place);
+        let profile = engine_profile(id.clone(), shape.zone_of(place));
+        let loaded = LoadedModel {
+            model: MODEL.to_owned(),
+            version: VERSION.to_owned(),
+            adapters: Vec::new(),
+        };
+        Self {
+            id,
+            model: EngineModel::new(profile, vec![loaded]),
+            owner,
+            alive: true,
+            sequences: HashMap::new(),
+            wake: None,
+            cache_place: 0,
+        }
+    }
+
+    pub(crate) fn set_role(&mut self, role: EngineRole) {
+        self.model.set_role(role);
+    }
+
+    pub(crate) fn report(&mut self, now: Instant, lag: Duration) -> EngineReport {
+        EngineReport {
+            age: lag,
+            ..self.model.report(now)
+        }
+    }
+}
--- /dev/null
+++ b/components/bench/src/flight.rs
@@ -0,0 +1,121 @@
+//! One attempt of a request on its engines.
+
+use std::time::Duration;
+
+use model::{AttemptSpec, HoldSpec, SequenceId};
+use types::{AttemptId, RequestId, TokenCount};
+
+use crate::{BenchRequest, fleet::HOP};
+
+/// Time after which an engine frees a hold by itself.
+pub(crate) const HOLD_LIFETIME: Duration = Duration::from_secs(10);
+/// Time between renewals of holds.
+pub(crate) const RENEW_PERIOD: Duration = Duration::from_millis(200);
+/// Time between the reservations and the start of an attempt: the answers
+/// come back and the call goes out.
+pub(crate) const GANG_START: Duration = HOP.saturating_mul(2);
+
+/// How far an attempt has come.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum FlightStage {
+    /// On its way to its engines.
+    Sent,
+    /// Memory is held on all its engines.
+    Reserved,
+    /// On its engine.
+    Running,
+    /// Over.
+    Ended,
+}
+
+/// One attempt.
+#[derive(Clone, Debug)]
+pub(crate) struct FlightState {
+    pub(crate) request: usize,
+    pub(crate) id: RequestId,
+    pub(crate) attempt: AttemptId,
+    /// Node that dispatched it.
+    pub(crate) node: usize,
+    /// Engines; the first runs it.
+    pub(crate) engines: Vec<usize>,
+    pub(crate) priority: u32,
+    pub(crate) resume_at: TokenCount,
+    pub(crate) stage: FlightStage,
+    pub(crate) sequence: Option<SequenceId>,
+    /// Whether the further engines compute for it.
+    pub(crate) lending: bool,
+    /// Whether its node gave it up.
+    pub(crate) abandoned: bool,
+    /// Whether its node was told of the first token.
+    pub(crate) told_first: bool,
+}
+
+impl FlightState {
+    pub(crate) fn new(
+        request: usize,
+        id: RequestId,
+        attempt: AttemptId,
+        node: usize,
+        engines: Vec<usize>,
+        priority: u32,
+    ) -> Self {
+        Self {
+            request,
+            id,
+            attempt,
+            node,
+            engines,
+            priority,
+            resume_at: 0,
+            stage: FlightStage::Sent,
+            sequence: None,
+            lending: false,
+            abandoned: false,
+            told_first: false,
+        }
+    }
+
+    pub(crate) fn leader(&self) -> usize {
+        self.engines[0]
+    }
+
+    pub(crate) fn members(&self) -> &[usize] {
+        &self.engines[1..]
+    }
+
+    pub(crate) fn is_gang(&self) -> bool {
+        self.engines.len() > 1
+    }
+
+    /// Tokens held on each further engine.
+    pub(crate) fn share(&self, spec: &BenchRequest) -> TokenCount {
+        let engines = u64::try_from(self.engines.len()).unwrap_or(1);
+        (spec.prompt_tokens + spec.output_tokens).div_ceil(engines)
+    }
+
+    pub(crate) fn hold(&self, spec: &BenchRequest, holder: String) -> HoldSpec {
+        HoldSpec {
+            request: self.id.clone(),
+            attempt: self.attempt,
+            holder,
+            tokens: self.share(spec),
+            lifetime: HOLD_LIFETIME,
+        }
+    }
+
+    pub(crate) fn attempt_spec(&self, spec: &BenchRequest) -> AttemptSpec {
+        let members = u64::try_from(self.members().len()).unwrap_or(0);
+        AttemptSpec {
+            request: self.id.clone(),
+            attempt: self.attempt,
+            priority: self.priority,
+            prompt_tokens: spec.prompt_tokens,
+            resume_at: self.resume_at,
+            output_tokens: spec.output_tokens,
+            answer_tokens: spec.answer_tokens,
+            prefixes: spec.prefixes.clone(),
+            members: u32::try_from(members).unwrap_or(u32::MAX),
+            member_tokens: self.share(spec) * members,
+        }
+    }
+}
--- a/components/bench/src/lib.rs
+++ b/components/bench/src/lib.rs
@@ -1,1 +1,69 @@
 //! Load scenarios that drive the decision components against the engine model.
+//!
+//! `run_scenario` deals one list of arrivals to every policy, each on its own
+//! fleet of modelled engines and a clock that only events move, and reports
+//! what callers saw. The same seed gives the same report.
+
+mod baseline;
+mod brain;
+mod caller;
+mod decisions;
+mod driver;
+mod error;
+mod fleet;
+mod flight;
+mod ledger;
+mod plot;
+mod report;
+mod scenario;
+mod schedule;
+mod table;
+mod workload;
+
+pub use baseline::{BaselineKind, BaselineRouter};
+pub use decisions::{DecisionPoint, DecisionReport, DecisionSlope, measure_decisions};
+pub use error::BenchError;
+pub use fleet::FleetShape;
+pub use plot::plot_report;
+pub use report::{
+    BenchReport, LatencySummary, PlanReport, PolicyReport, SlowdownSummary, TailSummary,
+};
+pub use scenario::{EngineFault, ScenarioKind, ScenarioPlan, ScenarioVariant, scenario_plan};
+pub use table::{decision_table, report_table};
+pub use workload::BenchRequest;
+
+use crate::{brain::PolicyKind, driver::FleetDriver, ledger::Ledger};
+
+/// Runs a scenario under every policy.
+#[must_use]
+pub fn run_scenario(kind: ScenarioKind, seed: u64) -> BenchReport {
+    run_scenario_with(kind, seed, |_| ())
+}
+
+/// Runs a scenario and tells `progress` the name of each policy before it.
+pub fn run_scenario_with(
+    kind: ScenarioKind,
+    seed: u64,
+    mut progress: impl FnMut(&str),
+) -> BenchReport {
+    let full = scenario_plan(kind, seed, ScenarioVariant::Full);
+    let mut report = BenchReport::new(kind, seed, full.requests.len());
+    for policy in PolicyKind::ALL {
+        progress(policy.name());
+        report.add(policy.name(), &run_policy(&full, seed, policy));
+    }
+    if kind.has_disturbance() {
+        progress(ALONE_POLICY);
+        let alone = scenario_plan(kind, seed, ScenarioVariant::Alone);
+        let ledger = run_policy(&alone, seed, PolicyKind::Gentiantally);
+        report.add(ALONE_POLICY, &ledger);
+    }
+    report
+}
+
+/// Name of the run without the scenario's disturbance.
+const ALONE_POLICY: &str = "gentiantally-alone";
+
+fn run_policy(plan: &ScenarioPlan, seed: u64, policy: PolicyKind) -> Ledger {
+    FleetDriver::new(plan, seed, policy).run()
+}
--- /dev/null
+++ b/components/bench/src/report.rs
@@ -0,0 +1,318 @@
+//! The report of a run, in the format of the bench.
+
+use std::time::Duration;
+
+use hdrhistogram::Histogram;
+use model::{engine_profile, prefill_time};
+use serde::{Deserialize, Serialize};
+use serde_json::{Map, Value};
+use types::{PlanKind, TokenCount};
+
+use crate::{
+    BenchRequest, ScenarioKind,
+    fleet::HOP,
+    ledger::{CallerOutcome, Ledger, RequestAccount, histogram, record},
+};
+
+/// Length buckets: name and upper bound in tokens.
+const BUCKETS: [LengthBucket; 6] = [
+    LengthBucket::new("1k", 1_000),
+    LengthBucket::new("4k", 4_000),
+    LengthBucket::new("16k", 16_000),
+    LengthBucket::new("64k", 64_000),
+    LengthBucket::new("256k", 256_000),
+    LengthBucket::new("1m", 1_000_000),
+];
+/// Longest prompt whose slowdown counts as that of a short one, in tokens.
+const SHORT_TOKENS: TokenCount = 4_000;
+/// Hops from a caller to an engine and back.
+const HOPS_THERE_AND_BACK: u32 = 4;
+/// Parts of one that a slowdown is recorded in.
+const SLOWDOWN_SCALE: f64 = 1_000.0;
+
+#[derive(Clone, Copy, Debug)]
+struct LengthBucket {
+    name: &'static str,
+    limit: TokenCount,
+}
+
+impl LengthBucket {
+    const fn new(name: &'static str, limit: TokenCount) -> Self {
+        Self { name, limit }
+    }
+}
+
+/// Percentiles of a time, in milliseconds, with the number of samples.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+#[derive(Deserialize, Serialize)]
+pub struct LatencySummary {
+    /// Samples.
+    pub count: u64,
+    /// Median.
+    pub p50: f64,
+    /// 95th percentile.
+    pub p95: f64,
+    /// 99th percentile.
+    pub p99: f64,
+}
+
+/// Percentiles of a time, in milliseconds.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+#[derive(Deserialize, Serialize)]
+pub struct TailSummary {
+    /// Median.
+    pub p50: f64,
+    /// 95th percentile.
+    pub p95: f64,
+    /// 99th percentile.
+    pub p99: f64,
+}
+
+/// Percentiles of the time between tokens, in milliseconds.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+#[derive(Deserialize, Serialize)]
+pub struct GapSummary {
+    /// Median.
+    pub p50: f64,
+    /// 95th percentile.
+    pub p95: f64,
+}
+
+/// Percentiles of the slowdown of short prompts.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+#[derive(Deserialize, Serialize)]
+pub struct SlowdownSummary {
+    /// Median.
+    pub p50: f64,
+    /// 99th percentile.
+    pub p99: f64,
+}
+
+/// What the callers of one plan saw.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+#[derive(Deserialize, Serialize)]
+pub struct PlanReport {
+    /// Time to first token.
+    pub ttft_ms: TailSummary,
+}
+
+/// What callers saw under one policy.
+#[derive(Clone, Debug, Default, PartialEq)]
+#[derive(Deserialize, Serialize)]
+pub struct PolicyReport {
+    /// Time to first token by length bucket (`LatencySummary`).
+    pub ttft_ms: Map<String, Value>,
+    /// Time between tokens.
+    pub itl_ms: GapSummary,
+    /// Time to first token of prompts of at most 4k tokens, over that of the
+    /// same request on an idle fleet.
+    pub short_slowdown: SlowdownSummary,
+    /// Time to first token by plan (`PlanReport`).
+    pub by_plan: Map<String, Value>,
+    /// Requests answered whole in time.
+    pub finished: u64,
+    /// Requests refused for good.
+    pub refused: u64,
+    /// Requests that failed or missed their deadline.
+    pub failed: u64,
+    /// Requests that ended in neither an answer nor a failure told.
+    pub lost: u64,
+    /// Answers and tokens beyond the first.
+    pub doubled: u64,
+    /// Prompt and answer tokens of requests finished while requests arrived,
+    /// a second.
+    pub goodput_tokens_s: u64,
+}
+
+/// One scenario under every policy.
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Deserialize, Serialize)]
+pub struct BenchReport {
+    /// Name of the scenario.
+    pub scenario: String,
+    /// Seed of the run.
+    pub seed: u64,
+    /// Requests sent, each counted once.
+    pub requests: usize,
+    /// Reports by policy (`PolicyReport`).
+    pub policies: Map<String, Value>,
+}
+
+impl BenchReport {
+    pub(crate) fn new(kind: ScenarioKind, seed: u64, requests: usize) -> Self {
+        Self {
+            scenario: kind.name().to_owned(),
+            seed,
+            requests,
+            policies: Map::new(),
+        }
+    }
+
+    pub(crate) fn add(&mut self, policy: &str, ledger: &Ledger) {
+        let kind = ScenarioKind::named(&self.scenario);
+        let report = policy_report(ledger, kind == Some(ScenarioKind::BigCustomer));
+        self.policies.insert(policy.to_owned(), value_of(&report));
+    }
+
+    /// One policy's report.
+    #[must_use]
+    pub fn policy(&self, name: &str) -> Option<PolicyReport> {
+        let value = self.policies.get(name)?.clone();
+        serde_json::from_value(value).ok()
+    }
+}
+
+impl PolicyReport {
+    /// Time to first token of one length bucket.
+    #[must_use]
+    pub fn bucket(&self, name: &str) -> Option<LatencySummary> {
+        serde_json::from_value(self.ttft_ms.get(name)?.clone()).ok()
+    }
+
+    /// What the callers of one plan saw.
+    #[must_use]
+    pub fn plan(&self, name: &str) -> Option<PlanReport> {
+        serde_json::from_value(self.by_plan.get(name)?.clone()).ok()
+    }
+}
+
+fn value_of(value: &impl Serialize) -> Value {
+    serde_json::to_value(value).unwrap_or(Value::Null)
+}
+
+fn policy_report(ledger: &Ledger, other_paying: bool) -> PolicyReport {
+    PolicyReport {
+        ttft_ms: by_bucket(ledger),
+        itl_ms: GapSummary {
+            p50: milliseconds(&ledger.itl_us, 0.50),
+            p95: milliseconds(&ledger.itl_us, 0.95),
+        },
+        short_slowdown: slowdown(ledger),
+        by_plan: by_plan(ledger, other_paying),
+        finished: ledger.count(CallerOutcome::Finished),
+        refused: ledger.count(CallerOutcome::Refused),
+        failed: ledger.count(CallerOutcome::Failed),
+        lost: ledger.lost(),
+        doubled: ledger.doubled,
+        goodput_tokens_s: goodput(ledger),
+    }
+}
+
+fn by_bucket(ledger: &Ledger) -> Map<String, Value> {
+    let mut buckets = Map::new();
+    let mut least = 0;
+    for bucket in BUCKETS {
+        let times = ttfts(ledger, |request| {
+            request.prompt_tokens > least && request.prompt_tokens <= bucket.limit
+        });
+        let summary = LatencySummary {
+            count: times.len(),
+            p50: milliseconds(&times, 0.50),
+            p95: milliseconds(&times, 0.95),
+            p99: milliseconds(&times, 0.99),
+        };
+        buckets.insert(bucket.name.to_owned(), value_of(&summary));
+        least = bucket.limit;
+    }
+    buckets
+}
+
+fn by_plan(ledger: &Ledger, other_paying: bool) -> Map<String, Value> {
+    let paying = |request: &BenchRequest| request.plan == PlanKind::Paying;
+    let mut plans = Map::new();
+    plans.insert("paying".to_owned(), plan_report(ledger, paying));
+    let trial = plan_report(ledger, |request| request.plan == PlanKind::Trial);
+    plans.insert("trial".to_owned(), trial);
+    if other_paying {
+        let others = plan_report(ledger, |request| paying(request) && !request.disturbance);
+        plans.insert("other-paying".to_owned(), others);
+    }
+    plans
+}
+
+fn plan_report(ledger: &Ledger, wanted: impl Fn(&BenchRequest) -> bool) -> Value {
+    let times = ttfts(ledger, wanted);
+    let ttft_ms = TailSummary {
+        p50: milliseconds(&times, 0.50),
+        p95: milliseconds(&times, 0.95),
+        p99: milliseconds(&times, 0.99),
+    };
+    value_of(&PlanReport { ttft_ms })
+}
+
+/// Times to first token of the requests wanted. One that ended without a
+/// token for another reason than a refusal counts with its whole patience.
+fn ttfts(ledger: &Ledger, wanted: impl Fn(&BenchRequest) -> bool) -> Histogram<u64> {
+    let mut times = histogram();
+    for (request, account) in pairs(ledger) {
+        if !wanted(request) {
+            continue;
+        }
+        if let Some(ttft) = counted_ttft(request, account) {
+            record(&mut times, ttft);
+        }
+    }
+    times
+}
+
+fn counted_ttft(request: &BenchRequest, account: &RequestAccount) -> Option<Duration> {
+    match account.outcome {
+        CallerOutcome::Refused => None,
+        _ => Some(account.ttft.unwrap_or(request.patience)),
+    }
+}
+
+fn pairs(ledger: &Ledger) -> impl Iterator<Item = (&BenchRequest, &RequestAccount)> {
+    ledger.plan.requests.iter().zip(&ledger.accounts)
+}
+
+fn slowdown(ledger: &Ledger) -> SlowdownSummary {
+    let profile = engine_profile(String::new(), String::new());
+    let mut slowdowns = histogram();
+    for (request, account) in pairs(ledger) {
+        if request.prompt_tokens > SHORT_TOKENS {
+            continue;
+        }
+        let Some(ttft) = counted_ttft(request, account) else {
+            continue;
+        };
+        let idle =
+            prefill_time(&profile, 0, request.prompt_tokens, 1.0) + HOP * HOPS_THERE_AND_BACK;
+        let scaled = ttft.as_secs_f64() / idle.as_secs_f64() * SLOWDOWN_SCALE;
+        slowdowns.saturating_record(whole(scaled));
+    }
+    let at = |quantile| rounded(float(slowdowns.value_at_quantile(quantile)) / SLOWDOWN_SCALE);
+    SlowdownSummary {
+        p50: at(0.50),
+        p99: at(0.99),
+    }
+}
+
+fn goodput(ledger: &Ledger) -> u64 {
+    let end = ledger.plan.start + ledger.plan.duration;
+    let tokens: TokenCount = pairs(ledger)
+        .filter(|(_, account)| account.outcome == CallerOutcome::Finished)
+        .filter(|(_, account)| account.finished.is_some_and(|finished| finished <= end))
+        .map(|(request, account)| request.prompt_tokens + account.delivered)
+        .sum();
+    whole(float(tokens) / ledger.plan.duration.as_secs_f64())
+}
+
+fn milliseconds(times: &Histogram<u64>, quantile: f64) -> f64 {
+    rounded(float(times.value_at_quantile(quantile)) / 1_000.0)
+}
+
+/// Rounds to thousandths, so that equal runs print equal digits.
+fn rounded(value: f64) -> f64 {
+    (value * 1_000.0).round() / 1_000.0
+}
+
+#[allow(clippy::cast_precision_loss)]
+fn float(value: u64) -> f64 {
+    value as f64
+}
+
+#[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
+fn whole(value: f64) -> u64 {
+    value.max(0.0).round() as u64
+}
--- /dev/null
+++ b/components/bench/src/scenario.rs
@@ -0,0 +1,341 @@
+//! The scenarios: which fleet, which prompts, which faults.
+
+use std::time::Duration;
+
+use rand::{RngExt, SeedableRng, rngs::StdRng};
+
+use crate::{
+    BenchRequest, FleetShape,
+    workload::{LengthRange, PromptStream, engine_time, merge_streams, mix},
+};
+
+/// A scenario of the bench.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum ScenarioKind {
+    /// Many briefs, digests and a few near-million sweeps on 14 engines.
+    Lakeshore,
+    /// A wide mix of lengths on 20 engines.
+    Sundarban,
+    /// Trial work of ten times the fleet's capacity beside paying work.
+    TrialFlood,
+    /// One paying organisation sends several times what the fleet can do.
+    BigCustomer,
+    /// Three times the fleet's capacity.
+    Overload,
+    /// A third of the engines dies in mid-run.
+    EngineLoss,
+    /// Prompts that share long prefixes.
+    Prefix,
+    /// Many nodes that see reports two seconds late.
+    HotHerd,
+}
+
+/// Whether the scenario's disturbance takes place.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum ScenarioVariant {
+    /// The scenario as it is.
+    Full,
+    /// The same arrivals without the disturbance.
+    Alone,
+}
+
+/// An engine that dies for good.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct EngineFault {
+    /// Place of the engine.
+    pub engine: usize,
+    /// When it dies, from the start of the run.
+    pub at: Duration,
+}
+
+/// What happens in one run.
+#[derive(Clone, Debug, PartialEq)]
+pub struct ScenarioPlan {
+    /// The scenario.
+    pub kind: ScenarioKind,
+    /// The fleet.
+    pub shape: FleetShape,
+    /// Time in which requests arrive.
+    pub duration: Duration,
+    /// The requests, in order of arrival.
+    pub requests: Vec<BenchRequest>,
+    /// Engines that die.
+    pub faults: Vec<EngineFault>,
+}
+
+impl ScenarioPlan {
+    /// Engine time asked for, over the engine time there is while requests
+    /// arrive; cache hits aside, a fleet can do at most 1.
+    #[must_use]
+    pub fn offered_load(&self) -> f64 {
+        let engines = u32::try_from(self.shape.engines).unwrap_or(u32::MAX);
+        let there = self.duration * engines;
+        engine_time(&self.requests).as_secs_f64() / there.as_secs_f64()
+    }
+}
+
+impl ScenarioKind {
+    /// All scenarios.
+    pub const ALL: [Self; 8] = [
+        Self::Lakeshore,
+        Self::Sundarban,
+        Self::TrialFlood,
+        Self::BigCustomer,
+        Self::Overload,
+        Self::EngineLoss,
+        Self::Prefix,
+        Self::HotHerd,
+    ];
+
+    /// The scenario's name on the command line.
+    #[must_use]
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::Lakeshore => "lakeshore",
+            Self::Sundarban => "sundarban",
+            Self::TrialFlood => "trial-flood",
+            Self::BigCustomer => "big-customer",
+            Self::Overload => "overload",
+            Self::EngineLoss => "engine-loss",
+            Self::Prefix => "prefix",
+            Self::HotHerd => "hot-herd",
+        }
+    }
+
+    /// The scenario of that name.
+    #[must_use]
+    pub fn named(name: &str) -> Option<Self> {
+        Self::ALL.into_iter().find(|kind| kind.name() == name)
+    }
+
+    /// Whether it adds a disturbance that can be left out.
+    #[must_use]
+    pub fn has_disturbance(self) -> bool {
+        matches!(
+            self,
+            Self::TrialFlood | Self::BigCustomer | Self::Overload | Self::EngineLoss
+        )
+    }
+
+    fn shape(self) -> FleetShape {
+        let lakes = ["duluth", "thunder-bay", "sault"];
+        let bengal = ["kolkata", "howrah", "durgapur"];
+        match self {
+            Self::Lakeshore | Self::EngineLoss => FleetShape::new(&lakes, 14, 6),
+            Self::HotHerd => FleetShape {
+                report_lag: Duration::from_secs(2),
+                summary_lag: Duration::from_secs(2),
+                ..FleetShape::new(&bengal, 24, 24)
+            },
+            _ => FleetShape::new(&bengal, 20, 7),
+        }
+    }
+
+    fn duration(self) -> Duration {
+        match self {
+            Self::Lakeshore => Duration::from_mins(10),
+            Self::Sundarban => Duration::from_mins(6),
+            _ => Duration::from_mins(3),
+        }
+    }
+
+    fn streams(self) -> Vec<PromptStream> {
+        match self {
+            Self::Lakeshore | Self::EngineLoss => lakeshore_streams(),
+            Self::Sundarban => sundarban_streams(),
+            Self::TrialFlood => trial_flood_streams(),
+            Self::BigCustomer => big_customer_streams(),
+            Self::Overload => overload_streams(),
+            Self::Prefix => prefix_streams(),
+            Self::HotHerd => hot_herd_streams(),
+        }
+    }
+}
+
+/// Organisations of the lakes.
+const DESKS: [&str; 10] = [
+    "superior-air",
+    "isle-royale-air",
+    "marquette-crews",
+    "apostle-ops",
+    "keweenaw-dispatch",
+    "nipigon-airport",
+    "whitefish-crews",
+    "agawa-ops",
+    "michipicoten-air",
+    "pukaskwa-airport",
+];
+
+/// Organisations of Bengal.
+const LEASES: [&str; 10] = [
+    "hooghly-cellular",
+    "ganga-towers",
+    "sundar-broadband",
+    "rupnarayan-net",
+    "damodar-carriers",
+    "matla-wireless",
+    "ajay-rural",
+    "kangsabati-masts",
+    "haldi-telecom",
+    "ichamati-fibre",
+];
+
+/// Trial organisations that flood.
+const TRIALS: [&str; 6] = [
+    "trial-a", "trial-b", "trial-c", "trial-d", "trial-e", "trial-f",
+];
+
+fn lakeshore_streams() -> Vec<PromptStream> {
+    let brief = LengthRange::new(1_000, 4_000);
+    let digest = LengthRange::new(24_000, 200_000);
+    let sweep = LengthRange::new(800_000, 960_000);
+    vec![
+        PromptStream::paying(&DESKS[..8], 15.0, brief, LengthRange::new(60, 250)),
+        PromptStream::paying(&DESKS[8..], 1.5, brief, LengthRange::new(60, 250)).trial(),
+        PromptStream::paying(&DESKS, 0.14, digest, LengthRange::new(300, 1_000))
+            .patient(Duration::from_mins(2)),
+        PromptStream::paying(&DESKS[..3], 0.005, sweep, LengthRange::new(500, 1_500))
+            .patient(Duration::from_mins(5)),
+    ]
+}
+
+fn sundarban_streams() -> Vec<PromptStream> {
+    let stream = |rate: f64, least, most, answer| {
+        let prompt = LengthRange::new(least, most);
+        PromptStream::paying(&LEASES[..8], rate, prompt, answer)
+    };
+    let short = LengthRange::new(80, 300);
+    let long = LengthRange::new(200, 800);
+    vec![
+        stream(7.0, 1_000, 4_000, short),
+        stream(2.7, 4_000, 16_000, short),
+        stream(0.8, 16_000, 64_000, long).patient(Duration::from_mins(1)),
+        stream(0.14, 64_000, 256_000, long).patient(Duration::from_mins(2)),
+        stream(0.006, 256_000, 950_000, long).patient(Duration::from_mins(5)),
+        stream(1.0, 1_000, 8_000, short).trial(),
+    ]
+}
+
+fn mixed_prompts(organisations: &[&str], rate: f64) -> PromptStream {
+    let prompt = LengthRange::new(1_000, 24_000);
+    PromptStream::paying(organisations, rate, prompt, LengthRange::new(80, 300))
+}
+
+fn trial_flood_streams() -> Vec<PromptStream> {
+    let paying = |rate, least, most| {
+        let prompt = LengthRange::new(least, most);
+        PromptStream::paying(&LEASES, rate, prompt, LengthRange::new(80, 300))
+    };
+    let flood = |rate, least, most| {
+        let prompt = LengthRange::new(least, most);
+        PromptStream::paying(&TRIALS, rate, prompt, LengthRange::new(80, 300))
+            .trial()
+            .disturbing()
+    };
+    vec![
+        paying(10.0, 1_000, 4_000),
+        paying(4.0, 4_000, 16_000),
+        paying(0.15, 64_000, 200_000).patient(Duration::from_mins(2)),
+        flood(200.0, 1_000, 4_000),
+        flood(60.0, 4_000, 32_000),
+        flood(2.0, 64_000, 300_000).patient(Duration::from_mins(2)),
+    ]
+}
+
+fn big_customer_streams() -> Vec<PromptStream> {
+    vec![
+        mixed_prompts(&LEASES[1..], 9.0),
+        mixed_prompts(&LEASES[..1], 80.0).disturbing(),
+    ]
+}
+
+fn overload_streams() -> Vec<PromptStream> {
+    let stream = |rate, least, most, answer| {
+        let prompt = LengthRange::new(least, most);
+        PromptStream::paying(&LEASES, rate, prompt, answer)
+    };
+    let short = LengthRange::new(80, 300);
+    vec![
+        stream(60.0, 1_000, 4_000, short),
+        stream(24.0, 4_000, 16_000, short),
+        stream(2.5, 16_000, 64_000, short).patient(Duration::from_mins(1)),
+        stream(0.4, 64_000, 256_000, short).patient(Duration::from_mins(1)),
+    ]
+}
+
+fn prefix_streams() -> Vec<PromptStream> {
+    let own = LengthRange::new(500, 3_000);
+    let answer = LengthRange::new(80, 300);
+    vec![
+        PromptStream::paying(&LEASES, 14.0, own, answer)
+            .sharing(60, LengthRange::new(8_000, 40_000)),
+        PromptStream::paying(&LEASES, 6.0, LengthRange::new(1_000, 4_000), answer),
+    ]
+}
+
+fn hot_herd_streams() -> Vec<PromptStream> {
+    let prompt = LengthRange::new(1_000, 12_000);
+    let long = LengthRange::new(32_000, 128_000);
+    let answer = LengthRange::new(80, 300);
+    vec![
+        PromptStream::paying(&LEASES, 25.0, prompt, answer),
+        PromptStream::paying(&LEASES, 0.3, long, answer),
+    ]
+}
+
+/// Requests of the overload that remain when it is thinned to capacity.
+const OVERLOAD_PART: f64 = 1.0 / 3.0;
+/// Part of the engines that dies in `engine-loss`.
+const LOST_ENGINES_ONE_IN: usize = 3;
+
+/// Draws a scenario's run from a seed.
+#[must_use]
+pub fn scenario_plan(kind: ScenarioKind, seed: u64, variant: ScenarioVariant) -> ScenarioPlan {
+    let duration = kind.duration();
+    let shape = kind.shape();
+    let mut requests = merge_streams(&kind.streams(), seed, duration);
+    if kind == ScenarioKind::Overload {
+        mark_excess(&mut requests, seed);
+    }
+    let mut faults = match kind {
+        ScenarioKind::EngineLoss => engine_faults(&shape, duration, seed),
+        _ => Vec::new(),
+    };
+    if variant == ScenarioVariant::Alone {
+        requests.retain(|request| !request.disturbance);
+        faults.clear();
+        renumber(&mut requests);
+    }
+    ScenarioPlan {
+        kind,
+        shape,
+        duration,
+        requests,
+        faults,
+    }
+}
+
+fn mark_excess(requests: &mut [BenchRequest], seed: u64) {
+    let mut rng = StdRng::seed_from_u64(mix(seed, 1_000));
+    for request in requests {
+        request.disturbance = !rng.random_bool(OVERLOAD_PART);
+    }
+}
+
+fn engine_faults(shape: &FleetShape, duration: Duration, seed: u64) -> Vec<EngineFault> {
+    let mut rng = StdRng::seed_from_u64(mix(seed, 2_000));
+    let lost = shape.engines / LOST_ENGINES_ONE_IN;
+    let first = rng.random_range(0..shape.engines);
+    (0..lost)
+        .map(|step| EngineFault {
+            engine: (first + step * LOST_ENGINES_ONE_IN) % shape.engines,
+            at: duration / 2,
+        })
+        .collect()
+}
+
+fn renumber(requests: &mut [BenchRequest]) {
+    for (index, request) in requests.iter_mut().enumerate() {
+        request.index = index;
+    }
+}
--- /dev/null
+++ b/components/bench/src/workload.rs
@@ -0,0 +1,275 @@
+//! Arrivals: streams of prompts drawn from a seed.
+
+use std::time::Duration;
+
+use model::{decode_time, engine_profile, prefill_time};
+use rand::{RngExt, SeedableRng, rngs::StdRng};
+use types::{CACHE_BLOCK_TOKENS, OrganisationId, PlanKind, PrefixHash, TokenCount};
+
+/// One request of a run, the same for every policy.
+#[derive(Clone, Debug, PartialEq)]
+pub struct BenchRequest {
+    /// Place among the run's requests.
+    pub index: usize,
+    /// When the caller sends it, from the start of the run.
+    pub at: Duration,
+    /// Time until the answer has no more use.
+    pub patience: Duration,
+    /// The caller's organisation.
+    pub organisation: OrganisationId,
+    /// The organisation's plan.
+    pub plan: PlanKind,
+    /// Prompt length in tokens.
+    pub prompt_tokens: TokenCount,
+    /// Bound of the answer that the caller states, in tokens.
+    pub output_tokens: TokenCount,
+    /// Length of the answer, known to the engine alone, in tokens.
+    pub answer_tokens: TokenCount,
+    /// Hashes of the prompt's cache blocks, shortest prefix first.
+    pub prefixes: Vec<PrefixHash>,
+    /// Place of the caller's availability zone.
+    pub zone: usize,
+    /// Draw by which the caller picks among that zone's nodes.
+    pub pick: u64,
+    /// Whether it belongs to the scenario's disturbance.
+    pub disturbance: bool,
+}
+
+/// A range of lengths, drawn evenly in their logarithm.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct LengthRange {
+    pub(crate) least: TokenCount,
+    pub(crate) most: TokenCount,
+}
+
+impl LengthRange {
+    pub(crate) const fn new(least: TokenCount, most: TokenCount) -> Self {
+        Self { least, most }
+    }
+
+    #[allow(
+        clippy::cast_possible_truncation,
+        clippy::cast_precision_loss,
+        clippy::cast_sign_loss
+    )]
+    fn draw(self, rng: &mut StdRng) -> TokenCount {
+        let (least, most) = (self.least as f64, self.most as f64);
+        let draw: f64 = rng.random();
+        (least * (most / least).powf(draw)).round() as TokenCount
+    }
+}
+
+/// Prompts that begin with one of several shared texts.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct SharedPrefix {
+    /// Number of shared texts; the first are the most popular.
+    pub(crate) texts: u64,
+    /// Lengths of the shared texts.
+    pub(crate) length: LengthRange,
+}
+
+/// One stream of like prompts.
+#[derive(Clone, Debug)]
+pub(crate) struct PromptStream {
+    pub(crate) organisations: Vec<OrganisationId>,
+    pub(crate) plan: PlanKind,
+    /// Mean arrivals a second.
+    pub(crate) rate: f64,
+    /// Lengths of the prompts, or of their own part after a shared one.
+    pub(crate) prompt: LengthRange,
+    pub(crate) answer: LengthRange,
+    /// Fixed part of a caller's patience.
+    pub(crate) patience: Duration,
+    /// Part of a caller's patience that grows with the prompt, as a multiple
+    /// of its prefill time on one idle engine.
+    pub(crate) patience_factor: f64,
+    pub(crate) shared: Option<SharedPrefix>,
+    pub(crate) disturbance: bool,
+}
+
+impl PromptStream {
+    pub(crate) fn paying(
+        organisations: &[&str],
+        rate: f64,
+        prompt: LengthRange,
+        answer: LengthRange,
+    ) -> Self {
+        Self {
+            organisations: organisations
+                .iter()
+                .map(|name| (*name).to_owned())
+                .collect(),
+            plan: PlanKind::Paying,
+            rate,
+            prompt,
+            answer,
+            patience: Duration::from_secs(30),
+            patience_factor: 1.5,
+            shared: None,
+            disturbance: false,
+        }
+    }
+
+    pub(crate) fn trial(self) -> Self {
+        Self {
+            plan: PlanKind::Trial,
+            ..self
+        }
+    }
+
+    pub(crate) fn disturbing(self) -> Self {
+        Self {
+            disturbance: true,
+            ..self
+        }
+    }
+
+    pub(crate) fn sharing(self, texts: u64, length: LengthRange) -> Self {
+        Self {
+            shared: Some(SharedPrefix { texts, length }),
+            ..self
+        }
+    }
+
+    pub(crate) fn patient(self, patience: Duration) -> Self {
+        Self { patience, ..self }
+    }
+
+    /// Draws the stream's arrivals up to `until`: a Poisson process, or for
+    /// rare prompts one in each slot of time, so that every seed has some.
+    pub(crate) fn arrivals(&self, seed: u64, until: Duration) -> Vec<BenchRequest> {
+        let mut rng = StdRng::seed_from_u64(seed);
+        let mut requests = Vec::new();
+        let mut slot = 0.0;
+        let mut at = Duration::ZERO;
+        loop {
+            let draw: f64 = rng.random();
+            if self.rate < RARE_RATE {
+                at = Duration::from_secs_f64((slot + draw) / self.rate);
+                slot += 1.0;
+            } else {
+                at += Duration::from_secs_f64(-(1.0 - draw).ln() / self.rate);
+            }
+            if at >= until {
+                return requests;
+            }
+            requests.push(self.draw(&mut rng, at, seed));
+        }
+    }
+
+    fn draw(&self, rng: &mut StdRng, at: Duration, seed: u64) -> BenchRequest {
+        let organisation = rng.random_range(0..self.organisations.len());
+        let own = self.prompt.draw(rng);
+        let answer_tokens = self.answer.draw(rng);
+        let unique: u64 = rng.random();
+        let text = self.shared.map(|shared| shared.draw(rng, seed));
+        let shared_tokens = text.map_or(0, |text| text.tokens);
+        let prompt_tokens = shared_tokens + own;
+        BenchRequest {
+            index: 0,
+            at,
+            patience: self.patience_for(prompt_tokens),
+            organisation: self.organisations[organisation].clone(),
+            plan: self.plan,
+            prompt_tokens,
+            output_tokens: self.answer.most,
+            answer_tokens,
+            prefixes: prefix_hashes(text, unique, prompt_tokens),
+            zone: usize::from(rng.random::<u16>()),
+            pick: rng.random(),
+            disturbance: self.disturbance,
+        }
+    }
+
+    fn patience_for(&self, prompt_tokens: TokenCount) -> Duration {
+        let profile = engine_profile(String::new(), String::new());
+        let alone = prefill_time(&profile, 0, prompt_tokens, 1.0);
+        let decode = profile
+            .decode_step
+            .mul_f64(float(self.answer.most) * self.patience_factor);
+        self.patience + alone.mul_f64(self.patience_factor) + decode
+    }
+}
+
+/// Rate under which prompts count as rare, a second.
+const RARE_RATE: f64 = 0.05;
+
+#[derive(Clone, Copy, Debug)]
+struct SharedText {
+    hash: u64,
+    tokens: TokenCount,
+}
+
+impl SharedPrefix {
+    /// Draws a text; the popularity of the n-th falls as 1/n.
+    fn draw(self, rng: &mut StdRng, seed: u64) -> SharedText {
+        let draw: f64 = rng.random();
+        let rank = float(self.texts).powf(draw) - 1.0;
+        let text = mix(seed, whole(rank));
+        let mut text_rng = StdRng::seed_from_u64(text);
+        SharedText {
+            hash: text,
+            tokens: self.length.draw(&mut text_rng),
+        }
+    }
+}
+
+fn prefix_hashes(text: Option<SharedText>, unique: u64, prompt: TokenCount) -> Vec<PrefixHash> {
+    let shared = text.map_or(0, |text| text.tokens / CACHE_BLOCK_TOKENS);
+    let blocks = prompt / CACHE_BLOCK_TOKENS;
+    (0..blocks)
+        .map(|block| match text {
+            Some(text) if block < shared => mix(text.hash, block),
+            _ => mix(unique, block),
+        })
+        .collect()
+}
+
+/// Merges streams into one list in order of arrival.
+pub(crate) fn merge_streams(
+    streams: &[PromptStream],
+    seed: u64,
+    until: Duration,
+) -> Vec<BenchRequest> {
+    let mut requests: Vec<BenchRequest> = streams
+        .iter()
+        .zip(1..)
+        .flat_map(|(stream, number)| stream.arrivals(mix(seed, number), until))
+        .collect();
+    requests.sort_by_key(|request| request.at);
+    for (index, request) in requests.iter_mut().enumerate() {
+        request.index = index;
+    }
+    requests
+}
+
+/// Engine time that requests ask for: their prefill on an idle engine, and
+/// what their answers add to decode steps.
+pub(crate) fn engine_time(requests: &[BenchRequest]) -> Duration {
+    let profile = engine_profile(String::new(), String::new());
+    requests
+        .iter()
+        .map(|request| {
+            let prefill = prefill_time(&profile, 0, request.prompt_tokens, 1.0);
+            prefill + decode_time(request.prompt_tokens, request.answer_tokens)
+        })
+        .sum()
+}
+
+/// Scrambles two numbers into one (the finaliser of splitmix64).
+pub(crate) fn mix(left: u64, right: u64) -> u64 {
+    let mut value = left ^ right.wrapping_add(1).wrapping_mul(0x9e37_79b9_7f4a_7c15);
+    value = (value ^ (value >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+    value = (value ^ (value >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+    value ^ (value >> 31)
+}
+
+#[allow(clippy::cast_precision_loss)]
+fn float(value: u64) -> f64 {
+    value as f64
+}
+
+#[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
+fn whole(value: f64) -> u64 {
+    value.max(0.0) as u64
+}
--- a/components/model/src/cost.rs
+++ b/components/model/src/cost.rs
@@ -69,6 +69,14 @@
     Duration::from_secs_f64(prefill_seconds(profile, context, tokens, pace))
 }
 
+/// Time that an answer of `tokens` after a context of `context` adds to the
+/// steps of an engine that is busy anyway.
+#[must_use]
+pub fn decode_time(context: TokenCount, tokens: TokenCount) -> Duration {
+    let each = DECODE_SEQUENCE_S + float(context) * DECODE_CONTEXT_S;
+    Duration::from_secs_f64(float(tokens) * each)
+}
+
 /// Time to move the KV cache of `tokens` to another engine.
 pub(crate) fn transfer_time(tokens: TokenCount) -> Duration {
     Duration::from_secs_f64(float(tokens) / KV_TRANSFER_TOKENS_S)
--- a/components/model/src/lib.rs
+++ b/components/model/src/lib.rs
@@ -15,8 +15,8 @@
 
 pub use cache::{CacheSlice, PrefixCache};
 pub use cost::{
-    KV_CAPACITY_TOKENS, KV_TRANSFER_TOKENS_S, MEMBER_EFFICIENCY, engine_profile, gang_pace,
-    prefill_time,
+    KV_CAPACITY_TOKENS, KV_TRANSFER_TOKENS_S, MEMBER_EFFICIENCY, decode_time, engine_profile,
+    gang_pace, prefill_time,
 };
 pub use engine::EngineModel;
 pub use spec::{
--- /dev/null
+++ b/src/cmd/bench.rs
@@ -0,0 +1,100 @@
+//! `gentiantally bench`: load scenarios against the engine model.
+
+use std::{
+    fs,
+    io::{self, IsTerminal, Write},
+    path::Path,
+};
+
+use argh::FromArgs;
+use bench::{
+    BenchError, BenchReport, DecisionReport, ScenarioKind, decision_table, measure_decisions,
+    plot_report, report_table, run_scenario_with,
+};
+use serde::Serialize;
+
+/// Name of the measurement that takes the place of a scenario.
+const DECISIONS: &str = "decisions";
+
+/// run a load scenario under every policy and report what callers saw; the
+/// scenarios are lakeshore, sundarban, trial-flood, big-customer, overload,
+/// engine-loss, prefix and hot-herd; `decisions` measures the cost of one
+/// scheduler decision on this machine
+#[derive(Debug, PartialEq)]
+#[derive(FromArgs)]
+#[argh(subcommand, name = "bench")]
+pub struct BenchCommand {
+    /// name of the scenario
+    #[argh(positional)]
+    pub scenario: String,
+    /// seed of the arrivals and of every random choice
+    #[argh(option, default = "1")]
+    pub seed: u64,
+    /// write the report as JSON to this file, `-` for standard output
+    #[argh(option)]
+    pub json: Option<String>,
+    /// draw the time to first token by length as an SVG file
+    #[argh(option)]
+    pub plot: Option<String>,
+}
+
+/// Runs the command.
+///
+/// # Errors
+/// `BenchError` for an unknown scenario or a file that can't be written.
+pub fn run(command: &BenchCommand) -> Result<(), BenchError> {
+    if command.scenario == DECISIONS {
+        return run_decisions(command);
+    }
+    let kind = ScenarioKind::named(&command.scenario);
+    let kind = kind.ok_or_else(|| BenchError::UnknownScenario {
+        step: "bench".to_owned(),
+        peer: command.scenario.clone(),
+    })?;
+    let report: BenchReport = run_scenario_with(kind, command.seed, show_progress);
+    if let Some(file) = &command.plot {
+        plot_report(&report, Path::new(file))?;
+    }
+    write_report(command, &report, || report_table(&report))
+}
+
+fn run_decisions(command: &BenchCommand) -> Result<(), BenchError> {
+    let report: DecisionReport = measure_decisions(command.seed, show_progress);
+    write_report(command, &report, || decision_table(&report))
+}
+
+fn show_progress(step: &str) {
+    if io::stderr().is_terminal() {
+        eprintln!("running {step}");
+    }
+}
+
+fn write_report(
+    command: &BenchCommand,
+    report: &impl Serialize,
+    table: impl Fn() -> String,
+) -> Result<(), BenchError> {
+    let Some(file) = &command.json else {
+        return print(&table());
+    };
+    let json = serde_json::to_string_pretty(report)
+        .map_err(|error| output_error(file, &error.to_string()))?;
+    if file == "-" {
+        return print(&format!("{json}\n"));
+    }
+    fs::write(file, format!("{json}\n")).map_err(|error| output_error(file, &error.to_string()))
+}
+
+fn print(text: &str) -> Result<(), BenchError> {
+    io::stdout()
+        .write_all(text.as_bytes())
+        .map_err(|error| output_error("standard output", &error.to_string()))
+}
+
+fn output_error(file: &str, cause: &str) -> BenchError {
+    BenchError::Output {
+        step: "write the report".to_owned(),
+        peer: file.to_owned(),
+        cause: cause.to_owned(),
+    }
+}
