--- a/src/cmd/mod.rs
+++ b/src/cmd/mod.rs
@@ -24,6 +24,8 @@
         SubCommand::Status(command) => status::run(&command),
         SubCommand::Resolve(command) => resolve::run(&command),
         SubCommand::Trace(command) => trace::run(&command),
-        SubCommand::Bench(command) => bench::run(&command).map_err(LaunchError::Failed),
+        SubCommand::Bench(command) => {
+            bench::run(&command).map_err(|error| LaunchError::Failed(error.to_string()))
+        }
     }
 }
