Keep short prompts off busy engines and bound trial work by engine time

Change: short prompts share one priority; trial work has a floor in engine time and starts on idle engines beyond it; summaries tell how many engines are calm or lent, and nodes draw among them by weight; groups spread over owners.

--- a/components/admission/src/lib.rs
+++ b/components/admission/src/lib.rs
@@ -6,12 +6,14 @@
 //! a prompt can be answered in time.
 
 mod cost;
+mod floor;
 mod gate;
 mod length;
 mod queue;
 mod shares;
 
 pub use cost::job_cost;
+pub use floor::TrialFloor;
 pub use gate::{DeadlineGate, GateVerdict, WaitEstimate};
 pub use length::LengthClass;
 pub use queue::{FairQueue, PoolIndex, QueueBounds, QueuedJob};
--- a/components/admission/src/queue.rs
+++ b/components/admission/src/queue.rs
@@ -101,33 +101,16 @@
 
 /// Everything that waits: paying before trial, organisations by counter,
 /// and each organisation's jobs shortest first with ageing.
-#[derive(Debug)]
+#[derive(Debug, Default)]
 pub struct FairQueue {
     lanes: BTreeMap<LaneKey, QueueLane>,
     places: HashMap<RequestId, JobPlace>,
     expiry: BTreeMap<(Instant, u64), RequestId>,
     sequence: u64,
     tokens: TokenCount,
-    trial_floor: f64,
-    trial_credit: f64,
 }
 
 impl FairQueue {
-    /// An empty queue where waiting trial work gets at least the part
-    /// `trial_floor` of what is served, between 0 and 1.
-    #[must_use]
-    pub fn new(trial_floor: f64) -> Self {
-        Self {
-            lanes: BTreeMap::new(),
-            places: HashMap::new(),
-            expiry: BTreeMap::new(),
-            sequence: 0,
-            tokens: 0,
-            trial_floor: trial_floor.clamp(0.0, 0.9),
-            trial_credit: 0.0,
-        }
-    }
-
     /// Jobs that wait.
     #[must_use]
     pub fn len(&self) -> usize {
@@ -203,20 +186,26 @@
             .push(key, job, shares);
     }
 
-    /// The job of a pool and class that is served next.
+    /// The job of a pool and class that is served next: a trial one if its
+    /// engine time is within `floor`, else a paying one, else a trial one.
     pub fn head(
         &mut self,
         pool: PoolIndex,
         class: LengthClass,
         shares: &ShareTable,
+        floor: Duration,
     ) -> Option<&QueuedJob> {
-        let paying = self.lane_cost(pool, class, PlanKind::Paying, shares);
-        let trial = self.lane_cost(pool, class, PlanKind::Trial, shares);
-        let plan = match (paying, trial) {
-            (None, None) => return None,
-            (None, Some(_)) => PlanKind::Trial,
-            (Some(_), Some(cost)) if self.trial_credit >= float(cost) => PlanKind::Trial,
-            (Some(_), _) => PlanKind::Paying,
+        let trial = self.lane_work(pool, class, PlanKind::Trial, shares);
+        let within_floor = trial.is_some_and(|work| work <= floor);
+        let paying = LaneKey {
+            pool,
+            class,
+            plan: PlanKind::Paying,
+        };
+        let plan = if self.lanes.contains_key(&paying) && !within_floor {
+            PlanKind::Paying
+        } else {
+            PlanKind::Trial
         };
         let key = LaneKey { pool, class, plan };
         self.lanes.get_mut(&key)?.head(shares)
@@ -225,7 +214,6 @@
     /// Takes a job out to start it, and charges its organisation.
     pub fn start(&mut self, request: &RequestId, shares: &mut ShareTable) -> Option<QueuedJob> {
         let job = self.remove(request, shares)?;
-        self.count_floor(&job);
         shares.charge(job.organisation, job.cost);
         Some(job)
     }
@@ -278,28 +266,16 @@
         pools
     }
 
-    fn lane_cost(
+    fn lane_work(
         &mut self,
         pool: PoolIndex,
         class: LengthClass,
         plan: PlanKind,
         shares: &ShareTable,
-    ) -> Option<TokenCount> {
+    ) -> Option<Duration> {
         let key = LaneKey { pool, class, plan };
         let job = self.lanes.get_mut(&key)?.head(shares)?;
-        Some(job.cost)
-    }
-
-    fn count_floor(&mut self, job: &QueuedJob) {
-        let cost = float(job.cost);
-        if job.job.plan == PlanKind::Trial {
-            self.trial_credit = (self.trial_credit - cost).max(0.0);
-            return;
-        }
-        let trial_waits = self.lanes.keys().any(|lane| lane.plan == PlanKind::Trial);
-        if trial_waits {
-            self.trial_credit += cost * self.trial_floor / (1.0 - self.trial_floor);
-        }
+        Some(job.work)
     }
 }
 
@@ -349,8 +325,3 @@
         jobs.last_key_value().map(|(key, _)| *key)
     }
 }
-
-#[allow(clippy::cast_precision_loss)]
-fn float(tokens: TokenCount) -> f64 {
-    tokens as f64
-}
--- a/components/routing/src/arrival.rs
+++ b/components/routing/src/arrival.rs
@@ -17,9 +17,12 @@
 };
 
 /// Time a prompt takes to another node.
-const HOP: Duration = Duration::from_millis(3);
+const HOP: Duration = Duration::from_millis(2);
 /// Gain over the wait here that a hop must bring.
-const HOP_GAIN: Duration = Duration::from_millis(10);
+const HOP_GAIN: Duration = Duration::from_millis(4);
+
+/// Gain that a hop must bring, as a part of the prompt's prefill.
+const HOP_GAIN_PART: f64 = 0.1;
 
 /// Why a prompt is turned away, and when it may come back.
 #[derive(Clone, Copy, Debug)]
@@ -164,8 +167,8 @@
 
     fn expected_wait(&mut self, now: Instant, queued: &QueuedJob) -> Option<Duration> {
         let key = PoolKey::of(&queued.job);
-        let plan = queued.job.plan;
-        let priority = engine_priority(plan, queued.job.prompt_tokens);
+        let priority = engine_priority(self.urgency(queued), queued.job.prompt_tokens);
+        let prompt = queued.job.prompt_tokens;
         let mut engines: u32 = 0;
         let mut least: Option<Duration> = None;
         for view in self.engines.values_mut() {
@@ -174,7 +177,7 @@
             }
             view.advance(now);
             engines += 1;
-            let wait = view.wait(&self.node, priority);
+            let wait = view.delay(&self.node, queued.class, priority, prompt);
             least = Some(least.map_or(wait, |known| known.min(wait)));
         }
         let queued_ahead = self.queued_ahead(queued);
@@ -210,7 +213,8 @@
             let node = self.gang_node(now, &queued.job);
             return node.filter(|node| !handed.contains(node));
         }
-        if local.is_some_and(|local| local.wait <= HOP_GAIN) {
+        let gain = HOP_GAIN.max(queued.work.mul_f64(HOP_GAIN_PART));
+        if local.is_some_and(|local| local.wait <= gain) {
             return None;
         }
         let query = OfferQuery {
@@ -222,7 +226,7 @@
         };
         let offer = self.peers.offer(now, &query, &mut self.rng)?;
         match local {
-            Some(local) if offer.wait + HOP + HOP_GAIN > local.wait => None,
+            Some(local) if offer.wait + HOP + gain > local.wait => None,
             _ => Some(offer.node),
         }
     }
--- a/components/routing/src/dispatch.rs
+++ b/components/routing/src/dispatch.rs
@@ -3,27 +3,35 @@
 use std::time::{Duration, Instant};
 
 use admission::{LengthClass, PoolIndex, QueuedJob};
-use types::{EngineId, RequestId, TokenCount};
+use types::{EngineId, PlanKind, RequestId, TokenCount};
 
 use crate::{
     NodeScheduler, SchedulerAction,
     load::LoadMeter,
-    placement::{engine_priority, needed_tokens, place},
+    placement::{PromptUrgency, engine_priority, needed_tokens, place},
     pool::PoolKey,
     scheduler::RunningJob,
-    view::{EngineFlight, EngineView, FlightPhase},
+    view::{EngineFlight, EngineView, FlightPhase, least_left},
 };
 
 /// Classes that run on one engine, in the order they are served.
 const SINGLE_CLASSES: [LengthClass; 3] =
     [LengthClass::Short, LengthClass::Medium, LengthClass::Long];
 
+/// An engine for the head of a lane.
+struct EngineChoice {
+    request: RequestId,
+    engine: EngineId,
+    urgency: PromptUrgency,
+}
+
 impl NodeScheduler {
     /// Starts everything that an engine can take now.
     pub(crate) fn dispatch_all(&mut self, now: Instant, actions: &mut Vec<SchedulerAction>) {
         if self.queue.is_empty() {
             return;
         }
+        self.floor.earn(now, self.engines.len());
         for view in self.engines.values_mut() {
             view.advance(now);
         }
@@ -45,18 +53,20 @@
         let Some(key) = self.pools.key(pool).cloned() else {
             return;
         };
-        while let Some(engine) = self.choose_engine(pool, class, &key) {
-            let Some(request) = self.head_request(pool, class) else {
-                return;
-            };
-            let started = self.start(now, &request, vec![engine]);
+        while let Some(choice) = self.choose_engine(pool, class, &key) {
+            let engines = vec![choice.engine];
+            let started = self.start(now, &choice.request, engines, choice.urgency);
             actions.extend(started);
         }
     }
 
-    fn head_request(&mut self, pool: PoolIndex, class: LengthClass) -> Option<RequestId> {
-        let head = self.queue.head(pool, class, &self.shares)?;
-        Some(head.job.request.clone())
+    /// How a job ranks on an engine now.
+    pub(crate) fn urgency(&self, queued: &QueuedJob) -> PromptUrgency {
+        match queued.job.plan {
+            PlanKind::Paying => PromptUrgency::Paying,
+            PlanKind::Trial if queued.work <= self.floor.available() => PromptUrgency::TrialFloor,
+            PlanKind::Trial => PromptUrgency::Trial,
+        }
     }
 
     /// The engine that suits the head of a lane best, if one takes it now.
@@ -65,15 +75,19 @@
         pool: PoolIndex,
         class: LengthClass,
         key: &PoolKey,
-    ) -> Option<EngineId> {
-        let head = self.queue.head(pool, class, &self.shares)?;
+    ) -> Option<EngineChoice> {
+        let floor = self.floor.available();
+        let head = self.queue.head(pool, class, &self.shares, floor)?.clone();
+        let urgency = self.urgency(&head);
         let mut best: Option<(Duration, bool, &EngineId)> = None;
         for (engine, view) in &self.engines {
             if !key.served_by(&view.report) {
                 continue;
             }
-            let reserved = self.gangs.reserves(engine);
-            let Some(score) = place(view, &self.node, head, &self.settings, reserved) else {
+            if class != LengthClass::Short && self.gangs.reserves(engine) {
+                continue;
+            }
+            let Some(score) = place(view, &self.node, &head, urgency, &self.settings) else {
                 continue;
             };
             let entry = (score, view.report.profile.zone != head.job.zone, engine);
@@ -81,7 +95,11 @@
                 best = Some(entry);
             }
         }
-        best.map(|(_, _, engine)| engine.clone())
+        best.map(|(_, _, engine)| EngineChoice {
+            request: head.job.request.clone(),
+            engine: engine.clone(),
+            urgency,
+        })
     }
 
     /// Takes a job out of the queue and starts it on `engines`.
@@ -90,12 +108,16 @@
         now: Instant,
         request: &RequestId,
         engines: Vec<EngineId>,
+        urgency: PromptUrgency,
     ) -> Option<SchedulerAction> {
         let queued = self.queue.start(request, &mut self.shares)?;
         self.shares.start(queued.organisation);
         let meter = self.meter.get_or_insert_with(|| LoadMeter::new(now));
         meter.record(now, queued.class, queued.work);
-        let priority = engine_priority(queued.job.plan, queued.job.prompt_tokens);
+        if urgency == PromptUrgency::TrialFloor {
+            self.floor.spend(queued.work);
+        }
+        let priority = engine_priority(urgency, queued.job.prompt_tokens);
         let count = u64::try_from(engines.len().max(1)).unwrap_or(1);
         let share = needed_tokens(&queued).div_ceil(count);
         let mut expected = queued.work;
@@ -155,6 +177,7 @@
         tokens,
         phase: FlightPhase::Prefill,
         left,
+        least: least_left(left),
         dispatched: now,
         shared: false,
     }
--- a/components/routing/src/gang.rs
+++ b/components/routing/src/gang.rs
@@ -47,6 +47,7 @@
     kv_capacity: TokenCount,
     kv_free: TokenCount,
     owned: bool,
+    owner: NodeId,
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -228,12 +229,15 @@
         let Some(key) = self.pools.key(pool).cloned() else {
             return;
         };
-        while let Some(head) = self.queue.head(pool, LengthClass::Gang, &self.shares) {
+        let floor = self.floor.available();
+        let gang = LengthClass::Gang;
+        while let Some(head) = self.queue.head(pool, gang, &self.shares, floor) {
             let head = head.clone();
+            let urgency = self.urgency(&head);
             let Some(group) = self.gather(now, &key, &head) else {
                 return;
             };
-            let started = self.start(now, &head.job.request, group);
+            let started = self.start(now, &head.job.request, group, urgency);
             actions.extend(started);
             self.gangs.forget(&head.job.request);
         }
@@ -288,19 +292,7 @@
             return None;
         }
         let share = needed.div_ceil(u64::try_from(size).unwrap_or(1).max(1));
-        candidates.sort_by_key(|one| {
-            let kept = self.gangs.wanted.contains_key(&one.engine);
-            let ready = one.kv_free >= share;
-            let long = one.role == EngineRole::Long;
-            (
-                Reverse(ready),
-                Reverse(kept),
-                Reverse(long),
-                Reverse(one.owned),
-                Reverse(one.kv_free),
-            )
-        });
-        candidates.truncate(size);
+        let candidates = self.pick(candidates, size, share);
         let ready = candidates.iter().all(|one| one.kv_free >= share);
         let mut group: Vec<EngineId> = candidates.into_iter().map(|one| one.engine).collect();
         group.sort_unstable();
@@ -316,6 +308,48 @@
         None
     }
 
+    /// The engines that suit a group best, spread over their owners so that
+    /// each keeps some for short prompts.
+    fn pick(
+        &self,
+        mut candidates: Vec<GangCandidate>,
+        size: usize,
+        share: TokenCount,
+    ) -> Vec<GangCandidate> {
+        let mut spares: HashMap<NodeId, usize> = HashMap::new();
+        for one in candidates.iter().filter(|one| one.kv_free >= share) {
+            *spares.entry(one.owner.clone()).or_default() += 1;
+        }
+        let mut picked = Vec::new();
+        while picked.len() < size {
+            let best = (0..candidates.len()).max_by_key(|place| {
+                let one = &candidates[*place];
+                let ready = one.kv_free >= share;
+                let kept = self.gangs.wanted.contains_key(&one.engine);
+                let long = one.role == EngineRole::Long;
+                let left = spares.get(&one.owner).copied().unwrap_or(0);
+                (
+                    ready,
+                    kept,
+                    long,
+                    left,
+                    one.owned,
+                    one.kv_free,
+                    Reverse(&one.engine),
+                )
+            });
+            let Some(best) = best else {
+                break;
+            };
+            let one = candidates.swap_remove(best);
+            if let Some(left) = spares.get_mut(&one.owner) {
+                *left = left.saturating_sub(1);
+            }
+            picked.push(one);
+        }
+        picked
+    }
+
     /// Engines of this node and of others that serve a pool and are not in a
     /// group already.
     fn candidates(&self, now: Instant, key: &PoolKey) -> Vec<GangCandidate> {
@@ -334,6 +368,7 @@
                     view.kv_free(&self.node)
                 },
                 owned: true,
+                owner: self.node.clone(),
             });
         }
         let lifetime = self.settings.summary_lifetime;
@@ -351,6 +386,7 @@
                     kv_capacity: digest.kv_capacity,
                     kv_free: digest.kv_free,
                     owned: false,
+                    owner: peer.summary.node.clone(),
                 });
             }
         }
--- a/components/routing/src/message.rs
+++ b/components/routing/src/message.rs
@@ -45,10 +45,11 @@
     pub adapters: Vec<AdapterId>,
     /// Engines that hold it ready.
     pub engines: u32,
-    /// Engines that a short prompt would start on at once.
-    pub idle: u32,
-    /// Part of its time that one of the engines spends on short prompts, in
-    /// thousandths.
+    /// Engines that prefill no longer prompt.
+    pub calm: u32,
+    /// Engines that compute for another's prompt.
+    pub lent: u32,
+    /// Engines that short prompts keep busy, in thousandths.
     pub short_load: u16,
     /// Some of the engines, those with most free memory first.
     pub digests: Vec<EngineDigest>,
--- a/components/routing/src/peers.rs
+++ b/components/routing/src/peers.rs
@@ -16,7 +16,15 @@
 /// Longest time a node is left out after it refused.
 const AVOID_LIMIT: Duration = Duration::from_secs(1);
 /// Nodes drawn for a choice.
-const CHOICES: usize = 2;
+const CHOICES: usize = 4;
+/// Difference up to which expected delays of short prompts count as alike.
+const ALIKE: Duration = Duration::from_millis(10);
+/// Least weight of a node in a draw, in engines.
+const WEIGHT_MIN: f64 = 0.05;
+/// Expected delay of a short prompt where all engines prefill longer work.
+const LONG_DELAY: Duration = Duration::from_millis(20);
+/// Expected delay of a short prompt behind another one.
+const SHORT_DELAY: Duration = Duration::from_millis(150);
 
 /// One prompt handed to another node, until its summary can tell of it.
 #[derive(Clone, Debug)]
@@ -39,6 +47,10 @@
 pub(crate) struct PeerOffer {
     pub(crate) node: NodeId,
     pub(crate) wait: Duration,
+    /// Whether it is in another zone.
+    far: bool,
+    /// Engines that are likely free.
+    weight: f64,
 }
 
 /// A prompt that looks for another node.
@@ -182,56 +194,99 @@
             .filter(|peer| peer.avoided_until.is_none_or(|until| until <= now))
             .filter(|peer| peer.pool(need).is_some() && !query.handed.contains(&peer.summary.node))
             .collect();
-        let mut best: Option<(Duration, bool, NodeId)> = None;
+        let mut drawn = Vec::new();
         for _ in 0..CHOICES.min(candidates.len()) {
-            let drawn = candidates.swap_remove(rng.random_range(0..candidates.len()));
-            let Some(wait) = drawn.wait(now, need, query.class, query.job.plan) else {
-                continue;
-            };
-            let entry = (
-                wait,
-                drawn.summary.zone != *query.zone,
-                drawn.summary.node.clone(),
-            );
-            if best.as_ref().is_none_or(|known| entry < *known) {
-                best = Some(entry);
-            }
+            let peer = candidates.swap_remove(rng.random_range(0..candidates.len()));
+            let offer = peer.offer(now, need, query);
+            drawn.extend(offer);
+        }
+        if query.class == LengthClass::Short {
+            return weighted(drawn, rng);
         }
-        best.map(|(wait, _, node)| PeerOffer { node, wait })
+        drawn
+            .into_iter()
+            .min_by_key(|offer| (offer.wait, offer.far, offer.node.clone()))
     }
 }
 
+/// Draws one of the offers, by weight among those that wait about as long as
+/// the best one: nodes with the same view spread out.
+fn weighted(offers: Vec<PeerOffer>, rng: &mut impl Rng) -> Option<PeerOffer> {
+    let least = offers.iter().map(|offer| offer.wait).min()?;
+    let good: Vec<PeerOffer> = offers
+        .into_iter()
+        .filter(|offer| offer.wait <= least + ALIKE)
+        .collect();
+    let total: f64 = good.iter().map(|offer| offer.weight).sum();
+    let mut left = rng.random::<f64>() * total;
+    let chosen = good.iter().position(|offer| {
+        left -= offer.weight;
+        left <= 0.0
+    });
+    good.into_iter().nth(chosen.unwrap_or(0))
+}
+
 impl PeerView {
     pub(crate) fn pool(&self, need: PoolNeed<'_>) -> Option<&PoolSummary> {
         self.summary.pools.iter().find(|pool| need.met_by(pool))
     }
 
-    /// Expected wait there: what it told, and what was handed to it since.
-    fn wait(
-        &self,
-        now: Instant,
-        need: PoolNeed<'_>,
-        class: LengthClass,
-        plan: PlanKind,
-    ) -> Option<Duration> {
+    /// Expected delay there: what it told, and what was handed to it since.
+    fn offer(&self, now: Instant, need: PoolNeed<'_>, query: &OfferQuery<'_>) -> Option<PeerOffer> {
         let pool = self.pool(need)?;
-        let told = match (plan, class) {
-            (PlanKind::Trial, _) => pool.trial_wait,
-            (PlanKind::Paying, LengthClass::Short) => pool.short_wait,
-            (PlanKind::Paying, _) => pool.long_wait,
+        let wait = match (query.job.plan, query.class) {
+            (PlanKind::Paying, LengthClass::Short) => self.short_wait(now, pool),
+            (PlanKind::Paying, _) => pool.long_wait + self.pending(now, pool),
+            (PlanKind::Trial, _) => pool.trial_wait + self.pending(now, pool),
         };
-        let mut pending = Duration::ZERO;
-        let mut count = 0;
-        for forwarded in &self.forwarded {
-            let counts = forwarded.short || class != LengthClass::Short;
-            if counts && forwarded.ends > now {
-                pending += forwarded.ends - now;
-                count += 1;
-            }
-        }
-        if count < pool.idle {
-            return Some(told);
+        let handed = f64::from(self.handed_short(now));
+        let free = f64::from(pool.calm) - handed - f64::from(pool.short_load) / 1_000.0;
+        Some(PeerOffer {
+            node: self.summary.node.clone(),
+            wait,
+            far: self.summary.zone != *query.zone,
+            weight: free.max(WEIGHT_MIN),
+        })
+    }
+
+    /// Expected delay of a short prompt: nothing if an engine is free of all
+    /// prefill, a step if one prefills longer work only, else the rest of
+    /// another short one.
+    fn short_wait(&self, now: Instant, pool: &PoolSummary) -> Duration {
+        let open = pool.engines.saturating_sub(pool.lent);
+        if open == 0 {
+            return pool.short_wait + SHORT_DELAY;
         }
-        Some(told + pending / pool.engines.max(1))
+        let load = f64::from(pool.short_load) / 1_000.0 / f64::from(open.max(1));
+        let busy = load.clamp(0.05, 0.95);
+        let handed = self.handed_short(now);
+        let all_calm = chance(busy, pool.calm.saturating_sub(handed));
+        let all_open = chance(busy, open.saturating_sub(handed));
+        let queued = pool.short_wait.saturating_sub(LONG_DELAY);
+        LONG_DELAY.mul_f64(all_calm) + SHORT_DELAY.mul_f64(all_open) + queued.mul_f64(busy)
+    }
+
+    fn handed_short(&self, now: Instant) -> u32 {
+        let handed = self
+            .forwarded
+            .iter()
+            .filter(|forwarded| forwarded.short && forwarded.ends > now);
+        u32::try_from(handed.count()).unwrap_or(u32::MAX)
     }
+
+    /// Longer work handed to the node that its summary does not tell of.
+    fn pending(&self, now: Instant, pool: &PoolSummary) -> Duration {
+        let pending: Duration = self
+            .forwarded
+            .iter()
+            .filter(|forwarded| !forwarded.short)
+            .map(|forwarded| forwarded.ends.saturating_duration_since(now))
+            .sum();
+        pending / pool.engines.max(1)
+    }
+}
+
+/// Chance that all of `engines` engines are busy at once.
+fn chance(busy: f64, engines: u32) -> f64 {
+    busy.powi(i32::try_from(engines).unwrap_or(i32::MAX))
 }
--- a/components/routing/src/placement.rs
+++ b/components/routing/src/placement.rs
@@ -14,23 +14,39 @@
 /// Part of an engine's batch that trial prompts may fill.
 const TRIAL_BATCH_PART: usize = 2;
 /// Cost of a short prompt on an engine for long ones.
-const SHORT_ON_LONG: Duration = Duration::from_millis(50);
+const SHORT_ON_LONG: Duration = Duration::from_millis(2);
 /// Cost of longer work on an engine for short prompts.
 const LONG_ON_SHORT: Duration = Duration::from_secs(2);
 
-/// Priority of a prompt on its engine: paying before trial, short before
-/// long.
-pub(crate) fn engine_priority(plan: PlanKind, prompt_tokens: TokenCount) -> u32 {
+/// Priority of a prompt on its engine: short before long, paying before
+/// trial unless it is within its floor. Short prompts share one priority, so
+/// that none waits for a later one.
+pub(crate) fn engine_priority(urgency: PromptUrgency, prompt_tokens: TokenCount) -> u32 {
     let steps = prompt_tokens / PRIORITY_STEP_TOKENS;
     let length = u32::try_from(steps)
         .unwrap_or(u32::MAX)
-        .min(TRIAL_PRIORITY - 1);
-    match plan {
-        PlanKind::Paying => length,
-        PlanKind::Trial => TRIAL_PRIORITY + length,
+        .min(TRIAL_PRIORITY / 2);
+    let length = match LengthClass::of(prompt_tokens) {
+        LengthClass::Short => 0,
+        _ => length,
+    };
+    match urgency {
+        PromptUrgency::Paying | PromptUrgency::TrialFloor => length,
+        PromptUrgency::Trial => TRIAL_PRIORITY + length,
     }
 }
 
+/// How a prompt's plan ranks it on an engine.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum PromptUrgency {
+    /// Paying work.
+    Paying,
+    /// Trial work within its floor.
+    TrialFloor,
+    /// Other trial work.
+    Trial,
+}
+
 /// Memory a prompt needs with its answer, in tokens.
 pub(crate) fn needed_tokens(queued: &QueuedJob) -> TokenCount {
     let job = &queued.job;
@@ -43,19 +59,19 @@
     view: &EngineView,
     node: &NodeId,
     queued: &QueuedJob,
+    urgency: PromptUrgency,
     settings: &SchedulerSettings,
-    reserved: bool,
 ) -> Option<Duration> {
     let job = &queued.job;
     if !has_memory(view, node, queued, settings) || !has_slot(view, job.plan) {
         return None;
     }
-    if reserved && queued.class > LengthClass::Short {
+    if urgency == PromptUrgency::Trial && !view.is_idle(node) {
         return None;
     }
-    let priority = engine_priority(job.plan, job.prompt_tokens);
-    let ahead = view.ahead(priority);
+    let priority = engine_priority(urgency, job.prompt_tokens);
     let full = view.prefill_time(node, 0, job.prompt_tokens);
+    let ahead = view.ahead(queued.class, priority, queued.work);
     if ahead > settings.engine_backlog + full {
         return None;
     }
@@ -65,8 +81,8 @@
     if ahead > settings.engine_backlog + saved {
         return None;
     }
-    let wait = view.wait(node, priority);
-    Some(wait + prefill + role_cost(view.wanted_role, queued.class))
+    let residual = view.residual(node);
+    Some(ahead + residual + prefill + role_cost(view.wanted_role, queued.class))
 }
 
 fn has_memory(
--- a/components/routing/src/scheduler.rs
+++ b/components/routing/src/scheduler.rs
@@ -5,7 +5,7 @@
     time::{Duration, Instant},
 };
 
-use admission::{DeadlineGate, FairQueue, QueuedJob, ShareTable};
+use admission::{DeadlineGate, FairQueue, QueuedJob, ShareTable, TrialFloor};
 use rand::{SeedableRng, rngs::StdRng};
 use types::{EngineId, EngineReport, NodeId, RequestId, ZoneId};
 
@@ -25,6 +25,7 @@
     pub(crate) pools: PoolTable,
     pub(crate) peers: PeerTable,
     pub(crate) queue: FairQueue,
+    pub(crate) floor: TrialFloor,
     pub(crate) shares: ShareTable,
     pub(crate) gate: DeadlineGate,
     pub(crate) gangs: GangPlanner,
@@ -75,7 +76,8 @@
             engines: BTreeMap::new(),
             pools: PoolTable::default(),
             peers: PeerTable::default(),
-            queue: FairQueue::new(settings.trial_floor),
+            queue: FairQueue::default(),
+            floor: TrialFloor::new(settings.trial_floor),
             shares: ShareTable::new(settings.fairness_lead_tokens),
             gate: DeadlineGate {
                 wait_margin: settings.wait_margin,
--- a/components/routing/src/settings.rs
+++ b/components/routing/src/settings.rs
@@ -13,7 +13,7 @@
     pub seed: u64,
     /// Most that may wait on this node.
     pub queue: QueueBounds,
-    /// Least part of the service that waiting trial work gets, 0 to 1.
+    /// Least part of the engines' time that waiting trial work gets, 0 to 1.
     pub trial_floor: f64,
     /// Most tokens that an organisation served elsewhere starts behind the
     /// others here.
@@ -43,7 +43,7 @@
                 requests: 20_000,
                 tokens: 200_000_000,
             },
-            trial_floor: 0.02,
+            trial_floor: 0.05,
             fairness_lead_tokens: 1_000_000,
             wait_margin: 1.2,
             short_headroom: 0.1,
--- a/components/routing/src/summary.rs
+++ b/components/routing/src/summary.rs
@@ -10,7 +10,9 @@
 
 use crate::{
     EngineDigest, NodeScheduler, NodeSummary, OrganisationUsage, PoolSummary,
-    placement::engine_priority, pool::PoolKey, view::EngineView,
+    placement::{PromptUrgency, engine_priority},
+    pool::PoolKey,
+    view::EngineView,
 };
 
 /// Most organisations told of.
@@ -94,24 +96,34 @@
     ) -> PoolSummary {
         let count = u32::try_from(engines.len()).unwrap_or(u32::MAX);
         let pools = self.pool_indexes(model, version);
-        let short = engine_priority(PlanKind::Paying, SHORT_SAMPLE_TOKENS);
-        let long = engine_priority(PlanKind::Paying, LONG_SAMPLE_TOKENS);
-        let trial = engine_priority(PlanKind::Trial, SHORT_SAMPLE_TOKENS);
-        let least = |priority| {
-            let waits = engines
+        let least = |class, urgency, prompt| {
+            let priority = engine_priority(urgency, prompt);
+            let delays = engines
                 .iter()
-                .map(|(_, view)| view.wait(&self.node, priority));
-            waits.min().unwrap_or_default()
+                .map(|(_, view)| view.delay(&self.node, class, priority, prompt));
+            delays.min().unwrap_or_default()
         };
+        let paying = PromptUrgency::Paying;
+        let short = least(LengthClass::Short, paying, SHORT_SAMPLE_TOKENS);
+        let long = least(LengthClass::Long, paying, LONG_SAMPLE_TOKENS);
+        let trial = least(
+            LengthClass::Short,
+            PromptUrgency::Trial,
+            SHORT_SAMPLE_TOKENS,
+        );
         let waiting = |class: LengthClass, plan| {
             let sums = pools
                 .iter()
                 .map(|pool| self.queue.waiting_to(*pool, class, plan));
             sums.sum::<Duration>() / count.max(1)
         };
-        let idle = engines
+        let calm = engines
             .iter()
-            .filter(|(_, view)| view.is_idle(&self.node))
+            .filter(|(_, view)| view.is_calm(&self.node))
+            .count();
+        let lent = engines
+            .iter()
+            .filter(|(_, view)| view.lends(&self.node))
             .count();
         let load = self.meter.as_ref().map_or(0.0, |load| {
             load.engines(now, LengthClass::Short) / f64::from(count.max(1))
@@ -122,11 +134,12 @@
             version: version.clone(),
             adapters: adapters(engines, model, version),
             engines: count,
-            idle: u32::try_from(idle).unwrap_or(u32::MAX),
+            calm: u32::try_from(calm).unwrap_or(u32::MAX),
+            lent: u32::try_from(lent).unwrap_or(u32::MAX),
             short_load: thousandths(load),
-            short_wait: least(short) + waiting(LengthClass::Short, PlanKind::Paying),
-            long_wait: least(long) + waiting(LengthClass::Long, PlanKind::Paying),
-            trial_wait: least(trial) + all + waiting(LengthClass::Gang, PlanKind::Trial),
+            short_wait: short + waiting(LengthClass::Short, PlanKind::Paying),
+            long_wait: long + waiting(LengthClass::Long, PlanKind::Paying),
+            trial_wait: trial + all + waiting(LengthClass::Gang, PlanKind::Trial),
             kv_free: engines
                 .iter()
                 .map(|(_, view)| view.kv_free(&self.node))
--- a/components/routing/src/view.rs
+++ b/components/routing/src/view.rs
@@ -22,6 +22,10 @@
 const PACE_MIN: f64 = 0.25;
 /// Mean time until an engine that prefills other work takes up a new prompt.
 const STEP_RESIDUAL: Duration = Duration::from_millis(20);
+/// Times that a prompt in prefill must be longer for another to preempt it.
+const PREEMPT_RATIO: u32 = 4;
+/// Part of a prefill's expected time taken to be left when it is over.
+const OVERDUE_PART: f64 = 0.05;
 /// Factor on an engine's times while it computes for another's sequence.
 const LENDING_SLOWDOWN: f64 = 2.0;
 
@@ -46,6 +50,8 @@
     pub(crate) phase: FlightPhase,
     /// Prefill time left if nothing else ran.
     pub(crate) left: Duration,
+    /// Least prefill time taken to be left until the first token comes.
+    pub(crate) least: Duration,
     pub(crate) dispatched: Instant,
     /// Whether another prefill ran beside it.
     pub(crate) shared: bool,
@@ -113,7 +119,7 @@
             let Some(flight) = self.next_prefill() else {
                 return;
             };
-            let done = flight.left.min(left);
+            let done = flight.left.saturating_sub(flight.least).min(left);
             flight.left -= done;
             left -= done;
         }
@@ -177,6 +183,7 @@
         let flight = self.flight(request, attempt)?;
         if flight.phase == FlightPhase::Prefill && flight.class != LengthClass::Gang {
             flight.left = left;
+            flight.least = least_left(left);
         }
         Some(left)
     }
@@ -237,22 +244,68 @@
         self.flights.len() < (limit / part).max(1)
     }
 
-    /// Prefill work that runs before a new prompt of `priority`.
-    pub(crate) fn ahead(&self, priority: u32) -> Duration {
-        self.flights
+    /// Prefill work that runs before a new prompt. A longer prompt waits for
+    /// all others that are not short, unless it is much shorter than the only
+    /// one and may preempt it; a long one lets short trial work end first.
+    pub(crate) fn ahead(&self, class: LengthClass, priority: u32, work: Duration) -> Duration {
+        let first: Duration = self
+            .flights
             .iter()
-            .filter(|flight| flight.priority <= priority)
+            .filter(|flight| {
+                let let_end = class > LengthClass::Medium && flight.class == LengthClass::Short;
+                flight.priority <= priority || let_end
+            })
             .map(|flight| flight.left)
-            .sum()
+            .sum();
+        if class == LengthClass::Short {
+            return first;
+        }
+        let mut long = self.long_prefills().map(|flight| flight.left);
+        let (Some(one), other) = (long.next(), long.next()) else {
+            return first;
+        };
+        if other.is_none() && work.saturating_mul(PREEMPT_RATIO) <= one {
+            return first;
+        }
+        first.max(self.long_prefills().map(|flight| flight.left).sum())
     }
 
-    /// Time until a new prompt of `priority` gets the engine's prefill.
-    pub(crate) fn wait(&self, node: &NodeId, priority: u32) -> Duration {
-        let ahead = self.ahead(priority);
-        if ahead.is_zero() && !self.is_idle(node) {
+    /// Mean time until the engine takes up a prompt that nothing is ahead of.
+    pub(crate) fn residual(&self, node: &NodeId) -> Duration {
+        if !self.is_idle(node) {
             return STEP_RESIDUAL;
         }
-        ahead
+        if self.flights.is_empty() {
+            return Duration::ZERO;
+        }
+        self.report.profile.decode_step / 2
+    }
+
+    /// Time that a prompt's first token comes later here than on an idle
+    /// engine.
+    pub(crate) fn delay(
+        &self,
+        node: &NodeId,
+        class: LengthClass,
+        priority: u32,
+        prompt: TokenCount,
+    ) -> Duration {
+        let alone = self.speed.prefill(&self.report.profile, 0, prompt);
+        let here = self.prefill_time(node, 0, prompt);
+        self.ahead(class, priority, alone) + self.residual(node) + here.saturating_sub(alone)
+    }
+
+    /// Prefills that are not short.
+    pub(crate) fn long_prefills(&self) -> impl Iterator<Item = &EngineFlight> {
+        self.flights
+            .iter()
+            .filter(|flight| flight.class != LengthClass::Short)
+            .filter(|flight| flight.phase == FlightPhase::Prefill)
+    }
+
+    /// Whether no longer prompt is in prefill here.
+    pub(crate) fn is_calm(&self, node: &NodeId) -> bool {
+        self.long_prefills().next().is_none() && !self.lends(node)
     }
 
     /// Whether nothing is in prefill here.
@@ -301,7 +354,7 @@
     fn next_prefill(&mut self) -> Option<&mut EngineFlight> {
         self.flights
             .iter_mut()
-            .filter(|flight| flight.phase == FlightPhase::Prefill && !flight.left.is_zero())
+            .filter(|flight| flight.phase == FlightPhase::Prefill && flight.left > flight.least)
             .min_by_key(|flight| (flight.priority, flight.dispatched))
     }
 
@@ -316,3 +369,8 @@
         running.chain(ended).sum()
     }
 }
+
+/// Prefill time taken to be left of one that should be over.
+pub(crate) fn least_left(expected: Duration) -> Duration {
+    expected.mul_f64(OVERDUE_PART)
+}
