--- /dev/null
+++ b/components/standins/tests/contract/engine.rs
@@ -0,0 +1,349 @@
+//! The model engine without faults.
+
+use std::{sync::Arc, time::Duration};
+
+use errors::UpstreamError;
+use futures_lite::StreamExt;
+use kernel::{CancellationToken, ClockSource};
+use smol::{Timer, block_on};
+use standins::{EngineSettings, StandinEngine, expected_answer};
+use types::{EngineOrder, EngineRole, estimate_tokens};
+use upstream::{
+    EngineCall, EngineEvent, HttpEngine, KvImport, KvReservation, ModelEngine, SequenceMember,
+    TokenStream,
+};
+
+use crate::fixture::{CALL_LIMIT, base_model, engine};
+
+const POLL: Duration = Duration::from_millis(5);
+
+/// An engine a hundred times faster than the model.
+pub fn fast_settings() -> EngineSettings {
+    EngineSettings {
+        time_scale: 0.01,
+        models: vec![base_model()],
+        load_ms: 20,
+        report_interval_ms: 10,
+        ..EngineSettings::default()
+    }
+}
+
+pub fn with_both_engines(
+    settings: &EngineSettings,
+    check: &impl AsyncFn(&dyn ModelEngine, &StandinEngine),
+) {
+    block_on(async {
+        let memory = StandinEngine::new(settings.clone(), ClockSource::System);
+        let token = CancellationToken::new();
+        let driven = drive(memory.clone(), token.clone());
+        let drive = smol::spawn(driven);
+        check(memory.as_ref(), memory.as_ref()).await;
+        token.cancel();
+        drive.await;
+        let running = engine(settings.clone()).await;
+        let address = running.server.address().to_owned();
+        let adapter = HttpEngine::new(address, ClockSource::System, CALL_LIMIT);
+        check(&adapter, running.server.engine()).await;
+    });
+}
+
+async fn drive(engine: Arc<StandinEngine>, token: CancellationToken) {
+    engine.drive(token).await;
+}
+
+pub fn call(request: &str, prompt: &str, output_tokens: u64) -> EngineCall {
+    EngineCall {
+        request: request.to_owned(),
+        attempt: 1,
+        model: "ash".to_owned(),
+        version: "v1".to_owned(),
+        adapter: None,
+        prompt: prompt.to_owned(),
+        output_tokens,
+        resume_at: 0,
+        priority: 1,
+        deadline_in: CALL_LIMIT,
+        members: Vec::new(),
+        traceparent: String::new(),
+    }
+}
+
+/// What a stream brought, and how it ended.
+#[derive(Debug, Default)]
+pub struct StreamRecord {
+    pub text: String,
+    pub indices: Vec<u64>,
+    pub cached: u64,
+    pub finished: Option<u64>,
+    pub failed: Option<String>,
+    pub fault: Option<UpstreamError>,
+}
+
+pub async fn read_all(mut stream: TokenStream) -> StreamRecord {
+    let mut record = StreamRecord::default();
+    while let Some(event) = stream.next().await {
+        match event {
+            Ok(EngineEvent::Started { cached_tokens, .. }) => record.cached = cached_tokens,
+            Ok(EngineEvent::Token { index, text, .. }) => {
+                record.indices.push(index);
+                record.text.push_str(&text);
+            }
+            Ok(EngineEvent::Finished { tokens, .. }) => record.finished = Some(tokens),
+            Ok(EngineEvent::Failed { cause, .. }) => record.failed = Some(cause),
+            Err(fault) => record.fault = Some(fault),
+        }
+    }
+    record
+}
+
+/// Waits until the condition holds; a test that hangs here fails by its
+/// runner's own limit.
+pub async fn until(mut condition: impl AsyncFnMut() -> bool) {
+    while !condition().await {
+        Timer::after(POLL).await;
+    }
+}
+
+fn answer(prompt: &str, tokens: u64) -> String {
+    let model = base_model();
+    expected_answer(&model.model, &model.version, None, prompt, tokens)
+}
+
+#[test]
+fn an_answer_is_whole_and_depends_on_its_prompt_alone() {
+    with_both_engines(&fast_settings(), &async |engine, _| {
+        let prompts = ["first".repeat(500), "second".repeat(2_000)];
+        for (number, prompt) in prompts.iter().enumerate() {
+            let call = call(&format!("r{number}"), prompt, 20);
+            let record = read_all(engine.submit(call).await.expect("submit")).await;
+            assert_eq!(record.finished, Some(20));
+            assert_eq!(record.indices, (0..20).collect::<Vec<_>>());
+            assert_eq!(record.text, answer(prompt, 20));
+        }
+    });
+}
+
+#[test]
+fn a_resumed_answer_goes_on_where_it_stopped() {
+    with_both_engines(&fast_settings(), &async |engine, _| {
+        let prompt = "a plume brief";
+        let resumed = EngineCall {
+            resume_at: 7,
+            ..call("r1", prompt, 12)
+        };
+        let record = read_all(engine.submit(resumed).await.expect("submit")).await;
+        assert_eq!(record.indices, (7..12).collect::<Vec<_>>());
+        let whole = answer(prompt, 7) + &record.text;
+        assert_eq!(whole, answer(prompt, 12));
+    });
+}
+
+#[test]
+fn a_prompt_seen_before_is_found_in_the_cache_and_told_in_events() {
+    with_both_engines(&fast_settings(), &async |engine, _| {
+        let prompt = "digest ".repeat(2_000);
+        let first = engine.submit(call("r1", &prompt, 2)).await.expect("first");
+        assert_eq!(read_all(first).await.cached, 0);
+        let second = engine.submit(call("r2", &prompt, 2)).await.expect("second");
+        let cached = read_all(second).await.cached;
+        assert!(cached > estimate_tokens(&prompt) / 2, "{cached}");
+        let batch = engine.cache_events(0).await.expect("cache events");
+        assert!(!batch.events.is_empty());
+        assert_eq!(batch.next, batch.first + batch.events.len() as u64);
+        let rest = engine.cache_events(batch.next).await.expect("rest");
+        assert!(rest.events.is_empty());
+    });
+}
+
+#[test]
+fn a_dropped_stream_and_a_cancelled_attempt_free_their_memory() {
+    let slow = EngineSettings {
+        time_scale: 1.0,
+        ..fast_settings()
+    };
+    with_both_engines(&slow, &async |engine, standin| {
+        let prompt = "sweep ".repeat(100_000);
+        let stream = engine.submit(call("r1", &prompt, 9)).await.expect("submit");
+        until(async || standin.used_tokens() > 0).await;
+        drop(stream);
+        until(async || standin.used_tokens() == 0).await;
+
+        let stream = engine.submit(call("r2", &prompt, 9)).await.expect("submit");
+        until(async || standin.used_tokens() > 0).await;
+        engine.cancel(&"r2".to_owned(), 1).await.expect("cancel");
+        let record = read_all(stream).await;
+        assert_eq!((record.finished, record.text.as_str()), (None, ""));
+        assert!(record.failed.is_some() || record.fault.is_some());
+        assert_eq!(standin.used_tokens(), 0);
+    });
+}
+
+#[test]
+fn reserved_memory_comes_back_by_release_and_by_itself() {
+    with_both_engines(&fast_settings(), &async |engine, standin| {
+        let hold = |attempt, lifetime| KvReservation {
+            request: "r1".to_owned(),
+            attempt,
+            holder: "node-1".to_owned(),
+            tokens: 300_000,
+            lifetime,
+        };
+        let first = engine.reserve(hold(1, CALL_LIMIT)).await;
+        first.expect("reserve");
+        let fault = engine.reserve(hold(2, CALL_LIMIT)).await;
+        let fault = fault.expect_err("no memory");
+        assert!(matches!(
+            fault,
+            UpstreamError::Refused {
+                retry_after: Some(_),
+                ..
+            }
+        ));
+        engine.release(&"r1".to_owned(), 1).await.expect("release");
+        assert_eq!(standin.used_tokens(), 0);
+        let brief = hold(2, Duration::from_millis(20));
+        engine.reserve(brief).await.expect("reserve");
+        until(async || standin.used_tokens() == 0).await;
+    });
+}
+
+#[test]
+fn orders_load_models_and_set_the_role() {
+    with_both_engines(&fast_settings(), &async |engine, _| {
+        let mut wanted = base_model();
+        wanted.version = "v2".to_owned();
+        let newer = EngineCall {
+            version: "v2".to_owned(),
+            ..call("r1", "brief", 2)
+        };
+        let refused = engine.submit(newer.clone()).await.err().expect("refused");
+        assert!(matches!(refused, UpstreamError::Refused { .. }));
+        let order = EngineOrder {
+            owner: "node-1".to_owned(),
+            fencing: 3,
+            role: EngineRole::Long,
+            models: vec![base_model(), wanted.clone()],
+        };
+        engine.order(order).await.expect("order");
+        until(async || {
+            let report = engine.report().await.expect("report");
+            let loaded = report.models.contains(&wanted);
+            loaded && report.role == EngineRole::Long && report.fencing == 3
+        })
+        .await;
+        let stream = engine.submit(newer).await.expect("submit");
+        assert_eq!(read_all(stream).await.finished, Some(2));
+    });
+}
+
+#[test]
+fn an_older_order_is_refused_or_taken_as_the_engine_checks() {
+    for checks_fencing in [true, false] {
+        let settings = EngineSettings {
+            checks_fencing,
+            ..fast_settings()
+        };
+        with_both_engines(&settings, &async |engine, _| {
+            let order = |fencing, role| EngineOrder {
+                owner: "node-1".to_owned(),
+                fencing,
+                role,
+                models: vec![base_model()],
+            };
+            let newer = engine.order(order(9, EngineRole::Long)).await;
+            newer.expect("newer");
+            match engine.order(order(8, EngineRole::Short)).await {
+                Ok(()) => assert!(!checks_fencing),
+                Err(UpstreamError::Fenced { newest, .. }) => assert_eq!(newest, 9),
+                Err(fault) => panic!("{fault}"),
+            }
+            let expected = if checks_fencing {
+                EngineRole::Long
+            } else {
+                EngineRole::Short
+            };
+            until(async || engine.report().await.expect("report").role == expected).await;
+        });
+    }
+}
+
+#[test]
+fn an_exported_cache_is_imported_by_another_engine() {
+    let source_settings = EngineSettings {
+        time_scale: 0.1,
+        ..fast_settings()
+    };
+    block_on(async {
+        let source = engine(source_settings).await;
+        let source_address = source.server.address().to_owned();
+        let exporter = HttpEngine::new(source_address.clone(), ClockSource::System, CALL_LIMIT);
+        let prompt = "bundle ".repeat(10_000);
+        let long = call("r1", &prompt, 10_000);
+        let mut stream = exporter.submit(long).await.expect("submit");
+        while !matches!(stream.next().await, Some(Ok(EngineEvent::Token { .. }))) {}
+        let export = exporter.export_kv(&"r1".to_owned(), 1, CALL_LIMIT).await;
+        let export = export.expect("export");
+        assert!(export.tokens >= estimate_tokens(&prompt));
+        assert!(read_all(stream).await.failed.is_some());
+
+        with_both_engines(&fast_settings(), &async |importer, _| {
+            let import = KvImport {
+                request: "r1".to_owned(),
+                attempt: 2,
+                source: source_address.clone(),
+                export: export.export.clone(),
+                holder: "node-1".to_owned(),
+                lifetime: CALL_LIMIT,
+            };
+            let unknown = KvImport {
+                export: "none".to_owned(),
+                ..import.clone()
+            };
+            importer.import_kv(unknown).await.expect_err("unknown");
+            importer.import_kv(import).await.expect("import");
+            let moved = EngineCall {
+                attempt: 2,
+                ..call("r1", &prompt, 5)
+            };
+            let stream = importer.submit(moved).await.expect("submit");
+            let record = read_all(stream).await;
+            assert!(record.cached >= estimate_tokens(&prompt) - 1);
+            assert_eq!(record.text, answer(&prompt, 5));
+        });
+    });
+}
+
+#[test]
+fn a_prompt_larger_than_one_engine_runs_on_several() {
+    block_on(async {
+        let member = engine(fast_settings()).await;
+        let member_address = member.server.address().to_owned();
+        let lender = HttpEngine::new(member_address.clone(), ClockSource::System, CALL_LIMIT);
+        let prompt = "x".repeat(4 * 500_000);
+        let hold = KvReservation {
+            request: "r1".to_owned(),
+            attempt: 1,
+            holder: "node-1".to_owned(),
+            tokens: 250_000,
+            lifetime: CALL_LIMIT,
+        };
+        lender.reserve(hold).await.expect("reserve");
+        with_both_engines(&fast_settings(), &async |engine, _| {
+            let alone = engine.submit(call("r1", &prompt, 3)).await;
+            let fault = alone.err().expect("too large");
+            assert!(matches!(fault, UpstreamError::Refused { status: 413, .. }));
+            let shared = EngineCall {
+                members: vec![SequenceMember {
+                    engine: "engine-2".to_owned(),
+                    address: member_address.clone(),
+                    tokens: 250_000,
+                }],
+                ..call("r1", &prompt, 3)
+            };
+            let stream = engine.submit(shared).await.expect("submit");
+            let record = read_all(stream).await;
+            assert_eq!(record.finished, Some(3), "{record:?}");
+            assert_eq!(record.text, answer(&prompt, 3));
+        });
+    });
+}
--- /dev/null
+++ b/components/standins/tests/contract/engine_faults.rs
@@ -0,0 +1,180 @@
+//! The model engine when it crashes, lags or is not there.
+
+use std::time::Duration;
+
+use kernel::ClockSource;
+use platform::{HostList, HostState, HttpHosts};
+use smol::block_on;
+use standins::{EngineSettings, HostListing, PlatformSettings};
+use upstream::{EngineCall, HttpEngine, KvReservation, ModelEngine, SequenceMember};
+
+use crate::{
+    engine::{call, fast_settings, read_all, until, with_both_engines},
+    fixture::{CALL_LIMIT, CallOutcome, closed_address, engine, platform, upstream_outcome},
+};
+
+fn slow_settings() -> EngineSettings {
+    EngineSettings {
+        time_scale: 1.0,
+        ..fast_settings()
+    }
+}
+
+#[test]
+fn a_killed_engine_never_ends_a_stream_as_if_it_were_whole() {
+    with_both_engines(&slow_settings(), &async |engine, standin| {
+        let streams = [
+            engine.submit(call("r1", "brief", 10_000)).await,
+            engine.submit(call("r2", &"x".repeat(900_000), 9)).await,
+        ];
+        until(async || standin.used_tokens() > 0).await;
+        standin.kill(None);
+        for stream in streams {
+            let record = read_all(stream.expect("submit")).await;
+            assert_eq!(record.finished, None);
+            let fault = record.fault.expect("a fault");
+            assert!(fault.effect_unknown(), "{fault}");
+        }
+        assert_eq!(standin.used_tokens(), 0);
+        until(async || {
+            let outcome = engine.report().await;
+            upstream_outcome(&outcome) == CallOutcome::Unreachable
+        })
+        .await;
+    });
+}
+
+#[test]
+fn a_prompt_with_the_marker_crashes_each_life_of_the_engine() {
+    block_on(async {
+        let running = engine(EngineSettings {
+            crash_marker: "poison".to_owned(),
+            restart_ms: Some(10),
+            incarnation: 4,
+            ..fast_settings()
+        })
+        .await;
+        let address = running.server.address().to_owned();
+        let adapter = HttpEngine::new(address, ClockSource::System, CALL_LIMIT);
+        for life in 5..7 {
+            let poisoned = call("r1", "a poison prompt", 5);
+            let record = read_all(adapter.submit(poisoned).await.expect("submit")).await;
+            assert!(record.fault.is_some());
+            assert!(record.indices.is_empty());
+            until(async || adapter.report().await.is_ok()).await;
+            let report = adapter.report().await.expect("report");
+            assert_eq!(report.profile.incarnation, life);
+            let harmless = adapter.submit(call("r2", "brief", 5)).await;
+            let record = read_all(harmless.expect("submit")).await;
+            assert_eq!(record.finished, Some(5));
+        }
+        assert_eq!(running.server.engine().submits(), 4);
+    });
+}
+
+#[test]
+fn an_attempt_fails_when_a_member_is_missing_or_dies() {
+    block_on(async {
+        let member = engine(slow_settings()).await;
+        let address = member.server.address().to_owned();
+        let lender = HttpEngine::new(address.clone(), ClockSource::System, CALL_LIMIT);
+        let running = engine(slow_settings()).await;
+        let adapter = HttpEngine::new(
+            running.server.address().to_owned(),
+            ClockSource::System,
+            CALL_LIMIT,
+        );
+        let shared = |request: &str, address: String| EngineCall {
+            members: vec![SequenceMember {
+                engine: "engine-2".to_owned(),
+                address,
+                tokens: 250_000,
+            }],
+            ..call(request, &"x".repeat(4 * 500_000), 3)
+        };
+        let cases = [
+            ("nobody listens", closed_address().await),
+            ("nothing is held", address.clone()),
+        ];
+        for (name, address) in cases {
+            let stream = adapter.submit(shared(name, address)).await;
+            let record = read_all(stream.expect("submit")).await;
+            assert!(record.failed.is_some(), "{name}: {record:?}");
+        }
+        let hold = KvReservation {
+            request: "r3".to_owned(),
+            attempt: 1,
+            holder: "node-1".to_owned(),
+            tokens: 250_000,
+            lifetime: CALL_LIMIT,
+        };
+        lender.reserve(hold).await.expect("reserve");
+        let stream = adapter.submit(shared("r3", address)).await;
+        let stream = stream.expect("submit");
+        until(async || running.server.engine().used_tokens() > 0).await;
+        member.server.engine().kill(None);
+        let record = read_all(stream).await;
+        assert!(record.failed.is_some(), "{record:?}");
+        assert_eq!(running.server.engine().used_tokens(), 0);
+    });
+}
+
+#[test]
+fn reports_and_cache_events_come_late_and_events_with_gaps() {
+    let settings = EngineSettings {
+        report_delay_ms: 60_000,
+        cache_delay_ms: 60_000,
+        ..fast_settings()
+    };
+    with_both_engines(&settings, &async |engine, standin| {
+        let prompt = "digest ".repeat(2_000);
+        until(async || engine.report().await.is_ok()).await;
+        let stream = engine.submit(call("r1", &prompt, 200)).await;
+        read_all(stream.expect("submit")).await;
+        let report = engine.report().await.expect("report");
+        assert_eq!((report.generated, standin.submits()), (0, 1));
+        let batch = engine.cache_events(0).await.expect("cache events");
+        assert!(batch.events.is_empty());
+    });
+    let settings = EngineSettings {
+        cache_gap_every: 5,
+        ..fast_settings()
+    };
+    with_both_engines(&settings, &async |engine, _| {
+        let prompt = "digest ".repeat(4 * 2_000);
+        let stream = engine.submit(call("r1", &prompt, 2)).await;
+        read_all(stream.expect("submit")).await;
+        let batch = engine.cache_events(0).await.expect("cache events");
+        assert!(batch.first > 0);
+        assert_eq!(batch.next, batch.first + batch.events.len() as u64);
+    });
+}
+
+#[test]
+fn an_engine_lists_its_lives_and_its_leaving() {
+    block_on(async {
+        let clock = ClockSource::System;
+        let hosts = platform(PlatformSettings::default(), clock.clone()).await;
+        let platform_address = hosts.server.address().to_owned();
+        let running = engine(EngineSettings {
+            listing: HostListing {
+                platform: platform_address.clone(),
+            },
+            ..fast_settings()
+        })
+        .await;
+        let list = HttpHosts::new(platform_address, clock, CALL_LIMIT);
+        let listed = async |incarnation, state| {
+            let hosts = list.hosts().await.expect("hosts");
+            let mut hosts = hosts.iter();
+            hosts.any(|host| host.incarnation == incarnation && host.state == state)
+        };
+        until(async || listed(1, HostState::Live).await).await;
+        running.server.engine().kill(Some(Duration::from_millis(5)));
+        until(async || listed(2, HostState::Live).await).await;
+        running.server.leave().await;
+        assert!(listed(2, HostState::Leaving).await);
+        running.server.engine().kill(None);
+        until(async || list.hosts().await.expect("hosts").is_empty()).await;
+    });
+}
--- /dev/null
+++ b/components/standins/tests/contract/fixture.rs
@@ -0,0 +1,176 @@
+//! Stand-ins on ports of the system, run for the length of a test.
+
+use std::{sync::Arc, time::Duration};
+
+use errors::{PlatformError, UpstreamError};
+use kernel::{CancellationToken, ClockSource};
+use platform::fakes::{EdgeFaults, OutageKind};
+use smol::{Task, net::TcpListener};
+use standins::{
+    EngineServer, EngineSettings, PlatformServer, PlatformSettings, ServiceServer, ServiceSettings,
+};
+use types::LoadedModel;
+
+/// Longer than any call of a test takes.
+pub const CALL_LIMIT: Duration = Duration::from_secs(30);
+/// For calls that must run into it.
+pub const SHORT_LIMIT: Duration = Duration::from_millis(50);
+
+/// A stand-in's task, cancelled when the test ends.
+pub struct RunningStandin<T> {
+    pub server: Arc<T>,
+    token: CancellationToken,
+    _task: Task<()>,
+}
+
+impl<T> Drop for RunningStandin<T> {
+    fn drop(&mut self) {
+        self.token.cancel();
+    }
+}
+
+fn start<T, W: Future<Output = ()> + Send + 'static>(
+    server: Arc<T>,
+    run: impl FnOnce(Arc<T>, CancellationToken) -> W,
+) -> RunningStandin<T> {
+    let token = CancellationToken::new();
+    let task = smol::spawn(run(server.clone(), token.clone()));
+    RunningStandin {
+        server,
+        token,
+        _task: task,
+    }
+}
+
+pub async fn platform(
+    settings: PlatformSettings,
+    clock: ClockSource,
+) -> RunningStandin<PlatformServer> {
+    let bound = PlatformServer::bind("127.0.0.1:0", settings, clock).await;
+    start(bound.expect("bind"), PlatformServer::run)
+}
+
+pub async fn engine(settings: EngineSettings) -> RunningStandin<EngineServer> {
+    let bound = EngineServer::bind("127.0.0.1:0", settings, ClockSource::System).await;
+    start(bound.expect("bind"), EngineServer::run)
+}
+
+pub async fn service(settings: ServiceSettings) -> RunningStandin<ServiceServer> {
+    let bound = ServiceServer::bind("127.0.0.1:0", settings, ClockSource::System).await;
+    start(bound.expect("bind"), ServiceServer::run)
+}
+
+/// An address at which nobody listens.
+pub async fn closed_address() -> String {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("bind");
+    listener.local_addr().expect("address").to_string()
+}
+
+/// The model that stand-in engines of the tests hold.
+pub fn base_model() -> LoadedModel {
+    LoadedModel {
+        model: "ash".to_owned(),
+        version: "v1".to_owned(),
+        adapters: vec!["desk".to_owned()],
+    }
+}
+
+/// How a call ended, without its texts.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum CallOutcome {
+    Done,
+    Unreachable,
+    Unanswered,
+    Refused,
+    Conflict,
+    Malformed,
+}
+
+pub fn platform_outcome<T>(outcome: &Result<T, PlatformError>) -> CallOutcome {
+    match outcome {
+        Ok(_) => CallOutcome::Done,
+        Err(PlatformError::Unreachable { .. }) => CallOutcome::Unreachable,
+        Err(PlatformError::Unanswered { .. }) => CallOutcome::Unanswered,
+        Err(PlatformError::Refused { .. }) => CallOutcome::Refused,
+        Err(PlatformError::Conflict { .. }) => CallOutcome::Conflict,
+        Err(PlatformError::Malformed { .. }) => CallOutcome::Malformed,
+    }
+}
+
+pub fn upstream_outcome<T>(outcome: &Result<T, UpstreamError>) -> CallOutcome {
+    match outcome {
+        Ok(_) => CallOutcome::Done,
+        Err(UpstreamError::Refused { .. }) => CallOutcome::Refused,
+        Err(UpstreamError::Fenced { .. }) => CallOutcome::Conflict,
+        Err(UpstreamError::Malformed { .. }) => CallOutcome::Malformed,
+        Err(fault) if fault.effect_unknown() => CallOutcome::Unanswered,
+        Err(_) => CallOutcome::Unreachable,
+    }
+}
+
+/// A fault, how a write under it ends, and whether it takes effect.
+pub struct FaultCase {
+    pub name: &'static str,
+    pub faults: EdgeFaults,
+    pub outcome: CallOutcome,
+    pub takes_effect: bool,
+}
+
+/// The faults of one write that all edges share.
+pub fn write_faults() -> Vec<FaultCase> {
+    let faults = EdgeFaults::default;
+    vec![
+        FaultCase {
+            name: "no fault",
+            faults: faults(),
+            outcome: CallOutcome::Done,
+            takes_effect: true,
+        },
+        FaultCase {
+            name: "slow before and after the effect",
+            faults: EdgeFaults {
+                delay_ms: 5,
+                answer_delay_ms: 5,
+                ..faults()
+            },
+            outcome: CallOutcome::Done,
+            takes_effect: true,
+        },
+        FaultCase {
+            name: "refused while down",
+            faults: EdgeFaults {
+                outage: OutageKind::Refuse,
+                ..faults()
+            },
+            outcome: CallOutcome::Refused,
+            takes_effect: false,
+        },
+        FaultCase {
+            name: "cut while down",
+            faults: EdgeFaults {
+                outage: OutageKind::Cut,
+                ..faults()
+            },
+            outcome: CallOutcome::Unanswered,
+            takes_effect: false,
+        },
+        FaultCase {
+            name: "request lost",
+            faults: EdgeFaults {
+                lose_requests: 1,
+                ..faults()
+            },
+            outcome: CallOutcome::Unanswered,
+            takes_effect: false,
+        },
+        FaultCase {
+            name: "answer lost after the effect",
+            faults: EdgeFaults {
+                lose_answers: 1,
+                ..faults()
+            },
+            outcome: CallOutcome::Unanswered,
+            takes_effect: true,
+        },
+    ]
+}
--- /dev/null
+++ b/components/standins/tests/contract/objects.rs
@@ -0,0 +1,53 @@
+//! The object store.
+
+use kernel::ClockSource;
+use platform::{
+    HttpObjects, ObjectStore,
+    fakes::{EdgeFaults, MemoryObjects},
+};
+use smol::block_on;
+use standins::PlatformSettings;
+
+use crate::fixture::{CALL_LIMIT, platform, platform_outcome, write_faults};
+
+fn with_both_stores(check: &impl AsyncFn(&dyn ObjectStore, &MemoryObjects)) {
+    block_on(async {
+        let memory = MemoryObjects::new(ClockSource::System);
+        check(&memory, &memory).await;
+        let running = platform(PlatformSettings::default(), ClockSource::System).await;
+        let address = running.server.address().to_owned();
+        let adapter = HttpObjects::new(address, ClockSource::System, CALL_LIMIT);
+        check(&adapter, running.server.objects()).await;
+    });
+}
+
+#[test]
+fn writes_under_faults_end_truthfully() {
+    with_both_stores(&async |store, faults| {
+        for case in write_faults() {
+            faults.switch().set(case.faults);
+            let outcome = store.put(case.name, b"body".to_vec()).await;
+            faults.switch().set(EdgeFaults::default());
+            assert_eq!(platform_outcome(&outcome), case.outcome, "{}", case.name);
+            let found = store.get(case.name).await.expect("get");
+            assert_eq!(found.is_some(), case.takes_effect, "{}", case.name);
+        }
+    });
+}
+
+#[test]
+fn bodies_and_keys_come_back_as_they_were() {
+    with_both_stores(&async |store, _| {
+        let all_bytes: Vec<u8> = (0..=u8::MAX).cycle().take(300_000).collect();
+        let bodies = [Vec::new(), vec![0], all_bytes];
+        let keys = ["notes/7.json", "a key?with=signs&more#é", "../up"];
+        for (key, body) in keys.iter().zip(&bodies) {
+            store.put(key, body.clone()).await.expect("put");
+        }
+        for (key, body) in keys.iter().zip(&bodies) {
+            let found = store.get(key).await.expect("get");
+            assert_eq!(found.as_ref(), Some(body), "{key}");
+        }
+        assert_eq!(store.get("notes").await, Ok(None));
+    });
+}
--- /dev/null
+++ b/components/standins/tests/contract/table.rs
@@ -0,0 +1,172 @@
+//! The table service.
+
+use std::time::Duration;
+
+use errors::PlatformError;
+use kernel::{ClockSource, PausedClock};
+use platform::{
+    HttpTable, ReadMode, RowExpectation, RowWrite, TableService,
+    fakes::{EdgeFaults, MemoryTable, OutageKind},
+};
+use smol::block_on;
+use standins::PlatformSettings;
+
+use crate::fixture::{
+    CALL_LIMIT, CallOutcome, SHORT_LIMIT, closed_address, platform, platform_outcome, write_faults,
+};
+
+/// Runs a check against the adapter with its stand-in, and the memory edge.
+fn with_both_tables(clock: &ClockSource, check: &impl AsyncFn(&dyn TableService, &MemoryTable)) {
+    block_on(async {
+        let memory = MemoryTable::new(clock.clone());
+        check(&memory, &memory).await;
+        let running = platform(PlatformSettings::default(), clock.clone()).await;
+        let address = running.server.address().to_owned();
+        let adapter = HttpTable::new(address, ClockSource::System, CALL_LIMIT);
+        check(&adapter, running.server.table()).await;
+    });
+}
+
+fn write(key: &str, expected: RowExpectation, value: Option<&str>) -> RowWrite {
+    RowWrite {
+        table: "orders".to_owned(),
+        key: key.to_owned(),
+        expected,
+        value: value.map(str::to_owned),
+    }
+}
+
+async fn value(table: &dyn TableService, key: &str, mode: ReadMode) -> Option<String> {
+    let row = table.read("orders", key, mode).await.expect("read");
+    row.map(|row| row.value)
+}
+
+#[test]
+fn writes_under_faults_end_truthfully() {
+    with_both_tables(&ClockSource::System, &async |table, faults| {
+        for case in write_faults() {
+            faults.switch().set(case.faults);
+            let writes = vec![write(case.name, RowExpectation::Absent, Some("1"))];
+            let outcome = table.transact(writes).await;
+            faults.switch().set(EdgeFaults::default());
+            assert_eq!(platform_outcome(&outcome), case.outcome, "{}", case.name);
+            let found = value(table, case.name, ReadMode::Latest).await;
+            assert_eq!(found.is_some(), case.takes_effect, "{}", case.name);
+        }
+    });
+}
+
+#[test]
+fn a_held_write_shows_up_later_under_its_own_expectation() {
+    with_both_tables(&ClockSource::System, &async |table, faults| {
+        faults.switch().change(|faults| faults.hold_writes = 2);
+        for key in ["late", "overtaken"] {
+            let writes = vec![write(key, RowExpectation::Absent, Some("held"))];
+            let outcome = table.transact(writes).await;
+            assert_eq!(platform_outcome(&outcome), CallOutcome::Unanswered);
+        }
+        assert_eq!(value(table, "late", ReadMode::Latest).await, None);
+        let writes = vec![write("overtaken", RowExpectation::Absent, Some("first"))];
+        table.transact(writes).await.expect("transact");
+        assert_eq!(faults.release_held(), 1);
+        let late = value(table, "late", ReadMode::Latest).await;
+        assert_eq!(late.as_deref(), Some("held"));
+        let overtaken = value(table, "overtaken", ReadMode::Latest).await;
+        assert_eq!(overtaken.as_deref(), Some("first"));
+    });
+}
+
+#[test]
+fn a_transaction_applies_whole_or_not_at_all() {
+    with_both_tables(&ClockSource::System, &async |table, _| {
+        let first = vec![write("a", RowExpectation::Absent, Some("1"))];
+        assert_eq!(table.transact(first).await, Ok(vec![1]));
+        let both = vec![
+            write("b", RowExpectation::Absent, Some("1")),
+            write("a", RowExpectation::Version(7), Some("2")),
+        ];
+        let fault = table.transact(both).await.expect_err("conflict");
+        let PlatformError::Conflict { key, found, .. } = fault else {
+            panic!("{fault}");
+        };
+        assert_eq!((key.as_str(), found), ("a", Some(1)));
+        assert_eq!(value(table, "b", ReadMode::Latest).await, None);
+        let both = vec![
+            write("b", RowExpectation::Any, Some("1")),
+            write("a", RowExpectation::Version(1), None),
+        ];
+        assert_eq!(table.transact(both).await, Ok(vec![1, 0]));
+        assert_eq!(value(table, "a", ReadMode::Latest).await, None);
+    });
+}
+
+#[test]
+fn a_scan_pages_through_a_prefix_in_key_order() {
+    with_both_tables(&ClockSource::System, &async |table, _| {
+        let keys = ["n/1", "n/2", "n/3", "m/9", "o/0"];
+        let writes = keys.map(|key| write(key, RowExpectation::Absent, Some("1")));
+        table.transact(writes.to_vec()).await.expect("transact");
+        let page = async |after: Option<&str>| {
+            let scan = table.scan("orders", "n/", after, 2, ReadMode::Latest);
+            let rows = scan.await.expect("scan");
+            rows.into_iter().map(|row| row.key).collect::<Vec<_>>()
+        };
+        assert_eq!(page(None).await, ["n/1", "n/2"]);
+        assert_eq!(page(Some("n/2")).await, ["n/3"]);
+        assert!(page(Some("n/3")).await.is_empty());
+    });
+}
+
+#[test]
+fn a_lagging_read_lags_and_a_latest_read_does_not() {
+    let paused = PausedClock::new();
+    let clock = ClockSource::Paused(paused.clone());
+    with_both_tables(&clock, &async |table, faults| {
+        faults.switch().change(|faults| faults.lag_ms = 1_000);
+        let writes = vec![write("row", RowExpectation::Absent, Some("new"))];
+        table.transact(writes).await.expect("transact");
+        assert!(value(table, "row", ReadMode::Latest).await.is_some());
+        assert!(value(table, "row", ReadMode::Lagging).await.is_none());
+        paused.advance(Duration::from_millis(999));
+        assert!(value(table, "row", ReadMode::Lagging).await.is_none());
+        paused.advance(Duration::from_millis(1));
+        assert!(value(table, "row", ReadMode::Lagging).await.is_some());
+    });
+}
+
+#[test]
+fn calls_over_the_rate_are_refused_with_a_time_to_come_back() {
+    let paused = PausedClock::new();
+    let clock = ClockSource::Paused(paused.clone());
+    with_both_tables(&clock, &async |table, faults| {
+        faults.switch().change(|faults| faults.writes_per_s = 2);
+        let once = || vec![write("row", RowExpectation::Any, Some("1"))];
+        table.transact(once()).await.expect("first");
+        table.transact(once()).await.expect("second");
+        let fault = table.transact(once()).await.expect_err("refused");
+        let PlatformError::Refused { retry_after, .. } = fault else {
+            panic!("{fault}");
+        };
+        paused.advance(retry_after.expect("a time to come back"));
+        assert_eq!(table.transact(once()).await, Ok(vec![3]));
+    });
+}
+
+#[test]
+fn an_adapter_tells_what_it_could_not_send_from_what_got_no_answer() {
+    block_on(async {
+        let writes = || vec![write("row", RowExpectation::Any, Some("1"))];
+        let clock = ClockSource::System;
+        let closed = HttpTable::new(closed_address().await, clock.clone(), CALL_LIMIT);
+        let outcome = closed.transact(writes()).await;
+        assert_eq!(platform_outcome(&outcome), CallOutcome::Unreachable);
+
+        let running = platform(PlatformSettings::default(), clock.clone()).await;
+        let address = running.server.address().to_owned();
+        let hasty = HttpTable::new(address, clock, SHORT_LIMIT);
+        let switch = running.server.table().switch();
+        switch.change(|faults| faults.outage = OutageKind::Hang);
+        let outcome = hasty.transact(writes()).await;
+        assert_eq!(platform_outcome(&outcome), CallOutcome::Unanswered);
+    });
+}
