Bound the head of an upstream's answer

Cause: the HTTP library reads a header line of any length into memory; an upstream that never ends its line held a call, and its memory, until the time limit. Change: the call's stream fails after 64 KiB without a whole head, and a whole body is limited to 16 MiB. Conclusion: the size limit ends such an answer.

--- a/components/transport/src/answer.rs
+++ b/components/transport/src/answer.rs
@@ -6,7 +6,7 @@
 use serde::de::DeserializeOwned;
 
 /// Longest body of an answer that is read whole, in bytes.
-pub const ANSWER_LIMIT_BYTES: u64 = 64 * 1024 * 1024;
+pub const ANSWER_LIMIT_BYTES: u64 = 16 * 1024 * 1024;
 
 /// An answer whose body was read to its stated end.
 #[derive(Debug)]
--- a/components/transport/src/caller.rs
+++ b/components/transport/src/caller.rs
@@ -219,6 +219,7 @@
         let head = client::connect(marked, request)
             .await
             .map_err(|fault| self.broken(step, mark.phase(), fault.to_string()))?;
+        mark.end_head();
         if !has_stated_end(&head) {
             return Err(self.malformed(step, "body without a stated end".to_owned()));
         }
