--- /dev/null
+++ b/components/node/src/daemon.rs
@@ -0,0 +1,282 @@
+//! Composing the services of a node, and stopping them.
+
+use std::{net::SocketAddr, sync::Arc, time::Duration};
+
+use entry::{BodyBudget, EntryLimits, EntryServer};
+use kernel::{CancellationToken, ClockSource, ServiceKernel};
+use membership::MemberSettings;
+use platform::{HostList, HttpHosts, HttpTable, TableService};
+use routing::SchedulerSettings;
+use settings::NodeSettings;
+use telemetry::{HopTracer, NodeMetrics};
+use wire::{KeyRing, SealKey};
+
+use crate::{
+    NodeError,
+    api::{ApiParts, api_handler},
+    directory::UpstreamDirectory,
+    fleet::FleetView,
+    links::MemberLinks,
+    members::{MemberConfig, MemberService},
+    notes::NoteService,
+    peers::{PeerClient, PeerHandler, PeerServer},
+    prompts::{PromptParts, PromptService},
+    sockets::{PeerSockets, member_identity},
+    watch::EngineWatch,
+};
+
+const SPAN_CAPACITY: usize = 20_000;
+const TICK_PAUSE: Duration = Duration::from_millis(20);
+const LIST_PAUSE: Duration = Duration::from_secs(2);
+const STOP_LIMIT: Duration = Duration::from_secs(5);
+
+/// A running node.
+pub struct NodeDaemon {
+    kernel: Arc<ServiceKernel>,
+    callers: SocketAddr,
+    peers: SocketAddr,
+}
+
+/// What every service is built from.
+struct DaemonBase {
+    settings: NodeSettings,
+    clock: ClockSource,
+    ring: Arc<KeyRing>,
+    metrics: Arc<NodeMetrics>,
+    tracer: HopTracer,
+    directory: Arc<UpstreamDirectory>,
+    fleet: Arc<FleetView>,
+    peers: Arc<PeerClient>,
+    notes: Arc<NoteService>,
+    prompts: Arc<PromptService>,
+    hosts: Arc<dyn HostList>,
+}
+
+impl DaemonBase {
+    fn new(settings: NodeSettings, clock: ClockSource) -> Self {
+        let limit = Duration::from_millis(settings.platform.timeout_ms);
+        let table: Arc<dyn TableService> = Arc::new(HttpTable::new(
+            settings.platform.table.clone(),
+            clock.clone(),
+            limit,
+        ));
+        let hosts = HttpHosts::new(settings.platform.hosts.clone(), clock.clone(), limit);
+        let ring = Arc::new(key_ring(&settings));
+        let metrics = Arc::new(NodeMetrics::default());
+        let tracer = HopTracer::new(&settings.node.id, SPAN_CAPACITY);
+        let directory = UpstreamDirectory::new(clock.clone());
+        let peers = PeerClient::new(settings.node.id.clone(), Arc::clone(&ring), clock.clone());
+        let prompts = PromptService::new(PromptParts {
+            node: settings.node.id.clone(),
+            zone: settings.node.zone.clone(),
+            clock: clock.clone(),
+            directory: Arc::clone(&directory),
+            peers: Arc::clone(&peers),
+            tracer: tracer.clone(),
+            metrics: Arc::clone(&metrics),
+            settings: SchedulerSettings {
+                seed: rand::random(),
+                ..SchedulerSettings::default()
+            },
+        });
+        Self {
+            fleet: FleetView::new(&settings.node.id, &settings.node.zone),
+            notes: NoteService::new(table, clock.clone()),
+            hosts: Arc::new(hosts),
+            settings,
+            clock,
+            ring,
+            metrics,
+            tracer,
+            directory,
+            peers,
+            prompts,
+        }
+    }
+
+    fn api_parts(&self, members: Arc<MemberService>) -> ApiParts {
+        ApiParts {
+            settings: self.settings.clone(),
+            clock: self.clock.clone(),
+            notes: Arc::clone(&self.notes),
+            prompts: Arc::clone(&self.prompts),
+            members,
+            directory: Arc::clone(&self.directory),
+            tracer: self.tracer.clone(),
+            metrics: Arc::clone(&self.metrics),
+        }
+    }
+
+    fn peer_handler(&self) -> PeerHandler {
+        PeerHandler {
+            own: self.settings.node.id.clone(),
+            ring: Arc::clone(&self.ring),
+            clock: self.clock.clone(),
+            prompts: Arc::clone(&self.prompts),
+            notes: Arc::clone(&self.notes),
+        }
+    }
+
+    fn links(&self, members: Arc<MemberService>) -> MemberLinks {
+        MemberLinks {
+            clock: self.clock.clone(),
+            members,
+            fleet: Arc::clone(&self.fleet),
+            peers: Arc::clone(&self.peers),
+            prompts: Arc::clone(&self.prompts),
+            metrics: Arc::clone(&self.metrics),
+        }
+    }
+
+    fn watch(&self) -> EngineWatch {
+        EngineWatch::new(
+            self.clock.clone(),
+            Arc::clone(&self.directory),
+            Arc::clone(&self.fleet),
+            Arc::clone(&self.prompts),
+        )
+    }
+
+    fn start_members(
+        &self,
+        kernel: &ServiceKernel,
+        sockets: &PeerSockets,
+        callers: SocketAddr,
+    ) -> Arc<MemberService> {
+        let seeds = self.settings.seeds.iter();
+        let config = MemberConfig {
+            identity: member_identity(&self.settings, sockets.address, callers),
+            ring: (*self.ring).clone(),
+            seeds: seeds.filter_map(|seed| seed.parse().ok()).collect(),
+            settings: MemberSettings {
+                seed: rand::random(),
+                ..MemberSettings::default()
+            },
+            list_period: LIST_PAUSE,
+        };
+        MemberService::start(
+            kernel,
+            sockets.datagrams.clone(),
+            config,
+            Arc::clone(&self.hosts),
+        )
+    }
+}
+
+impl NodeDaemon {
+    /// Starts every service of a node; `token` cuts them all at once.
+    ///
+    /// # Errors
+    /// `NodeError` when an address can't be bound.
+    pub async fn start(
+        settings: NodeSettings,
+        clock: ClockSource,
+        token: CancellationToken,
+    ) -> Result<Self, NodeError> {
+        let base = DaemonBase::new(settings, clock.clone());
+        let kernel = ServiceKernel::new(clock, token);
+        let sockets = PeerSockets::bind(&base.settings.addresses.peers).await?;
+        let entry = bind_entry(&base).await?;
+        let callers = entry.callers;
+        let peers = sockets.address;
+        let members = base.start_members(&kernel, &sockets, callers);
+        register(&kernel, &base)?;
+        start_background(&kernel, &base, &members);
+        let peer_server = PeerServer::new(sockets.listener, base.peer_handler());
+        kernel.start("peers", |token| peer_server.run(token));
+        let handler = api_handler(Arc::new(base.api_parts(members)));
+        let server = entry.server.with_handler(handler);
+        kernel.start("entry", |token| server.run(token));
+        log::info!(
+            "event=node_started node={} callers={callers} peers={peers}",
+            base.settings.node.id
+        );
+        Ok(Self {
+            kernel,
+            callers,
+            peers,
+        })
+    }
+
+    /// The address for callers and operators.
+    #[must_use]
+    pub fn callers_address(&self) -> SocketAddr {
+        self.callers
+    }
+
+    /// The address for other nodes.
+    #[must_use]
+    pub fn peers_address(&self) -> SocketAddr {
+        self.peers
+    }
+
+    /// Stops every service; returns the names of those that had to be cut.
+    pub async fn stop(self) -> Vec<String> {
+        self.kernel.stop(STOP_LIMIT).await
+    }
+}
+
+struct BoundEntry {
+    server: EntryServer,
+    callers: SocketAddr,
+}
+
+async fn bind_entry(base: &DaemonBase) -> Result<BoundEntry, NodeError> {
+    let address = &base.settings.addresses.callers;
+    let fault = |error: std::io::Error| NodeError::bind(address, &error);
+    let budget = BodyBudget::new(base.settings.limits.held_body_bytes);
+    let limits = entry_limits(&base.settings);
+    let server = EntryServer::bind(address, limits, budget, base.clock.clone())
+        .await
+        .map_err(fault)?;
+    let callers = server.local_address().map_err(fault)?;
+    Ok(BoundEntry { server, callers })
+}
+
+fn register(kernel: &ServiceKernel, base: &DaemonBase) -> Result<(), NodeError> {
+    kernel.register("notes", Arc::clone(&base.notes))?;
+    kernel.register("prompts", Arc::clone(&base.prompts))?;
+    kernel.register("directory", Arc::clone(&base.directory))?;
+    Ok(())
+}
+
+fn start_background(kernel: &ServiceKernel, base: &DaemonBase, members: &Arc<MemberService>) {
+    let notes = Arc::clone(&base.notes);
+    kernel.start("notes", |token| notes.run(token));
+    let directory = Arc::clone(&base.directory);
+    let hosts = Arc::clone(&base.hosts);
+    kernel.start("directory", |token| directory.run(hosts, token));
+    let prompts = Arc::clone(&base.prompts);
+    kernel.start("ticker", |token| prompts.run_ticker(TICK_PAUSE, token));
+    let watch = base.watch();
+    kernel.start("watch", |token| watch.run(token));
+    let links = base.links(Arc::clone(members));
+    kernel.start("changes", |token| links.clone().run_changes(token));
+    kernel.start("publisher", |token| links.clone().run_publisher(token));
+    kernel.start("reader", |token| links.run_reader(token));
+}
+
+fn entry_limits(settings: &NodeSettings) -> EntryLimits {
+    let timeouts = &settings.timeouts;
+    EntryLimits {
+        body_bytes: settings.limits.body_bytes,
+        connections: settings.limits.connections,
+        head_time: Duration::from_millis(timeouts.head_ms),
+        body_time: Duration::from_millis(timeouts.body_ms),
+        write_time: Duration::from_millis(timeouts.write_ms),
+    }
+}
+
+/// The settings have been checked: there is at least one key, in hexadecimal.
+fn key_ring(settings: &NodeSettings) -> KeyRing {
+    let mut keys: Vec<SealKey> = settings
+        .cluster_keys
+        .iter()
+        .map(|key| SealKey {
+            id: key.id,
+            secret: hex::decode(&key.secret).unwrap_or_default(),
+        })
+        .collect();
+    let signing = keys.remove(0);
+    KeyRing::new(signing, keys)
+}
