Show that bad input at the HTTP edge costs little and harms nobody

Nine kinds of malformed or oversized requests in a table, slow heads and bodies, a caller that never reads, one that leaves, and bodies that together pass the node's budget. The write limit is driven by the paused clock until the server has no connection left.

--- /dev/null
+++ b/components/entry/tests/bad_input.rs
@@ -0,0 +1,317 @@
+//! Bad input gets a clear status, costs bounded memory, and leaves other
+//! callers alone.
+
+use std::{
+    sync::{
+        Arc,
+        atomic::{AtomicU32, Ordering},
+    },
+    time::Duration,
+};
+
+use entry::{
+    ApiFailure, BodyBudget, EntryHandler, EntryLimits, EntryServer, FailureKind, event_stream,
+};
+use futures_lite::{AsyncReadExt, AsyncWriteExt};
+use http_types::{Response, StatusCode};
+use kernel::{CancellationToken, ClockSource, PausedClock};
+use smol::{future::yield_now, net::TcpStream};
+
+const BODY_LIMIT: u64 = 4_096;
+
+struct TestServer {
+    address: String,
+    clock: Arc<PausedClock>,
+    budget: Arc<BodyBudget>,
+    connections: Arc<AtomicU32>,
+    token: CancellationToken,
+}
+
+impl Drop for TestServer {
+    fn drop(&mut self) {
+        self.token.cancel();
+    }
+}
+
+/// Echoes the length of the body; `/stream` streams without end; `/wait`
+/// answers only when the caller has gone.
+fn handler(left: smol::channel::Sender<()>) -> EntryHandler {
+    Arc::new(move |mut request| {
+        let left = left.clone();
+        Box::pin(async move {
+            match request.path() {
+                "/stream" => endless_stream(),
+                "/wait" => {
+                    request.gone.cancelled().await;
+                    left.send(()).await.ok();
+                    Response::new(StatusCode::Ok)
+                }
+                _ => match request.body().await {
+                    Ok(body) => {
+                        let mut response = Response::new(StatusCode::Ok);
+                        response.set_body(body.bytes().len().to_string());
+                        response
+                    }
+                    Err(failure) => failure.response(),
+                },
+            }
+        })
+    })
+}
+
+fn endless_stream() -> Response {
+    let (response, mut sink) = event_stream();
+    smol::spawn(async move {
+        let text = "x".repeat(8_192);
+        while sink.send_text(&text).await {}
+    })
+    .detach();
+    response
+}
+
+async fn start() -> (TestServer, smol::channel::Receiver<()>) {
+    let clock = PausedClock::new();
+    let budget = BodyBudget::new(BODY_LIMIT * 2);
+    let (left, gone) = smol::channel::unbounded();
+    let limits = EntryLimits {
+        body_bytes: BODY_LIMIT,
+        connections: 100,
+        head_time: Duration::from_secs(10),
+        body_time: Duration::from_secs(20),
+        write_time: Duration::from_secs(20),
+    };
+    let server = EntryServer::bind(
+        "127.0.0.1:0",
+        limits,
+        Arc::clone(&budget),
+        ClockSource::Paused(Arc::clone(&clock)),
+    )
+    .await
+    .unwrap()
+    .with_handler(handler(left));
+    let address = server.local_address().unwrap().to_string();
+    let connections = server.connections();
+    let token = CancellationToken::new();
+    smol::spawn(server.run(token.clone())).detach();
+    let server = TestServer {
+        address,
+        clock,
+        budget,
+        connections,
+        token,
+    };
+    (server, gone)
+}
+
+async fn connect(server: &TestServer) -> TcpStream {
+    TcpStream::connect(&server.address).await.unwrap()
+}
+
+/// Sends `text` and reads until the server closes.
+async fn exchange(server: &TestServer, text: &[u8]) -> String {
+    let mut stream = connect(server).await;
+    // The server may answer and close before it has read everything.
+    stream.write_all(text).await.ok();
+    read_all(&mut stream).await
+}
+
+async fn read_all(stream: &mut TcpStream) -> String {
+    let mut answer = Vec::new();
+    stream.read_to_end(&mut answer).await.ok();
+    String::from_utf8_lossy(&answer).into_owned()
+}
+
+fn status_of(answer: &str) -> &str {
+    answer.split(' ').nth(1).unwrap_or("none")
+}
+
+fn post(path: &str, extra: &str, body: &str) -> Vec<u8> {
+    format!(
+        "POST {path} HTTP/1.1\r\nHost: test\r\nConnection: close\r\nContent-Length: {}\r\n{extra}\r\n{body}",
+        body.len()
+    )
+    .into_bytes()
+}
+
+#[test]
+fn each_kind_of_bad_input_has_its_status() {
+    smol::block_on(async {
+        let (server, _gone) = start().await;
+        let many_headers: String = (0..200).map(|index| format!("h{index}: v\r\n")).collect();
+        let long_header = format!("long: {}\r\n", "x".repeat(20_000));
+        let endless_line = format!("GET /{} ", "x".repeat(40_000));
+        let large_body = "x".repeat(5_000);
+        let announced =
+            b"POST / HTTP/1.1\r\nHost: test\r\nContent-Length: 99999999\r\n\r\n".to_vec();
+        let chunked = format!(
+            "POST / HTTP/1.1\r\nHost: test\r\nTransfer-Encoding: chunked\r\n\r\n1388\r\n{large_body}\r\n0\r\n\r\n"
+        );
+        let smuggled = b"POST / HTTP/1.1\r\nHost: test\r\nContent-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n".to_vec();
+        let cases: [(&str, Vec<u8>, &str); 9] = [
+            ("a good request", post("/", "", "hello"), "200"),
+            ("too many headers", post("/", &many_headers, ""), "431"),
+            ("a long header", post("/", &long_header, ""), "431"),
+            ("a line without end", endless_line.into_bytes(), "431"),
+            ("a body over the limit", post("/", "", &large_body), "413"),
+            ("a length over the limit", announced, "413"),
+            ("chunks over the limit", chunked.into_bytes(), "413"),
+            ("no HTTP at all", b"hello there\r\n\r\n".to_vec(), "400"),
+            ("length and chunks at once", smuggled, "400"),
+        ];
+        for (name, text, status) in cases {
+            let answer = exchange(&server, &text).await;
+            assert_eq!(status_of(&answer), status, "{name}: {answer}");
+        }
+        assert_eq!(server.budget.held(), 0);
+    });
+}
+
+#[test]
+fn a_caller_that_writes_slowly_is_told_and_holds_nobody_up() {
+    smol::block_on(async {
+        let (server, _gone) = start().await;
+        let mut slow = connect(&server).await;
+        slow.write_all(b"POST / HTTP/1.1\r\nHost: test\r\nContent-Length: 100\r\n\r\nab")
+            .await
+            .unwrap();
+        wait_for_sleepers(&server).await;
+
+        let answer = exchange(&server, &post("/", "", "hello")).await;
+        assert_eq!(status_of(&answer), "200");
+
+        advance_until_closed(&server, &mut slow, "408").await;
+        assert_eq!(server.budget.held(), 0);
+    });
+}
+
+#[test]
+fn a_head_that_never_ends_times_out() {
+    smol::block_on(async {
+        let (server, _gone) = start().await;
+        let mut slow = connect(&server).await;
+        slow.write_all(b"GET / HTTP/1.1\r\nHost: te").await.unwrap();
+        wait_for_sleepers(&server).await;
+
+        advance_until_closed(&server, &mut slow, "408").await;
+    });
+}
+
+#[test]
+fn a_caller_that_never_reads_is_cut() {
+    smol::block_on(async {
+        let (server, _gone) = start().await;
+        let mut stuck = connect(&server).await;
+        stuck
+            .write_all(b"GET /stream HTTP/1.1\r\nHost: test\r\n\r\n")
+            .await
+            .unwrap();
+        while server.connections.load(Ordering::Relaxed) == 0 {
+            yield_now().await;
+        }
+        // Nothing is read until the server has given the connection up.
+        while server.connections.load(Ordering::Relaxed) > 0 {
+            smol::Timer::after(Duration::from_millis(5)).await;
+            server.clock.advance(Duration::from_secs(1));
+        }
+
+        let answer = read_all(&mut stuck).await;
+        assert_eq!(status_of(&answer), "200");
+        assert!(
+            !answer.ends_with("0\r\n\r\n"),
+            "the stream must not end as if whole"
+        );
+    });
+}
+
+#[test]
+fn work_ends_when_its_caller_leaves() {
+    smol::block_on(async {
+        let (server, gone) = start().await;
+        let mut stream = connect(&server).await;
+        stream
+            .write_all(b"GET /wait HTTP/1.1\r\nHost: test\r\n\r\n")
+            .await
+            .unwrap();
+        drop(stream);
+
+        // The handler is told, or dropped with its sender, whichever is first.
+        smol::future::or(
+            async {
+                gone.recv().await.ok();
+            },
+            async {
+                while server.clock.next_due().is_some() {
+                    yield_now().await;
+                }
+            },
+        )
+        .await;
+    });
+}
+
+#[test]
+fn all_bodies_together_are_bounded() {
+    smol::block_on(async {
+        let (server, _gone) = start().await;
+        let part = "x".repeat(4_000);
+        let mut held = Vec::new();
+        for _ in 0..2 {
+            let mut stream = connect(&server).await;
+            let head = "POST / HTTP/1.1\r\nHost: test\r\nContent-Length: 4001\r\n\r\n";
+            stream.write_all(head.as_bytes()).await.unwrap();
+            stream.write_all(part.as_bytes()).await.unwrap();
+            held.push(stream);
+        }
+        while server.budget.held() < 8_000 {
+            yield_now().await;
+        }
+
+        let answer = exchange(&server, &post("/", "", &part)).await;
+        assert_eq!(status_of(&answer), "503", "{answer}");
+        assert!(answer.contains("Retry-After") || answer.contains("retry-after"));
+
+        drop(held);
+        while server.budget.held() > 0 {
+            yield_now().await;
+        }
+        let answer = exchange(&server, &post("/", "", &part)).await;
+        assert_eq!(status_of(&answer), "200");
+    });
+}
+
+#[test]
+fn a_failure_has_the_usual_shape() {
+    let failure = ApiFailure::new(
+        FailureKind::TooManyRequests,
+        "organisation_limit",
+        "too many",
+    )
+    .with_param("model")
+    .with_retry_after(Duration::from_millis(1_500));
+
+    let response = failure.response();
+
+    assert_eq!(response.header("Retry-After").unwrap().last().as_str(), "2");
+    insta::assert_snapshot!(failure.body());
+}
+
+async fn wait_for_sleepers(server: &TestServer) {
+    while server.clock.next_due().is_none() {
+        yield_now().await;
+    }
+    // The head or body timer itself is set a moment after the bytes arrive.
+    smol::Timer::after(Duration::from_millis(20)).await;
+}
+
+async fn advance_until_closed(server: &TestServer, stream: &mut TcpStream, status: &str) {
+    let clock = Arc::clone(&server.clock);
+    let advancing = smol::spawn(async move {
+        loop {
+            clock.advance(Duration::from_secs(1));
+            smol::Timer::after(Duration::from_millis(1)).await;
+        }
+    });
+    let answer = read_all(stream).await;
+    advancing.cancel().await;
+    assert_eq!(status_of(&answer), status, "{answer}");
+}
