Let an engine that lends to a long sequence honour priorities

Change: a hold knows the priority of its sequence. A prompt of a better priority runs at full speed after the part in computation, which is half a step on average for an engine that was idle, and the sequence waits for it; equal and worse priorities share evenly as before; decodes ride along. The test of the even share now also checks the better priority.

--- a/components/bench/src/driver/engines.rs
+++ b/components/bench/src/driver/engines.rs
@@ -15,8 +15,6 @@
     workload::mix,
 };
 
-/// Part of its time that a busy engine can lend.
-const BUSY_SHARE: f64 = 0.5;
 /// One lost event in this many, when a read of cache events has a gap.
 const GAP_ONE_IN: usize = 4;
 
@@ -313,6 +311,7 @@
         let flight = flight.clone();
         for engine in flight.members() {
             let model = &mut self.engines[*engine].model;
+            model.set_hold_priority(now, &flight.id, flight.attempt, flight.priority);
             model.set_lending(now, &flight.id, flight.attempt, lending);
         }
     }
@@ -341,7 +340,7 @@
     fn renew_member(&mut self, now: Instant, engine: usize, hold: &model::HoldSpec) -> f64 {
         let model = &mut self.engines[engine].model;
         model.reserve(now, hold).ok();
-        let share = if model.is_busy() { BUSY_SHARE } else { 1.0 };
+        let share = model.lending_share();
         self.settle(engine);
         share
     }
--- a/components/model/src/batch.rs
+++ b/components/model/src/batch.rs
@@ -19,8 +19,29 @@
     pub(crate) ends: Instant,
     pub(crate) decodes: Vec<SequenceId>,
     pub(crate) chunks: Vec<PrefillChunk>,
+    /// Part of its time left for sequences that the engine lends to.
+    pub(crate) lending_share: f64,
 }
 
+/// A sequence of another engine that this one computes for.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct LendingLoad {
+    pub(crate) priority: u32,
+    /// Whether the engine had nothing else to do until now.
+    pub(crate) was_idle: bool,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct StepTime {
+    step_s: f64,
+    lending_share: f64,
+}
+
+/// Factor on a step's time that shares the engine evenly.
+const EVEN_SLOWDOWN: f64 = 2.0;
+/// Part of its time that is left when it is shared evenly.
+const EVEN_SHARE: f64 = 0.5;
+
 /// Adds up a step while it is planned.
 ///
 /// Decodes ride on the prefill of the same step: weights are read once, so a
@@ -32,6 +53,8 @@
     members: u32,
     chunks: Vec<PrefillChunk>,
     prefill_s: f64,
+    /// Best priority among the chunks.
+    priority: Option<u32>,
 }
 
 impl StepBudget {
@@ -56,6 +79,8 @@
         let fitting = cost::tokens_within(profile, sequence.computed, left_s, sequence.pace);
         let tokens = fitting.min(sequence.prefill_left());
         self.prefill_s += cost::prefill_seconds(profile, sequence.computed, tokens, sequence.pace);
+        let priority = sequence.spec.priority;
+        self.priority = Some(self.priority.map_or(priority, |best| best.min(priority)));
         self.chunks.push(PrefillChunk {
             sequence: sequence.id,
             tokens,
@@ -68,22 +93,53 @@
         self,
         profile: &EngineProfile,
         now: Instant,
-        slowdown: f64,
+        lending: Option<LendingLoad>,
     ) -> Option<StepPlan> {
         if self.decodes.is_empty() && self.chunks.is_empty() {
             return None;
         }
+        let time = self.step_time(profile, lending);
+        Some(StepPlan {
+            ends: now + Duration::from_secs_f64(time.step_s),
+            decodes: self.decodes,
+            chunks: self.chunks,
+            lending_share: time.lending_share,
+        })
+    }
+
+    fn step_time(&self, profile: &EngineProfile, lending: Option<LendingLoad>) -> StepTime {
         let floor_s = if self.decodes.is_empty() {
             0.0
         } else {
             profile.decode_step.as_secs_f64()
         };
         let step_s = floor_s.max(self.prefill_s) + self.batch_s();
-        Some(StepPlan {
-            ends: now + Duration::from_secs_f64(step_s * slowdown),
-            decodes: self.decodes,
-            chunks: self.chunks,
-        })
+        let alone = StepTime {
+            step_s,
+            lending_share: 1.0,
+        };
+        let Some(lending) = lending else {
+            return alone;
+        };
+        let residual_s = if lending.was_idle {
+            cost::STEP_LIMIT_S / 2.0
+        } else {
+            0.0
+        };
+        match self.priority {
+            None => StepTime {
+                step_s: step_s.max(cost::STEP_LIMIT_S),
+                lending_share: 1.0,
+            },
+            Some(priority) if priority < lending.priority => StepTime {
+                step_s: step_s + residual_s,
+                lending_share: 0.0,
+            },
+            Some(_) => StepTime {
+                step_s: step_s * EVEN_SLOWDOWN,
+                lending_share: EVEN_SHARE,
+            },
+        }
     }
 
     fn prefill_limit_s(&self) -> f64 {
--- a/components/model/src/engine.rs
+++ b/components/model/src/engine.rs
@@ -39,6 +39,8 @@
     pub(crate) private: TokenCount,
     pub(crate) step: Option<StepPlan>,
     pub(crate) wake: Option<Instant>,
+    /// When the last step ended.
+    pub(crate) step_ended: Option<Instant>,
     pub(crate) events: Vec<ModelEvent>,
     pub(crate) next_id: SequenceId,
     pub(crate) generated: TokenCount,
@@ -63,6 +65,7 @@
             private: 0,
             step: None,
             wake: None,
+            step_ended: None,
             events: Vec::new(),
             next_id: 1,
             generated: 0,
@@ -147,8 +150,11 @@
         self.plan_step(now);
     }
 
-    /// Says whether the engine computes for the attempt whose memory it
-    /// holds; while it does, its own steps take twice as long.
+    /// Says whether the engine computes for the attempt whose memory it holds.
+    ///
+    /// Prompts of a better priority than the attempt's then run at full speed
+    /// after the part in computation; others share the engine evenly with it.
+    /// Decodes ride along.
     pub fn set_lending(
         &mut self,
         now: Instant,
@@ -161,6 +167,26 @@
         self.holds.set_lending(&key, lending);
     }
 
+    /// Sets the priority of the attempt that memory is held for; 0 until set.
+    pub fn set_hold_priority(
+        &mut self,
+        now: Instant,
+        request: &RequestId,
+        attempt: AttemptId,
+        priority: u32,
+    ) {
+        self.run_until(now);
+        let key = AttemptKey::new(request, attempt);
+        self.holds.set_priority(&key, priority);
+    }
+
+    /// Part of its time that the engine has now for a sequence it lends to,
+    /// 0 to 1.
+    #[must_use]
+    pub fn lending_share(&self) -> f64 {
+        self.step.as_ref().map_or(1.0, |step| step.lending_share)
+    }
+
     /// Sets an attempt's prefill speed over that of one engine, from the next
     /// step on.
     pub fn set_pace(&mut self, now: Instant, request: &RequestId, attempt: AttemptId, pace: f64) {
--- a/components/model/src/memory.rs
+++ b/components/model/src/memory.rs
@@ -32,8 +32,10 @@
     pub(crate) filled: TokenCount,
     /// When the import is complete.
     pub(crate) ready: Instant,
-    /// Whether the engine lends its compute to the sequence.
+    /// Whether the engine computes for the sequence.
     pub(crate) lending: bool,
+    /// Priority of the sequence.
+    pub(crate) priority: u32,
 }
 
 /// All holds of one engine.
@@ -49,8 +51,13 @@
         self.tokens
     }
 
-    pub(crate) fn lending(&self) -> bool {
-        self.lending > 0
+    /// Best priority among the sequences that the engine computes for.
+    pub(crate) fn lending(&self) -> Option<u32> {
+        if self.lending == 0 {
+            return None;
+        }
+        let lending = self.holds.values().filter(|hold| hold.lending);
+        lending.map(|hold| hold.priority).min()
     }
 
     pub(crate) fn size_of(&self, key: &AttemptKey) -> TokenCount {
@@ -71,7 +78,8 @@
             expires: now + spec.lifetime,
             filled: previous.as_ref().map_or(0, |hold| hold.filled),
             ready: previous.as_ref().map_or(now, |hold| hold.ready),
-            lending: previous.is_some_and(|hold| hold.lending),
+            lending: previous.as_ref().is_some_and(|hold| hold.lending),
+            priority: previous.map_or(0, |hold| hold.priority),
         };
         self.tokens += hold.tokens;
         self.lending += u32::from(hold.lending);
@@ -101,6 +109,12 @@
         hold.lending = lending;
     }
 
+    pub(crate) fn set_priority(&mut self, key: &AttemptKey, priority: u32) {
+        if let Some(hold) = self.holds.get_mut(key) {
+            hold.priority = priority;
+        }
+    }
+
     pub(crate) fn expire(&mut self, now: Instant) {
         let past: Vec<AttemptKey> = self
             .holds
--- a/components/model/src/stepping.rs
+++ b/components/model/src/stepping.rs
@@ -9,13 +9,10 @@
 
 use crate::{
     EngineModel, EventKind, ModelEvent, SequenceId,
-    batch::StepBudget,
+    batch::{LendingLoad, StepBudget},
     sequence::{QueueKey, SequencePhase},
 };
 
-/// Factor on a step's time while the engine computes for another's sequence.
-const LENDING_SLOWDOWN: f64 = 2.0;
-
 impl EngineModel {
     pub(crate) fn run_until(&mut self, now: Instant) {
         while let Some(at) = self.next_event_at().filter(|at| *at <= now) {
@@ -31,6 +28,7 @@
         let Some(step) = self.step.take() else {
             return;
         };
+        self.step_ended = Some(at);
         for id in step.decodes {
             self.emit_token(at, id);
         }
@@ -108,12 +106,12 @@
             budget.add_decode(&self.sequences[&key.sequence]);
         }
         self.plan_prefills(now, &mut budget);
-        let slowdown = if self.holds.lending() {
-            LENDING_SLOWDOWN
-        } else {
-            1.0
-        };
-        self.step = budget.plan(&self.profile, now, slowdown);
+        let was_idle = self.step_ended != Some(now);
+        let lending = self
+            .holds
+            .lending()
+            .map(|priority| LendingLoad { priority, was_idle });
+        self.step = budget.plan(&self.profile, now, lending);
     }
 
     /// Gives the rest of a step to prompts in order of priority; one that
--- a/components/model/tests/engine.rs
+++ b/components/model/tests/engine.rs
@@ -251,21 +251,38 @@
     assert_eq!(engine.used_tokens(), 0);
 }
 
-#[test]
-fn lending_compute_slows_the_lender() {
+/// Time to first token of a prompt on an engine that computes for a sequence
+/// of priority 5.
+fn ttft_on_lender(priority: u32) -> Duration {
     let now = Instant::now();
-    let mut idle = engine();
-    let id = idle.submit(now, spec("r", 8_000, 2)).unwrap();
-    let fast = first_token_at(&drain(&mut idle), id) - now;
     let mut lender = engine();
     lender.reserve(now, &hold("gang", 100_000)).unwrap();
+    lender.set_hold_priority(now, &"gang".to_owned(), 1, 5);
     lender.set_lending(now, &"gang".to_owned(), 1, true);
-    let id = lender.submit(now, spec("r", 8_000, 2)).unwrap();
-    let slow = first_token_at(&drain(&mut lender), id) - now;
+    assert!((lender.lending_share() - 1.0).abs() < f64::EPSILON);
+    let prompt = AttemptSpec {
+        priority,
+        ..spec("r", 8_000, 2)
+    };
+    let id = lender.submit(now, prompt).unwrap();
+    assert!(lender.lending_share() < 0.6);
+    first_token_at(&drain(&mut lender), id) - now
+}
+
+#[test]
+fn lending_compute_slows_the_lender_but_for_better_priorities() {
+    let now = Instant::now();
+    let mut idle = engine();
+    let id = idle.submit(now, spec("r", 8_000, 2)).unwrap();
+    let alone = first_token_at(&drain(&mut idle), id) - now;
+    let equal = ttft_on_lender(5);
     assert!(
-        slow.abs_diff(fast * 2) < Duration::from_micros(1),
-        "{slow:?}"
+        equal.abs_diff(alone * 2) < Duration::from_micros(1),
+        "{equal:?}"
     );
+    let better = ttft_on_lender(1);
+    assert!(better > alone, "{better:?}");
+    assert!(better < alone + Duration::from_millis(40), "{better:?}");
 }
 
 #[test]
