Measure decisions by prompts, fleet size and memory

Cause: the cost was measured on an arrival and a cancellation, and a queue of 100,000 was refused at the default bounds, so that point measured refusals.

Change: one turn is all decisions about one prompt, from arrival to end, at a queue that is checked to be as long as wanted. Engines a node owns and those it knows by summaries are varied apart. A bench target counts the bytes of the state on the heap (cargo bench -p bench).

--- /dev/null
+++ b/components/bench/benches/decision_memory.rs
@@ -0,0 +1,82 @@
+//! Memory of a scheduler's state, against its size.
+//!
+//! Prints the bytes on the heap and their growth: `cargo bench -p bench`.
+
+use std::alloc::System;
+
+use bench::{DecisionState, StateSize};
+use stats_alloc::{INSTRUMENTED_SYSTEM, Region, StatsAlloc};
+
+#[global_allocator]
+static HEAP: &StatsAlloc<System> = &INSTRUMENTED_SYSTEM;
+
+/// Seed of the scheduler's choices.
+const SEED: u64 = 1;
+const SMALL: StateSize = StateSize {
+    queued: 10,
+    owned: 10,
+    elsewhere: 0,
+    organisations: 10,
+};
+
+struct GrownSize {
+    name: &'static str,
+    from: usize,
+    to: usize,
+    state: fn(usize) -> StateSize,
+}
+
+const GROWN: [GrownSize; 4] = [
+    GrownSize {
+        name: "queued prompt",
+        from: 10,
+        to: 100_000,
+        state: |queued| StateSize { queued, ..SMALL },
+    },
+    GrownSize {
+        name: "owned upstream",
+        from: 10,
+        to: 400,
+        state: |owned| StateSize { owned, ..SMALL },
+    },
+    GrownSize {
+        name: "fleet upstream",
+        from: 10,
+        to: 3_500,
+        state: |elsewhere| StateSize { elsewhere, ..SMALL },
+    },
+    GrownSize {
+        name: "organisation",
+        from: 10,
+        to: 6_100,
+        state: |organisations| StateSize {
+            organisations,
+            ..SMALL
+        },
+    },
+];
+
+fn main() {
+    println!("smallest state: {} bytes", heap_bytes(SMALL));
+    for grown in GROWN {
+        let least = heap_bytes((grown.state)(grown.from));
+        let most = heap_bytes((grown.state)(grown.to));
+        let steps = grown.to - grown.from;
+        let each = most.saturating_sub(least) / steps;
+        println!(
+            "{}: {least} bytes at {}, {most} at {}, {each} each",
+            grown.name, grown.from, grown.to
+        );
+    }
+}
+
+/// Bytes that a state of that size holds on the heap.
+fn heap_bytes(size: StateSize) -> usize {
+    let region = Region::new(HEAP);
+    let state = DecisionState::grown(SEED, size);
+    let change = region.change();
+    drop(state);
+    change
+        .bytes_allocated
+        .saturating_sub(change.bytes_deallocated)
+}
--- /dev/null
+++ b/components/bench/src/decision_state.rs
@@ -0,0 +1,204 @@
+//! A scheduler with a state of a given size.
+
+use std::{
+    collections::VecDeque,
+    time::{Duration, Instant},
+};
+
+use admission::QueueBounds;
+use model::{EngineModel, engine_profile};
+use routing::{NodeScheduler, SchedulerAction, SchedulerEvent, SchedulerSettings};
+use types::{AttemptId, LoadedModel, NodeId, PlanKind, PromptJob, RequestId};
+
+use crate::fleet::{MODEL, VERSION};
+
+/// Engines that one node owns in a large fleet.
+const ENGINES_PER_NODE: usize = 10;
+/// Time between two prompts of a run.
+const PROMPT_GAP: Duration = Duration::from_micros(10);
+/// Prompts that are sent at most to fill a queue, beyond its length.
+const FILL_MAX: usize = 50_000;
+
+/// Sizes of a scheduler's state.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct StateSize {
+    /// Prompts that wait on the node.
+    pub queued: usize,
+    /// Engines that the node owns.
+    pub owned: usize,
+    /// Engines that other nodes own, known by summaries.
+    pub elsewhere: usize,
+    /// Organisations that prompts come from.
+    pub organisations: usize,
+}
+
+#[derive(Clone, Debug)]
+struct RunningAttempt {
+    request: RequestId,
+    attempt: AttemptId,
+}
+
+#[derive(Clone, Debug)]
+struct ForwardedPrompt {
+    request: RequestId,
+    node: NodeId,
+}
+
+/// A scheduler, with the prompts that it has under way.
+#[derive(Debug)]
+pub struct DecisionState {
+    scheduler: NodeScheduler,
+    size: StateSize,
+    now: Instant,
+    next: usize,
+    running: VecDeque<RunningAttempt>,
+    forwarded: VecDeque<ForwardedPrompt>,
+}
+
+impl DecisionState {
+    /// A scheduler whose state has grown to `size`.
+    #[must_use]
+    pub fn grown(seed: u64, size: StateSize) -> Self {
+        let now = Instant::now();
+        let mut state = Self {
+            scheduler: scheduler(seed, "node-000"),
+            size,
+            now,
+            next: 0,
+            running: VecDeque::new(),
+            forwarded: VecDeque::new(),
+        };
+        report_engines(&mut state.scheduler, now, 0, size.owned);
+        state.learn_summaries(seed);
+        state.fill();
+        state
+    }
+
+    /// Prompts that wait now.
+    #[must_use]
+    pub fn queued(&self) -> usize {
+        self.scheduler.load().queued
+    }
+
+    /// Takes one prompt from its arrival to its end, so that the size stays:
+    /// one arrives, and the one that runs longest starts and finishes.
+    pub fn turn(&mut self) {
+        self.now += PROMPT_GAP;
+        self.arrive();
+        if let Some(prompt) = self.forwarded.pop_front() {
+            self.learn(SchedulerEvent::ForwardFinished {
+                request: prompt.request,
+                node: prompt.node,
+                output_tokens: 100,
+            });
+            return;
+        }
+        let Some(attempt) = self.running.pop_front() else {
+            return;
+        };
+        let RunningAttempt { request, attempt } = attempt;
+        self.learn(SchedulerEvent::Started {
+            request: request.clone(),
+            attempt,
+            prompt_tokens: 2_000,
+            cached_tokens: 0,
+        });
+        self.learn(SchedulerEvent::FirstToken {
+            request: request.clone(),
+            attempt,
+        });
+        self.learn(SchedulerEvent::Finished {
+            request,
+            attempt,
+            output_tokens: 100,
+        });
+    }
+
+    fn learn_summaries(&mut self, seed: u64) {
+        let nodes = self.size.elsewhere.div_ceil(ENGINES_PER_NODE);
+        let mut left = self.size.elsewhere;
+        for node in 1..=nodes {
+            let mut other = scheduler(seed, &format!("node-{node:03}"));
+            let engines = left.min(ENGINES_PER_NODE);
+            left -= engines;
+            report_engines(&mut other, self.now, node * ENGINES_PER_NODE, engines);
+            let summary = other.summary(self.now);
+            self.learn(SchedulerEvent::Summary(summary));
+        }
+    }
+
+    fn fill(&mut self) {
+        for _ in 0..self.size.queued + FILL_MAX {
+            if self.queued() >= self.size.queued || !self.forwarded.is_empty() {
+                break;
+            }
+            self.arrive();
+        }
+        while self.next < self.size.organisations {
+            self.turn();
+        }
+    }
+
+    fn arrive(&mut self) {
+        let number = self.next;
+        self.next += 1;
+        let organisation = number % self.size.organisations;
+        let job = PromptJob {
+            request: format!("r{number}"),
+            organisation: format!("organisation-{organisation}"),
+            plan: PlanKind::Paying,
+            weight: 1,
+            model: MODEL.to_owned(),
+            version: VERSION.to_owned(),
+            adapter: None,
+            note_version: 1,
+            prompt_tokens: 2_000,
+            output_tokens: 300,
+            prefixes: Vec::new(),
+            zone: "zone-1".to_owned(),
+            arrived: self.now,
+            deadline: self.now + Duration::from_hours(100),
+        };
+        self.learn(SchedulerEvent::Arrived { job, via: None });
+    }
+
+    fn learn(&mut self, event: SchedulerEvent) {
+        for action in self.scheduler.handle(self.now, event) {
+            match action {
+                SchedulerAction::Dispatch {
+                    request, attempt, ..
+                } => self.running.push_back(RunningAttempt { request, attempt }),
+                SchedulerAction::Forward { request, node } => {
+                    self.forwarded.push_back(ForwardedPrompt { request, node });
+                }
+                _ => {}
+            }
+        }
+    }
+}
+
+fn scheduler(seed: u64, node: &str) -> NodeScheduler {
+    let settings = SchedulerSettings {
+        seed,
+        queue: QueueBounds {
+            requests: usize::MAX,
+            tokens: u64::MAX,
+        },
+        ..SchedulerSettings::default()
+    };
+    NodeScheduler::new(node.to_owned(), "zone-1".to_owned(), settings)
+}
+
+fn report_engines(scheduler: &mut NodeScheduler, now: Instant, first: usize, count: usize) {
+    let loaded = LoadedModel {
+        model: MODEL.to_owned(),
+        version: VERSION.to_owned(),
+        adapters: Vec::new(),
+    };
+    for place in first..first + count {
+        let profile = engine_profile(format!("engine-{place:05}"), "zone-1".to_owned());
+        let mut model = EngineModel::new(profile, vec![loaded.clone()]);
+        let report = model.report(now);
+        scheduler.handle(now, SchedulerEvent::Reported(report));
+    }
+}
--- a/components/bench/src/decisions.rs
+++ b/components/bench/src/decisions.rs
@@ -1,36 +1,58 @@
-//! What one decision of the scheduler costs, against the size of its state.
+//! What the scheduler's decisions cost, against the size of its state.
 
 use std::time::{Duration, Instant};
 
-use model::{EngineModel, engine_profile};
-use routing::{NodeScheduler, SchedulerEvent, SchedulerSettings};
 use serde::{Deserialize, Serialize};
-use types::{LoadedModel, PlanKind, PromptJob};
 
-use crate::fleet::{MODEL, VERSION};
+use crate::{DecisionState, StateSize};
 
 /// Least time over which one point is measured.
-const MEASURE_TIME: Duration = Duration::from_millis(200);
-/// Most decisions of one point.
-const DECISIONS_MAX: u32 = 20_000;
-/// Sizes that are not varied.
+const MEASURE_TIME: Duration = Duration::from_millis(300);
+/// Most prompts of one point.
+const PROMPTS_MAX: u32 = 20_000;
+/// Sizes of what is not varied.
 const USUAL: StateSize = StateSize {
     queued: 100,
-    upstreams: 14,
+    owned: 10,
+    elsewhere: 0,
     organisations: 10,
 };
-const QUEUE_LENGTHS: [usize; 5] = [10, 100, 1_000, 10_000, 100_000];
-const UPSTREAM_COUNTS: [usize; 5] = [14, 56, 224, 896, 3_500];
-const ORGANISATION_COUNTS: [usize; 5] = [10, 50, 250, 1_250, 6_100];
 
+/// A size of the state that is varied, with the values it takes.
 #[derive(Clone, Copy, Debug)]
-struct StateSize {
-    queued: usize,
-    upstreams: usize,
-    organisations: usize,
+struct VariedSize {
+    name: &'static str,
+    values: [usize; 5],
+    state: fn(usize) -> StateSize,
 }
 
-/// Cost of one decision at one size.
+const VARIED: [VariedSize; 4] = [
+    VariedSize {
+        name: "queued",
+        values: [10, 100, 1_000, 10_000, 100_000],
+        state: |queued| StateSize { queued, ..USUAL },
+    },
+    VariedSize {
+        name: "owned-upstreams",
+        values: [4, 14, 56, 224, 896],
+        state: |owned| StateSize { owned, ..USUAL },
+    },
+    VariedSize {
+        name: "fleet-upstreams",
+        values: [14, 56, 224, 896, 3_500],
+        state: |elsewhere| StateSize { elsewhere, ..USUAL },
+    },
+    VariedSize {
+        name: "organisations",
+        values: [10, 50, 250, 1_250, 6_100],
+        state: |organisations| StateSize {
+            organisations,
+            ..USUAL
+        },
+    },
+];
+
+/// Cost of the decisions about one prompt, at one size of the state.
 #[derive(Clone, Debug, PartialEq)]
 #[derive(Deserialize, Serialize)]
 pub struct DecisionPoint {
@@ -38,7 +60,9 @@
     pub varied: String,
     /// How many there were.
     pub size: usize,
-    /// Nanoseconds for one decision: an arrival and the end of it.
+    /// Prompts that waited on the node in fact.
+    pub queued: usize,
+    /// Nanoseconds of all decisions about one prompt, from arrival to end.
     pub nanoseconds: f64,
 }
 
@@ -61,7 +85,7 @@
 #[derive(Clone, Debug, PartialEq)]
 #[derive(Deserialize, Serialize)]
 pub struct DecisionReport {
-    /// Seed of the prompts.
+    /// Seed of the scheduler's choices.
     pub seed: u64,
     /// Every size measured.
     pub points: Vec<DecisionPoint>,
@@ -76,131 +100,34 @@
         points: Vec::new(),
         slopes: Vec::new(),
     };
-    for (varied, sizes) in VARIED {
-        progress(varied);
-        let points: Vec<DecisionPoint> = sizes
+    for varied in VARIED {
+        progress(varied.name);
+        let points: Vec<DecisionPoint> = varied
+            .values
             .iter()
             .map(|size| measure_point(seed, varied, *size))
             .collect();
-        report.slopes.push(fit(varied, &points));
+        report.slopes.push(fit(varied.name, &points));
         report.points.extend(points);
     }
     report
 }
 
-const VARIED: [(&str, [usize; 5]); 3] = [
-    ("queued", QUEUE_LENGTHS),
-    ("upstreams", UPSTREAM_COUNTS),
-    ("organisations", ORGANISATION_COUNTS),
-];
-
-fn measure_point(seed: u64, varied: &str, size: usize) -> DecisionPoint {
-    let state = match varied {
-        "queued" => StateSize {
-            queued: size,
-            ..USUAL
-        },
-        "upstreams" => StateSize {
-            upstreams: size,
-            ..USUAL
-        },
-        _ => StateSize {
-            organisations: size,
-            queued: size.max(USUAL.queued),
-            ..USUAL
-        },
-    };
+fn measure_point(seed: u64, varied: VariedSize, size: usize) -> DecisionPoint {
+    let mut state = DecisionState::grown(seed, (varied.state)(size));
+    let queued = state.queued();
+    let started = Instant::now();
+    let mut prompts: u32 = 0;
+    while prompts < PROMPTS_MAX && started.elapsed() < MEASURE_TIME {
+        state.turn();
+        prompts += 1;
+    }
+    let nanoseconds = started.elapsed().as_secs_f64() * 1e9 / f64::from(prompts);
     DecisionPoint {
-        varied: varied.to_owned(),
+        varied: varied.name.to_owned(),
         size,
-        nanoseconds: DecisionRun::new(seed, state).measure(),
-    }
-}
-
-struct DecisionRun {
-    scheduler: NodeScheduler,
-    now: Instant,
-    state: StateSize,
-    next: usize,
-}
-
-impl DecisionRun {
-    fn new(seed: u64, state: StateSize) -> Self {
-        let settings = SchedulerSettings {
-            seed,
-            ..SchedulerSettings::default()
-        };
-        let node = "node-001".to_owned();
-        let mut run = Self {
-            scheduler: NodeScheduler::new(node, "zone-1".to_owned(), settings),
-            now: Instant::now(),
-            state,
-            next: 0,
-        };
-        run.report_engines();
-        run.fill_queue();
-        run
-    }
-
-    fn report_engines(&mut self) {
-        let loaded = LoadedModel {
-            model: MODEL.to_owned(),
-            version: VERSION.to_owned(),
-            adapters: Vec::new(),
-        };
-        for place in 0..self.state.upstreams {
-            let profile = engine_profile(format!("engine-{place:04}"), "zone-1".to_owned());
-            let mut model = EngineModel::new(profile, vec![loaded.clone()]);
-            let report = model.report(self.now);
-            self.scheduler
-                .handle(self.now, SchedulerEvent::Reported(report));
-        }
-    }
-
-    /// Long prompts until all engines are taken and the queue is as long as
-    /// wanted.
-    fn fill_queue(&mut self) {
-        for _ in 0..self.state.queued + self.state.upstreams {
-            self.arrive();
-        }
-    }
-
-    fn arrive(&mut self) {
-        let number = self.next;
-        self.next += 1;
-        let organisation = number % self.state.organisations;
-        let job = PromptJob {
-            request: format!("r{number}"),
-            organisation: format!("organisation-{organisation}"),
-            plan: PlanKind::Paying,
-            weight: 1,
-            model: MODEL.to_owned(),
-            version: VERSION.to_owned(),
-            adapter: None,
-            note_version: 1,
-            prompt_tokens: 2_000,
-            output_tokens: 300,
-            prefixes: Vec::new(),
-            zone: "zone-1".to_owned(),
-            arrived: self.now,
-            deadline: self.now + Duration::from_hours(10),
-        };
-        let event = SchedulerEvent::Arrived { job, via: None };
-        self.scheduler.handle(self.now, event);
-    }
-
-    /// Nanoseconds for an arrival and, to keep the size, a cancellation.
-    fn measure(mut self) -> f64 {
-        let started = Instant::now();
-        let mut decisions: u32 = 0;
-        while decisions < DECISIONS_MAX && started.elapsed() < MEASURE_TIME {
-            self.arrive();
-            let request = format!("r{}", self.next - 1);
-            self.scheduler
-                .handle(self.now, SchedulerEvent::Cancelled { request });
-            decisions += 1;
-        }
-        started.elapsed().as_secs_f64() * 1e9 / f64::from(decisions.max(1))
+        queued,
+        nanoseconds,
     }
 }
 
--- a/components/bench/src/lib.rs
+++ b/components/bench/src/lib.rs
@@ -7,6 +7,7 @@
 mod baseline;
 mod brain;
 mod caller;
+mod decision_state;
 mod decisions;
 mod driver;
 mod error;
@@ -21,6 +22,7 @@
 mod workload;
 
 pub use baseline::{BaselineKind, BaselineRouter};
+pub use decision_state::{DecisionState, StateSize};
 pub use decisions::{DecisionPoint, DecisionReport, DecisionSlope, measure_decisions};
 pub use error::BenchError;
 pub use fleet::FleetShape;
--- a/components/bench/src/table.rs
+++ b/components/bench/src/table.rs
@@ -114,15 +114,15 @@
     for point in &report.points {
         writeln!(
             table,
-            "{:14} {:>8} {:>12.0} ns a decision",
-            point.varied, point.size, point.nanoseconds
+            "{:16} {:>8} {:>8} queued {:>12.0} ns a prompt",
+            point.varied, point.size, point.queued, point.nanoseconds
         )
         .ok();
     }
     for slope in &report.slopes {
         writeln!(
             table,
-            "{:14} {:.0} ns + {:.4} ns each, grows as size^{:.2}",
+            "{:16} {:.0} ns + {:.4} ns each, grows as size^{:.2}",
             slope.varied, slope.base_ns, slope.each_ns, slope.exponent
         )
         .ok();
