--- a/components/orders/src/lib.rs
+++ b/components/orders/src/lib.rs
@@ -1,1 +1,26 @@
 //! Orders that run at most once: pure decisions.
+//!
+//! The table service is the only memory. A submission is an [`OrderAttempt`];
+//! what it could not record is an [`OwedSettlement`]; what dead nodes left is
+//! found by [`sweep_step`] and [`purge_step`].
+
+mod attempt;
+mod guard;
+mod name;
+mod outcome;
+mod reads;
+mod row;
+mod settle;
+mod sweep;
+
+pub use attempt::{AttemptAction, AttemptEnd, AttemptEvent, AttemptPlan, OrderAttempt, SendResult};
+pub use guard::{GuardSet, OrderGuard};
+pub use name::{OrderName, body_digest};
+pub use outcome::{DoubtCause, OrderOutcome, RefusalCause, RefusalScope, StateAnswer};
+pub use reads::{BreakerState, CircuitBreaker, RetryBudget};
+pub use row::{
+    AttemptTag, FoundRow, MAX_RECORDED_BODY_BYTES, OrderPhase, OrderRow, OrderVerdict, OrderWrite,
+    RecordedAnswer, ResendRule, RowCondition,
+};
+pub use settle::{HandRefusal, OwedSettlement, SettleStep, hand_settle, settle_step};
+pub use sweep::{PurgeStep, RETENTION, SWEEP_AGE, purge_step, sweep_step};
