--- a/components/platform/src/fakes/faults.rs
+++ b/components/platform/src/fakes/faults.rs
@@ -35,7 +35,7 @@
     pub outage: OutageKind,
     /// Time before each call takes effect, in milliseconds.
     pub delay_ms: u64,
-    /// Time between the effect and the answer, in milliseconds.
+    /// Time between a write's effect and its answer, in milliseconds.
     pub answer_delay_ms: u64,
     /// Number of writes that get lost before they take effect.
     pub lose_requests: u32,
@@ -122,7 +122,9 @@
         &self.clock
     }
 
-    pub(crate) fn name(&self) -> &str {
+    /// The peer of the errors.
+    #[must_use]
+    pub fn name(&self) -> &str {
         &self.name
     }
 
@@ -152,7 +154,9 @@
             return Err(self.unanswered(step, "request lost"));
         }
         let outcome = effect(fate == WriteFate::Held);
-        self.wait(|faults| faults.answer_delay_ms).await;
+        if kind == CallKind::Write {
+            self.wait(|faults| faults.answer_delay_ms).await;
+        }
         match fate {
             WriteFate::AnswerLost => Err(self.unanswered(step, "answer lost")),
             WriteFate::Held => Err(self.unanswered(step, "no answer in time")),
--- /dev/null
+++ b/components/standins/src/engine/calls.rs
@@ -0,0 +1,197 @@
+//! The engine's calls, made within the process.
+
+use std::time::Duration;
+
+use async_trait::async_trait;
+use errors::UpstreamError;
+use model::{AttemptSpec, HoldSpec, KvImportSpec};
+use smol::channel::unbounded;
+use transport::HttpCaller;
+use types::{AttemptId, EngineOrder, EngineReport, RequestId, estimate_tokens, prefix_hashes};
+use upstream::{
+    CacheBatch, EngineCall, KvExport, KvImport, KvReservation, ModelEngine, TokenStream,
+};
+
+use crate::engine::{
+    StandinEngine,
+    attempts::{AttemptStream, RunningAttempt},
+    standin::STATUS_NOT_FOUND,
+};
+
+const FETCH_LIMIT: Duration = Duration::from_secs(5);
+
+#[async_trait]
+impl ModelEngine for StandinEngine {
+    async fn submit(&self, call: EngineCall) -> Result<TokenStream, UpstreamError> {
+        let step = "engine submit";
+        self.check_alive(step)?;
+        self.check_loaded(&call)?;
+        let (sender, events) = unbounded();
+        let crashes = self.settings.crashes_on(&call.prompt);
+        let attempt = RunningAttempt::new(&call, crashes, sender);
+        let spec = attempt_spec(&call);
+        let sequence = self.change(step, |state, now| {
+            let sequence = state.model.submit(now, spec)?;
+            state.attempts.insert(sequence, attempt);
+            state.submits += 1;
+            Ok(sequence)
+        });
+        let sequence = sequence.await?;
+        Ok(Box::pin(AttemptStream {
+            engine: self.itself.clone(),
+            request: call.request,
+            attempt: call.attempt,
+            sequence,
+            events: Box::pin(events),
+        }))
+    }
+
+    async fn cancel(&self, request: &RequestId, attempt: AttemptId) -> Result<(), UpstreamError> {
+        self.change("engine cancel", |state, now| {
+            state.end_attempt(request, attempt, "cancelled");
+            state.model.cancel(now, request, attempt);
+            Ok(())
+        })
+        .await
+    }
+
+    async fn report(&self) -> Result<EngineReport, UpstreamError> {
+        let delay = Duration::from_millis(self.settings.report_delay_ms);
+        let report = self.look("engine report", |state, now| {
+            let model_now = self.scale.to_model(now);
+            let latest = state.reports.latest(now, delay);
+            latest.unwrap_or_else(|| state.model.report(model_now))
+        });
+        Ok(self.scale.report(report.await?))
+    }
+
+    async fn cache_events(&self, after: u64) -> Result<CacheBatch, UpstreamError> {
+        self.look("engine cache events", |state, now| {
+            state.cache.batch(after, now)
+        })
+        .await
+    }
+
+    async fn order(&self, order: EngineOrder) -> Result<(), UpstreamError> {
+        let ready = self.clock.now() + Duration::from_millis(self.settings.load_ms);
+        self.change("engine order", |state, _| {
+            state.model.take_order(&order)?;
+            let kept = state.loads.take(&order, &state.ready, ready);
+            state.set_ready(kept);
+            Ok(())
+        })
+        .await
+    }
+
+    async fn reserve(&self, reservation: KvReservation) -> Result<(), UpstreamError> {
+        let spec = self.hold_spec(&reservation);
+        self.change("engine reserve", |state, now| {
+            state.model.reserve(now, &spec)
+        })
+        .await
+    }
+
+    async fn release(&self, request: &RequestId, attempt: AttemptId) -> Result<(), UpstreamError> {
+        self.change("engine release", |state, now| {
+            state.model.release(now, request, attempt);
+            Ok(())
+        })
+        .await
+    }
+
+    async fn export_kv(
+        &self,
+        request: &RequestId,
+        attempt: AttemptId,
+        lifetime: Duration,
+    ) -> Result<KvExport, UpstreamError> {
+        let lifetime = self.scale.longer(lifetime);
+        let export = self.change("engine export", |state, now| {
+            let export = state.model.export_kv(now, request, attempt, lifetime)?;
+            state.end_attempt(request, attempt, "exported");
+            Ok(export)
+        });
+        let export = export.await?;
+        Ok(KvExport {
+            export: export.export,
+            tokens: export.tokens,
+        })
+    }
+
+    async fn import_kv(&self, import: KvImport) -> Result<(), UpstreamError> {
+        let step = "engine import";
+        self.check_alive(step)?;
+        let export = self.fetch_export(&import).await?;
+        let spec = KvImportSpec {
+            hold: HoldSpec {
+                request: import.request,
+                attempt: import.attempt,
+                holder: import.holder,
+                tokens: export.tokens,
+                lifetime: self.scale.longer(import.lifetime),
+            },
+            filled: export.tokens,
+        };
+        self.change(step, |state, now| state.model.import_kv(now, &spec))
+            .await?;
+        Ok(())
+    }
+}
+
+impl StandinEngine {
+    fn check_loaded(&self, call: &EngineCall) -> Result<(), UpstreamError> {
+        let loaded = self.locked(|state| {
+            let now = self.clock.now();
+            state.finish_loads(now);
+            state.holds_model(call)
+        });
+        if loaded {
+            return Ok(());
+        }
+        let cause = format!("{} {} is not loaded", call.model, call.version);
+        Err(self.refused("engine submit", STATUS_NOT_FOUND, cause))
+    }
+
+    fn hold_spec(&self, reservation: &KvReservation) -> HoldSpec {
+        HoldSpec {
+            request: reservation.request.clone(),
+            attempt: reservation.attempt,
+            holder: reservation.holder.clone(),
+            tokens: reservation.tokens,
+            lifetime: self.scale.longer(reservation.lifetime),
+        }
+    }
+
+    /// The size of an export on the engine that holds it.
+    async fn fetch_export(&self, import: &KvImport) -> Result<KvExport, UpstreamError> {
+        let step = "engine import";
+        let caller = HttpCaller::new(import.source.clone(), self.clock.clone(), FETCH_LIMIT);
+        let request = caller.post(step, "/engine/fetch", &import.export)?;
+        let answer = caller.call(step, request).await?;
+        if answer.status() == STATUS_NOT_FOUND {
+            let cause = format!("no export {} on {}", import.export, import.source);
+            return Err(self.refused(step, STATUS_NOT_FOUND, cause));
+        }
+        Ok(caller.decode(step, &answer)?)
+    }
+}
+
+fn attempt_spec(call: &EngineCall) -> AttemptSpec {
+    AttemptSpec {
+        request: call.request.clone(),
+        attempt: call.attempt,
+        priority: call.priority,
+        prompt_tokens: estimate_tokens(&call.prompt),
+        resume_at: call.resume_at,
+        output_tokens: call.output_tokens,
+        answer_tokens: call.output_tokens,
+        prefixes: prefix_hashes(
+            &call.model,
+            &call.version,
+            call.adapter.as_ref(),
+            &call.prompt,
+        ),
+        members: u32::try_from(call.members.len()).unwrap_or(u32::MAX),
+        member_tokens: call.members.iter().map(|member| member.tokens).sum(),
+    }
+}
--- a/components/standins/src/engine/control.rs
+++ b/components/standins/src/engine/control.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use ::platform::fakes::EdgeFaults;
 use http_types::{Method, Request, StatusCode};
 use serde::{Deserialize, Serialize};
 use types::{IncarnationNumber, TokenCount};
@@ -39,6 +40,12 @@
                 self.engine().kill(restart_after);
                 empty()
             }
+            (Method::Get, "faults") => json(StatusCode::Ok, &self.engine().switch().faults()),
+            (Method::Post, "faults") => {
+                let faults: EdgeFaults = read_json(request).await?;
+                self.engine().switch().set(faults);
+                empty()
+            }
             (Method::Post, "leave") => {
                 self.leave().await;
                 empty()
--- a/components/standins/src/engine/drive.rs
+++ b/components/standins/src/engine/drive.rs
@@ -7,7 +7,7 @@
 use smol::future;
 
 use crate::engine::{
-    StandinEngine, attempts::AttemptStep, cache_log::CacheLog, standin::EngineState,
+    StandinEngine, attempts::AttemptStep, cache_log::CacheLog, state::EngineState,
 };
 
 // Bounds the wait so that a clock jump never strands the driver.
--- a/components/standins/src/engine/mod.rs
+++ b/components/standins/src/engine/mod.rs
@@ -2,6 +2,7 @@
 
 mod attempts;
 mod cache_log;
+mod calls;
 mod control;
 mod drive;
 mod lending;
@@ -11,6 +12,7 @@
 mod server;
 mod settings;
 mod standin;
+mod state;
 
 pub use server::EngineServer;
 pub use settings::EngineSettings;
--- a/components/standins/src/engine/server.rs
+++ b/components/standins/src/engine/server.rs
@@ -8,7 +8,7 @@
 
 use ::platform::{HostEntry, HostKind, HostState};
 use errors::UpstreamError;
-use futures_lite::StreamExt;
+use futures_lite::{StreamExt, stream::unfold};
 use http_types::{Method, Request, Response, StatusCode};
 use kernel::{CancellationToken, ClockSource};
 use smol::{future, net::TcpListener};
@@ -25,6 +25,7 @@
     stream_body::{PartStream, streamed},
 };
 
+const KEEPALIVE: Duration = Duration::from_secs(2);
 const REBIND_PAUSE: Duration = Duration::from_millis(20);
 
 /// The model engine stand-in, bound to its address.
@@ -96,7 +97,13 @@
         let drive = self.engine.drive(token.clone());
         future::or(drive, self.clone().lives(token.clone())).await;
         let listing = &self.settings.listing;
-        listing.deregister(&self.entry(), &self.clock).await;
+        if token.is_cancelled() {
+            listing.deregister(&self.entry(), &self.clock).await;
+            return;
+        }
+        let entry = self.entry();
+        let unlisted = listing.deregister_crashed(&entry, &self.clock);
+        future::or(unlisted, token.cancelled()).await;
     }
 
     async fn lives(self: Arc<Self>, token: CancellationToken) {
@@ -178,7 +185,8 @@
     async fn submit(&self, mut call: StandinCall) -> Reply {
         let attempt: EngineCall = read_json(&mut call.request).await?;
         let outcome = self.engine.submit(attempt).await;
-        let success = |events| streamed(lines(events), call.stream);
+        let clock = self.clock.clone();
+        let success = |events| streamed(lines(events, clock), call.stream);
         engine_reply(outcome, success)
     }
 
@@ -247,8 +255,19 @@
     engine_reply(outcome, |()| empty())
 }
 
-fn lines(events: TokenStream) -> PartStream {
-    Box::pin(events.map(line))
+/// The events as lines, with an empty line where the engine is silent.
+fn lines(events: TokenStream, clock: ClockSource) -> PartStream {
+    Box::pin(unfold((events, clock), next_line))
+}
+
+async fn next_line(
+    (mut events, clock): (TokenStream, ClockSource),
+) -> Option<(io::Result<Vec<u8>>, (TokenStream, ClockSource))> {
+    let part = match clock.timeout(KEEPALIVE, events.next()).await {
+        Some(event) => line(event?),
+        None => Ok(vec![b'\n']),
+    };
+    Some((part, (events, clock)))
 }
 
 fn line(event: Result<EngineEvent, UpstreamError>) -> io::Result<Vec<u8>> {
--- a/components/standins/src/engine/settings.rs
+++ b/components/standins/src/engine/settings.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use ::platform::fakes::EdgeFaults;
 use model::engine_profile;
 use serde::{Deserialize, Serialize};
 use types::{
@@ -48,6 +49,8 @@
     pub crash_marker: String,
     /// Time after a crash until it is back; without, it stays down.
     pub restart_ms: Option<u64>,
+    /// Faults and limits of the calls; a held call is lost.
+    pub faults: EdgeFaults,
     /// Where it lists itself.
     pub listing: HostListing,
 }
@@ -70,6 +73,7 @@
             checks_fencing: true,
             crash_marker: String::new(),
             restart_ms: None,
+            faults: EdgeFaults::default(),
             listing: HostListing::default(),
         }
     }
--- a/components/standins/src/lib.rs
+++ b/components/standins/src/lib.rs
@@ -6,6 +6,7 @@
 mod answer;
 mod documents;
 mod engine;
+mod faults;
 mod platform;
 mod registration;
 mod reply;
--- a/components/standins/src/registration.rs
+++ b/components/standins/src/registration.rs
@@ -9,12 +9,24 @@
 const CALL_LIMIT: Duration = Duration::from_secs(2);
 
 /// Where a stand-in lists itself.
-#[derive(Clone, Debug, Default, Eq, PartialEq)]
+#[derive(Clone, Debug, Eq, PartialEq)]
 #[derive(Deserialize, Serialize)]
 #[serde(default, deny_unknown_fields)]
 pub struct HostListing {
     /// Address of the platform stand-in; empty for no listing.
     pub platform: String,
+    /// Time from a crash that it stays down after until it leaves the list,
+    /// in milliseconds.
+    pub unlist_ms: u64,
+}
+
+impl Default for HostListing {
+    fn default() -> Self {
+        Self {
+            platform: String::new(),
+            unlist_ms: 2_000,
+        }
+    }
 }
 
 impl HostListing {
@@ -39,6 +51,14 @@
         }
     }
 
+    /// Takes a crashed process off the list once the platform has noticed.
+    pub(crate) async fn deregister_crashed(&self, entry: &HostEntry, clock: &ClockSource) {
+        if !self.platform.is_empty() {
+            clock.sleep(Duration::from_millis(self.unlist_ms)).await;
+            self.deregister(entry, clock).await;
+        }
+    }
+
     fn registrar(&self, clock: &ClockSource) -> Option<HostRegistrar> {
         if self.platform.is_empty() {
             return None;
--- a/components/standins/tests/contract/engine.rs
+++ b/components/standins/tests/contract/engine.rs
@@ -5,7 +5,7 @@
 use errors::UpstreamError;
 use futures_lite::StreamExt;
 use kernel::{CancellationToken, ClockSource};
-use smol::{Timer, block_on};
+use smol::block_on;
 use standins::{EngineSettings, StandinEngine, expected_answer};
 use types::{EngineOrder, EngineRole, estimate_tokens};
 use upstream::{
@@ -13,9 +13,7 @@
     TokenStream,
 };
 
-use crate::fixture::{CALL_LIMIT, base_model, engine};
-
-const POLL: Duration = Duration::from_millis(5);
+use crate::fixture::{CALL_LIMIT, base_model, engine, until};
 
 /// An engine a hundred times faster than the model.
 pub fn fast_settings() -> EngineSettings {
@@ -96,14 +94,6 @@
     record
 }
 
-/// Waits until the condition holds; a test that hangs here fails by its
-/// runner's own limit.
-pub async fn until(mut condition: impl AsyncFnMut() -> bool) {
-    while !condition().await {
-        Timer::after(POLL).await;
-    }
-}
-
 fn answer(prompt: &str, tokens: u64) -> String {
     let model = base_model();
     expected_answer(&model.model, &model.version, None, prompt, tokens)
--- a/components/upstream/src/http/service.rs
+++ b/components/upstream/src/http/service.rs
@@ -103,6 +103,7 @@
         let mut request = self.caller.request(step, Method::Get, &rooted(path))?;
         self.caller
             .set_header(step, &mut request, TRACE_HEADER, traceparent)?;
+        request.insert_header(DEADLINE_HEADER, limit.as_millis().to_string());
         let answer = self.caller.call_within(step, request, limit).await?;
         self.take(step, answer)
     }
--- a/components/upstream/src/http/stream.rs
+++ b/components/upstream/src/http/stream.rs
@@ -1,6 +1,7 @@
-//! The events of a running attempt, one JSON document a line.
+//! The events of a running attempt, one JSON document a line. An engine that
+//! has nothing to say sends an empty line now and then.
 
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use errors::{SendPhase, UpstreamError};
 use futures_lite::{AsyncBufReadExt, AsyncReadExt, stream::unfold};
@@ -10,6 +11,8 @@
 use crate::{EngineEvent, TokenStream};
 
 const LINE_LIMIT_BYTES: u64 = 64 * 1024;
+/// Longest time without any line until the engine is taken for dead.
+const SILENCE_LIMIT: Duration = Duration::from_secs(10);
 const STEP: &str = "engine stream";
 
 struct EventReader {
@@ -55,21 +58,8 @@
 
 impl EventReader {
     async fn next(&mut self) -> Result<EngineEvent, UpstreamError> {
-        let clock = self.caller.clock().clone();
-        let left = self.deadline.saturating_duration_since(clock.now());
-        let outcome = clock.timeout(left, self.read_event()).await;
-        outcome.unwrap_or_else(|| {
-            Err(UpstreamError::Overdue {
-                step: STEP.to_owned(),
-                peer: self.caller.peer().to_owned(),
-                phase: SendPhase::AfterFirstByte,
-            })
-        })
-    }
-
-    async fn read_event(&mut self) -> Result<EngineEvent, UpstreamError> {
         loop {
-            let line = self.read_line().await?;
+            let line = self.read_line_in_time().await?;
             if line.trim_ascii().is_empty() {
                 continue;
             }
@@ -78,6 +68,14 @@
         }
     }
 
+    async fn read_line_in_time(&mut self) -> Result<Vec<u8>, UpstreamError> {
+        let clock = self.caller.clock().clone();
+        let left = self.deadline.saturating_duration_since(clock.now());
+        let limit = left.min(SILENCE_LIMIT);
+        let outcome = clock.timeout(limit, self.read_line()).await;
+        outcome.unwrap_or_else(|| Err(self.overdue()))
+    }
+
     async fn read_line(&mut self) -> Result<Vec<u8>, UpstreamError> {
         let mut line = Vec::new();
         let mut bounded = (&mut self.response).take(LINE_LIMIT_BYTES);
@@ -94,6 +92,14 @@
         Err(self.broken("ended before the answer was whole"))
     }
 
+    fn overdue(&self) -> UpstreamError {
+        UpstreamError::Overdue {
+            step: STEP.to_owned(),
+            peer: self.caller.peer().to_owned(),
+            phase: SendPhase::AfterFirstByte,
+        }
+    }
+
     fn broken(&self, cause: &str) -> UpstreamError {
         UpstreamError::Broken {
             step: STEP.to_owned(),
