Know upstreams by the lagging list and by what calls show

The directory drives the upstream table: a leaving upstream gets no new work whether the list, a call or another node tells first, one that fails backs off, and a new process behind a known id is a new upstream. What a node finds out is spread on membership messages.

--- a/components/node/src/api/services.rs
+++ b/components/node/src/api/services.rs
@@ -4,6 +4,7 @@
 
 use entry::{ApiFailure, EntryRequest, FailureKind, HeaderName};
 use http_types::{Method, Response};
+use membership::CallEvidence;
 use telemetry::HopKind;
 use upstream::ServiceAnswer;
 
@@ -57,8 +58,16 @@
     let traceparent = span.traceparent();
     let read = service.client.read(&path.rest, READ_LIMIT, &traceparent);
     match read.await {
-        Ok(answer) => Ok(service_response(&answer)),
+        Ok(answer) => {
+            parts
+                .directory
+                .called(&service.id, service.incarnation, CallEvidence::Answered);
+            Ok(service_response(&answer))
+        }
         Err(error) => {
+            parts
+                .directory
+                .called(&service.id, service.incarnation, CallEvidence::Failed);
             span.fail(&error.to_string());
             parts.metrics.count_failure("read", &service.id);
             Err(
--- a/components/node/src/api/status.rs
+++ b/components/node/src/api/status.rs
@@ -1,7 +1,6 @@
 //! What operators see of a node and its fleet.
 
-use membership::MemberState;
-use platform::HostState;
+use membership::{MemberState, UpstreamState};
 use serde::{Deserialize, Serialize};
 use types::{EngineId, IncarnationNumber, NodeId, NoteVersion, ZoneId};
 
@@ -49,7 +48,7 @@
     pub engine: EngineId,
     /// Its availability zone.
     pub zone: ZoneId,
-    /// `live` or `leaving`.
+    /// `usable`, `on trial`, `backing off` or `leaving`.
     pub state: String,
     /// Life of its process.
     pub incarnation: IncarnationNumber,
@@ -91,7 +90,7 @@
         .into_iter()
         .map(|engine| EngineStatus {
             owned: parts.fleet.owns(&engine.id, &engine.zone),
-            state: host_state(engine.state).to_owned(),
+            state: upstream_state(engine.state).to_owned(),
             engine: engine.id,
             zone: engine.zone,
             incarnation: engine.incarnation,
@@ -109,9 +108,11 @@
     }
 }
 
-fn host_state(state: HostState) -> &'static str {
+fn upstream_state(state: UpstreamState) -> &'static str {
     match state {
-        HostState::Live => "live",
-        HostState::Leaving => "leaving",
+        UpstreamState::Usable => "usable",
+        UpstreamState::Trial => "on trial",
+        UpstreamState::BackingOff => "backing off",
+        UpstreamState::Leaving => "leaving",
     }
 }
--- a/components/node/src/daemon.rs
+++ b/components/node/src/daemon.rs
@@ -127,6 +127,7 @@
             members,
             fleet: Arc::clone(&self.fleet),
             peers: Arc::clone(&self.peers),
+            directory: Arc::clone(&self.directory),
             prompts: Arc::clone(&self.prompts),
             metrics: Arc::clone(&self.metrics),
         }
@@ -271,6 +272,10 @@
     let links = base.links(Arc::clone(members));
     kernel.start("changes", |token| links.clone().run_changes(token));
     kernel.start("publisher", |token| links.clone().run_publisher(token));
+    kernel.start("evidence", |token| {
+        links.clone().run_evidence_publisher(token)
+    });
+    kernel.start("told", |token| links.clone().run_evidence_reader(token));
     kernel.start("reader", |token| links.run_reader(token));
 }
 
--- a/components/node/src/directory.rs
+++ b/components/node/src/directory.rs
@@ -1,21 +1,29 @@
-//! Upstreams that the host list names, with a client for each.
+//! Upstreams that may be called, with a client for each.
+//!
+//! The host list lags; what calls show and what other nodes tell corrects it.
 
 use std::{
     collections::BTreeMap,
-    sync::{Arc, Mutex, PoisonError},
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
     time::Duration,
 };
 
 use kernel::{CancellationToken, ClockSource};
+use membership::{
+    CallEvidence, ListedUpstream, UpstreamChange, UpstreamEvent, UpstreamEvidence,
+    UpstreamSettings, UpstreamState, UpstreamTable,
+};
 use platform::{HostEntry, HostKind, HostList, HostState};
-use types::{EngineId, IncarnationNumber, ServiceName, UpstreamId, ZoneId};
+use smol::channel::{Receiver, Sender, bounded};
+use types::{EngineId, IncarnationNumber, NodeId, ServiceName, UpstreamId, ZoneId};
 use upstream::{HttpEngine, HttpService, ModelEngine, PlainService};
 
 const POLL_PAUSE: Duration = Duration::from_secs(1);
 const ENGINE_CALL_LIMIT: Duration = Duration::from_secs(5);
 const SERVICE_CALL_LIMIT: Duration = Duration::from_secs(30);
+const NEWS_CAPACITY: usize = 256;
 
-/// A listed model engine.
+/// A known model engine.
 #[derive(Clone)]
 pub struct KnownEngine {
     /// Its id.
@@ -26,13 +34,13 @@
     pub zone: ZoneId,
     /// Life of the process.
     pub incarnation: IncarnationNumber,
-    /// Whether it takes new work.
-    pub state: HostState,
+    /// Whether it may be given new work.
+    pub state: UpstreamState,
     /// Client.
     pub client: Arc<dyn ModelEngine>,
 }
 
-/// A listed plain service process.
+/// A known process of a plain service.
 #[derive(Clone)]
 pub struct KnownService {
     /// Its id.
@@ -41,110 +49,192 @@
     pub name: ServiceName,
     /// Availability zone.
     pub zone: ZoneId,
-    /// Whether it takes new work.
-    pub state: HostState,
     /// Life of the process.
     pub incarnation: IncarnationNumber,
     /// Client.
     pub client: Arc<dyn PlainService>,
 }
 
+enum UpstreamClient {
+    Engine(Arc<dyn ModelEngine>),
+    Service(Arc<dyn PlainService>),
+}
+
+struct KnownUpstream {
+    host: HostEntry,
+    client: UpstreamClient,
+}
+
+struct DirectoryState {
+    table: UpstreamTable,
+    upstreams: BTreeMap<UpstreamId, KnownUpstream>,
+}
+
 /// The upstreams known now.
 pub struct UpstreamDirectory {
     clock: ClockSource,
-    engines: Mutex<BTreeMap<EngineId, KnownEngine>>,
-    services: Mutex<BTreeMap<UpstreamId, KnownService>>,
+    state: Mutex<DirectoryState>,
+    news: Sender<UpstreamEvidence>,
+    news_reader: Receiver<UpstreamEvidence>,
 }
 
 impl UpstreamDirectory {
     /// An empty directory.
     #[must_use]
     pub fn new(clock: ClockSource) -> Arc<Self> {
+        let (news, news_reader) = bounded(NEWS_CAPACITY);
         Arc::new(Self {
             clock,
-            engines: Mutex::default(),
-            services: Mutex::default(),
+            state: Mutex::new(DirectoryState {
+                table: UpstreamTable::new(UpstreamSettings::default()),
+                upstreams: BTreeMap::new(),
+            }),
+            news,
+            news_reader,
         })
     }
 
-    /// One engine.
+    /// One engine, whatever its state.
     #[must_use]
     pub fn engine(&self, id: &EngineId) -> Option<KnownEngine> {
-        let engines = self.engines.lock().unwrap_or_else(PoisonError::into_inner);
-        engines.get(id).cloned()
+        let now = self.clock.now();
+        let state = self.locked();
+        state
+            .upstreams
+            .get(id)
+            .and_then(|known| state.known_engine(now, known))
     }
 
     /// Every engine, in the order of ids.
     #[must_use]
     pub fn engines(&self) -> Vec<KnownEngine> {
-        let engines = self.engines.lock().unwrap_or_else(PoisonError::into_inner);
-        engines.values().cloned().collect()
+        let now = self.clock.now();
+        let state = self.locked();
+        state
+            .upstreams
+            .values()
+            .filter_map(|known| state.known_engine(now, known))
+            .collect()
     }
 
-    /// The processes behind a service's name that take new work, those in
-    /// `zone` first.
+    /// The processes behind a service's name that may be given new work,
+    /// those in `zone` first.
     #[must_use]
     pub fn services(&self, name: &ServiceName, zone: &ZoneId) -> Vec<KnownService> {
-        let services = self.services.lock().unwrap_or_else(PoisonError::into_inner);
-        let mut found: Vec<KnownService> = services
+        let now = self.clock.now();
+        let state = self.locked();
+        let mut found: Vec<KnownService> = state
+            .upstreams
             .values()
-            .filter(|service| service.name == *name && service.state == HostState::Live)
-            .cloned()
+            .filter(|known| known.host.service == *name)
+            .filter(|known| is_usable(state.table.state(now, &known.host.id)))
+            .filter_map(known_service)
             .collect();
         found.sort_by_key(|service| service.zone != *zone);
         found
     }
 
+    /// What this node has found out about upstreams, for other nodes.
+    #[must_use]
+    pub fn news(&self) -> Receiver<UpstreamEvidence> {
+        self.news_reader.clone()
+    }
+
     /// Takes a new reading of the host list.
     pub fn update(&self, hosts: &[HostEntry]) {
-        self.update_engines(hosts);
-        self.update_services(hosts);
+        let upstreams: Vec<&HostEntry> = hosts
+            .iter()
+            .filter(|host| host.kind != HostKind::Node)
+            .collect();
+        let listed = upstreams.iter().map(|host| listed_upstream(host)).collect();
+        let now = self.clock.now();
+        let mut state = self.locked();
+        let changes = state.table.handle(now, UpstreamEvent::Listed(listed));
+        for change in changes {
+            if let UpstreamChange::New(listed) = &change
+                && let Some(host) = upstreams.iter().find(|host| host.id == listed.upstream)
+            {
+                let known = self.known_upstream(host);
+                state.upstreams.insert(host.id.clone(), known);
+            }
+            self.apply(&mut state, &change);
+        }
     }
 
-    fn update_engines(&self, hosts: &[HostEntry]) {
-        let mut engines = self.engines.lock().unwrap_or_else(PoisonError::into_inner);
-        let listed = |kind| hosts.iter().filter(move |host| host.kind == kind);
-        engines.retain(|id, _| listed(HostKind::Engine).any(|host| host.id == *id));
-        for host in listed(HostKind::Engine) {
-            match engines.get_mut(&host.id) {
-                Some(known) if is_same(&known.address, known.incarnation, host) => {
-                    known.state = host.state;
-                }
-                _ => {
-                    engines.insert(host.id.clone(), self.known_engine(host));
+    /// Takes what one of this node's calls showed.
+    pub fn called(&self, id: &UpstreamId, incarnation: IncarnationNumber, evidence: CallEvidence) {
+        let event = UpstreamEvent::Called(UpstreamEvidence {
+            upstream: id.clone(),
+            incarnation,
+            evidence,
+        });
+        self.handle(event);
+    }
+
+    /// Takes what another node told.
+    pub fn told(&self, node: NodeId, evidence: UpstreamEvidence) {
+        self.handle(UpstreamEvent::Told { node, evidence });
+    }
+
+    fn handle(&self, event: UpstreamEvent) {
+        let now = self.clock.now();
+        let mut state = self.locked();
+        for change in state.table.handle(now, event) {
+            self.apply(&mut state, &change);
+        }
+    }
+
+    fn apply(&self, state: &mut DirectoryState, change: &UpstreamChange) {
+        match change {
+            UpstreamChange::New(listed) => log::info!(
+                "event=upstream_new upstream={} incarnation={} address={}",
+                listed.upstream,
+                listed.incarnation,
+                listed.address
+            ),
+            UpstreamChange::Leaving(evidence) => {
+                log::info!("event=upstream_leaving upstream={}", evidence.upstream);
+                self.news.try_send(evidence.clone()).ok();
+            }
+            UpstreamChange::BackedOff(upstream) => {
+                log::warn!("event=upstream_backed_off upstream={upstream}");
+                if let Some(known) = state.upstreams.get(upstream) {
+                    let evidence = UpstreamEvidence {
+                        upstream: upstream.clone(),
+                        incarnation: known.host.incarnation,
+                        evidence: CallEvidence::Failed,
+                    };
+                    self.news.try_send(evidence).ok();
                 }
             }
+            UpstreamChange::Recovered(upstream) => {
+                log::info!("event=upstream_recovered upstream={upstream}");
+            }
+            UpstreamChange::Gone(upstream) => {
+                log::info!("event=upstream_gone upstream={upstream}");
+                state.upstreams.remove(upstream);
+            }
         }
     }
 
-    fn known_engine(&self, host: &HostEntry) -> KnownEngine {
-        let client = HttpEngine::new(host.address.clone(), self.clock.clone(), ENGINE_CALL_LIMIT);
-        KnownEngine {
-            id: host.id.clone(),
-            address: host.address.clone(),
-            zone: host.zone.clone(),
-            incarnation: host.incarnation,
-            state: host.state,
-            client: Arc::new(client),
+    fn known_upstream(&self, host: &HostEntry) -> KnownUpstream {
+        let address = host.address.clone();
+        let clock = self.clock.clone();
+        let client = if host.kind == HostKind::Engine {
+            let engine = HttpEngine::new(address, clock, ENGINE_CALL_LIMIT);
+            UpstreamClient::Engine(Arc::new(engine))
+        } else {
+            let service = HttpService::new(address, clock, SERVICE_CALL_LIMIT);
+            UpstreamClient::Service(Arc::new(service))
+        };
+        KnownUpstream {
+            host: host.clone(),
+            client,
         }
     }
 
-    fn update_services(&self, hosts: &[HostEntry]) {
-        let mut services = self.services.lock().unwrap_or_else(PoisonError::into_inner);
-        services.clear();
-        for host in hosts.iter().filter(|host| host.kind == HostKind::Service) {
-            let client =
-                HttpService::new(host.address.clone(), self.clock.clone(), SERVICE_CALL_LIMIT);
-            let known = KnownService {
-                id: host.id.clone(),
-                name: host.service.clone(),
-                zone: host.zone.clone(),
-                state: host.state,
-                incarnation: host.incarnation,
-                client: Arc::new(client),
-            };
-            services.insert(host.id.clone(), known);
-        }
+    fn locked(&self) -> MutexGuard<'_, DirectoryState> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
     /// Reads the host list again and again until `token` is cancelled. While
@@ -160,6 +250,44 @@
     }
 }
 
-fn is_same(address: &str, incarnation: IncarnationNumber, host: &HostEntry) -> bool {
-    address == host.address && incarnation == host.incarnation
+impl DirectoryState {
+    fn known_engine(&self, now: std::time::Instant, known: &KnownUpstream) -> Option<KnownEngine> {
+        let UpstreamClient::Engine(client) = &known.client else {
+            return None;
+        };
+        Some(KnownEngine {
+            id: known.host.id.clone(),
+            address: known.host.address.clone(),
+            zone: known.host.zone.clone(),
+            incarnation: known.host.incarnation,
+            state: self.table.state(now, &known.host.id)?,
+            client: Arc::clone(client),
+        })
+    }
+}
+
+fn known_service(known: &KnownUpstream) -> Option<KnownService> {
+    let UpstreamClient::Service(client) = &known.client else {
+        return None;
+    };
+    Some(KnownService {
+        id: known.host.id.clone(),
+        name: known.host.service.clone(),
+        zone: known.host.zone.clone(),
+        incarnation: known.host.incarnation,
+        client: Arc::clone(client),
+    })
+}
+
+fn is_usable(state: Option<UpstreamState>) -> bool {
+    matches!(state, Some(UpstreamState::Usable | UpstreamState::Trial))
+}
+
+fn listed_upstream(host: &HostEntry) -> ListedUpstream {
+    ListedUpstream {
+        upstream: host.id.clone(),
+        incarnation: host.incarnation,
+        address: host.address.clone(),
+        leaving: host.state == HostState::Leaving,
+    }
 }
--- a/components/node/src/links.rs
+++ b/components/node/src/links.rs
@@ -1,22 +1,27 @@
 //! What membership tells the other services, and what they tell members.
 
 use std::{
-    collections::{HashMap, HashSet},
+    collections::{HashMap, HashSet, VecDeque},
     sync::Arc,
     time::Duration,
 };
 
 use kernel::{CancellationToken, ClockSource};
-use membership::{GossipTopic, MemberSnapshot};
+use membership::{GossipTopic, MemberSnapshot, UpstreamEvidence};
 use routing::SchedulerEvent;
 use telemetry::NodeMetrics;
 use types::NodeId;
 
-use crate::{fleet::FleetView, members::MemberService, peers::PeerClient, prompts::PromptService};
+use crate::{
+    directory::UpstreamDirectory, fleet::FleetView, members::MemberService, peers::PeerClient,
+    prompts::PromptService,
+};
 
 /// Summaries are made at this pace; membership sends each to few members.
 const SUMMARY_PAUSE: Duration = Duration::from_millis(500);
 const REVIEW_PAUSE: Duration = Duration::from_secs(1);
+/// Evidence that fits one membership message.
+const EVIDENCE_LIMIT: usize = 10;
 
 /// Carries news between membership and the services that decide by it.
 #[derive(Clone)]
@@ -29,6 +34,8 @@
     pub fleet: Arc<FleetView>,
     /// Addresses of nodes.
     pub peers: Arc<PeerClient>,
+    /// Known upstreams.
+    pub directory: Arc<UpstreamDirectory>,
     /// The scheduler's service.
     pub prompts: Arc<PromptService>,
     /// Metrics.
@@ -115,4 +122,49 @@
         };
         smol::future::or(reading, token.cancelled()).await;
     }
+
+    /// Tells other nodes what calls of this one showed of upstreams, the
+    /// newest few, until `token` is cancelled.
+    pub async fn run_evidence_publisher(self, token: CancellationToken) {
+        let news = self.directory.news();
+        let mut newest: VecDeque<UpstreamEvidence> = VecDeque::new();
+        let publishing = async {
+            while let Ok(evidence) = news.recv().await {
+                newest.retain(|known| known.upstream != evidence.upstream);
+                newest.push_back(evidence);
+                if newest.len() > EVIDENCE_LIMIT {
+                    newest.pop_front();
+                }
+                self.publish_evidence(&newest).await;
+            }
+        };
+        smol::future::or(publishing, token.cancelled()).await;
+    }
+
+    async fn publish_evidence(&self, newest: &VecDeque<UpstreamEvidence>) {
+        let Ok(body) = postcard::to_stdvec(newest) else {
+            return;
+        };
+        let topic = GossipTopic::EngineEvidence;
+        if let Err(fault) = self.members.publish(topic, body).await {
+            log::warn!("event=evidence_not_sent cause=\"{fault}\"");
+        }
+    }
+
+    /// Takes what other nodes tell of upstreams until `token` is cancelled.
+    pub async fn run_evidence_reader(self, token: CancellationToken) {
+        let evidence = self.members.subscribe(GossipTopic::EngineEvidence);
+        let reading = async {
+            while let Ok(record) = evidence.recv().await {
+                let Ok(list) = postcard::from_bytes::<Vec<UpstreamEvidence>>(&record.body) else {
+                    log::warn!("event=evidence_not_read node={}", record.origin);
+                    continue;
+                };
+                for evidence in list {
+                    self.directory.told(record.origin.clone(), evidence);
+                }
+            }
+        };
+        smol::future::or(reading, token.cancelled()).await;
+    }
 }
--- a/components/node/src/watch.rs
+++ b/components/node/src/watch.rs
@@ -3,7 +3,7 @@
 use std::{collections::HashMap, sync::Arc, time::Duration};
 
 use kernel::{CancellationToken, ClockSource};
-use platform::HostState;
+use membership::{CallEvidence, UpstreamState};
 use routing::SchedulerEvent;
 use smol::Task;
 use types::{EngineId, IncarnationNumber};
@@ -16,7 +16,6 @@
 
 const REVIEW_PAUSE: Duration = Duration::from_millis(250);
 const REPORT_PAUSE: Duration = Duration::from_millis(250);
-const MISSED_REPORTS_LIMIT: u32 = 3;
 
 /// Watches the owned engines and tells the scheduler.
 pub struct EngineWatch {
@@ -62,7 +61,7 @@
             .directory
             .engines()
             .into_iter()
-            .filter(|engine| engine.state == HostState::Live)
+            .filter(|engine| engine.state != UpstreamState::Leaving)
             .filter(|engine| self.fleet.owns(&engine.id, &engine.zone))
             .collect();
         watched.retain(|id, engine| {
@@ -91,6 +90,7 @@
                 _task: smol::spawn(poll_engine(
                     self.clock.clone(),
                     Arc::clone(&self.prompts),
+                    Arc::clone(&self.directory),
                     engine,
                 )),
             };
@@ -99,19 +99,28 @@
     }
 }
 
-async fn poll_engine(clock: ClockSource, prompts: Arc<PromptService>, engine: KnownEngine) {
-    let mut missed = 0;
+/// Polls one engine. While it backs off the scheduler does not know it; the
+/// first report that comes makes it known again.
+async fn poll_engine(
+    clock: ClockSource,
+    prompts: Arc<PromptService>,
+    directory: Arc<UpstreamDirectory>,
+    engine: KnownEngine,
+) {
+    let mut known = false;
     let mut place = 0;
     loop {
         match engine.client.report().await {
             Ok(report) => {
-                missed = 0;
+                directory.called(&engine.id, engine.incarnation, CallEvidence::Answered);
                 prompts.handle(SchedulerEvent::Reported(report));
+                known = true;
                 place = poll_cache(&prompts, &engine, place).await;
             }
             Err(error) => {
-                missed += 1;
-                if missed == MISSED_REPORTS_LIMIT {
+                directory.called(&engine.id, engine.incarnation, CallEvidence::Failed);
+                if known && !is_usable(&directory, &engine) {
+                    known = false;
                     log::warn!("event=engine_silent engine={} cause=\"{error}\"", engine.id);
                     prompts.handle(SchedulerEvent::EngineGone {
                         engine: engine.id.clone(),
@@ -123,6 +132,12 @@
     }
 }
 
+fn is_usable(directory: &UpstreamDirectory, engine: &KnownEngine) -> bool {
+    directory
+        .engine(&engine.id)
+        .is_some_and(|known| known.state == UpstreamState::Usable)
+}
+
 /// Reads cache events from `place` on; returns the next place.
 async fn poll_cache(prompts: &Arc<PromptService>, engine: &KnownEngine, place: u64) -> u64 {
     let Ok(batch) = engine.client.cache_events(place).await else {
--- a/src/cmd/local/fleet.rs
+++ b/src/cmd/local/fleet.rs
@@ -178,6 +178,7 @@
     fn listing(&self) -> HostListing {
         HostListing {
             platform: self.platform.address().to_owned(),
+            ..HostListing::default()
         }
     }
 }
@@ -191,6 +192,7 @@
         zone: zone(0),
         listing: HostListing {
             platform: platform.address().to_owned(),
+            ..HostListing::default()
         },
         ..ServiceSettings::default()
     };
