Stop a node as planned, and show it and an engine's loss on the tour

The drain plan is carried out: the node leaves its own and the others' answers, gives its engines up, serves callers with old answers until these have expired, finishes what runs and exits. Address answers come from the planner, spread by load and organisation.

--- a/components/kernel/src/registry.rs
+++ b/components/kernel/src/registry.rs
@@ -127,6 +127,14 @@
         });
     }
 
+    /// Cancels the tasks started as `name` without waiting for their ends.
+    pub fn cancel(&self, name: &str) {
+        let running = self.running.lock().unwrap_or_else(PoisonError::into_inner);
+        for task in running.iter().filter(|task| task.name == name) {
+            task.token.cancel();
+        }
+    }
+
     /// Stops the services, last started first, giving each `limit` to end.
     ///
     /// Returns the names of those that had to be cut.
--- a/components/node/src/api/addresses.rs
+++ b/components/node/src/api/addresses.rs
@@ -1,10 +1,11 @@
 //! `GET /v1/addresses`: which nodes a caller should use.
 
-use std::sync::Arc;
+use std::sync::{Arc, PoisonError};
 
-use entry::EntryRequest;
-use membership::MemberRecord;
+use entry::{ApiFailure, EntryRequest, FailureKind};
+use membership::{AddressCandidate, AddressRequest, MemberRecord};
 use serde::{Deserialize, Serialize};
+use types::TokenCount;
 
 use super::{
     ApiParts,
@@ -24,24 +25,70 @@
 /// Answers with the addresses of live nodes.
 ///
 /// # Errors
-/// Never; the signature is that of every handler.
-#[allow(clippy::unused_async)]
-pub async fn addresses(parts: Arc<ApiParts>, _request: EntryRequest) -> ApiResult {
-    let answer = AddressAnswer {
-        addresses: caller_addresses(&parts),
-        keep_for_ms: parts.settings.timeouts.address_lifetime_ms,
+/// `ApiFailure` when a hint is malformed, or no node takes new work.
+pub fn addresses(parts: &Arc<ApiParts>, request: &EntryRequest) -> ApiResult {
+    let hints = address_request(parts, request)?;
+    let candidates = candidates(parts);
+    let answer = {
+        let planner = parts.addresses.lock();
+        let mut planner = planner.unwrap_or_else(PoisonError::into_inner);
+        planner.answer(parts.clock.now(), &hints, &candidates)
     };
-    Ok(json_response(&answer))
+    if answer.addresses.is_empty() {
+        return Err(ApiFailure::new(
+            FailureKind::Unavailable,
+            "no_node",
+            "no node takes new work; ask again",
+        )
+        .with_retry_after(answer.valid_for));
+    }
+    Ok(json_response(&AddressAnswer {
+        addresses: answer
+            .addresses
+            .iter()
+            .map(|named| named.address.to_string())
+            .collect(),
+        keep_for_ms: u64::try_from(answer.valid_for.as_millis()).unwrap_or(u64::MAX),
+    }))
 }
 
-/// Serving nodes, those of this node's availability zone first.
-fn caller_addresses(parts: &ApiParts) -> Vec<String> {
+fn address_request(parts: &ApiParts, request: &EntryRequest) -> Result<AddressRequest, ApiFailure> {
+    let own = &parts.settings.node;
+    let prompt_tokens = match request.query("prompt_tokens") {
+        None => 0,
+        Some(text) => text.parse::<TokenCount>().map_err(|_| {
+            ApiFailure::new(
+                FailureKind::BadRequest,
+                "bad_hint",
+                "prompt_tokens must be a whole number",
+            )
+            .with_param("prompt_tokens")
+        })?,
+    };
+    Ok(AddressRequest {
+        zone: request.query("zone").unwrap_or_else(|| own.zone.clone()),
+        region: own.region.clone(),
+        organisation: request.query("organisation").unwrap_or_default(),
+        prompt_tokens,
+    })
+}
+
+fn candidates(parts: &ApiParts) -> Vec<AddressCandidate> {
     let snapshot = parts.members.members();
-    let zone = &parts.settings.node.zone;
-    let mut records: Vec<&MemberRecord> = snapshot.serving().collect();
-    records.sort_by_key(|record| record.zone != *zone);
-    records
-        .into_iter()
-        .map(|record| record.addresses.callers.to_string())
+    let own = &parts.settings.node.id;
+    snapshot
+        .serving()
+        .filter(|record| record.node != *own || !parts.draining.is_set())
+        .map(|record| candidate(parts, record))
         .collect()
 }
+
+fn candidate(parts: &ApiParts, record: &MemberRecord) -> AddressCandidate {
+    AddressCandidate {
+        node: record.node.clone(),
+        zone: record.zone.clone(),
+        region: record.region.clone(),
+        address: record.addresses.callers,
+        load: parts.prompts.load_of(&record.node),
+    }
+}
--- a/components/node/src/api/parts.rs
+++ b/components/node/src/api/parts.rs
@@ -1,14 +1,15 @@
 //! What the handlers work with.
 
-use std::sync::Arc;
+use std::sync::{Arc, Mutex};
 
 use kernel::ClockSource;
+use membership::AddressPlanner;
 use settings::NodeSettings;
 use telemetry::{HopTracer, NodeMetrics};
 
 use crate::{
-    directory::UpstreamDirectory, fleet::FleetView, members::MemberService, notes::NoteService,
-    prompts::PromptService,
+    directory::UpstreamDirectory, drain::DrainFlag, fleet::FleetView, members::MemberService,
+    notes::NoteService, prompts::PromptService,
 };
 
 /// The services behind the HTTP interface.
@@ -23,6 +24,10 @@
     pub prompts: Arc<PromptService>,
     /// Membership.
     pub members: Arc<MemberService>,
+    /// Whether this node is on its way out.
+    pub draining: Arc<DrainFlag>,
+    /// Answers callers that ask which node to use.
+    pub addresses: Mutex<AddressPlanner>,
     /// Who owns which engine.
     pub fleet: Arc<FleetView>,
     /// Upstreams.
--- a/components/node/src/api/router.rs
+++ b/components/node/src/api/router.rs
@@ -105,7 +105,7 @@
 async fn dispatch(parts: Arc<ApiParts>, request: EntryRequest, route: ApiRoute) -> ApiResult {
     require_method(&request, &route)?;
     match route {
-        ApiRoute::Addresses => addresses::addresses(parts, request).await,
+        ApiRoute::Addresses => addresses::addresses(&parts, &request),
         ApiRoute::Completion(shape) => complete(parts, request, shape).await,
         ApiRoute::Service(path) => call_service(parts, request, path).await,
         ApiRoute::Live => Ok(text_response("live")),
--- a/components/node/src/daemon.rs
+++ b/components/node/src/daemon.rs
@@ -1,10 +1,14 @@
 //! Composing the services of a node, and stopping them.
 
-use std::{net::SocketAddr, sync::Arc, time::Duration};
+use std::{
+    net::SocketAddr,
+    sync::{Arc, Mutex},
+    time::Duration,
+};
 
 use entry::{BodyBudget, EntryLimits, EntryServer};
 use kernel::{CancellationToken, ClockSource, ServiceKernel};
-use membership::MemberSettings;
+use membership::{AddressPlanner, AddressSettings, DrainSettings, MemberSettings};
 use platform::{HostList, HttpHosts, HttpTable, TableService};
 use routing::SchedulerSettings;
 use settings::NodeSettings;
@@ -16,6 +20,7 @@
     NodeError,
     api::{ApiParts, api_handler},
     directory::UpstreamDirectory,
+    drain::{DrainFlag, DrainService},
     fleet::FleetView,
     links::MemberLinks,
     members::{MemberConfig, MemberService},
@@ -38,6 +43,8 @@
     peers: SocketAddr,
     members: Arc<MemberService>,
     notes: Arc<NoteService>,
+    drain: DrainService,
+    drain_settings: DrainSettings,
 }
 
 /// What every service is built from.
@@ -49,6 +56,7 @@
     tracer: HopTracer,
     directory: Arc<UpstreamDirectory>,
     fleet: Arc<FleetView>,
+    draining: Arc<DrainFlag>,
     peers: Arc<PeerClient>,
     notes: Arc<NoteService>,
     prompts: Arc<PromptService>,
@@ -84,6 +92,7 @@
         });
         Self {
             fleet: FleetView::new(&settings.node.id, &settings.node.zone),
+            draining: Arc::default(),
             notes: NoteService::new(table, clock.clone()),
             hosts: Arc::new(hosts),
             settings,
@@ -104,6 +113,8 @@
             notes: Arc::clone(&self.notes),
             prompts: Arc::clone(&self.prompts),
             members,
+            draining: Arc::clone(&self.draining),
+            addresses: Mutex::new(self.address_planner()),
             fleet: Arc::clone(&self.fleet),
             directory: Arc::clone(&self.directory),
             tracer: self.tracer.clone(),
@@ -111,6 +122,35 @@
         }
     }
 
+    fn address_planner(&self) -> AddressPlanner {
+        let settings = AddressSettings {
+            lifetime: Duration::from_millis(self.settings.timeouts.address_lifetime_ms),
+            seed: rand::random(),
+            ..AddressSettings::default()
+        };
+        AddressPlanner::new(self.clock.now(), settings)
+    }
+
+    fn drain_service(&self, members: Arc<MemberService>) -> DrainService {
+        DrainService {
+            clock: self.clock.clone(),
+            members,
+            fleet: Arc::clone(&self.fleet),
+            directory: Arc::clone(&self.directory),
+            prompts: Arc::clone(&self.prompts),
+            flag: Arc::clone(&self.draining),
+        }
+    }
+
+    fn drain_settings(&self) -> DrainSettings {
+        let timeouts = &self.settings.timeouts;
+        DrainSettings {
+            answer_lifetime: Duration::from_millis(timeouts.address_lifetime_ms),
+            hard_limit: Duration::from_millis(timeouts.drain_ms),
+            ..DrainSettings::default()
+        }
+    }
+
     fn peer_handler(&self) -> PeerHandler {
         PeerHandler {
             own: self.settings.node.id.clone(),
@@ -200,6 +240,8 @@
             kernel,
             callers,
             peers,
+            drain: base.drain_service(Arc::clone(&members)),
+            drain_settings: base.drain_settings(),
             members,
             notes: base.notes,
         })
@@ -229,6 +271,19 @@
         self.notes.current().version >= version
     }
 
+    /// Stops as planned: no new answers name this node, callers with old
+    /// answers are served, and what runs is finished. Returns the number of
+    /// requests that had to be cut at the hard limit.
+    pub async fn drain(self) -> usize {
+        let cut = self
+            .drain
+            .run(&self.kernel, self.drain_settings.clone())
+            .await;
+        log::info!("event=node_stopped cut={cut}");
+        self.kernel.stop(STOP_LIMIT).await;
+        cut
+    }
+
     /// Stops every service; returns the names of those that had to be cut.
     pub async fn stop(self) -> Vec<String> {
         self.kernel.stop(STOP_LIMIT).await
--- a/components/node/src/fleet.rs
+++ b/components/node/src/fleet.rs
@@ -1,6 +1,9 @@
 //! The nodes that may own engines, as membership sees them now.
 
-use std::sync::{Arc, Mutex, PoisonError};
+use std::sync::{
+    Arc, Mutex, PoisonError,
+    atomic::{AtomicBool, Ordering},
+};
 
 use membership::{OwnerCandidate, owner_of};
 use types::{EngineId, NodeId, ZoneId};
@@ -9,6 +12,7 @@
 #[derive(Debug)]
 pub struct FleetView {
     own: NodeId,
+    leaving: AtomicBool,
     candidates: Mutex<Vec<OwnerCandidate>>,
 }
 
@@ -22,6 +26,7 @@
         };
         Arc::new(Self {
             own: node.clone(),
+            leaving: AtomicBool::new(false),
             candidates: Mutex::new(vec![candidate]),
         })
     }
@@ -35,9 +40,17 @@
         *known = candidates;
     }
 
+    /// From now on this node owns no engine.
+    pub fn leave(&self) {
+        self.leaving.store(true, Ordering::Relaxed);
+    }
+
     /// Whether this node owns an engine.
     #[must_use]
     pub fn owns(&self, engine: &EngineId, zone: &ZoneId) -> bool {
+        if self.leaving.load(Ordering::Relaxed) {
+            return false;
+        }
         let known = self
             .candidates
             .lock()
--- a/components/node/src/lib.rs
+++ b/components/node/src/lib.rs
@@ -3,6 +3,7 @@
 pub mod api;
 pub mod daemon;
 pub mod directory;
+pub mod drain;
 pub mod engines;
 mod failure;
 pub mod fleet;
--- a/components/node/src/links.rs
+++ b/components/node/src/links.rs
@@ -112,7 +112,7 @@
         let reading = async {
             while let Ok(record) = summaries.recv().await {
                 match postcard::from_bytes(&record.body) {
-                    Ok(summary) => self.prompts.handle(SchedulerEvent::Summary(summary)),
+                    Ok(summary) => self.prompts.take_summary(summary),
                     Err(error) => log::warn!(
                         "event=summary_not_read node={} cause=\"{error}\"",
                         record.origin
--- a/components/node/src/prompts/gang.rs
+++ b/components/node/src/prompts/gang.rs
@@ -1,6 +1,9 @@
 //! Memory on several engines for one prompt: on all of them or on none.
 
-use std::{sync::Arc, time::Duration};
+use std::{
+    sync::{Arc, atomic::Ordering},
+    time::Duration,
+};
 
 use types::{AttemptId, EngineId, RequestId, TokenCount};
 use upstream::{KvReservation, SequenceMember};
@@ -38,6 +41,7 @@
         tokens: TokenCount,
     ) -> Result<Self, EngineId> {
         let share = tokens.div_ceil(engines.len() as TokenCount);
+        service.holds.fetch_add(1, Ordering::Relaxed);
         let mut hold = Self {
             service: Arc::clone(service),
             request: request.clone(),
@@ -99,23 +103,28 @@
 impl Drop for GangHold {
     fn drop(&mut self) {
         drop(self.renewal.take());
-        for engine in std::mem::take(&mut self.engines) {
-            let service = Arc::clone(&self.service);
-            let request = self.request.clone();
-            let attempt = self.attempt;
-            smol::spawn(release(service, engine, request, attempt)).detach();
-        }
+        let service = Arc::clone(&self.service);
+        let engines = std::mem::take(&mut self.engines);
+        let request = self.request.clone();
+        let attempt = self.attempt;
+        smol::spawn(async move {
+            for engine in engines {
+                release(&service, &engine, &request, attempt).await;
+            }
+            service.holds.fetch_sub(1, Ordering::Relaxed);
+        })
+        .detach();
     }
 }
 
 async fn release(
-    service: Arc<PromptService>,
-    engine: KnownEngine,
-    request: RequestId,
+    service: &PromptService,
+    engine: &KnownEngine,
+    request: &RequestId,
     attempt: AttemptId,
 ) {
     for _ in 0..RELEASE_TRIES {
-        match engine.client.release(&request, attempt).await {
+        match engine.client.release(request, attempt).await {
             Ok(()) => return,
             Err(error) => {
                 service.metrics.count_failure("release", &engine.id);
--- a/components/node/src/prompts/service.rs
+++ b/components/node/src/prompts/service.rs
@@ -2,7 +2,10 @@
 
 use std::{
     collections::HashMap,
-    sync::{Arc, Mutex, PoisonError},
+    sync::{
+        Arc, Mutex, MutexGuard, PoisonError,
+        atomic::{AtomicUsize, Ordering},
+    },
     time::Duration,
 };
 
@@ -21,6 +24,8 @@
 use crate::{directory::UpstreamDirectory, peers::PeerClient};
 
 const UPDATE_CAPACITY: usize = 256;
+const THOUSANDTHS: f64 = 1_000.0;
+const CUT_RETRY_AFTER: Duration = Duration::from_secs(1);
 
 /// A prompt handed in by a caller's connection or by another node.
 pub struct PromptSubmission {
@@ -47,6 +52,8 @@
     scheduler: Mutex<NodeScheduler>,
     open: Mutex<HashMap<RequestId, OpenPrompt>>,
     roles: Mutex<HashMap<EngineId, EngineRole>>,
+    loads: Mutex<HashMap<NodeId, f64>>,
+    pub(super) holds: AtomicUsize,
 }
 
 /// What a prompt service works with.
@@ -84,6 +91,8 @@
             scheduler: Mutex::new(scheduler),
             open: Mutex::default(),
             roles: Mutex::default(),
+            loads: Mutex::default(),
+            holds: AtomicUsize::new(0),
         })
     }
 
@@ -132,10 +141,7 @@
         let now = self.clock.now();
         // Held until the actions are carried out, so that those of two events
         // never change places.
-        let mut scheduler = self
-            .scheduler
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner);
+        let mut scheduler = self.locked_scheduler();
         for action in scheduler.handle(now, event) {
             self.carry_out(action);
         }
@@ -145,11 +151,37 @@
     #[must_use]
     pub fn summary(&self) -> NodeSummary {
         let now = self.clock.now();
-        let mut scheduler = self
-            .scheduler
+        let mut scheduler = self.locked_scheduler();
+        let summary = scheduler.summary(now);
+        drop(scheduler);
+        self.note_load(&summary);
+        summary
+    }
+
+    /// Takes what another node told about itself.
+    pub fn take_summary(self: &Arc<Self>, summary: NodeSummary) {
+        self.note_load(&summary);
+        self.handle(SchedulerEvent::Summary(summary));
+    }
+
+    /// Load of a node as last heard; 1 is full, 0 when nothing was heard.
+    #[must_use]
+    pub fn load_of(&self, node: &NodeId) -> f64 {
+        let loads = self.loads.lock().unwrap_or_else(PoisonError::into_inner);
+        loads.get(node).copied().unwrap_or(0.0)
+    }
+
+    fn note_load(&self, summary: &NodeSummary) {
+        let highest = summary.pools.iter().map(|pool| pool.short_load).max();
+        let load = f64::from(highest.unwrap_or(0)) / THOUSANDTHS;
+        let mut loads = self.loads.lock().unwrap_or_else(PoisonError::into_inner);
+        loads.insert(summary.node.clone(), load);
+    }
+
+    fn locked_scheduler(&self) -> MutexGuard<'_, NodeScheduler> {
+        self.scheduler
             .lock()
-            .unwrap_or_else(PoisonError::into_inner);
-        scheduler.summary(now)
+            .unwrap_or_else(PoisonError::into_inner)
     }
 
     /// Number of prompts open on this node.
@@ -158,6 +190,25 @@
         self.with_open(|open| open.len())
     }
 
+    /// Number of groups of engines whose memory is held or being released.
+    #[must_use]
+    pub fn hold_count(&self) -> usize {
+        self.holds.load(Ordering::Relaxed)
+    }
+
+    /// Ends every open prompt and logs each; returns how many there were.
+    pub fn cut_all(self: &Arc<Self>) -> usize {
+        let requests: Vec<RequestId> = self.with_open(|open| open.keys().cloned().collect());
+        for request in &requests {
+            log::warn!("event=prompt_cut request={request} cause=\"the node stops\"");
+            self.refuse(request, RefusalReason::RetriesExhausted, CUT_RETRY_AFTER);
+            self.handle(SchedulerEvent::Cancelled {
+                request: request.clone(),
+            });
+        }
+        requests.len()
+    }
+
     /// The role last wanted of an engine.
     #[must_use]
     pub fn wanted_role(&self, engine: &EngineId) -> EngineRole {
--- a/components/standins/src/engine/standin.rs
+++ b/components/standins/src/engine/standin.rs
@@ -116,6 +116,13 @@
         self.nudge();
     }
 
+    /// Sequences being decoded now.
+    #[must_use]
+    pub fn generating(&self) -> u32 {
+        let now = self.model_now();
+        self.locked(|state| state.model.report(now)).decoding
+    }
+
     /// Whether memory is held here for an attempt.
     pub(crate) fn holds(&self, request: &RequestId, attempt: AttemptId) -> bool {
         let now = self.model_now();
--- a/src/cmd/local/tour.rs
+++ b/src/cmd/local/tour.rs
@@ -3,7 +3,7 @@
 
 use std::time::Duration;
 
-use node::api::PublishAnswer;
+use node::api::{AddressAnswer, PublishAnswer};
 use serde::Deserialize;
 use serde_json::json;
 use standins::expected_answer;
@@ -21,6 +21,10 @@
 /// Longer than two engines of the stand-in's memory together.
 const LONG_PROMPT_BYTES: usize = 4_000_000;
 const OUTPUT_TOKENS: u64 = 24;
+/// Enough to be at work for a second or so on the stand-in engines.
+const ENDURING_TOKENS: u64 = 2_000;
+const ENGINE_RESTART: Duration = Duration::from_secs(3);
+const UNNAMED_TRIES: u32 = 200;
 const WAIT_PAUSE: Duration = Duration::from_millis(50);
 const WAIT_LIMIT: Duration = Duration::from_secs(30);
 
@@ -52,6 +56,8 @@
     short_prompt(fleet).await?;
     long_prompt(fleet).await?;
     status_read(fleet).await?;
+    engine_loss(fleet).await?;
+    node_drain(fleet).await?;
     write_line("every step ended as it should")
 }
 
@@ -90,7 +96,16 @@
     prompt: &str,
 ) -> Result<u64, LaunchError> {
     let client = NodeClient::new(&fleet.callers_address(position), Some(PAYING_KEY));
-    let body = json!({"model": LOCAL_MODEL, "prompt": prompt, "max_tokens": OUTPUT_TOKENS});
+    check_answer(&client, prompt, OUTPUT_TOKENS).await
+}
+
+/// Sends a prompt and requires its own whole answer; returns its length.
+async fn check_answer(
+    client: &NodeClient,
+    prompt: &str,
+    output_tokens: u64,
+) -> Result<u64, LaunchError> {
+    let body = json!({"model": LOCAL_MODEL, "prompt": prompt, "max_tokens": output_tokens});
     let answer: CompletionAnswer = client
         .post("prompt", "/v1/completions", body.to_string())
         .await?;
@@ -99,7 +114,7 @@
         &MODEL_VERSION.to_owned(),
         None,
         prompt,
-        OUTPUT_TOKENS,
+        output_tokens,
     );
     let text = answer.choices.first().map(|choice| choice.text.as_str());
     require(
@@ -117,6 +132,60 @@
     write_line(&format!("status read: {answer}"))
 }
 
+/// Kills the engine that runs a prompt; another goes on with it.
+async fn engine_loss(fleet: &LocalFleet) -> Result<(), LaunchError> {
+    let client = NodeClient::new(&fleet.callers_address(0), Some(PAYING_KEY));
+    let answer =
+        smol::spawn(async move { check_answer(&client, SHORT_PROMPT, ENDURING_TOKENS).await });
+    let busy = || {
+        let mut engines = fleet.engines.iter();
+        engines.position(|server| server.engine().generating() > 0)
+    };
+    wait_until(fleet, "engine at work", || busy().is_some()).await?;
+    let position = busy().unwrap_or_default();
+    fleet.engines[position].engine().kill(Some(ENGINE_RESTART));
+    answer.await?;
+    write_line(&format!(
+        "engine loss: engine-{} killed mid-prompt, the answer came whole",
+        position + 1
+    ))
+}
+
+/// Stops a node as planned while it serves a prompt.
+async fn node_drain(fleet: &mut LocalFleet) -> Result<(), LaunchError> {
+    let Some(last) = fleet.nodes.len().checked_sub(1).filter(|last| *last > 0) else {
+        return write_line("node drain: passed over, there is one node only");
+    };
+    let address = fleet.callers_address(last);
+    let client = NodeClient::new(&address, Some(PAYING_KEY));
+    let answer =
+        smol::spawn(async move { check_answer(&client, SHORT_PROMPT, ENDURING_TOKENS).await });
+    let daemon = fleet.nodes.remove(last);
+    let draining = smol::spawn(daemon.drain());
+    await_unnamed(fleet, &address).await?;
+    let late = NodeClient::new(&address, Some(PAYING_KEY));
+    check_answer(&late, SHORT_PROMPT, OUTPUT_TOKENS).await?;
+    answer.await?;
+    let cut = draining.await;
+    require(cut == 0, "node drain", "requests were cut")?;
+    write_line(&format!(
+        "node drain: node-{} left the answers, served callers with old ones and cut nothing",
+        last + 1
+    ))
+}
+
+async fn await_unnamed(fleet: &LocalFleet, address: &str) -> Result<(), LaunchError> {
+    let client = NodeClient::new(&fleet.callers_address(0), None);
+    for _ in 0..UNNAMED_TRIES {
+        let answer: AddressAnswer = client.get("resolve", "/v1/addresses").await?;
+        if !answer.addresses.iter().any(|named| named == address) {
+            return Ok(());
+        }
+        fleet.clock().sleep(WAIT_PAUSE).await;
+    }
+    require(false, "node drain", "the node is still named in answers")
+}
+
 async fn wait_until(
     fleet: &LocalFleet,
     step: &str,
--- a/src/cmd/node.rs
+++ b/src/cmd/node.rs
@@ -26,7 +26,7 @@
         write_line(&format!("callers={}", daemon.callers_address()))?;
         write_line(&format!("peers={}", daemon.peers_address()))?;
         stop.cancelled().await;
-        daemon.stop().await;
+        daemon.drain().await;
         Ok(())
     })
 }
