Prove the system as processes: killed, paused and drained

Seven tests with separate processes. Two failed first and found faults: - An engine killed under prompts ended them with retries_exhausted: the retries went to the same dead engine, which the scheduler knew as idle until three reports were missed. Ruled out: the retry budget (20 left) and the deadline. Now an attempt that fails by the engine's fault takes the engine from the scheduler until its next report. - A rolling restart ended prompts with model_not_ready: a node that just started, or whose peer just gave its engines up, knows no engine for a second.

--- a/components/node/src/prompts/attempt.rs
+++ b/components/node/src/prompts/attempt.rs
@@ -5,6 +5,7 @@
 use errors::UpstreamError;
 use futures_lite::StreamExt;
 use kernel::CancellationToken;
+use membership::CallEvidence;
 use routing::SchedulerEvent;
 use smol::channel::Sender;
 use telemetry::{HopKind, HopSpan};
@@ -347,6 +348,9 @@
             self.attempt,
             self.engines[0]
         );
+        if is_engine_fault(error) {
+            self.doubt_engine();
+        }
         let delivered = self.release_work();
         self.service.handle(SchedulerEvent::Failed {
             request: self.request.clone(),
@@ -356,6 +360,19 @@
         });
     }
 
+    /// Takes the engine from the scheduler until its next report, so that a
+    /// retry does not go where the attempt just failed.
+    fn doubt_engine(&self) {
+        let engine = &self.engines[0];
+        if let Some(known) = self.service.directory.engine(engine) {
+            let directory = &self.service.directory;
+            directory.called(engine, known.incarnation, CallEvidence::Failed);
+        }
+        self.service.handle(SchedulerEvent::EngineGone {
+            engine: engine.clone(),
+        });
+    }
+
     /// Takes the prompt off this attempt; returns the tokens delivered.
     fn release_work(&self) -> TokenCount {
         self.service.with_open(|open| {
@@ -384,6 +401,16 @@
     }
 }
 
+/// Whether the engine itself may be at fault, rather than the prompt.
+fn is_engine_fault(error: &UpstreamError) -> bool {
+    match error {
+        UpstreamError::Broken { .. }
+        | UpstreamError::Overdue { .. }
+        | UpstreamError::Malformed { .. } => true,
+        UpstreamError::Refused { .. } | UpstreamError::Fenced { .. } => false,
+    }
+}
+
 /// Prompts are idempotent: only a refusal of the content is final.
 fn is_retryable(error: &UpstreamError) -> bool {
     match error {
--- a/components/node/src/prompts/mod.rs
+++ b/components/node/src/prompts/mod.rs
@@ -4,6 +4,7 @@
 mod forward;
 mod gang;
 mod open;
+mod patience;
 mod service;
 mod ticker;
 
--- a/components/node/src/prompts/open.rs
+++ b/components/node/src/prompts/open.rs
@@ -74,6 +74,8 @@
 /// One open prompt.
 pub(super) struct OpenPrompt {
     pub(super) job: PromptJob,
+    /// Whether another node handed it to this one.
+    pub(super) forwarded_here: bool,
     pub(super) text: Arc<str>,
     pub(super) traceparent: String,
     pub(super) updates: Sender<PromptUpdate>,
--- /dev/null
+++ b/components/node/src/prompts/patience.rs
@@ -0,0 +1,82 @@
+//! Waiting out a moment in which no engine is known to hold a model ready.
+//!
+//! When a node starts, or engines pass from a node that stops to others, the
+//! reports that make engines known again are a second or two away.
+
+use std::{
+    collections::HashMap,
+    sync::{Arc, Mutex, PoisonError},
+    time::{Duration, Instant},
+};
+
+use routing::{NodeSummary, SchedulerEvent};
+use types::{ModelId, ModelVersion, PromptJob};
+
+use super::{PromptService, open::PromptWork};
+
+/// How long after a model was last known to be ready prompts still wait.
+const PATIENCE: Duration = Duration::from_secs(5);
+const RETRY_PAUSE: Duration = Duration::from_millis(100);
+
+/// When each model was last known to be ready somewhere.
+#[derive(Debug)]
+pub(super) struct ReadyMemory {
+    started: Instant,
+    seen: Mutex<HashMap<(ModelId, ModelVersion), Instant>>,
+}
+
+impl ReadyMemory {
+    /// A memory of a node that starts now.
+    pub(super) fn new(now: Instant) -> Self {
+        Self {
+            started: now,
+            seen: Mutex::default(),
+        }
+    }
+
+    /// Notes the models that a summary names as ready.
+    pub(super) fn note(&self, now: Instant, summary: &NodeSummary) {
+        let mut seen = self.seen.lock().unwrap_or_else(PoisonError::into_inner);
+        for pool in summary.pools.iter().filter(|pool| pool.engines > 0) {
+            seen.insert((pool.model.clone(), pool.version.clone()), now);
+        }
+    }
+
+    /// Whether the model may be known as ready again soon.
+    fn may_return(&self, now: Instant, job: &PromptJob) -> bool {
+        let seen = self.seen.lock().unwrap_or_else(PoisonError::into_inner);
+        let key = (job.model.clone(), job.version.clone());
+        let last = seen.get(&key).copied().unwrap_or(self.started);
+        now.saturating_duration_since(last) < PATIENCE
+    }
+}
+
+impl PromptService {
+    /// Lets a prompt wait that was refused because no engine is known to hold
+    /// its model; `false` when waiting has no use.
+    pub(super) fn wait_for_model(self: &Arc<Self>, request: &str) -> bool {
+        let now = self.clock.now();
+        let job = self.with_open(|open| {
+            let prompt = open.get_mut(request)?;
+            let waits = !prompt.forwarded_here
+                && prompt.job.deadline > now + RETRY_PAUSE
+                && self.ready.may_return(now, &prompt.job);
+            waits.then(|| {
+                prompt.work = PromptWork::Queued;
+                prompt.job.clone()
+            })
+        });
+        let Some(job) = job else {
+            return false;
+        };
+        let service = Arc::clone(self);
+        smol::spawn(async move {
+            service.clock.sleep(RETRY_PAUSE).await;
+            if service.with_open(|open| open.contains_key(&job.request)) {
+                service.handle(SchedulerEvent::Arrived { job, via: None });
+            }
+        })
+        .detach();
+        true
+    }
+}
--- a/components/node/src/prompts/service.rs
+++ b/components/node/src/prompts/service.rs
@@ -20,6 +20,7 @@
 use super::{
     PromptTicket, PromptUpdate,
     open::{OpenPrompt, PromptWork},
+    patience::ReadyMemory,
 };
 use crate::{directory::UpstreamDirectory, peers::PeerClient};
 
@@ -54,6 +55,7 @@
     roles: Mutex<HashMap<EngineId, EngineRole>>,
     loads: Mutex<HashMap<NodeId, f64>>,
     pub(super) holds: AtomicUsize,
+    pub(super) ready: ReadyMemory,
 }
 
 /// What a prompt service works with.
@@ -81,6 +83,7 @@
     #[must_use]
     pub fn new(parts: PromptParts) -> Arc<Self> {
         let scheduler = NodeScheduler::new(parts.node.clone(), parts.zone, parts.settings);
+        let ready = ReadyMemory::new(parts.clock.now());
         Arc::new(Self {
             node: parts.node,
             clock: parts.clock,
@@ -93,6 +96,7 @@
             roles: Mutex::default(),
             loads: Mutex::default(),
             holds: AtomicUsize::new(0),
+            ready,
         })
     }
 
@@ -103,6 +107,7 @@
         let request = submission.job.request.clone();
         let prompt = OpenPrompt {
             job: submission.job.clone(),
+            forwarded_here: submission.via.is_some(),
             text: submission.text,
             traceparent: submission.traceparent,
             updates,
@@ -172,6 +177,7 @@
     }
 
     fn note_load(&self, summary: &NodeSummary) {
+        self.ready.note(self.clock.now(), summary);
         let highest = summary.pools.iter().map(|pool| pool.short_load).max();
         let load = f64::from(highest.unwrap_or(0)) / THOUSANDTHS;
         let mut loads = self.loads.lock().unwrap_or_else(PoisonError::into_inner);
@@ -235,7 +241,12 @@
                 request,
                 reason,
                 retry_after,
-            } => self.refuse(&request, reason, retry_after),
+            } => {
+                let waits = reason == RefusalReason::ModelNotReady && self.wait_for_model(&request);
+                if !waits {
+                    self.refuse(&request, reason, retry_after);
+                }
+            }
             SchedulerAction::ChangeRole { engine, role } => {
                 let mut roles = self.roles.lock().unwrap_or_else(PoisonError::into_inner);
                 roles.insert(engine, role);
--- a/src/cmd/local/mod.rs
+++ b/src/cmd/local/mod.rs
@@ -13,7 +13,7 @@
 };
 
 pub use fleet::{FleetPlan, LocalFleet};
-pub use note::{LOCAL_MODEL, LOCAL_SERVICE, OPERATOR_KEY, PAYING_KEY, TRIAL_KEY};
+pub use note::{LOCAL_MODEL, LOCAL_SERVICE, OPERATOR_KEY, PAYING_KEY, TRIAL_KEY, first_note};
 
 /// Runs the fleet until Ctrl-C, or the tour.
 ///
--- /dev/null
+++ b/tests/common/mod.rs
@@ -0,0 +1,287 @@
+//! Nodes and stand-ins as processes of their own.
+
+use std::{
+    fs,
+    io::{BufRead, BufReader},
+    path::PathBuf,
+    process::{Child, ChildStdout, Command, ExitStatus, Stdio},
+    thread,
+    time::Duration,
+};
+
+use entry::key_digest;
+use gentiantally::cmd::{client::NodeClient, local};
+use node::api::{AddressAnswer, FleetStatus};
+use rustix::process::{Pid, Signal, kill_process};
+use serde_json::{Value, json};
+use standins::expected_answer;
+use tempfile::TempDir;
+
+pub const MODEL: &str = local::LOCAL_MODEL;
+const ZONES: [&str; 3] = ["duluth", "thunder-bay", "sault"];
+const POLL_PAUSE: Duration = Duration::from_millis(50);
+/// Polls until a test gives up: about a minute.
+const POLL_LIMIT: u32 = 1_200;
+
+/// A process that is killed when the test ends.
+pub struct TestProcess {
+    child: Child,
+    output: BufReader<ChildStdout>,
+}
+
+impl TestProcess {
+    pub fn start(program: &str, arguments: &[&str]) -> Self {
+        let mut child = Command::new(program)
+            .args(arguments)
+            .stdout(Stdio::piped())
+            .stderr(Stdio::null())
+            .spawn()
+            .unwrap();
+        let output = BufReader::new(child.stdout.take().unwrap());
+        Self { child, output }
+    }
+
+    /// The value of the next `name=value` line.
+    pub fn read_value(&mut self, name: &str) -> String {
+        let mut line = String::new();
+        self.output.read_line(&mut line).unwrap();
+        let value = line.trim_end().strip_prefix(&format!("{name}="));
+        value
+            .unwrap_or_else(|| panic!("{name} expected, {line:?} came"))
+            .to_owned()
+    }
+
+    pub fn signal(&self, signal: Signal) {
+        let pid = Pid::from_child(&self.child);
+        kill_process(pid, signal).unwrap();
+    }
+
+    pub fn wait(&mut self) -> ExitStatus {
+        self.child.wait().unwrap()
+    }
+}
+
+impl Drop for TestProcess {
+    fn drop(&mut self) {
+        self.child.kill().ok();
+        self.child.wait().ok();
+    }
+}
+
+/// One node's process.
+pub struct TestNode {
+    pub process: TestProcess,
+    pub callers: String,
+    pub peers: String,
+}
+
+/// A fleet of processes.
+pub struct TestFleet {
+    folder: TempDir,
+    _platform: TestProcess,
+    pub platform_address: String,
+    pub engines: Vec<TestProcess>,
+    _service: TestProcess,
+    pub nodes: Vec<TestNode>,
+}
+
+impl TestFleet {
+    /// Starts a fleet and publishes a first release note.
+    pub fn start(nodes: usize, engines: usize) -> Self {
+        let folder = TempDir::new().unwrap();
+        let (platform, platform_address) = start_standin("platform", None);
+        let service_file = write_file(
+            &folder,
+            "service.jsonc",
+            &json!({
+                "service": local::LOCAL_SERVICE,
+                "zone": ZONES[0],
+                "listing": {"platform": platform_address},
+            }),
+        );
+        let (service, _) = start_standin("service", Some(&service_file));
+        let mut fleet = Self {
+            folder,
+            _platform: platform,
+            platform_address,
+            engines: Vec::new(),
+            _service: service,
+            nodes: Vec::new(),
+        };
+        for position in 0..engines {
+            fleet.start_engine(position);
+        }
+        for position in 0..nodes {
+            let node = fleet.start_node(position);
+            fleet.nodes.push(node);
+        }
+        fleet.await_members(nodes);
+        fleet.publish_first_note();
+        fleet.await_engines(engines);
+        fleet
+    }
+
+    fn start_engine(&mut self, position: usize) {
+        let settings = json!({
+            "id": format!("engine-{}", position + 1),
+            "zone": ZONES[position % ZONES.len()],
+            "time_scale": 0.02,
+            "models": [{"model": MODEL, "version": "1", "adapters": []}],
+            "crash_marker": "crash this engine",
+            "restart_ms": 2_000,
+            "listing": {"platform": self.platform_address},
+        });
+        let name = format!("engine-{position}.jsonc");
+        let file = write_file(&self.folder, &name, &settings);
+        let (engine, _) = start_standin("engine", Some(&file));
+        self.engines.push(engine);
+    }
+
+    /// Starts the node of that position; earlier nodes are its seeds.
+    pub fn start_node(&self, position: usize) -> TestNode {
+        let id = format!("node-{}", position + 1);
+        let seeds: Vec<&str> = self.nodes.iter().map(|node| node.peers.as_str()).collect();
+        let settings = node_settings(
+            &id,
+            ZONES[position % ZONES.len()],
+            &self.platform_address,
+            &seeds,
+        );
+        let file = write_file(&self.folder, &format!("{id}.jsonc"), &settings);
+        let program = env!("CARGO_BIN_EXE_gentiantally-node");
+        let mut process = TestProcess::start(program, &["--settings", &file]);
+        let callers = process.read_value("callers");
+        let peers = process.read_value("peers");
+        TestNode {
+            process,
+            callers,
+            peers,
+        }
+    }
+
+    fn publish_first_note(&self) {
+        let note = serde_json::to_value(local::first_note()).unwrap();
+        let file = write_file(&self.folder, "note.jsonc", &note);
+        let output = run_command(&[
+            "note",
+            "publish",
+            &file,
+            "--node",
+            &self.nodes[0].callers,
+            "--key",
+            local::OPERATOR_KEY,
+        ]);
+        assert!(output.status.success(), "{output:?}");
+        poll("the note is in force everywhere", || {
+            self.nodes
+                .iter()
+                .all(|node| status(node).is_some_and(|status| status.note_version >= 1))
+        });
+    }
+
+    pub fn await_members(&self, count: usize) {
+        poll("the nodes know each other", || {
+            self.nodes.iter().all(|node| alive_members(node) == count)
+        });
+    }
+
+    fn await_engines(&self, count: usize) {
+        poll("every engine is owned by one node", || {
+            let statuses = self.nodes.iter().filter_map(status);
+            let owned = statuses
+                .flat_map(|status| status.engines)
+                .filter(|engine| engine.owned);
+            owned.count() == count
+        });
+    }
+}
+
+pub fn alive_members(node: &TestNode) -> usize {
+    let Some(status) = status(node) else { return 0 };
+    let alive = status
+        .members
+        .iter()
+        .filter(|member| member.state == "alive");
+    alive.count()
+}
+
+pub fn status(node: &TestNode) -> Option<FleetStatus> {
+    let client = NodeClient::new(&node.callers, Some(local::OPERATOR_KEY));
+    smol::block_on(client.get("status", "/v1/operator/status")).ok()
+}
+
+/// The addresses that a node names, best first.
+pub fn named_addresses(node: &TestNode) -> Vec<String> {
+    let client = NodeClient::new(&node.callers, None);
+    let answer: AddressAnswer = smol::block_on(client.get("resolve", "/v1/addresses")).unwrap();
+    answer.addresses
+}
+
+/// Sends a prompt and requires its own whole answer.
+pub async fn require_whole_answer(address: String, prompt: String, output_tokens: u64) {
+    let client = NodeClient::new(&address, Some(local::PAYING_KEY));
+    let body = json!({"model": MODEL, "prompt": prompt, "max_tokens": output_tokens});
+    let answer: Value = client
+        .post("prompt", "/v1/completions", body.to_string())
+        .await
+        .unwrap_or_else(|error| panic!("{address}: {error:?}"));
+    let expected = expected_answer(
+        &MODEL.to_owned(),
+        &"1".to_owned(),
+        None,
+        &prompt,
+        output_tokens,
+    );
+    assert_eq!(answer["choices"][0]["text"], expected);
+}
+
+/// Waits until `reached`, without a claim about how long it takes.
+pub fn poll(what: &str, reached: impl Fn() -> bool) {
+    for _ in 0..POLL_LIMIT {
+        if reached() {
+            return;
+        }
+        thread::sleep(POLL_PAUSE);
+    }
+    panic!("did not come about: {what}");
+}
+
+/// Runs the operators' command to its end.
+pub fn run_command(arguments: &[&str]) -> std::process::Output {
+    Command::new(env!("CARGO_BIN_EXE_gentiantally"))
+        .args(arguments)
+        .output()
+        .unwrap()
+}
+
+fn start_standin(kind: &str, settings: Option<&str>) -> (TestProcess, String) {
+    let program = env!("CARGO_BIN_EXE_gentiantally-standin");
+    let mut arguments = vec![kind];
+    if let Some(file) = settings {
+        arguments.extend(["--settings", file]);
+    }
+    let mut process = TestProcess::start(program, &arguments);
+    let address = process.read_value("listening");
+    (process, address)
+}
+
+pub fn node_settings(id: &str, zone: &str, platform: &str, seeds: &[&str]) -> Value {
+    json!({
+        "node": {"id": id, "zone": zone, "region": "great-lakes"},
+        "addresses": {"callers": "127.0.0.1:0", "peers": "127.0.0.1:0"},
+        "platform": {
+            "table": platform, "objects": platform, "weights": platform, "hosts": platform,
+            "timeout_ms": 1_000,
+        },
+        "cluster_keys": [{"id": 1, "secret": key_digest("test-cluster-key")}],
+        "operator_key_digests": [key_digest(local::OPERATOR_KEY)],
+        "seeds": seeds,
+        "timeouts": {"address_lifetime_ms": 500, "drain_ms": 60_000},
+    })
+}
+
+fn write_file(folder: &TempDir, name: &str, value: &Value) -> String {
+    let path: PathBuf = folder.path().join(name);
+    fs::write(&path, value.to_string()).unwrap();
+    path.to_string_lossy().into_owned()
+}
--- /dev/null
+++ b/tests/processes.rs
@@ -0,0 +1,177 @@
+//! The system as separate processes, killed, paused and drained.
+
+mod common;
+
+use common::{TestFleet, alive_members, named_addresses, poll, require_whole_answer, run_command};
+use gentiantally::cmd::local;
+use rustix::process::Signal;
+
+const PROMPT: &str = "Is the route clear of ash?";
+/// Enough to be at work for a second or so on the stand-in engines.
+const ENDURING_TOKENS: u64 = 2_000;
+
+#[test]
+fn a_request_is_served_from_end_to_end() {
+    let fleet = TestFleet::start(2, 3);
+    for node in &fleet.nodes {
+        smol::block_on(require_whole_answer(
+            node.callers.clone(),
+            PROMPT.to_owned(),
+            16,
+        ));
+    }
+    let long = "ash ".repeat(300_000);
+    smol::block_on(require_whole_answer(
+        fleet.nodes[0].callers.clone(),
+        long,
+        16,
+    ));
+}
+
+#[test]
+fn a_stream_outlives_the_engine_that_runs_it() {
+    let mut fleet = TestFleet::start(2, 3);
+    let running = start_answers(&fleet, 6);
+    poll("engines are at work", || open_prompts(&fleet) > 0);
+    // Kill without warning; what ran there goes on elsewhere.
+    fleet.engines.remove(0);
+
+    smol::block_on(finish(running));
+}
+
+#[test]
+fn a_node_that_dies_leaves_the_answers_and_the_others_serve() {
+    let mut fleet = TestFleet::start(3, 3);
+    let dead = fleet.nodes.remove(0);
+    dead.process.signal(Signal::KILL);
+
+    poll("no node names the dead one", || {
+        fleet
+            .nodes
+            .iter()
+            .all(|node| !named_addresses(node).contains(&dead.callers))
+    });
+    for node in &fleet.nodes {
+        smol::block_on(require_whole_answer(
+            node.callers.clone(),
+            PROMPT.to_owned(),
+            16,
+        ));
+    }
+}
+
+#[test]
+fn a_paused_node_is_routed_around_and_comes_back() {
+    let fleet = TestFleet::start(3, 3);
+    let (paused, others) = fleet.nodes.split_first().unwrap();
+    paused.process.signal(Signal::STOP);
+    poll("the others see it gone", || {
+        others.iter().all(|node| alive_members(node) == 2)
+    });
+    for node in others {
+        smol::block_on(require_whole_answer(
+            node.callers.clone(),
+            PROMPT.to_owned(),
+            16,
+        ));
+    }
+
+    paused.process.signal(Signal::CONT);
+
+    fleet.await_members(3);
+    smol::block_on(require_whole_answer(
+        paused.callers.clone(),
+        PROMPT.to_owned(),
+        16,
+    ));
+}
+
+#[test]
+fn a_rolling_restart_under_load_cuts_nothing() {
+    let mut fleet = TestFleet::start(3, 3);
+    for position in 0..3 {
+        let running = start_answers(&fleet, 6);
+        poll("prompts are open", || open_prompts(&fleet) > 0);
+        let node = &mut fleet.nodes[position];
+        node.process.signal(Signal::TERM);
+        smol::block_on(finish(running));
+        assert!(node.process.wait().success());
+
+        let next = fleet.start_node(position);
+        fleet.nodes[position] = next;
+        fleet.await_members(3);
+    }
+}
+
+#[test]
+fn faulty_settings_and_a_busy_port_are_told_apart() {
+    let folder = tempfile::TempDir::new().unwrap();
+    let file = folder.path().join("node.jsonc");
+    let name = file.to_string_lossy().into_owned();
+    let mut settings = common::node_settings("node-1", "duluth", "127.0.0.1:1", &[]);
+    let taken = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+    settings["addresses"]["callers"] = taken.local_addr().unwrap().to_string().into();
+    std::fs::write(&file, settings.to_string()).unwrap();
+    assert!(run_command(&["check", &name]).status.success());
+
+    let program = env!("CARGO_BIN_EXE_gentiantally-node");
+    let busy = std::process::Command::new(program)
+        .args(["--settings", &name])
+        .output()
+        .unwrap();
+    assert_eq!(busy.status.code(), Some(1));
+    assert!(String::from_utf8_lossy(&busy.stderr).contains("choose another address"));
+
+    settings["addresses"]["callers"] = "nowhere".into();
+    std::fs::write(&file, settings.to_string()).unwrap();
+    let faulty = run_command(&["check", &name]);
+    assert_eq!(faulty.status.code(), Some(2));
+    assert!(String::from_utf8_lossy(&faulty.stderr).contains("addresses.callers"));
+}
+
+#[test]
+fn an_operators_command_without_the_key_says_what_to_do() {
+    let fleet = TestFleet::start(1, 1);
+    let node = fleet.nodes[0].callers.as_str();
+
+    let refused = run_command(&["status", "--node", node, "--key", local::PAYING_KEY]);
+    assert_eq!(refused.status.code(), Some(1));
+    assert!(String::from_utf8_lossy(&refused.stderr).contains("use an operator's key"));
+
+    let shown = run_command(&[
+        "status",
+        "--node",
+        node,
+        "--key",
+        local::OPERATOR_KEY,
+        "--json",
+    ]);
+    assert!(shown.status.success());
+    let status: serde_json::Value = serde_json::from_slice(&shown.stdout).unwrap();
+    assert_eq!(status["members"].as_array().unwrap().len(), 1);
+}
+
+/// Starts prompts on every node; they run for a while.
+fn start_answers(fleet: &TestFleet, count: usize) -> Vec<smol::Task<()>> {
+    let addresses = fleet.nodes.iter().map(|node| node.callers.clone());
+    addresses
+        .cycle()
+        .take(count)
+        .enumerate()
+        .map(|(position, address)| {
+            let prompt = format!("{PROMPT} Leg {position}.");
+            smol::spawn(require_whole_answer(address, prompt, ENDURING_TOKENS))
+        })
+        .collect()
+}
+
+async fn finish(running: Vec<smol::Task<()>>) {
+    for task in running {
+        task.await;
+    }
+}
+
+fn open_prompts(fleet: &TestFleet) -> usize {
+    let statuses = fleet.nodes.iter().filter_map(common::status);
+    statuses.map(|status| status.open_prompts).sum()
+}
