Split the bench and the engine model into smaller modules, keep events small

Change: the driver is split by callers, attempts, signals and reports; mixes, summaries, engine rows and holds have modules of their own. Events carry their payload in a box, and the engine keeps its backlog as a counter, which the random calls check to end at zero.

--- a/components/bench/src/baseline.rs
+++ b/components/bench/src/baseline.rs
@@ -13,14 +13,14 @@
 use routing::{RefusalReason, SchedulerAction, SchedulerEvent};
 use types::{AttemptId, EngineId, EngineReport, PromptJob, RequestId, TokenCount};
 
+use crate::engine_row::{EngineRow, SentWork};
+
 /// Time until a prompt that got no memory on several engines is tried again.
 const GANG_RETRY: Duration = Duration::from_millis(500);
 /// Part of an engine's memory that a prompt over several engines plans with.
 const GANG_FILL_PERCENT: TokenCount = 95;
 /// Most attempts of one request that failed.
 const FAILURES_MAX: u32 = 4;
-/// Prompt tokens that weigh as much as one sequence being decoded.
-const DECODING_WEIGHT: TokenCount = 32;
 /// Time after which a refused caller may come back.
 const RETRY_AFTER: Duration = Duration::from_secs(1);
 
@@ -34,40 +34,6 @@
     LeastLoaded,
 }
 
-#[derive(Clone, Debug)]
-struct SentWork {
-    request: RequestId,
-    at: Instant,
-    tokens: TokenCount,
-    memory: TokenCount,
-}
-
-#[derive(Clone, Debug)]
-struct EngineRow {
-    report: EngineReport,
-    taken: Instant,
-    sent: Vec<SentWork>,
-    /// A call to it failed since its last report.
-    suspect: bool,
-}
-
-impl EngineRow {
-    fn unseen(&self) -> impl Iterator<Item = &SentWork> {
-        self.sent.iter().filter(|work| work.at >= self.taken)
-    }
-
-    fn load(&self) -> TokenCount {
-        let unseen: TokenCount = self.unseen().map(|work| work.tokens).sum();
-        let decoding = TokenCount::from(self.report.decoding) * DECODING_WEIGHT;
-        self.report.prefill_backlog + unseen + decoding
-    }
-
-    fn used(&self) -> TokenCount {
-        let unseen: TokenCount = self.unseen().map(|work| work.memory).sum();
-        self.report.kv_used + unseen
-    }
-}
-
 #[derive(Clone, Debug)]
 struct RouterJob {
     job: PromptJob,
--- a/components/bench/src/driver.rs
+++ b/components/bench/src/driver.rs
@@ -1,11 +1,14 @@
 //! One fleet under one policy, driven from event to event.
 
-mod engines;
+mod attempts;
+mod reports;
+mod requests;
+mod signals;
 
 use std::time::{Duration, Instant};
 
-use routing::{RefusalReason, SchedulerAction, SchedulerEvent, SchedulerSettings};
-use types::{EngineId, EngineRole, RequestId};
+use routing::{SchedulerAction, SchedulerEvent, SchedulerSettings};
+use types::{EngineId, EngineRole};
 
 use crate::{
     FleetShape, ScenarioPlan,
@@ -13,7 +16,7 @@
     caller::{CallerState, request_place},
     fleet::{EngineHost, HOP},
     flight::{FlightState, RENEW_PERIOD},
-    ledger::{CallerOutcome, Ledger, LedgerPlan},
+    ledger::{Ledger, LedgerPlan},
     schedule::{DriverEvent, EventSchedule},
     workload::mix,
 };
@@ -125,7 +128,7 @@
         match event {
             DriverEvent::Arrive { request } => self.arrive(request),
             DriverEvent::Forwarded { request, node, via } => self.forwarded(request, node, via),
-            DriverEvent::Learn { node, event } => self.learn(node, event),
+            DriverEvent::Learn { node, event } => self.learn(node, *event),
             DriverEvent::Reported { engine, report } => self.reported(engine, &report),
             DriverEvent::Submit { flight } => self.submit(flight),
             DriverEvent::Start { flight } => self.start(flight),
@@ -141,29 +144,6 @@
         }
     }
 
-    fn arrive(&mut self, request: usize) {
-        if !self.ledger.is_open(request) {
-            return;
-        }
-        let now = self.schedule.now();
-        let caller = &mut self.callers[request];
-        caller.sends += 1;
-        caller.forwarded = None;
-        let entry = caller.entry;
-        let event = caller.arrival(&self.shape, now, None);
-        self.learn(entry, event);
-    }
-
-    fn forwarded(&mut self, request: usize, node: usize, via: usize) {
-        if !self.ledger.is_open(request) {
-            return;
-        }
-        let now = self.schedule.now();
-        let via = Some(FleetShape::node_id(via));
-        let event = self.callers[request].arrival(&self.shape, now, via);
-        self.learn(node, event);
-    }
-
     /// Gives an event to a node's policy and does what it says.
     pub(crate) fn learn(&mut self, node: usize, event: SchedulerEvent) {
         let now = self.schedule.now();
@@ -174,7 +154,7 @@
 
     /// Gives an event to a node one hop later.
     pub(crate) fn tell(&mut self, node: usize, event: SchedulerEvent) {
-        self.schedule.after(HOP, DriverEvent::Learn { node, event });
+        self.schedule.learn_after(HOP, node, event);
     }
 
     fn act(&mut self, node: usize, action: SchedulerAction) {
@@ -213,116 +193,6 @@
         }
     }
 
-    /// Place of a request that its caller still waits for.
-    fn open_request(&self, id: &RequestId) -> Option<usize> {
-        let place = request_place(id)?;
-        let current = self.callers[place].request_id() == *id;
-        (current && self.ledger.is_open(place)).then_some(place)
-    }
-
-    fn forward(&mut self, from: usize, id: &RequestId, to: &str) {
-        let Some(request) = self.open_request(id) else {
-            return;
-        };
-        let Some(node) = (0..self.nodes.len()).find(|node| FleetShape::node_id(*node) == to) else {
-            return;
-        };
-        self.callers[request].forwarded = Some(node);
-        let event = DriverEvent::Forwarded {
-            request,
-            node,
-            via: from,
-        };
-        self.schedule.after(HOP, event);
-    }
-
-    fn refuse(
-        &mut self,
-        node: usize,
-        id: &RequestId,
-        reason: RefusalReason,
-        retry_after: Duration,
-    ) {
-        let Some(request) = self.open_request(id) else {
-            return;
-        };
-        let entry = self.callers[request].entry;
-        if node != entry {
-            self.refuse_forward(node, request, id, reason, retry_after);
-            return;
-        }
-        if self.ledger.delivered(request) > 0 {
-            self.close(request, CallerOutcome::Failed);
-            return;
-        }
-        let now = self.schedule.now();
-        match self.callers[request].comes_back(now, retry_after) {
-            Some(back) => self.schedule.at(back, DriverEvent::Arrive { request }),
-            None => self.close(request, CallerOutcome::Refused),
-        }
-    }
-
-    /// Tells the entry node that the node it forwarded to gave up.
-    fn refuse_forward(
-        &mut self,
-        node: usize,
-        request: usize,
-        id: &RequestId,
-        reason: RefusalReason,
-        retry_after: Duration,
-    ) {
-        self.callers[request].forwarded = None;
-        let entry = self.callers[request].entry;
-        let delivered = self.ledger.delivered(request);
-        let node = FleetShape::node_id(node);
-        let request = id.clone();
-        let event = if delivered > 0 {
-            SchedulerEvent::ForwardFailed {
-                request,
-                node,
-                delivered,
-            }
-        } else {
-            SchedulerEvent::ForwardRefused {
-                request,
-                node,
-                reason,
-                retry_after,
-            }
-        };
-        self.tell(entry, event);
-    }
-
-    /// Ends a request for its caller.
-    pub(crate) fn close(&mut self, request: usize, outcome: CallerOutcome) {
-        let open = self.ledger.is_open(request);
-        self.ledger.end(request, outcome);
-        self.open -= usize::from(open);
-    }
-
-    /// A caller leaves at its deadline: what still runs is cancelled.
-    fn give_up(&mut self, request: usize) {
-        if !self.ledger.is_open(request) {
-            return;
-        }
-        let outcome = if self.callers[request].sends == 0 {
-            CallerOutcome::Refused
-        } else {
-            CallerOutcome::Failed
-        };
-        self.close(request, outcome);
-        let caller = &self.callers[request];
-        let id = caller.request_id();
-        let nodes = [Some(caller.entry), caller.forwarded];
-        for flight in caller.flights.clone() {
-            self.schedule.after(HOP * 2, DriverEvent::Cancel { flight });
-        }
-        for node in nodes.into_iter().flatten() {
-            let request = id.clone();
-            self.tell(node, SchedulerEvent::Cancelled { request });
-        }
-    }
-
     fn change_role(&mut self, engine: &EngineId, role: EngineRole) {
         let Some(place) = engine_place(engine) else {
             return;
@@ -344,8 +214,8 @@
         if let Some(summary) = self.nodes[node].summary(now) {
             for other in (0..self.nodes.len()).filter(|other| *other != node) {
                 let event = SchedulerEvent::Summary(summary.clone());
-                let learn = DriverEvent::Learn { node: other, event };
-                self.schedule.after(self.shape.summary_lag, learn);
+                self.schedule
+                    .learn_after(self.shape.summary_lag, other, event);
             }
         }
         self.schedule.after(period, DriverEvent::Summarise { node });
@@ -360,8 +230,7 @@
         let id = self.engines[engine].id.clone();
         for node in self.watchers(engine) {
             let event = SchedulerEvent::EngineGone { engine: id.clone() };
-            let learn = DriverEvent::Learn { node, event };
-            self.schedule.after(DEATH_NOTICE, learn);
+            self.schedule.learn_after(DEATH_NOTICE, node, event);
         }
     }
 
--- /dev/null
+++ b/components/bench/src/driver/reports.rs
@@ -0,0 +1,116 @@
+//! What runs by the clock: renewals of holds, reports and cache events.
+
+use std::time::{Duration, Instant};
+
+use model::{HoldSpec, gang_pace};
+use routing::SchedulerEvent;
+use types::{CacheEvent, EngineReport};
+
+use crate::{
+    FleetShape, driver::FleetDriver, flight::RENEW_PERIOD, schedule::DriverEvent, workload::mix,
+};
+
+/// One lost event in this many, when a read of cache events has a gap.
+const GAP_ONE_IN: usize = 4;
+
+impl FleetDriver {
+    /// Renews the holds of running attempts, and sets their speed by how busy
+    /// the further engines are.
+    pub(super) fn renew(&mut self) {
+        let now = self.schedule.now();
+        for place in self.gangs.clone() {
+            let flight = self.flights[place].clone();
+            let holder = FleetShape::node_id(flight.node);
+            let hold = flight.hold(&self.callers[flight.request].spec, holder);
+            let shares: Vec<f64> = flight
+                .members()
+                .iter()
+                .map(|engine| self.renew_member(now, *engine, &hold))
+                .collect();
+            let leader = flight.leader();
+            let model = &mut self.engines[leader].model;
+            model.set_pace(now, &flight.id, flight.attempt, gang_pace(shares));
+            self.settle(leader);
+        }
+        self.schedule.after(RENEW_PERIOD, DriverEvent::Renew);
+    }
+
+    fn renew_member(&mut self, now: Instant, engine: usize, hold: &HoldSpec) -> f64 {
+        let model = &mut self.engines[engine].model;
+        model.reserve(now, hold).ok();
+        let share = model.lending_share();
+        self.settle(engine);
+        share
+    }
+
+    pub(super) fn report(&mut self, engine: usize) {
+        if !self.engines[engine].alive {
+            return;
+        }
+        self.share_report(engine, self.shape.report_lag);
+        let period = self.shape.report_period;
+        self.schedule.after(period, DriverEvent::Report { engine });
+    }
+
+    /// Sends an engine's report of now, to arrive after `lag`.
+    pub(super) fn share_report(&mut self, engine: usize, lag: Duration) {
+        let now = self.schedule.now();
+        let report = Box::new(self.engines[engine].report(now, lag));
+        self.settle(engine);
+        let event = DriverEvent::Reported { engine, report };
+        self.schedule.after(lag, event);
+    }
+
+    pub(super) fn reported(&mut self, engine: usize, report: &EngineReport) {
+        if !self.engines[engine].alive {
+            return;
+        }
+        for node in self.watchers(engine) {
+            self.learn(node, SchedulerEvent::Reported(report.clone()));
+        }
+    }
+
+    /// Reads an engine's cache events for its owner; some reads have gaps.
+    pub(super) fn read_cache(&mut self, engine: usize) {
+        let host = &mut self.engines[engine];
+        if !host.alive || self.policy.sees_all() {
+            return;
+        }
+        let slice = host.model.cache_events(host.cache_place);
+        let skipped = slice.first > host.cache_place;
+        host.cache_place = slice.next;
+        let (node, id) = (host.owner, host.id.clone());
+        let lossy = self.draw() < self.shape.cache_gaps;
+        let events = lose_some(slice.events, lossy);
+        if !events.is_empty() || skipped || lossy {
+            let event = SchedulerEvent::Cached {
+                engine: id,
+                gap: skipped || lossy,
+                events,
+            };
+            self.schedule.learn_after(self.shape.cache_lag, node, event);
+        }
+        let period = self.shape.cache_period;
+        self.schedule
+            .after(period, DriverEvent::ReadCache { engine });
+    }
+
+    /// An even draw from 0 to 1.
+    fn draw(&mut self) -> f64 {
+        self.draws = mix(self.draws, 1);
+        let bits = u32::try_from(self.draws >> 32).unwrap_or(0);
+        f64::from(bits) / f64::from(u32::MAX)
+    }
+}
+
+fn lose_some(events: Vec<CacheEvent>, lossy: bool) -> Vec<CacheEvent> {
+    if !lossy {
+        return events;
+    }
+    events
+        .into_iter()
+        .enumerate()
+        .filter(|(place, _)| place % GAP_ONE_IN != 0)
+        .map(|(_, event)| event)
+        .collect()
+}
--- /dev/null
+++ b/components/bench/src/driver/requests.rs
@@ -0,0 +1,146 @@
+//! The callers' side of a run: arrivals, forwards, refusals and deadlines.
+
+use std::time::Duration;
+
+use routing::{RefusalReason, SchedulerEvent};
+use types::RequestId;
+
+use crate::{
+    FleetShape, caller::request_place, driver::FleetDriver, fleet::HOP, ledger::CallerOutcome,
+    schedule::DriverEvent,
+};
+
+impl FleetDriver {
+    pub(super) fn arrive(&mut self, request: usize) {
+        if !self.ledger.is_open(request) {
+            return;
+        }
+        let now = self.schedule.now();
+        let caller = &mut self.callers[request];
+        caller.sends += 1;
+        caller.forwarded = None;
+        let entry = caller.entry;
+        let event = caller.arrival(&self.shape, now, None);
+        self.learn(entry, event);
+    }
+
+    pub(super) fn forwarded(&mut self, request: usize, node: usize, via: usize) {
+        if !self.ledger.is_open(request) {
+            return;
+        }
+        let now = self.schedule.now();
+        let via = Some(FleetShape::node_id(via));
+        let event = self.callers[request].arrival(&self.shape, now, via);
+        self.learn(node, event);
+    }
+
+    /// Place of a request that its caller still waits for.
+    pub(super) fn open_request(&self, id: &RequestId) -> Option<usize> {
+        let place = request_place(id)?;
+        let current = self.callers[place].request_id() == *id;
+        (current && self.ledger.is_open(place)).then_some(place)
+    }
+
+    pub(super) fn forward(&mut self, from: usize, id: &RequestId, to: &str) {
+        let Some(request) = self.open_request(id) else {
+            return;
+        };
+        let Some(node) = (0..self.nodes.len()).find(|node| FleetShape::node_id(*node) == to) else {
+            return;
+        };
+        self.callers[request].forwarded = Some(node);
+        let event = DriverEvent::Forwarded {
+            request,
+            node,
+            via: from,
+        };
+        self.schedule.after(HOP, event);
+    }
+
+    pub(super) fn refuse(
+        &mut self,
+        node: usize,
+        id: &RequestId,
+        reason: RefusalReason,
+        retry_after: Duration,
+    ) {
+        let Some(request) = self.open_request(id) else {
+            return;
+        };
+        let entry = self.callers[request].entry;
+        if node != entry {
+            self.refuse_forward(node, request, id, reason, retry_after);
+            return;
+        }
+        if self.ledger.delivered(request) > 0 {
+            self.close(request, CallerOutcome::Failed);
+            return;
+        }
+        let now = self.schedule.now();
+        match self.callers[request].comes_back(now, retry_after) {
+            Some(back) => self.schedule.at(back, DriverEvent::Arrive { request }),
+            None => self.close(request, CallerOutcome::Refused),
+        }
+    }
+
+    /// Tells the entry node that the node it forwarded to gave up.
+    fn refuse_forward(
+        &mut self,
+        node: usize,
+        request: usize,
+        id: &RequestId,
+        reason: RefusalReason,
+        retry_after: Duration,
+    ) {
+        self.callers[request].forwarded = None;
+        let entry = self.callers[request].entry;
+        let delivered = self.ledger.delivered(request);
+        let node = FleetShape::node_id(node);
+        let request = id.clone();
+        let event = if delivered > 0 {
+            SchedulerEvent::ForwardFailed {
+                request,
+                node,
+                delivered,
+            }
+        } else {
+            SchedulerEvent::ForwardRefused {
+                request,
+                node,
+                reason,
+                retry_after,
+            }
+        };
+        self.tell(entry, event);
+    }
+
+    /// Ends a request for its caller.
+    pub(crate) fn close(&mut self, request: usize, outcome: CallerOutcome) {
+        let open = self.ledger.is_open(request);
+        self.ledger.end(request, outcome);
+        self.open -= usize::from(open);
+    }
+
+    /// A caller leaves at its deadline: what still runs is cancelled.
+    pub(super) fn give_up(&mut self, request: usize) {
+        if !self.ledger.is_open(request) {
+            return;
+        }
+        let outcome = if self.callers[request].sends == 0 {
+            CallerOutcome::Refused
+        } else {
+            CallerOutcome::Failed
+        };
+        self.close(request, outcome);
+        let caller = &self.callers[request];
+        let id = caller.request_id();
+        let nodes = [Some(caller.entry), caller.forwarded];
+        for flight in caller.flights.clone() {
+            self.schedule.after(HOP * 2, DriverEvent::Cancel { flight });
+        }
+        for node in nodes.into_iter().flatten() {
+            let request = id.clone();
+            self.tell(node, SchedulerEvent::Cancelled { request });
+        }
+    }
+}
--- a/components/bench/src/lib.rs
+++ b/components/bench/src/lib.rs
@@ -10,14 +10,17 @@
 mod decision_state;
 mod decisions;
 mod driver;
+mod engine_row;
 mod error;
 mod fleet;
 mod flight;
 mod ledger;
+mod mixes;
 mod plot;
 mod report;
 mod scenario;
 mod schedule;
+mod summary;
 mod table;
 mod workload;
 
@@ -27,10 +30,9 @@
 pub use error::BenchError;
 pub use fleet::FleetShape;
 pub use plot::plot_report;
-pub use report::{
-    BenchReport, LatencySummary, PlanReport, PolicyReport, SlowdownSummary, TailSummary,
-};
+pub use report::{BenchReport, PolicyReport};
 pub use scenario::{EngineFault, ScenarioKind, ScenarioPlan, ScenarioVariant, scenario_plan};
+pub use summary::{GapSummary, LatencySummary, PlanReport, SlowdownSummary, TailSummary};
 pub use table::{decision_table, report_table};
 pub use workload::BenchRequest;
 
--- a/components/bench/src/report.rs
+++ b/components/bench/src/report.rs
@@ -9,7 +9,8 @@
 use types::{PlanKind, TokenCount};
 
 use crate::{
-    BenchRequest, ScenarioKind,
+    BenchRequest, GapSummary, LatencySummary, PlanReport, ScenarioKind, SlowdownSummary,
+    TailSummary,
     fleet::HOP,
     ledger::{CallerOutcome, Ledger, RequestAccount, histogram, record},
 };
@@ -42,60 +43,6 @@
     }
 }
 
-/// Percentiles of a time, in milliseconds, with the number of samples.
-#[derive(Clone, Copy, Debug, Default, PartialEq)]
-#[derive(Deserialize, Serialize)]
-pub struct LatencySummary {
-    /// Samples.
-    pub count: u64,
-    /// Median.
-    pub p50: f64,
-    /// 95th percentile.
-    pub p95: f64,
-    /// 99th percentile.
-    pub p99: f64,
-}
-
-/// Percentiles of a time, in milliseconds.
-#[derive(Clone, Copy, Debug, Default, PartialEq)]
-#[derive(Deserialize, Serialize)]
-pub struct TailSummary {
-    /// Median.
-    pub p50: f64,
-    /// 95th percentile.
-    pub p95: f64,
-    /// 99th percentile.
-    pub p99: f64,
-}
-
-/// Percentiles of the time between tokens, in milliseconds.
-#[derive(Clone, Copy, Debug, Default, PartialEq)]
-#[derive(Deserialize, Serialize)]
-pub struct GapSummary {
-    /// Median.
-    pub p50: f64,
-    /// 95th percentile.
-    pub p95: f64,
-}
-
-/// Percentiles of the slowdown of short prompts.
-#[derive(Clone, Copy, Debug, Default, PartialEq)]
-#[derive(Deserialize, Serialize)]
-pub struct SlowdownSummary {
-    /// Median.
-    pub p50: f64,
-    /// 99th percentile.
-    pub p99: f64,
-}
-
-/// What the callers of one plan saw.
-#[derive(Clone, Copy, Debug, Default, PartialEq)]
-#[derive(Deserialize, Serialize)]
-pub struct PlanReport {
-    /// Time to first token.
-    pub ttft_ms: TailSummary,
-}
-
 /// What callers saw under one policy.
 #[derive(Clone, Debug, Default, PartialEq)]
 #[derive(Deserialize, Serialize)]
--- a/components/bench/src/schedule.rs
+++ b/components/bench/src/schedule.rs
@@ -22,9 +22,15 @@
         via: usize,
     },
     /// A node learns something.
-    Learn { node: usize, event: SchedulerEvent },
+    Learn {
+        node: usize,
+        event: Box<SchedulerEvent>,
+    },
     /// Nodes receive an engine's report.
-    Reported { engine: usize, report: EngineReport },
+    Reported {
+        engine: usize,
+        report: Box<EngineReport>,
+    },
     /// An attempt reaches its engine, or its reservations reach their engines.
     Submit { flight: usize },
     /// An attempt over several engines starts after its reservations.
@@ -103,6 +109,12 @@
         self.at(self.now + delay, event);
     }
 
+    /// Lets a node learn something after a delay.
+    pub(crate) fn learn_after(&mut self, delay: Duration, node: usize, event: SchedulerEvent) {
+        let event = Box::new(event);
+        self.after(delay, DriverEvent::Learn { node, event });
+    }
+
     pub(crate) fn at(&mut self, at: Instant, event: DriverEvent) {
         self.sequence += 1;
         self.heap.push(TimedEvent {
--- a/components/model/src/engine.rs
+++ b/components/model/src/engine.rs
@@ -11,10 +11,8 @@
 };
 
 use crate::{
-    AttemptSpec, CacheSlice, HoldSpec, KvExportRef, KvImportSpec, ModelError, ModelEvent,
-    PrefixCache, SequenceId,
+    AttemptSpec, CacheSlice, ModelError, ModelEvent, PrefixCache, SequenceId,
     batch::StepPlan,
-    cost,
     memory::{AttemptKey, HoldTable},
     sequence::{QueueKey, SequenceState},
 };
@@ -37,6 +35,8 @@
     pub(crate) holds: HoldTable,
     pub(crate) cache: PrefixCache,
     pub(crate) private: TokenCount,
+    /// Tokens still to prefill over all sequences.
+    pub(crate) backlog: TokenCount,
     pub(crate) step: Option<StepPlan>,
     pub(crate) wake: Option<Instant>,
     /// When the last step ended.
@@ -63,6 +63,7 @@
             holds: HoldTable::default(),
             cache: PrefixCache::default(),
             private: 0,
+            backlog: 0,
             step: None,
             wake: None,
             step_ended: None,
@@ -99,6 +100,7 @@
         self.next_id += 1;
         let sequence = SequenceState::new(id, spec);
         self.prefills.insert(sequence.key());
+        self.backlog += sequence.prefill_left();
         self.attempts.insert(key, id);
         self.sequences.insert(id, sequence);
         self.plan_step(now);
@@ -122,137 +124,6 @@
         ran
     }
 
-    /// Holds memory for an attempt, or renews its hold.
-    ///
-    /// # Errors
-    /// `ModelError::TooLarge` and `ModelError::NoMemory`.
-    pub fn reserve(&mut self, now: Instant, spec: &HoldSpec) -> Result<(), ModelError> {
-        self.run_until(now);
-        self.check_size(spec.tokens)?;
-        let key = AttemptKey::new(&spec.request, spec.attempt);
-        let free = self.free_tokens() + self.holds.size_of(&key);
-        if spec.tokens > free {
-            return Err(ModelError::NoMemory {
-                tokens: spec.tokens,
-                free,
-            });
-        }
-        self.holds.insert(now, spec);
-        self.shrink_cache();
-        Ok(())
-    }
-
-    /// Frees what an attempt holds beside its sequence; unknown ones are no
-    /// error.
-    pub fn release(&mut self, now: Instant, request: &RequestId, attempt: AttemptId) {
-        self.run_until(now);
-        self.holds.remove(&AttemptKey::new(request, attempt));
-        self.plan_step(now);
-    }
-
-    /// Says whether the engine computes for the attempt whose memory it holds.
-    ///
-    /// Prompts of a better priority than the attempt's then run at full speed
-    /// after the part in computation; others share the engine evenly with it.
-    /// Decodes ride along.
-    pub fn set_lending(
-        &mut self,
-        now: Instant,
-        request: &RequestId,
-        attempt: AttemptId,
-        lending: bool,
-    ) {
-        self.run_until(now);
-        let key = AttemptKey::new(request, attempt);
-        self.holds.set_lending(&key, lending);
-    }
-
-    /// Sets the priority of the attempt that memory is held for; 0 until set.
-    pub fn set_hold_priority(
-        &mut self,
-        now: Instant,
-        request: &RequestId,
-        attempt: AttemptId,
-        priority: u32,
-    ) {
-        self.run_until(now);
-        let key = AttemptKey::new(request, attempt);
-        self.holds.set_priority(&key, priority);
-    }
-
-    /// Part of its time that the engine has now for a sequence it lends to,
-    /// 0 to 1.
-    #[must_use]
-    pub fn lending_share(&self) -> f64 {
-        self.step.as_ref().map_or(1.0, |step| step.lending_share)
-    }
-
-    /// Sets an attempt's prefill speed over that of one engine, from the next
-    /// step on.
-    pub fn set_pace(&mut self, now: Instant, request: &RequestId, attempt: AttemptId, pace: f64) {
-        self.run_until(now);
-        let key = AttemptKey::new(request, attempt);
-        let id = self.attempts.get(&key);
-        if let Some(sequence) = id.and_then(|id| self.sequences.get_mut(id)) {
-            sequence.pace = pace;
-        }
-    }
-
-    /// Stops an attempt and keeps its KV cache as a hold for another engine
-    /// to import.
-    ///
-    /// # Errors
-    /// `ModelError::Unknown` when no such attempt holds memory here.
-    pub fn export_kv(
-        &mut self,
-        now: Instant,
-        request: &RequestId,
-        attempt: AttemptId,
-        lifetime: Duration,
-    ) -> Result<KvExportRef, ModelError> {
-        self.run_until(now);
-        let key = AttemptKey::new(request, attempt);
-        let id = self.attempts.get(&key).copied();
-        let id = id.ok_or(ModelError::Unknown)?;
-        let tokens = self.sequences[&id].computed;
-        if tokens == 0 {
-            return Err(ModelError::Unknown);
-        }
-        self.end_sequence(id);
-        let spec = HoldSpec {
-            request: request.clone(),
-            attempt,
-            holder: "export".to_owned(),
-            tokens,
-            lifetime,
-        };
-        self.holds.insert(now, &spec);
-        self.holds.fill(&key, tokens, now);
-        self.shrink_cache();
-        self.plan_step(now);
-        Ok(KvExportRef {
-            export: format!("{request}/{attempt}"),
-            tokens,
-        })
-    }
-
-    /// Holds memory for an attempt and fills it from another engine; the
-    /// attempt starts when the transfer is complete.
-    ///
-    /// # Errors
-    /// `ModelError::TooLarge` and `ModelError::NoMemory`.
-    pub fn import_kv(
-        &mut self,
-        now: Instant,
-        import: &KvImportSpec,
-    ) -> Result<Instant, ModelError> {
-        self.reserve(now, &import.hold)?;
-        let key = AttemptKey::new(&import.hold.request, import.hold.attempt);
-        let ready = now + cost::transfer_time(import.filled);
-        self.holds.fill(&key, import.filled, ready);
-        Ok(ready)
-    }
-
     /// Takes an order to change role or models.
     ///
     /// # Errors
@@ -292,6 +163,7 @@
         self.holds.clear();
         self.cache.clear();
         self.private = 0;
+        self.backlog = 0;
         self.step = None;
         self.wake = None;
         self.generated = 0;
@@ -317,8 +189,6 @@
     /// The engine's report of its load.
     pub fn report(&mut self, now: Instant) -> EngineReport {
         self.run_until(now);
-        let backlog = self.prefills.iter();
-        let backlog = backlog.map(|key| self.sequences[&key.sequence].prefill_left());
         EngineReport {
             profile: self.profile.clone(),
             role: self.role,
@@ -327,7 +197,7 @@
             kv_used: self.used_tokens(),
             decoding: u32::try_from(self.decodes.len()).unwrap_or(u32::MAX),
             waiting: u32::try_from(self.prefills.len()).unwrap_or(u32::MAX),
-            prefill_backlog: backlog.sum(),
+            prefill_backlog: self.backlog,
             generated: self.generated,
             holds: self.holds.report(now),
             fencing: self.fencing,
@@ -364,7 +234,7 @@
         self.cache.idle_tokens()
     }
 
-    fn check_size(&self, tokens: TokenCount) -> Result<(), ModelError> {
+    pub(crate) fn check_size(&self, tokens: TokenCount) -> Result<(), ModelError> {
         let capacity = self.profile.kv_capacity;
         if tokens > capacity {
             return Err(ModelError::TooLarge { tokens, capacity });
--- /dev/null
+++ b/components/model/src/holding.rs
@@ -0,0 +1,142 @@
+//! Memory held beside sequences: reservations, exports, imports and lending.
+
+use std::time::{Duration, Instant};
+
+use types::{AttemptId, RequestId};
+
+use crate::{
+    EngineModel, HoldSpec, KvExportRef, KvImportSpec, ModelError, cost, memory::AttemptKey,
+};
+
+impl EngineModel {
+    /// Holds memory for an attempt, or renews its hold.
+    ///
+    /// # Errors
+    /// `ModelError::TooLarge` and `ModelError::NoMemory`.
+    pub fn reserve(&mut self, now: Instant, spec: &HoldSpec) -> Result<(), ModelError> {
+        self.run_until(now);
+        self.check_size(spec.tokens)?;
+        let key = AttemptKey::new(&spec.request, spec.attempt);
+        let free = self.free_tokens() + self.holds.size_of(&key);
+        if spec.tokens > free {
+            return Err(ModelError::NoMemory {
+                tokens: spec.tokens,
+                free,
+            });
+        }
+        self.holds.insert(now, spec);
+        self.shrink_cache();
+        Ok(())
+    }
+
+    /// Frees what an attempt holds beside its sequence; unknown ones are no
+    /// error.
+    pub fn release(&mut self, now: Instant, request: &RequestId, attempt: AttemptId) {
+        self.run_until(now);
+        self.holds.remove(&AttemptKey::new(request, attempt));
+        self.plan_step(now);
+    }
+
+    /// Says whether the engine computes for the attempt whose memory it holds.
+    ///
+    /// Prompts of a better priority than the attempt's then run at full speed
+    /// after the part in computation; others share the engine evenly with it.
+    /// Decodes ride along.
+    pub fn set_lending(
+        &mut self,
+        now: Instant,
+        request: &RequestId,
+        attempt: AttemptId,
+        lending: bool,
+    ) {
+        self.run_until(now);
+        let key = AttemptKey::new(request, attempt);
+        self.holds.set_lending(&key, lending);
+    }
+
+    /// Sets the priority of the attempt that memory is held for; 0 until set.
+    pub fn set_hold_priority(
+        &mut self,
+        now: Instant,
+        request: &RequestId,
+        attempt: AttemptId,
+        priority: u32,
+    ) {
+        self.run_until(now);
+        let key = AttemptKey::new(request, attempt);
+        self.holds.set_priority(&key, priority);
+    }
+
+    /// Part of its time that the engine has now for a sequence it lends to,
+    /// 0 to 1.
+    #[must_use]
+    pub fn lending_share(&self) -> f64 {
+        self.step.as_ref().map_or(1.0, |step| step.lending_share)
+    }
+
+    /// Sets an attempt's prefill speed over that of one engine, from the next
+    /// step on.
+    pub fn set_pace(&mut self, now: Instant, request: &RequestId, attempt: AttemptId, pace: f64) {
+        self.run_until(now);
+        let key = AttemptKey::new(request, attempt);
+        let id = self.attempts.get(&key);
+        if let Some(sequence) = id.and_then(|id| self.sequences.get_mut(id)) {
+            sequence.pace = pace;
+        }
+    }
+
+    /// Stops an attempt and keeps its KV cache as a hold for another engine
+    /// to import.
+    ///
+    /// # Errors
+    /// `ModelError::Unknown` when no such attempt holds memory here.
+    pub fn export_kv(
+        &mut self,
+        now: Instant,
+        request: &RequestId,
+        attempt: AttemptId,
+        lifetime: Duration,
+    ) -> Result<KvExportRef, ModelError> {
+        self.run_until(now);
+        let key = AttemptKey::new(request, attempt);
+        let id = self.attempts.get(&key).copied();
+        let id = id.ok_or(ModelError::Unknown)?;
+        let tokens = self.sequences[&id].computed;
+        if tokens == 0 {
+            return Err(ModelError::Unknown);
+        }
+        self.end_sequence(id);
+        let spec = HoldSpec {
+            request: request.clone(),
+            attempt,
+            holder: "export".to_owned(),
+            tokens,
+            lifetime,
+        };
+        self.holds.insert(now, &spec);
+        self.holds.fill(&key, tokens, now);
+        self.shrink_cache();
+        self.plan_step(now);
+        Ok(KvExportRef {
+            export: format!("{request}/{attempt}"),
+            tokens,
+        })
+    }
+
+    /// Holds memory for an attempt and fills it from another engine; the
+    /// attempt starts when the transfer is complete.
+    ///
+    /// # Errors
+    /// `ModelError::TooLarge` and `ModelError::NoMemory`.
+    pub fn import_kv(
+        &mut self,
+        now: Instant,
+        import: &KvImportSpec,
+    ) -> Result<Instant, ModelError> {
+        self.reserve(now, &import.hold)?;
+        let key = AttemptKey::new(&import.hold.request, import.hold.attempt);
+        let ready = now + cost::transfer_time(import.filled);
+        self.holds.fill(&key, import.filled, ready);
+        Ok(ready)
+    }
+}
--- a/components/model/src/lib.rs
+++ b/components/model/src/lib.rs
@@ -7,6 +7,7 @@
 mod cache;
 mod cost;
 mod engine;
+mod holding;
 mod memory;
 mod placement;
 mod sequence;
--- a/components/model/src/placement.rs
+++ b/components/model/src/placement.rs
@@ -36,6 +36,7 @@
         sequence.computed = shared.max(filled).min(last);
         sequence.private = sequence.spec.own_tokens().saturating_sub(shared);
         self.private += sequence.private;
+        self.backlog -= sequence.computed;
         let kind = EventKind::Started {
             prompt_tokens: sequence.spec.prompt_tokens,
             cached_tokens: sequence.computed,
@@ -98,8 +99,10 @@
         self.decodes.remove(&key);
         self.prefills.insert(key);
         if let Some(sequence) = self.sequences.get_mut(&key.sequence) {
+            self.backlog -= sequence.prefill_left();
             sequence.phase = SequencePhase::Waiting;
             sequence.computed = 0;
+            self.backlog += sequence.prefill_left();
         }
         budget.remove(key.sequence);
     }
@@ -109,6 +112,7 @@
         let Some(sequence) = self.sequences.remove(&id) else {
             return;
         };
+        self.backlog -= sequence.prefill_left();
         self.prefills.remove(&sequence.key());
         self.decodes.remove(&sequence.key());
         self.attempts.remove(&sequence.attempt_key());
--- a/components/model/src/stepping.rs
+++ b/components/model/src/stepping.rs
@@ -42,6 +42,7 @@
             return;
         };
         sequence.computed += tokens;
+        self.backlog -= tokens;
         if sequence.prefill_left() > 0 {
             return;
         }
--- a/components/model/tests/properties.rs
+++ b/components/model/tests/properties.rs
@@ -133,6 +133,7 @@
         let mut run = EngineRun::new(seed, Instant::now());
         run.play();
         assert_eq!(run.engine.used_tokens(), 0, "seed {seed}");
+        assert_eq!(run.engine.report(run.now).prefill_backlog, 0, "seed {seed}");
         let mut finished = 0;
         let mut last = run.start;
         for event in &run.events {
