--- a/components/node/src/api/mod.rs
+++ b/components/node/src/api/mod.rs
@@ -4,6 +4,8 @@
 mod addresses;
 mod answer;
 mod completions;
+mod key_index;
+mod note_answer;
 mod operator;
 mod parts;
 mod prompt_body;
@@ -14,7 +16,8 @@
 mod status;
 
 pub use addresses::AddressAnswer;
-pub use operator::PublishAnswer;
+pub use key_index::KeyIndex;
+pub use note_answer::{HistoryEntry, PublishAnswer};
 pub use parts::ApiParts;
 pub use router::api_handler;
 pub use status::{EngineStatus, FleetStatus, MemberStatus};
--- a/components/node/src/api/parts.rs
+++ b/components/node/src/api/parts.rs
@@ -7,6 +7,7 @@
 use settings::NodeSettings;
 use telemetry::{HopTracer, NodeMetrics};
 
+use super::key_index::KeyIndex;
 use crate::{
     directory::UpstreamDirectory, drain::DrainFlag, fleet::FleetView, members::MemberService,
     notes::NoteService, prompts::PromptService,
@@ -20,6 +21,8 @@
     pub clock: ClockSource,
     /// Release notes.
     pub notes: Arc<NoteService>,
+    /// Which organisation a key belongs to.
+    pub keys: KeyIndex,
     /// Prompts.
     pub prompts: Arc<PromptService>,
     /// Membership.
--- a/components/node/src/api/router.rs
+++ b/components/node/src/api/router.rs
@@ -4,11 +4,14 @@
 
 use entry::{ApiFailure, EntryHandler, EntryRequest, FailureKind};
 use http_types::{Method, Response};
+use notes::VersionGate;
 use telemetry::RouteLabels;
 
 use super::{
-    ApiParts, addresses,
-    answer::{ApiResult, json_response, text_response},
+    ApiParts,
+    access::not_ready,
+    addresses,
+    answer::{ApiResult, text_response},
     completions::complete,
     operator,
     services::{ServicePath, call_service},
@@ -115,7 +118,7 @@
         ApiRoute::OperatorNotes if request.method() == Method::Post => {
             operator::publish(parts, request).await
         }
-        ApiRoute::OperatorNotes => Ok(json_response(&*parts.notes.current())),
+        ApiRoute::OperatorNotes => operator::read_notes(parts, request).await,
         ApiRoute::OperatorTrace(id) => operator::trace(&parts, &request, &id),
     }
 }
@@ -139,14 +142,10 @@
 }
 
 fn ready(parts: &ApiParts) -> ApiResult {
-    if parts.notes.current().version > 0 {
+    if parts.notes.gate(0) == VersionGate::Serve && !parts.draining.is_set() {
         return Ok(text_response("ready"));
     }
-    Err(ApiFailure::new(
-        FailureKind::Unavailable,
-        "not_ready",
-        "no release note is in force on this node yet",
-    ))
+    Err(not_ready())
 }
 
 fn metrics(parts: &ApiParts) -> Response {
--- a/components/node/src/api/services.rs
+++ b/components/node/src/api/services.rs
@@ -29,7 +29,7 @@
     request: EntryRequest,
     path: ServicePath,
 ) -> ApiResult {
-    let access = recognise(&parts, &request)?;
+    let access = recognise(&parts, &request).await?;
     access.require_service(&path.name)?;
     match request.method() {
         Method::Get => read(&parts, &request, &path).await,
--- a/src/cli.rs
+++ b/src/cli.rs
@@ -76,6 +76,10 @@
     Publish(NotePublish),
     /// Show what is in force.
     Show(NoteShow),
+    /// List accepted notes.
+    History(NoteHistory),
+    /// Show what changed between two notes.
+    Diff(NoteDiff),
     /// Show which nodes have which version in force.
     Status(NoteStatus),
 }
@@ -87,6 +91,12 @@
     /// release note in JSON with comments
     #[argh(positional)]
     pub file: String,
+    /// version in force when the note was written (default: the newest)
+    #[argh(option)]
+    pub base: Option<u64>,
+    /// put the note on top of newer ones that touch other entries
+    #[argh(switch)]
+    pub rebase: bool,
     /// address of any node, as IP number and port
     #[argh(option)]
     pub node: String,
@@ -113,6 +123,45 @@
     pub json: bool,
 }
 
+/// List accepted release notes, oldest first.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "history")]
+pub struct NoteHistory {
+    /// list those after this version (default 0)
+    #[argh(option, default = "0")]
+    pub after: u64,
+    /// address of any node, as IP number and port
+    #[argh(option)]
+    pub node: String,
+    /// operator's key; else the environment's GENTIANTALLY_KEY
+    #[argh(option)]
+    pub key: Option<String>,
+    /// write one JSON document
+    #[argh(switch)]
+    pub json: bool,
+}
+
+/// Show what changed from one release note to another.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "diff")]
+pub struct NoteDiff {
+    /// earlier version
+    #[argh(positional)]
+    pub from: u64,
+    /// later version
+    #[argh(positional)]
+    pub to: u64,
+    /// address of any node, as IP number and port
+    #[argh(option)]
+    pub node: String,
+    /// operator's key; else the environment's GENTIANTALLY_KEY
+    #[argh(option)]
+    pub key: Option<String>,
+    /// write one JSON document
+    #[argh(switch)]
+    pub json: bool,
+}
+
 /// Show which release note each node has in force.
 #[derive(FromArgs)]
 #[argh(subcommand, name = "status")]
--- a/src/cmd/client.rs
+++ b/src/cmd/client.rs
@@ -121,7 +121,7 @@
         let advice = match status {
             401 => "give the key with --key or GENTIANTALLY_KEY",
             403 => "use an operator's key",
-            409 => "look at what is in force with: gentiantally note show",
+            409 => "look at what is in force with: gentiantally note history",
             422 => "mend the document and send it again",
             _ => "try again, or use another node",
         };
