Hold organisations over their share to what others leave

Cause: under one flooding organisation, other payers waited seconds: classes went strictly short first whoever asked, a stream of short prompts kept medium ones off the engines, refusals of the flood closed nodes to others, and refunds of charges were read by other nodes as a new life.

Change: an organisation over its share with a backlog runs at a low engine priority on calm engines and within a bound on batch drag, as trial work does; summaries tell the wait of a newcomer; counters told never fall.

--- a/components/admission/src/shares.rs
+++ b/components/admission/src/shares.rs
@@ -1,6 +1,9 @@
 //! Virtual token counters: what each organisation was served, by weight.
 
-use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::{
+    collections::{BTreeMap, BTreeSet, HashMap},
+    time::Duration,
+};
 
 use types::{NodeId, OrganisationId, PlanKind, TokenCount};
 
@@ -10,6 +13,12 @@
 /// Names an organisation within one `ShareTable`.
 pub type OrganisationIndex = u32;
 
+/// Time over which recent service is counted, once or twice.
+const EPOCH: Duration = Duration::from_secs(20);
+/// Times its fair share that an organisation may take before it is over it.
+const OVER_SHARE: f64 = 1.5;
+/// Jobs waiting here that make a backlog.
+const BACKLOG_MIN: u32 = 8;
 /// Keeps the division by a weight precise.
 const WEIGHT_SCALE: u64 = 1_024;
 
@@ -31,13 +40,46 @@
     weight: u64,
     counter: VirtualTokens,
     served: TokenCount,
+    /// Tokens charged too much: taken off later charges, so that `served`
+    /// never falls.
+    owed: TokenCount,
     told: TokenCount,
     queued: u32,
     queued_cost: TokenCount,
     running: u32,
+    recent: RecentTokens,
     remote: BTreeMap<NodeId, RemoteShare>,
 }
 
+/// Tokens of the present epoch and of the one before.
+#[derive(Clone, Copy, Debug, Default)]
+struct RecentTokens {
+    epoch: u64,
+    now: TokenCount,
+    before: TokenCount,
+}
+
+impl RecentTokens {
+    fn turn(&mut self, epoch: u64) {
+        if self.epoch == epoch {
+            return;
+        }
+        self.before = if self.epoch + 1 == epoch { self.now } else { 0 };
+        self.now = 0;
+        self.epoch = epoch;
+    }
+
+    fn add(&mut self, epoch: u64, tokens: TokenCount) {
+        self.turn(epoch);
+        self.now = self.now.saturating_add(tokens);
+    }
+
+    fn sum(mut self, epoch: u64) -> TokenCount {
+        self.turn(epoch);
+        self.now.saturating_add(self.before)
+    }
+}
+
 #[derive(Clone, Copy, Debug)]
 struct RemoteShare {
     tokens: TokenCount,
@@ -58,6 +100,10 @@
     queued_cost: [TokenCount; 2],
     floors: [VirtualTokens; 2],
     lead: TokenCount,
+    epoch: u64,
+    recent: [RecentTokens; 2],
+    /// Weight of the organisations served in the epoch.
+    recent_weight: [RecentTokens; 2],
 }
 
 impl ShareTable {
@@ -73,7 +119,33 @@
             queued_cost: [0; 2],
             floors: [0; 2],
             lead,
+            epoch: 0,
+            recent: [RecentTokens::default(); 2],
+            recent_weight: [RecentTokens::default(); 2],
+        }
+    }
+
+    /// Moves to the epoch of a time since some fixed start.
+    pub fn advance_to(&mut self, since_start: Duration) {
+        let epoch = since_start.as_secs() / EPOCH.as_secs();
+        self.epoch = self.epoch.max(epoch);
+    }
+
+    /// Whether the organisation took more than its fair share lately and has
+    /// a backlog here that would take more still.
+    #[must_use]
+    pub fn is_over_share(&self, index: OrganisationIndex) -> bool {
+        let Some(entry) = self.entries.get(index as usize) else {
+            return false;
+        };
+        if entry.queued < BACKLOG_MIN {
+            return false;
         }
+        let slot = plan_slot(entry.plan);
+        let own = entry.recent.sum(self.epoch);
+        let total = self.recent[slot].sum(self.epoch);
+        let weight = self.recent_weight[slot].sum(self.epoch).max(entry.weight);
+        ratio(own, entry.weight) > OVER_SHARE * ratio(total, weight)
     }
 
     /// The organisation's index, with plan and weight as they are now.
@@ -95,10 +167,12 @@
             weight,
             counter: 0,
             served: 0,
+            owed: 0,
             told: 0,
             queued: 0,
             queued_cost: 0,
             running: 0,
+            recent: RecentTokens::default(),
             remote: BTreeMap::new(),
         });
         self.names.insert(organisation.clone(), index);
@@ -135,7 +209,9 @@
     /// Charges tokens that the organisation is being served by this node.
     pub fn charge(&mut self, index: OrganisationIndex, tokens: TokenCount) {
         if let Some(entry) = self.entries.get_mut(index as usize) {
-            entry.served = entry.served.saturating_add(tokens);
+            let owed = entry.owed.min(tokens);
+            entry.owed -= owed;
+            entry.served = entry.served.saturating_add(tokens - owed);
         }
         self.advance(index, tokens);
     }
@@ -147,9 +223,9 @@
         };
         let virtual_tokens = tokens.saturating_mul(WEIGHT_SCALE) / entry.weight;
         let counter = entry.counter.saturating_sub(virtual_tokens);
-        let served = entry.served.saturating_sub(tokens);
+        let owed = entry.owed.saturating_add(tokens);
         self.set_counter(index, counter);
-        self.entries[index as usize].served = served;
+        self.entries[index as usize].owed = owed;
     }
 
     /// Counts an attempt that began to run.
@@ -245,6 +321,15 @@
         (ratio(own, 1) / fair.max(1.0)).min(1.0)
     }
 
+    /// The same for an organisation of weight 1 that has nothing waiting.
+    #[must_use]
+    pub fn newcomer_part_ahead(&self, plan: PlanKind, cost: TokenCount) -> f64 {
+        let slot = plan_slot(plan);
+        let total = self.queued_cost[slot].saturating_add(cost);
+        let fair = ratio(total, self.active_weight[slot] + 1);
+        (ratio(cost, 1) / fair.max(1.0)).min(1.0)
+    }
+
     /// Part of its plan's service that the organisation gets while all that
     /// wait now go on waiting; 1 when it is alone.
     #[must_use]
@@ -327,6 +412,18 @@
         let added = tokens.saturating_mul(WEIGHT_SCALE) / entry.weight;
         let counter = entry.counter.saturating_add(added);
         self.set_counter(index, counter);
+        self.count_recent(index, tokens);
+    }
+
+    fn count_recent(&mut self, index: OrganisationIndex, tokens: TokenCount) {
+        let epoch = self.epoch;
+        let entry = &mut self.entries[index as usize];
+        let slot = plan_slot(entry.plan);
+        if entry.recent.sum(epoch) == 0 {
+            self.recent_weight[slot].add(epoch, entry.weight);
+        }
+        entry.recent.add(epoch, tokens);
+        self.recent[slot].add(epoch, tokens);
     }
 
     fn set_counter(&mut self, index: OrganisationIndex, counter: VirtualTokens) {
--- a/components/routing/src/arrival.rs
+++ b/components/routing/src/arrival.rs
@@ -22,7 +22,7 @@
 const HOP_GAIN: Duration = Duration::from_millis(4);
 
 /// Gain that a hop must bring, as a part of the prompt's prefill.
-const HOP_GAIN_PART: f64 = 0.1;
+const HOP_GAIN_PART: f64 = 0.08;
 
 /// Why a prompt is turned away, and when it may come back.
 #[derive(Clone, Copy, Debug)]
--- a/components/routing/src/dispatch.rs
+++ b/components/routing/src/dispatch.rs
@@ -8,7 +8,7 @@
 use crate::{
     NodeScheduler, SchedulerAction,
     load::LoadMeter,
-    placement::{PromptUrgency, engine_priority, needed_tokens, place},
+    placement::{EngineOffer, PromptUrgency, engine_priority, may_borrow, needed_tokens, place},
     pool::PoolKey,
     scheduler::RunningJob,
     view::{EngineFlight, EngineView, FlightPhase, least_left},
@@ -53,7 +53,7 @@
         let Some(key) = self.pools.key(pool).cloned() else {
             return;
         };
-        while let Some(choice) = self.choose_engine(pool, class, &key) {
+        while let Some(choice) = self.choose_engine(pool, now, class, &key) {
             let engines = vec![choice.engine];
             let started = self.start(now, &choice.request, engines, choice.urgency);
             actions.extend(started);
@@ -63,6 +63,9 @@
     /// How a job ranks on an engine now.
     pub(crate) fn urgency(&self, queued: &QueuedJob) -> PromptUrgency {
         match queued.job.plan {
+            PlanKind::Paying if self.shares.is_over_share(queued.organisation) => {
+                PromptUrgency::Surplus
+            }
             PlanKind::Paying => PromptUrgency::Paying,
             PlanKind::Trial if queued.work <= self.floor.available() => PromptUrgency::TrialFloor,
             PlanKind::Trial => PromptUrgency::Trial,
@@ -73,31 +76,29 @@
     fn choose_engine(
         &mut self,
         pool: PoolIndex,
+        now: Instant,
         class: LengthClass,
         key: &PoolKey,
     ) -> Option<EngineChoice> {
         let floor = self.floor.available();
         let head = self.queue.head(pool, class, &self.shares, floor)?.clone();
         let urgency = self.urgency(&head);
-        let mut best: Option<(Duration, bool, &EngineId)> = None;
+        let mut offers = Vec::new();
         for (engine, view) in &self.engines {
-            if !key.served_by(&view.report) {
+            if !key.served_by(&view.report) || !may_borrow(now, view, &head) {
                 continue;
             }
             if class != LengthClass::Short && self.gangs.reserves(engine) {
                 continue;
             }
-            let Some(score) = place(view, &self.node, &head, urgency, &self.settings) else {
-                continue;
-            };
-            let entry = (score, view.report.profile.zone != head.job.zone, engine);
-            if best.is_none_or(|known| entry < known) {
-                best = Some(entry);
-            }
+            let offer = place(view, &self.node, &head, urgency, &self.settings);
+            let far = view.report.profile.zone != head.job.zone;
+            offers.extend(offer.map(|offer| (offer, far, engine)));
         }
-        best.map(|(_, _, engine)| EngineChoice {
+        let best = best_offer(&offers, class)?;
+        Some(EngineChoice {
             request: head.job.request.clone(),
-            engine: engine.clone(),
+            engine: best.clone(),
             urgency,
         })
     }
@@ -128,7 +129,9 @@
             if place == 0 && queued.class != LengthClass::Gang {
                 expected = left_on(view, &queued);
             }
-            view.add(now, flight(now, &queued, priority, share, expected));
+            let mut flight = flight(now, &queued, priority, share, expected);
+            flight.secondary = urgency.is_secondary();
+            view.add(now, flight);
         }
         let action = SchedulerAction::Dispatch {
             request: request.clone(),
@@ -155,6 +158,21 @@
     }
 }
 
+/// The engine of least cost. A short prompt that can bear a step of longer
+/// work leaves the last calm engine to one that can't.
+fn best_offer<'a>(
+    offers: &[(EngineOffer, bool, &'a EngineId)],
+    class: LengthClass,
+) -> Option<&'a EngineId> {
+    let calm = offers.iter().filter(|(offer, ..)| offer.calm).count();
+    let leaves = class == LengthClass::Short && calm <= 1;
+    let best = offers.iter().min_by_key(|(offer, far, engine)| {
+        let avoided = leaves && (offer.calm || !offer.allowed);
+        (avoided, offer.cost, *far, *engine)
+    });
+    best.map(|(_, _, engine)| *engine)
+}
+
 fn left_on(view: &EngineView, queued: &QueuedJob) -> Duration {
     let cached = view.prefixes.cached_tokens(&queued.job);
     let profile = &view.report.profile;
@@ -179,6 +197,7 @@
         left,
         least: least_left(left),
         dispatched: now,
+        secondary: false,
         shared: false,
     }
 }
--- a/components/routing/src/forwarding.rs
+++ b/components/routing/src/forwarding.rs
@@ -77,7 +77,9 @@
         let Some(forwarded) = self.end_forward(request, Some(node)) else {
             return;
         };
-        self.peers.refused(now, node, rejection.retry_after);
+        if rejection.reason == RefusalReason::ModelNotReady {
+            self.peers.avoid(now, node, rejection.retry_after);
+        }
         self.hand_on(now, forwarded, rejection, actions);
     }
 
@@ -94,7 +96,7 @@
         let Some(mut forwarded) = self.end_forward(request, Some(node)) else {
             return;
         };
-        self.peers.refused(now, node, Duration::from_secs(1));
+        self.peers.avoid(now, node, Duration::from_secs(1));
         let queued = &mut forwarded.queued;
         queued.resume_at = queued.resume_at.max(delivered);
         queued.failures += 1;
--- a/components/routing/src/lib.rs
+++ b/components/routing/src/lib.rs
@@ -17,6 +17,7 @@
 mod pool;
 mod prefix;
 mod retry;
+mod roles;
 mod scheduler;
 mod settings;
 mod summary;
--- a/components/routing/src/peers.rs
+++ b/components/routing/src/peers.rs
@@ -13,16 +13,16 @@
 
 /// Forwarded prompts remembered for one node.
 const FORWARD_LIMIT: usize = 256;
-/// Longest time a node is left out after it refused.
+/// Longest time a node is left out.
 const AVOID_LIMIT: Duration = Duration::from_secs(1);
 /// Nodes drawn for a choice.
-const CHOICES: usize = 4;
-/// Difference up to which expected delays of short prompts count as alike.
-const ALIKE: Duration = Duration::from_millis(10);
-/// Least weight of a node in a draw, in engines.
-const WEIGHT_MIN: f64 = 0.05;
+const CHOICES: usize = 8;
+/// How much likelier a node with half the wait is drawn, as a power of two.
+const WAIT_POWER: i32 = 4;
+/// Expected wait below which nodes count as alike.
+const WAIT_MIN: Duration = Duration::from_millis(1);
 /// Expected delay of a short prompt where all engines prefill longer work.
-const LONG_DELAY: Duration = Duration::from_millis(20);
+const LONG_DELAY: Duration = Duration::from_millis(40);
 /// Expected delay of a short prompt behind another one.
 const SHORT_DELAY: Duration = Duration::from_millis(150);
 
@@ -49,8 +49,6 @@
     pub(crate) wait: Duration,
     /// Whether it is in another zone.
     far: bool,
-    /// Engines that are likely free.
-    weight: f64,
 }
 
 /// A prompt that looks for another node.
@@ -174,8 +172,9 @@
         }
     }
 
-    /// Leaves a node out for a while after it refused or failed.
-    pub(crate) fn refused(&mut self, now: Instant, node: &NodeId, pause: Duration) {
+    /// Leaves a node out for a while after it could not be reached or had no
+    /// engine for a prompt.
+    pub(crate) fn avoid(&mut self, now: Instant, node: &NodeId, pause: Duration) {
         if let Some(peer) = self.peers.get_mut(node) {
             peer.avoided_until = Some(now + pause.min(AVOID_LIMIT));
         }
@@ -209,21 +208,23 @@
     }
 }
 
-/// Draws one of the offers, by weight among those that wait about as long as
-/// the best one: nodes with the same view spread out.
+/// Draws one of the offers: the shorter the wait the likelier, so that nodes
+/// with the same view spread out.
 fn weighted(offers: Vec<PeerOffer>, rng: &mut impl Rng) -> Option<PeerOffer> {
-    let least = offers.iter().map(|offer| offer.wait).min()?;
-    let good: Vec<PeerOffer> = offers
-        .into_iter()
-        .filter(|offer| offer.wait <= least + ALIKE)
-        .collect();
-    let total: f64 = good.iter().map(|offer| offer.weight).sum();
+    let total: f64 = offers.iter().map(PeerOffer::weight).sum();
     let mut left = rng.random::<f64>() * total;
-    let chosen = good.iter().position(|offer| {
-        left -= offer.weight;
+    let chosen = offers.iter().position(|offer| {
+        left -= offer.weight();
         left <= 0.0
     });
-    good.into_iter().nth(chosen.unwrap_or(0))
+    offers.into_iter().nth(chosen.unwrap_or(0))
+}
+
+impl PeerOffer {
+    fn weight(&self) -> f64 {
+        let wait = self.wait.max(WAIT_MIN).as_secs_f64();
+        wait.powi(-WAIT_POWER)
+    }
 }
 
 impl PeerView {
@@ -239,13 +240,10 @@
             (PlanKind::Paying, _) => pool.long_wait + self.pending(now, pool),
             (PlanKind::Trial, _) => pool.trial_wait + self.pending(now, pool),
         };
-        let handed = f64::from(self.handed_short(now));
-        let free = f64::from(pool.calm) - handed - f64::from(pool.short_load) / 1_000.0;
         Some(PeerOffer {
             node: self.summary.node.clone(),
             wait,
             far: self.summary.zone != *query.zone,
-            weight: free.max(WEIGHT_MIN),
         })
     }
 
@@ -257,13 +255,11 @@
         if open == 0 {
             return pool.short_wait + SHORT_DELAY;
         }
-        let load = f64::from(pool.short_load) / 1_000.0 / f64::from(open.max(1));
-        let busy = load.clamp(0.05, 0.95);
+        let load = f64::from(pool.short_load) / 1_000.0;
         let handed = self.handed_short(now);
-        let all_calm = chance(busy, pool.calm.saturating_sub(handed));
-        let all_open = chance(busy, open.saturating_sub(handed));
-        let queued = pool.short_wait.saturating_sub(LONG_DELAY);
-        LONG_DELAY.mul_f64(all_calm) + SHORT_DELAY.mul_f64(all_open) + queued.mul_f64(busy)
+        let no_calm = chance(load, pool.calm, handed);
+        let no_open = chance(load, open, handed);
+        LONG_DELAY.mul_f64(no_calm) + SHORT_DELAY.mul_f64(no_open)
     }
 
     fn handed_short(&self, now: Instant) -> u32 {
@@ -286,7 +282,12 @@
     }
 }
 
-/// Chance that all of `engines` engines are busy at once.
-fn chance(busy: f64, engines: u32) -> f64 {
-    busy.powi(i32::try_from(engines).unwrap_or(i32::MAX))
+/// Chance that all of `engines` engines are busy with a load of `load`
+/// engines, when `handed` of them are known to be.
+fn chance(load: f64, engines: u32, handed: u32) -> f64 {
+    let Some(left) = engines.checked_sub(handed).filter(|left| *left > 0) else {
+        return 1.0;
+    };
+    let busy = (load / f64::from(engines)).clamp(0.05, 0.95);
+    busy.powi(i32::try_from(left).unwrap_or(i32::MAX))
 }
--- a/components/routing/src/placement.rs
+++ b/components/routing/src/placement.rs
@@ -1,22 +1,30 @@
 //! Whether an engine takes a prompt now, and how well it suits it.
 
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use admission::{LengthClass, QueuedJob};
 use types::{EngineRole, NodeId, PlanKind, TokenCount};
 
-use crate::{SchedulerSettings, view::EngineView};
+use crate::{
+    SchedulerSettings,
+    view::{EngineView, drag},
+};
 
 /// Prompt tokens that share one priority on the engines.
 const PRIORITY_STEP_TOKENS: TokenCount = 256;
 /// Priority of the most urgent trial prompt.
-const TRIAL_PRIORITY: u32 = 1 << 16;
-/// Part of an engine's batch that trial prompts may fill.
-const TRIAL_BATCH_PART: usize = 2;
+const TRIAL_PRIORITY: u32 = 1 << 17;
+/// Priority of the most urgent prompt of an organisation over its share.
+const SURPLUS_PRIORITY: u32 = 1 << 16;
+/// Part of its prefill time that a short prompt may be delayed.
+const SLOWDOWN_ALLOWANCE: f64 = 0.18;
+/// Part of its prefill time that a long prompt waits before it takes an
+/// engine for short ones.
+const BORROW_PART: f64 = 0.25;
 /// Cost of a short prompt on an engine for long ones.
 const SHORT_ON_LONG: Duration = Duration::from_millis(2);
 /// Cost of longer work on an engine for short prompts.
-const LONG_ON_SHORT: Duration = Duration::from_secs(2);
+const LONG_ON_SHORT: Duration = Duration::from_millis(500);
 
 /// Priority of a prompt on its engine: short before long, paying before
 /// trial unless it is within its floor. Short prompts share one priority, so
@@ -25,13 +33,14 @@
     let steps = prompt_tokens / PRIORITY_STEP_TOKENS;
     let length = u32::try_from(steps)
         .unwrap_or(u32::MAX)
-        .min(TRIAL_PRIORITY / 2);
+        .min(SURPLUS_PRIORITY - 1);
     let length = match LengthClass::of(prompt_tokens) {
         LengthClass::Short => 0,
         _ => length,
     };
     match urgency {
         PromptUrgency::Paying | PromptUrgency::TrialFloor => length,
+        PromptUrgency::Surplus => SURPLUS_PRIORITY + length,
         PromptUrgency::Trial => TRIAL_PRIORITY + length,
     }
 }
@@ -43,46 +52,81 @@
     Paying,
     /// Trial work within its floor.
     TrialFloor,
+    /// Paying work of an organisation that is over its share.
+    Surplus,
     /// Other trial work.
     Trial,
 }
 
+impl PromptUrgency {
+    /// Whether it runs on what others leave.
+    pub(crate) fn is_secondary(self) -> bool {
+        matches!(self, Self::Surplus | Self::Trial)
+    }
+}
+
 /// Memory a prompt needs with its answer, in tokens.
 pub(crate) fn needed_tokens(queued: &QueuedJob) -> TokenCount {
     let job = &queued.job;
     job.prompt_tokens.saturating_add(job.output_tokens)
 }
 
-/// Expected time to the first token on this engine, with what it costs
-/// others; `None` when the engine can't take the prompt now.
+/// What a prompt meets on one engine.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+pub(crate) struct EngineOffer {
+    /// Expected time to the first token, with what it costs others.
+    pub(crate) cost: Duration,
+    /// Whether nothing is in prefill there.
+    pub(crate) calm: bool,
+    /// Whether the prompt, though not calm, starts within its allowance.
+    pub(crate) allowed: bool,
+}
+
+/// The offer of an engine; `None` when it can't take the prompt now.
 pub(crate) fn place(
     view: &EngineView,
     node: &NodeId,
     queued: &QueuedJob,
     urgency: PromptUrgency,
     settings: &SchedulerSettings,
-) -> Option<Duration> {
+) -> Option<EngineOffer> {
     let job = &queued.job;
-    if !has_memory(view, node, queued, settings) || !has_slot(view, job.plan) {
+    if !has_memory(view, node, queued, settings) || !view.has_batch_slot() {
         return None;
     }
-    if urgency == PromptUrgency::Trial && !view.is_idle(node) {
+    let calm = view.is_idle(node);
+    if urgency.is_secondary() && !(calm && bears(view, queued, urgency, settings)) {
         return None;
     }
     let priority = engine_priority(urgency, job.prompt_tokens);
     let full = view.prefill_time(node, 0, job.prompt_tokens);
     let ahead = view.ahead(queued.class, priority, queued.work);
-    if ahead > settings.engine_backlog + full {
+    let blocking = view.blocking(queued.class, priority, queued.work);
+    if blocking > settings.engine_backlog + full {
         return None;
     }
     let cached = view.prefixes.cached_tokens(job);
     let prefill = view.prefill_time(node, cached, job.prompt_tokens);
     let saved = full.saturating_sub(prefill);
-    if ahead > settings.engine_backlog + saved {
+    if blocking > settings.engine_backlog + saved {
         return None;
     }
     let residual = view.residual(node);
-    Some(ahead + residual + prefill + role_cost(view.wanted_role, queued.class))
+    let worst = ahead + residual * 2 + prefill.saturating_sub(queued.work);
+    Some(EngineOffer {
+        cost: ahead + residual + prefill + role_cost(view.wanted_role, queued.class),
+        calm,
+        allowed: !view.lends(node) && worst <= queued.work.mul_f64(SLOWDOWN_ALLOWANCE),
+    })
+}
+
+/// Whether a long prompt may take an engine for short ones: only one that has
+/// waited a part of its own length.
+pub(crate) fn may_borrow(now: Instant, view: &EngineView, queued: &QueuedJob) -> bool {
+    if view.wanted_role != EngineRole::Short || queued.class != LengthClass::Long {
+        return true;
+    }
+    now.saturating_duration_since(queued.since) >= queued.work.mul_f64(BORROW_PART)
 }
 
 fn has_memory(
@@ -101,11 +145,19 @@
     alone || needed.saturating_add(headroom) <= free
 }
 
-fn has_slot(view: &EngineView, plan: PlanKind) -> bool {
-    match plan {
-        PlanKind::Paying => view.has_batch_slot(1),
-        PlanKind::Trial => view.has_batch_slot(TRIAL_BATCH_PART),
-    }
+/// Whether the engine's own work would hardly be slower with a secondary
+/// prompt in its batch; one alone there slows nobody.
+fn bears(
+    view: &EngineView,
+    queued: &QueuedJob,
+    urgency: PromptUrgency,
+    settings: &SchedulerSettings,
+) -> bool {
+    let bound = match urgency {
+        PromptUrgency::Surplus => settings.surplus_drag,
+        _ => settings.trial_drag,
+    };
+    view.flights.is_empty() || view.secondary_drag() + drag(needed_tokens(queued)) <= bound
 }
 
 fn role_cost(role: EngineRole, class: LengthClass) -> Duration {
--- a/components/routing/src/scheduler.rs
+++ b/components/routing/src/scheduler.rs
@@ -12,7 +12,7 @@
 use crate::{
     RefusalReason, SchedulerAction, SchedulerEvent, SchedulerSettings, arrival::Rejection,
     forwarding::ForwardedJob, gang::GangPlanner, load::LoadMeter, peers::PeerTable,
-    pool::PoolTable, retry::RetryBudget, view::EngineView,
+    pool::PoolTable, retry::RetryBudget, roles::RolePlanner, view::EngineView,
 };
 
 /// Decides about every prompt that a node holds.
@@ -31,6 +31,7 @@
     pub(crate) gangs: GangPlanner,
     /// Engines of each group of this node that runs.
     pub(crate) groups: HashMap<RequestId, Vec<EngineId>>,
+    pub(crate) roles: RolePlanner,
     pub(crate) retries: RetryBudget,
     pub(crate) running: HashMap<RequestId, RunningJob>,
     pub(crate) forwarded: HashMap<RequestId, ForwardedJob>,
@@ -39,6 +40,7 @@
     pub(crate) meter: Option<LoadMeter>,
     pub(crate) rng: StdRng,
     pub(crate) sequence: u64,
+    start: Option<Instant>,
 }
 
 /// One prompt that an attempt runs for.
@@ -84,6 +86,7 @@
             },
             gangs: GangPlanner::default(),
             groups: HashMap::new(),
+            roles: RolePlanner::default(),
             retries: RetryBudget::new(settings.retry_ratio, settings.retry_burst),
             running: HashMap::new(),
             forwarded: HashMap::new(),
@@ -92,6 +95,7 @@
             meter: None,
             rng: StdRng::seed_from_u64(settings.seed),
             sequence: 0,
+            start: None,
             settings,
         }
     }
@@ -109,9 +113,12 @@
     /// Takes one event and returns what to do, in order.
     pub fn handle(&mut self, now: Instant, event: SchedulerEvent) -> Vec<SchedulerAction> {
         let mut actions = Vec::new();
+        let start = *self.start.get_or_insert(now);
+        self.shares.advance_to(now.saturating_duration_since(start));
         self.apply(now, event, &mut actions);
         self.expire(now, &mut actions);
         self.end_silent(now, &mut actions);
+        self.plan_roles(now, &mut actions);
         self.dispatch_all(now, &mut actions);
         actions
     }
--- a/components/routing/src/settings.rs
+++ b/components/routing/src/settings.rs
@@ -22,6 +22,11 @@
     pub wait_margin: f64,
     /// Part of an engine's KV memory that only short prompts may fill, 0 to 1.
     pub short_headroom: f64,
+    /// Part of an engine's speed that trial prompts in its batch may take
+    /// from paying ones, 0 to 1.
+    pub trial_drag: f64,
+    /// The same for paying organisations over their share.
+    pub surplus_drag: f64,
     /// Work that may wait on an engine ahead of a prompt handed to it.
     pub engine_backlog: Duration,
     /// Age at which another node's summary is not used any more.
@@ -47,6 +52,8 @@
             fairness_lead_tokens: 1_000_000,
             wait_margin: 1.2,
             short_headroom: 0.1,
+            trial_drag: 0.05,
+            surplus_drag: 0.1,
             engine_backlog: Duration::from_millis(20),
             summary_lifetime: Duration::from_secs(15),
             retry_ratio: 0.1,
--- a/components/routing/src/summary.rs
+++ b/components/routing/src/summary.rs
@@ -111,12 +111,16 @@
             PromptUrgency::Trial,
             SHORT_SAMPLE_TOKENS,
         );
-        let waiting = |class: LengthClass, plan| {
+        let waiting = |class, plan, prompt| {
             let sums = pools
                 .iter()
                 .map(|pool| self.queue.waiting_to(*pool, class, plan));
-            sums.sum::<Duration>() / count.max(1)
+            let part = self.shares.newcomer_part_ahead(plan, prompt);
+            sums.sum::<Duration>().mul_f64(part) / count.max(1)
         };
+        let short_queue = waiting(LengthClass::Short, PlanKind::Paying, SHORT_SAMPLE_TOKENS);
+        let long_queue = waiting(LengthClass::Long, PlanKind::Paying, LONG_SAMPLE_TOKENS);
+        let trial_queue = waiting(LengthClass::Gang, PlanKind::Trial, SHORT_SAMPLE_TOKENS);
         let calm = engines
             .iter()
             .filter(|(_, view)| view.is_calm(&self.node))
@@ -128,7 +132,6 @@
         let load = self.meter.as_ref().map_or(0.0, |load| {
             load.engines(now, LengthClass::Short) / f64::from(count.max(1))
         });
-        let all = waiting(LengthClass::Gang, PlanKind::Paying);
         PoolSummary {
             model: model.clone(),
             version: version.clone(),
@@ -137,9 +140,9 @@
             calm: u32::try_from(calm).unwrap_or(u32::MAX),
             lent: u32::try_from(lent).unwrap_or(u32::MAX),
             short_load: thousandths(load),
-            short_wait: short + waiting(LengthClass::Short, PlanKind::Paying),
-            long_wait: long + waiting(LengthClass::Long, PlanKind::Paying),
-            trial_wait: trial + all + waiting(LengthClass::Gang, PlanKind::Trial),
+            short_wait: short + short_queue,
+            long_wait: long + long_queue,
+            trial_wait: trial + long_queue + trial_queue,
             kv_free: engines
                 .iter()
                 .map(|(_, view)| view.kv_free(&self.node))
--- a/components/routing/src/view.rs
+++ b/components/routing/src/view.rs
@@ -18,10 +18,13 @@
 const ENDED_MEMORY: Duration = Duration::from_secs(10);
 /// Part of a step left for prefill that one token of decoded context takes.
 const CONTEXT_DRAG: f64 = 1.0e-6;
+/// Part of a step left for prefill that one decoded sequence takes.
+const SEQUENCE_DRAG: f64 = 0.003;
 /// Least part of its speed that prefill is taken to keep beside decodes.
 const PACE_MIN: f64 = 0.25;
-/// Mean time until an engine that prefills other work takes up a new prompt.
-const STEP_RESIDUAL: Duration = Duration::from_millis(20);
+/// Mean delay of a short prompt on an engine that prefills longer work: half a
+/// step until it starts, and half a step that is filled up behind it.
+const STEP_RESIDUAL: Duration = Duration::from_millis(40);
 /// Times that a prompt in prefill must be longer for another to preempt it.
 const PREEMPT_RATIO: u32 = 4;
 /// Part of a prefill's expected time taken to be left when it is over.
@@ -53,6 +56,8 @@
     /// Least prefill time taken to be left until the first token comes.
     pub(crate) least: Duration,
     pub(crate) dispatched: Instant,
+    /// Whether it runs on what others leave.
+    pub(crate) secondary: bool,
     /// Whether another prefill ran beside it.
     pub(crate) shared: bool,
 }
@@ -238,36 +243,45 @@
         whole(float(self.report.profile.kv_capacity) * part)
     }
 
-    /// Whether the batch, divided by `part`, has a slot left.
-    pub(crate) fn has_batch_slot(&self, part: usize) -> bool {
+    /// Whether the batch has a slot left.
+    pub(crate) fn has_batch_slot(&self) -> bool {
         let limit = usize::try_from(self.report.profile.batch_limit).unwrap_or(usize::MAX);
-        self.flights.len() < (limit / part).max(1)
+        self.flights.len() < limit
     }
 
-    /// Prefill work that runs before a new prompt. A longer prompt waits for
-    /// all others that are not short, unless it is much shorter than the only
-    /// one and may preempt it; a long one lets short trial work end first.
+    /// Part of the engine's speed that secondary work takes in its batch.
+    pub(crate) fn secondary_drag(&self) -> f64 {
+        let secondary = self.flights.iter().filter(|flight| flight.secondary);
+        secondary.map(|flight| drag(flight.tokens)).sum()
+    }
+
+    /// Prefill work that runs before a new prompt.
     pub(crate) fn ahead(&self, class: LengthClass, priority: u32, work: Duration) -> Duration {
-        let first: Duration = self
+        let first = self
             .flights
             .iter()
-            .filter(|flight| {
-                let let_end = class > LengthClass::Medium && flight.class == LengthClass::Short;
-                flight.priority <= priority || let_end
-            })
+            .filter(|flight| flight.priority <= priority)
             .map(|flight| flight.left)
             .sum();
+        self.blocking(class, priority, work).max(first)
+    }
+
+    /// The part of that work that the prompt should wait for elsewhere. A
+    /// short prompt waits for short ones. A longer one waits for all others
+    /// that are not short, unless it is much shorter than the only one and may
+    /// preempt it; a stream of short ones must not keep it out.
+    pub(crate) fn blocking(&self, class: LengthClass, priority: u32, work: Duration) -> Duration {
         if class == LengthClass::Short {
-            return first;
+            let before = self.flights.iter();
+            let before = before.filter(|flight| flight.priority <= priority);
+            return before.map(|flight| flight.left).sum();
         }
-        let mut long = self.long_prefills().map(|flight| flight.left);
-        let (Some(one), other) = (long.next(), long.next()) else {
-            return first;
-        };
-        if other.is_none() && work.saturating_mul(PREEMPT_RATIO) <= one {
-            return first;
+        let mut long = self.primary_prefills().map(|flight| flight.left);
+        match (long.next(), long.next()) {
+            (None, _) => Duration::ZERO,
+            (Some(one), None) if work.saturating_mul(PREEMPT_RATIO) <= one => Duration::ZERO,
+            _ => self.primary_prefills().map(|flight| flight.left).sum(),
         }
-        first.max(self.long_prefills().map(|flight| flight.left).sum())
     }
 
     /// Mean time until the engine takes up a prompt that nothing is ahead of.
@@ -303,6 +317,11 @@
             .filter(|flight| flight.phase == FlightPhase::Prefill)
     }
 
+    /// Those of them that don't run on what others leave.
+    fn primary_prefills(&self) -> impl Iterator<Item = &EngineFlight> {
+        self.long_prefills().filter(|flight| !flight.secondary)
+    }
+
     /// Whether no longer prompt is in prefill here.
     pub(crate) fn is_calm(&self, node: &NodeId) -> bool {
         self.long_prefills().next().is_none() && !self.lends(node)
@@ -342,13 +361,12 @@
 
     /// Part of its speed that prefill keeps beside the decodes.
     fn pace(&self) -> f64 {
-        let context: TokenCount = self
+        let decodes = self
             .flights
             .iter()
-            .filter(|flight| flight.phase == FlightPhase::Decode)
-            .map(|flight| flight.tokens)
-            .sum();
-        (1.0 - float(context) * CONTEXT_DRAG).max(PACE_MIN)
+            .filter(|flight| flight.phase == FlightPhase::Decode);
+        let slower: f64 = decodes.map(|flight| drag(flight.tokens)).sum();
+        (1.0 - slower).max(PACE_MIN)
     }
 
     fn next_prefill(&mut self) -> Option<&mut EngineFlight> {
@@ -370,6 +388,11 @@
     }
 }
 
+/// Part of an engine's speed that one decoded sequence takes.
+pub(crate) fn drag(tokens: TokenCount) -> f64 {
+    SEQUENCE_DRAG + float(tokens) * CONTEXT_DRAG
+}
+
 /// Prefill time taken to be left of one that should be over.
 pub(crate) fn least_left(expected: Duration) -> Duration {
     expected.mul_f64(OVERDUE_PART)
