--- a/components/node/src/daemon.rs
+++ b/components/node/src/daemon.rs
@@ -1,20 +1,26 @@
 //! Composing the services of a node, and stopping them.
 
-use std::{net::SocketAddr, sync::Arc, time::Duration};
+use std::{
+    net::SocketAddr,
+    sync::{Arc, Mutex},
+    time::Duration,
+};
 
 use entry::{BodyBudget, EntryLimits, EntryServer};
 use kernel::{CancellationToken, ClockSource, ServiceKernel};
-use membership::MemberSettings;
+use membership::{AddressPlanner, AddressSettings, DrainSettings, MemberSettings};
 use platform::{HostList, HttpHosts, HttpTable, TableService};
 use routing::SchedulerSettings;
 use settings::NodeSettings;
 use telemetry::{HopTracer, NodeMetrics};
+use types::NoteVersion;
 use wire::{KeyRing, SealKey};
 
 use crate::{
     NodeError,
     api::{ApiParts, api_handler},
     directory::UpstreamDirectory,
+    drain::{DrainFlag, DrainService},
     fleet::FleetView,
     links::MemberLinks,
     members::{MemberConfig, MemberService},
@@ -35,6 +41,10 @@
     kernel: Arc<ServiceKernel>,
     callers: SocketAddr,
     peers: SocketAddr,
+    members: Arc<MemberService>,
+    notes: Arc<NoteService>,
+    drain: DrainService,
+    drain_settings: DrainSettings,
 }
 
 /// What every service is built from.
@@ -46,6 +56,7 @@
     tracer: HopTracer,
     directory: Arc<UpstreamDirectory>,
     fleet: Arc<FleetView>,
+    draining: Arc<DrainFlag>,
     peers: Arc<PeerClient>,
     notes: Arc<NoteService>,
     prompts: Arc<PromptService>,
@@ -81,6 +92,7 @@
         });
         Self {
             fleet: FleetView::new(&settings.node.id, &settings.node.zone),
+            draining: Arc::default(),
             notes: NoteService::new(table, clock.clone()),
             hosts: Arc::new(hosts),
             settings,
@@ -101,12 +113,44 @@
             notes: Arc::clone(&self.notes),
             prompts: Arc::clone(&self.prompts),
             members,
+            draining: Arc::clone(&self.draining),
+            addresses: Mutex::new(self.address_planner()),
+            fleet: Arc::clone(&self.fleet),
             directory: Arc::clone(&self.directory),
             tracer: self.tracer.clone(),
             metrics: Arc::clone(&self.metrics),
         }
     }
 
+    fn address_planner(&self) -> AddressPlanner {
+        let settings = AddressSettings {
+            lifetime: Duration::from_millis(self.settings.timeouts.address_lifetime_ms),
+            seed: rand::random(),
+            ..AddressSettings::default()
+        };
+        AddressPlanner::new(self.clock.now(), settings)
+    }
+
+    fn drain_service(&self, members: Arc<MemberService>) -> DrainService {
+        DrainService {
+            clock: self.clock.clone(),
+            members,
+            fleet: Arc::clone(&self.fleet),
+            directory: Arc::clone(&self.directory),
+            prompts: Arc::clone(&self.prompts),
+            flag: Arc::clone(&self.draining),
+        }
+    }
+
+    fn drain_settings(&self) -> DrainSettings {
+        let timeouts = &self.settings.timeouts;
+        DrainSettings {
+            answer_lifetime: Duration::from_millis(timeouts.address_lifetime_ms),
+            hard_limit: Duration::from_millis(timeouts.drain_ms),
+            ..DrainSettings::default()
+        }
+    }
+
     fn peer_handler(&self) -> PeerHandler {
         PeerHandler {
             own: self.settings.node.id.clone(),
@@ -123,6 +167,7 @@
             members,
             fleet: Arc::clone(&self.fleet),
             peers: Arc::clone(&self.peers),
+            directory: Arc::clone(&self.directory),
             prompts: Arc::clone(&self.prompts),
             metrics: Arc::clone(&self.metrics),
         }
@@ -184,7 +229,7 @@
         start_background(&kernel, &base, &members);
         let peer_server = PeerServer::new(sockets.listener, base.peer_handler());
         kernel.start("peers", |token| peer_server.run(token));
-        let handler = api_handler(Arc::new(base.api_parts(members)));
+        let handler = api_handler(Arc::new(base.api_parts(Arc::clone(&members))));
         let server = entry.server.with_handler(handler);
         kernel.start("entry", |token| server.run(token));
         log::info!(
@@ -195,6 +240,10 @@
             kernel,
             callers,
             peers,
+            drain: base.drain_service(Arc::clone(&members)),
+            drain_settings: base.drain_settings(),
+            members,
+            notes: base.notes,
         })
     }
 
@@ -210,6 +259,31 @@
         self.peers
     }
 
+    /// Number of members that take new work, as this node sees them.
+    #[must_use]
+    pub fn serving_members(&self) -> usize {
+        self.members.members().serving().count()
+    }
+
+    /// Whether at least release note `version` is in force here.
+    #[must_use]
+    pub fn is_ready(&self, version: NoteVersion) -> bool {
+        self.notes.current().version >= version
+    }
+
+    /// Stops as planned: no new answers name this node, callers with old
+    /// answers are served, and what runs is finished. Returns the number of
+    /// requests that had to be cut at the hard limit.
+    pub async fn drain(self) -> usize {
+        let cut = self
+            .drain
+            .run(&self.kernel, self.drain_settings.clone())
+            .await;
+        log::info!("event=node_stopped cut={cut}");
+        self.kernel.stop(STOP_LIMIT).await;
+        cut
+    }
+
     /// Stops every service; returns the names of those that had to be cut.
     pub async fn stop(self) -> Vec<String> {
         self.kernel.stop(STOP_LIMIT).await
@@ -253,6 +327,10 @@
     let links = base.links(Arc::clone(members));
     kernel.start("changes", |token| links.clone().run_changes(token));
     kernel.start("publisher", |token| links.clone().run_publisher(token));
+    kernel.start("evidence", |token| {
+        links.clone().run_evidence_publisher(token)
+    });
+    kernel.start("told", |token| links.clone().run_evidence_reader(token));
     kernel.start("reader", |token| links.run_reader(token));
 }
 
