End an attempt whose submit got no answer

Cause: a lost answer to submit left the attempt running in the stand-in with nobody to read it. Change: the stream exists before the answer is sent, so losing the answer ends the attempt. One test counted a request only after its answer and failed once; it counts before the answer now.

--- a/components/standins/src/engine/calls.rs
+++ b/components/standins/src/engine/calls.rs
@@ -26,24 +26,31 @@
         let step = "engine submit";
         self.check_alive(step)?;
         self.check_loaded(&call)?;
+        log::debug!(
+            "event=standin_attempt engine={} request={} attempt={} traceparent={}",
+            self.settings.id,
+            call.request,
+            call.attempt,
+            call.traceparent
+        );
         let (sender, events) = unbounded();
         let crashes = self.settings.crashes_on(&call.prompt);
-        let attempt = RunningAttempt::new(&call, crashes, sender);
+        let running = RunningAttempt::new(&call, crashes, sender);
         let spec = attempt_spec(&call);
-        let sequence = self.change(step, |state, now| {
+        // An answer that gets lost drops the stream, which ends the attempt.
+        let stream = self.change(step, |state, now| {
             let sequence = state.model.submit(now, spec)?;
-            state.attempts.insert(sequence, attempt);
+            state.attempts.insert(sequence, running);
             state.submits += 1;
-            Ok(sequence)
+            Ok(AttemptStream {
+                engine: self.itself.clone(),
+                request: call.request,
+                attempt: call.attempt,
+                sequence,
+                events: Box::pin(events),
+            })
         });
-        let sequence = sequence.await?;
-        Ok(Box::pin(AttemptStream {
-            engine: self.itself.clone(),
-            request: call.request,
-            attempt: call.attempt,
-            sequence,
-            events: Box::pin(events),
-        }))
+        Ok(Box::pin(stream.await?))
     }
 
     async fn cancel(&self, request: &RequestId, attempt: AttemptId) -> Result<(), UpstreamError> {
--- a/components/standins/tests/contract/engine_faults.rs
+++ b/components/standins/tests/contract/engine_faults.rs
@@ -24,6 +24,20 @@
     }
 }
 
+#[test]
+fn an_attempt_whose_answer_is_lost_does_not_run_on() {
+    with_both_engines(&slow_settings(), &async |engine, standin| {
+        for case in write_faults() {
+            standin.switch().set(case.faults);
+            let outcome = engine.submit(call(case.name, "brief", 10_000)).await;
+            standin.switch().set(EdgeFaults::default());
+            assert_eq!(upstream_outcome(&outcome), case.outcome, "{}", case.name);
+            drop(outcome);
+            until(async || standin.used_tokens() == 0).await;
+        }
+    });
+}
+
 fn order(fencing: u64) -> EngineOrder {
     EngineOrder {
         owner: "node-1".to_owned(),
--- a/components/upstream/src/http/engine.rs
+++ b/components/upstream/src/http/engine.rs
@@ -20,6 +20,9 @@
     },
 };
 
+/// Longest time a stream may last, whatever its call's deadline.
+const LONGEST_STREAM: Duration = Duration::from_hours(24);
+
 /// The engine at one address.
 #[derive(Clone, Debug)]
 pub struct HttpEngine {
@@ -54,8 +57,9 @@
 impl ModelEngine for HttpEngine {
     async fn submit(&self, call: EngineCall) -> Result<TokenStream, UpstreamError> {
         let step = "engine submit";
-        let deadline = self.caller.clock().now() + call.deadline_in;
-        let limit = self.caller.limit().min(call.deadline_in);
+        let deadline_in = call.deadline_in.min(LONGEST_STREAM);
+        let deadline = self.caller.clock().now() + deadline_in;
+        let limit = self.caller.limit().min(deadline_in);
         let mut request = self.caller.post(step, "/engine/submit", &call)?;
         self.caller
             .set_header(step, &mut request, TRACE_HEADER, &call.traceparent)?;
--- a/components/upstream/tests/answers.rs
+++ b/components/upstream/tests/answers.rs
@@ -7,7 +7,7 @@
 use kernel::{ClockSource, PausedClock};
 use smol::{
     Task, block_on,
-    channel::{Receiver, unbounded},
+    channel::{Receiver, Sender, unbounded},
     future,
     net::{TcpListener, TcpStream},
 };
@@ -34,8 +34,7 @@
         let (sender, requests) = unbounded();
         let task = smol::spawn(async move {
             while let Ok((stream, _)) = listener.accept().await {
-                let request = answer_one(stream, &answer).await;
-                sender.try_send(request).ok();
+                answer_one(stream, &answer, &sender).await;
             }
         });
         Self {
@@ -50,7 +49,7 @@
     }
 }
 
-async fn answer_one(mut stream: TcpStream, answer: &str) -> String {
+async fn answer_one(mut stream: TcpStream, answer: &str, requests: &Sender<String>) {
     let mut bytes = Vec::new();
     let mut part = [0; 4_096];
     while !is_whole(&bytes) {
@@ -60,8 +59,10 @@
         }
         bytes.extend_from_slice(&part[..count]);
     }
+    // Counted before the answer, so that the caller's return implies it.
+    let request = String::from_utf8_lossy(&bytes).into_owned();
+    requests.try_send(request).ok();
     stream.write_all(answer.as_bytes()).await.ok();
-    String::from_utf8_lossy(&bytes).into_owned()
 }
 
 /// Whether a request with its body has come; bodies of the tests end in `}`.
@@ -371,3 +372,27 @@
         }
     });
 }
+
+#[test]
+fn a_path_from_elsewhere_stays_on_the_service_and_adds_no_line() {
+    let cases = [
+        ("issue/7?desk=2#top", "/issue/7?desk=2"),
+        ("//elsewhere/issue", "/elsewhere/issue"),
+        ("http://elsewhere/issue", "/http://elsewhere/issue"),
+        ("a/../../b", "/b"),
+        ("a b\u{e9}", "/a%20b%C3%A9"),
+        ("a HTTP/1.1\r\nx: y", "/a%20HTTP/1.1x:%20y"),
+    ];
+    block_on(async {
+        let done = "HTTP/1.1 204 Done\r\ncontent-length: 0\r\n\r\n".to_owned();
+        let server = ScriptedServer::start(done).await;
+        let service = HttpService::new(server.address.clone(), ClockSource::System, LIMIT);
+        for (path, sent) in cases {
+            service.read(path, LIMIT, "").await.expect(path);
+            let request = server.requests.recv().await.expect("a request");
+            let line = request.lines().next().expect("a line");
+            assert_eq!(line, format!("GET {sent} HTTP/1.1"));
+            assert!(!request.contains("\r\nx:"), "{request}");
+        }
+    });
+}
