--- /dev/null
+++ b/components/bench/src/decisions.rs
@@ -0,0 +1,175 @@
+//! What the scheduler's decisions cost, against the size of its state.
+
+use std::time::{Duration, Instant};
+
+use serde::{Deserialize, Serialize};
+
+use crate::{DecisionState, StateSize};
+
+/// Least time over which one point is measured.
+const MEASURE_TIME: Duration = Duration::from_millis(300);
+/// Most prompts of one point.
+const PROMPTS_MAX: u32 = 20_000;
+/// Sizes of what is not varied.
+const USUAL: StateSize = StateSize {
+    queued: 100,
+    owned: 10,
+    elsewhere: 0,
+    organisations: 10,
+};
+
+/// A size of the state that is varied, with the values it takes.
+#[derive(Clone, Copy, Debug)]
+struct VariedSize {
+    name: &'static str,
+    values: [usize; 5],
+    state: fn(usize) -> StateSize,
+}
+
+const VARIED: [VariedSize; 4] = [
+    VariedSize {
+        name: "queued",
+        values: [10, 100, 1_000, 10_000, 100_000],
+        state: |queued| StateSize { queued, ..USUAL },
+    },
+    VariedSize {
+        name: "owned-upstreams",
+        values: [4, 14, 56, 224, 896],
+        state: |owned| StateSize { owned, ..USUAL },
+    },
+    VariedSize {
+        name: "fleet-upstreams",
+        values: [14, 56, 224, 896, 3_500],
+        state: |elsewhere| StateSize { elsewhere, ..USUAL },
+    },
+    VariedSize {
+        name: "organisations",
+        values: [10, 50, 250, 1_250, 6_100],
+        state: |organisations| StateSize {
+            organisations,
+            ..USUAL
+        },
+    },
+];
+
+/// Cost of the decisions about one prompt, at one size of the state.
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Deserialize, Serialize)]
+pub struct DecisionPoint {
+    /// What was varied.
+    pub varied: String,
+    /// How many there were.
+    pub size: usize,
+    /// Prompts that waited on the node in fact.
+    pub queued: usize,
+    /// Nanoseconds of all decisions about one prompt, from arrival to end.
+    pub nanoseconds: f64,
+}
+
+/// Growth of a decision's cost along one size.
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Deserialize, Serialize)]
+pub struct DecisionSlope {
+    /// What was varied.
+    pub varied: String,
+    /// Nanoseconds at size zero, by the straight line of least squares.
+    pub base_ns: f64,
+    /// Nanoseconds for each more, by the same line.
+    pub each_ns: f64,
+    /// Power of the size that the cost grows with, by least squares of the
+    /// logarithms.
+    pub exponent: f64,
+}
+
+/// Costs of decisions.
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Deserialize, Serialize)]
+pub struct DecisionReport {
+    /// Seed of the scheduler's choices.
+    pub seed: u64,
+    /// Every size measured.
+    pub points: Vec<DecisionPoint>,
+    /// Growth along each.
+    pub slopes: Vec<DecisionSlope>,
+}
+
+/// Measures the scheduler on this machine.
+pub fn measure_decisions(seed: u64, mut progress: impl FnMut(&str)) -> DecisionReport {
+    let mut report = DecisionReport {
+        seed,
+        points: Vec::new(),
+        slopes: Vec::new(),
+    };
+    for varied in VARIED {
+        progress(varied.name);
+        let points: Vec<DecisionPoint> = varied
+            .values
+            .iter()
+            .map(|size| measure_point(seed, varied, *size))
+            .collect();
+        report.slopes.push(fit(varied.name, &points));
+        report.points.extend(points);
+    }
+    report
+}
+
+fn measure_point(seed: u64, varied: VariedSize, size: usize) -> DecisionPoint {
+    let mut state = DecisionState::grown(seed, (varied.state)(size));
+    let queued = state.queued();
+    let started = Instant::now();
+    let mut prompts: u32 = 0;
+    while prompts < PROMPTS_MAX && started.elapsed() < MEASURE_TIME {
+        state.turn();
+        prompts += 1;
+    }
+    let nanoseconds = started.elapsed().as_secs_f64() * 1e9 / f64::from(prompts);
+    DecisionPoint {
+        varied: varied.name.to_owned(),
+        size,
+        queued,
+        nanoseconds,
+    }
+}
+
+/// Fits a straight line, and a power of the size, to the points.
+fn fit(varied: &str, points: &[DecisionPoint]) -> DecisionSlope {
+    let line = least_squares(points, |point| (float(point.size), point.nanoseconds));
+    let power = least_squares(points, |point| {
+        (float(point.size).ln(), point.nanoseconds.max(1.0).ln())
+    });
+    DecisionSlope {
+        varied: varied.to_owned(),
+        base_ns: line.base,
+        each_ns: line.slope,
+        exponent: power.slope,
+    }
+}
+
+struct FittedLine {
+    base: f64,
+    slope: f64,
+}
+
+fn least_squares(
+    points: &[DecisionPoint],
+    axes: impl Fn(&DecisionPoint) -> (f64, f64),
+) -> FittedLine {
+    let pairs: Vec<(f64, f64)> = points.iter().map(axes).collect();
+    let count = float(pairs.len());
+    let mean_x = pairs.iter().map(|pair| pair.0).sum::<f64>() / count;
+    let mean_y = pairs.iter().map(|pair| pair.1).sum::<f64>() / count;
+    let spread: f64 = pairs.iter().map(|pair| (pair.0 - mean_x).powi(2)).sum();
+    let joint: f64 = pairs
+        .iter()
+        .map(|pair| (pair.0 - mean_x) * (pair.1 - mean_y))
+        .sum();
+    let slope = joint / spread;
+    FittedLine {
+        base: mean_y - slope * mean_x,
+        slope,
+    }
+}
+
+fn float(value: usize) -> f64 {
+    f64::from(u32::try_from(value).unwrap_or(u32::MAX))
+}
--- /dev/null
+++ b/components/node/src/api/addresses.rs
@@ -0,0 +1,94 @@
+//! `GET /v1/addresses`: which nodes a caller should use.
+
+use std::sync::{Arc, PoisonError};
+
+use entry::{ApiFailure, EntryRequest, FailureKind};
+use membership::{AddressCandidate, AddressRequest, MemberRecord};
+use serde::{Deserialize, Serialize};
+use types::TokenCount;
+
+use super::{
+    ApiParts,
+    answer::{ApiResult, json_response},
+};
+
+/// The answer to a caller that asks which addresses to use.
+#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
+pub struct AddressAnswer {
+    /// Addresses, best first; the others are alternatives.
+    pub addresses: Vec<String>,
+    /// Time for which the answer may be kept, in milliseconds.
+    pub keep_for_ms: u64,
+}
+
+/// Answers with the addresses of live nodes.
+///
+/// # Errors
+/// `ApiFailure` when a hint is malformed, or no node takes new work.
+pub fn addresses(parts: &Arc<ApiParts>, request: &EntryRequest) -> ApiResult {
+    let hints = address_request(parts, request)?;
+    let candidates = candidates(parts);
+    let answer = {
+        let planner = parts.addresses.lock();
+        let mut planner = planner.unwrap_or_else(PoisonError::into_inner);
+        planner.answer(parts.clock.now(), &hints, &candidates)
+    };
+    if answer.addresses.is_empty() {
+        return Err(ApiFailure::new(
+            FailureKind::Unavailable,
+            "no_node",
+            "no node takes new work; ask again",
+        )
+        .with_retry_after(answer.valid_for));
+    }
+    Ok(json_response(&AddressAnswer {
+        addresses: answer
+            .addresses
+            .iter()
+            .map(|named| named.address.to_string())
+            .collect(),
+        keep_for_ms: u64::try_from(answer.valid_for.as_millis()).unwrap_or(u64::MAX),
+    }))
+}
+
+fn address_request(parts: &ApiParts, request: &EntryRequest) -> Result<AddressRequest, ApiFailure> {
+    let own = &parts.settings.node;
+    let prompt_tokens = match request.query("prompt_tokens") {
+        None => 0,
+        Some(text) => text.parse::<TokenCount>().map_err(|_| {
+            ApiFailure::new(
+                FailureKind::BadRequest,
+                "bad_hint",
+                "prompt_tokens must be a whole number",
+            )
+            .with_param("prompt_tokens")
+        })?,
+    };
+    Ok(AddressRequest {
+        zone: request.query("zone").unwrap_or_else(|| own.zone.clone()),
+        region: own.region.clone(),
+        organisation: request.query("organisation").unwrap_or_default(),
+        prompt_tokens,
+    })
+}
+
+fn candidates(parts: &ApiParts) -> Vec<AddressCandidate> {
+    let snapshot = parts.members.members();
+    let own = &parts.settings.node.id;
+    snapshot
+        .serving()
+        .filter(|record| record.node != *own || !parts.draining.is_set())
+        .map(|record| candidate(parts, record))
+        .collect()
+}
+
+fn candidate(parts: &ApiParts, record: &MemberRecord) -> AddressCandidate {
+    AddressCandidate {
+        node: record.node.clone(),
+        zone: record.zone.clone(),
+        region: record.region.clone(),
+        address: record.addresses.callers,
+        load: parts.prompts.load_of(&record.node),
+    }
+}
--- /dev/null
+++ b/components/node/src/api/mod.rs
@@ -0,0 +1,23 @@
+//! The HTTP interface: routes, keys and handlers.
+
+mod access;
+mod addresses;
+mod answer;
+mod completions;
+mod key_index;
+mod note_answer;
+mod operator;
+mod parts;
+mod prompt_body;
+mod prompt_run;
+mod router;
+mod services;
+mod shape;
+mod status;
+
+pub use addresses::AddressAnswer;
+pub use key_index::KeyIndex;
+pub use note_answer::{HistoryEntry, PublishAnswer};
+pub use parts::ApiParts;
+pub use router::api_handler;
+pub use status::{EngineStatus, FleetStatus, MemberStatus};
--- /dev/null
+++ b/components/node/src/api/operator.rs
@@ -0,0 +1,108 @@
+//! `/v1/operator/...`: what operators ask and change.
+
+use std::{sync::Arc, time::Duration};
+
+use entry::{ApiFailure, EntryRequest, FailureKind};
+use errors::PlatformError;
+use notes::NoteDocument;
+use types::NoteVersion;
+
+use super::{
+    ApiParts,
+    access::require_operator,
+    answer::{ApiResult, json_response},
+    note_answer::{HistoryEntry, publish_answer},
+    status::FleetStatus,
+};
+use crate::notes::PublishOptions;
+
+const HISTORY_LIMIT: usize = 100;
+const STORE_RETRY_AFTER: Duration = Duration::from_secs(2);
+
+/// The node's own status.
+///
+/// # Errors
+/// `ApiFailure` without an operator's key.
+pub fn status(parts: &Arc<ApiParts>, request: &EntryRequest) -> ApiResult {
+    require_operator(parts, request)?;
+    Ok(json_response(&FleetStatus::of(parts)))
+}
+
+/// Publishes a release note. `base` in the query is the version the operator
+/// looked at; `rebase=true` puts the note on top of others that touch other
+/// entries.
+///
+/// # Errors
+/// `ApiFailure` when it is not known to be in force.
+pub async fn publish(parts: Arc<ApiParts>, mut request: EntryRequest) -> ApiResult {
+    require_operator(&parts, &request)?;
+    let options = PublishOptions {
+        base: query_number(&request, "base")?,
+        rebase: request.query("rebase").is_some_and(|text| text == "true"),
+    };
+    let held = request.body().await?;
+    let text = String::from_utf8_lossy(held.bytes());
+    let document: settings::ParsedDocument<NoteDocument> =
+        settings::parse_document("note", &text).map_err(|error| malformed(&error.to_string()))?;
+    let outcome = parts
+        .notes
+        .publish(&document.value, &options)
+        .await
+        .map_err(|error| store_failure(&error))?;
+    publish_answer(outcome).map(|answer| json_response(&answer))
+}
+
+/// What is in force; with `after` in the query, the accepted notes after that
+/// version; with `from` and `to`, what changed between two versions.
+///
+/// # Errors
+/// `ApiFailure` without an operator's key, or when the store can't be read.
+pub async fn read_notes(parts: Arc<ApiParts>, request: EntryRequest) -> ApiResult {
+    require_operator(&parts, &request)?;
+    if let Some(after) = query_number(&request, "after")? {
+        let notes = parts.notes.history(after, HISTORY_LIMIT).await;
+        let notes = notes.map_err(|error| store_failure(&error))?;
+        let entries: Vec<HistoryEntry> = notes.iter().map(HistoryEntry::of).collect();
+        return Ok(json_response(&entries));
+    }
+    let from = query_number(&request, "from")?;
+    let to = query_number(&request, "to")?;
+    if let (Some(from), Some(to)) = (from, to) {
+        let changes = parts.notes.diff(from, to).await;
+        let changes = changes.map_err(|error| store_failure(&error))?;
+        return Ok(json_response(&changes));
+    }
+    Ok(json_response(&*parts.notes.current()))
+}
+
+fn query_number(request: &EntryRequest, name: &str) -> Result<Option<NoteVersion>, ApiFailure> {
+    let Some(text) = request.query(name) else {
+        return Ok(None);
+    };
+    text.parse().map(Some).map_err(|_| {
+        let message = format!("{name} must be a release note's version");
+        ApiFailure::new(FailureKind::BadRequest, "bad_query", message).with_param(name)
+    })
+}
+
+fn malformed(cause: &str) -> ApiFailure {
+    ApiFailure::new(FailureKind::Unprocessable, "malformed_note", cause)
+}
+
+fn store_failure(error: &PlatformError) -> ApiFailure {
+    ApiFailure::new(
+        FailureKind::Unavailable,
+        "store_unavailable",
+        format!("{error}; nothing changed"),
+    )
+    .with_retry_after(STORE_RETRY_AFTER)
+}
+
+/// Spans of one request or trace that this node keeps.
+///
+/// # Errors
+/// `ApiFailure` without an operator's key.
+pub fn trace(parts: &Arc<ApiParts>, request: &EntryRequest, id: &str) -> ApiResult {
+    require_operator(parts, request)?;
+    Ok(json_response(&parts.tracer.find(id)))
+}
--- /dev/null
+++ b/components/node/src/api/parts.rs
@@ -0,0 +1,42 @@
+//! What the handlers work with.
+
+use std::sync::{Arc, Mutex};
+
+use kernel::ClockSource;
+use membership::AddressPlanner;
+use settings::NodeSettings;
+use telemetry::{HopTracer, NodeMetrics};
+
+use super::key_index::KeyIndex;
+use crate::{
+    directory::UpstreamDirectory, drain::DrainFlag, fleet::FleetView, members::MemberService,
+    notes::NoteService, prompts::PromptService,
+};
+
+/// The services behind the HTTP interface.
+pub struct ApiParts {
+    /// Settings of the node.
+    pub settings: NodeSettings,
+    /// Clock.
+    pub clock: ClockSource,
+    /// Release notes.
+    pub notes: Arc<NoteService>,
+    /// Which organisation a key belongs to.
+    pub keys: KeyIndex,
+    /// Prompts.
+    pub prompts: Arc<PromptService>,
+    /// Membership.
+    pub members: Arc<MemberService>,
+    /// Whether this node is on its way out.
+    pub draining: Arc<DrainFlag>,
+    /// Answers callers that ask which node to use.
+    pub addresses: Mutex<AddressPlanner>,
+    /// Who owns which engine.
+    pub fleet: Arc<FleetView>,
+    /// Upstreams.
+    pub directory: Arc<UpstreamDirectory>,
+    /// Spans.
+    pub tracer: HopTracer,
+    /// Metrics.
+    pub metrics: Arc<NodeMetrics>,
+}
--- a/components/node/src/lib.rs
+++ b/components/node/src/lib.rs
@@ -1,7 +1,20 @@
 //! The daemon of an entry host: services composed on the kernel.
 
-mod engines;
+pub mod api;
+pub mod daemon;
+pub mod directory;
+pub mod drain;
+pub mod engines;
+mod failure;
+pub mod fleet;
+pub mod links;
 pub mod members;
 pub mod notes;
-mod orders;
-mod prompts;
+pub mod orders;
+pub mod peers;
+pub mod prompts;
+pub mod sockets;
+pub mod watch;
+
+pub use daemon::NodeDaemon;
+pub use failure::NodeError;
--- /dev/null
+++ b/components/node/src/prompts/mod.rs
@@ -0,0 +1,12 @@
+//! The prompt service: drives the scheduler and carries out its actions.
+
+mod attempt;
+mod forward;
+mod gang;
+mod open;
+mod patience;
+mod service;
+mod ticker;
+
+pub use open::{PromptTicket, PromptUpdate};
+pub use service::{PromptParts, PromptService, PromptSubmission, refusal_code};
--- a/components/notes/src/diff.rs
+++ b/components/notes/src/diff.rs
@@ -2,7 +2,7 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
-use serde::Serialize;
+use serde::{Deserialize, Serialize};
 
 use crate::{
     EntryName, FleetState, NoteDocument,
@@ -12,7 +12,7 @@
 
 /// How one entry differs.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
-#[derive(Serialize)]
+#[derive(Deserialize, Serialize)]
 #[serde(rename_all = "lowercase")]
 pub enum ChangeKind {
     /// Only the later state has it.
@@ -25,6 +25,7 @@
 
 /// One difference between two states.
 #[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
 pub struct EntryChange {
     /// The entry.
     pub entry: EntryName,
