Bound the notes a node keeps and list the evidence it may pass on

Cause: 512 kept notes of up to 200 KiB would not fit a node's 32 MB, and a node must tell others only what it saw itself. Change: kept notes are bounded by 1 MiB of JSON; UpstreamTable::evidence names leaving upstreams, then those its own calls failed on. Conclusion: memory is bounded; hearsay is not repeated.

--- a/components/membership/src/upstream.rs
+++ b/components/membership/src/upstream.rs
@@ -179,6 +179,20 @@
             .map(|entry| &entry.listed)
     }
 
+    /// What other nodes should be told now, most urgent first: upstreams that
+    /// are leaving since less than `age`, then those that back off.
+    #[must_use]
+    pub fn evidence(&self, now: Instant, age: Duration, limit: usize) -> Vec<UpstreamEvidence> {
+        let leaving = self.entries.values().filter_map(|entry| {
+            let since = entry.leaving_since()?;
+            let recent = now.saturating_duration_since(since) < age;
+            recent.then(|| entry.evidence(CallEvidence::Leaving))
+        });
+        let failing = self.entries.values().filter(|entry| entry.is_failing(now));
+        let failing = failing.map(|entry| entry.evidence(CallEvidence::Failed));
+        leaving.chain(failing).take(limit).collect()
+    }
+
     fn read_list(&mut self, now: Instant, list: Vec<ListedUpstream>) -> Vec<UpstreamChange> {
         let mut changes = Vec::new();
         for entry in self.entries.values_mut() {
@@ -207,10 +221,12 @@
             return Some(self.insert(now, listed));
         }
         entry.absent_since = None;
-        if !listed.leaving || !entry.leave() {
+        if !listed.leaving || !entry.leave(now) {
             return None;
         }
-        Some(UpstreamChange::Leaving(entry.leaving_evidence()))
+        Some(UpstreamChange::Leaving(
+            entry.evidence(CallEvidence::Leaving),
+        ))
     }
 
     fn insert(&mut self, now: Instant, listed: ListedUpstream) -> UpstreamChange {
@@ -229,8 +245,8 @@
             CallEvidence::Answered => entry.answered(now),
             CallEvidence::Failed => entry.failed(now, settings),
             CallEvidence::Leaving => entry
-                .leave()
-                .then(|| UpstreamChange::Leaving(entry.leaving_evidence())),
+                .leave(now)
+                .then(|| UpstreamChange::Leaving(entry.evidence(CallEvidence::Leaving))),
         };
         change.into_iter().collect()
     }
@@ -252,8 +268,8 @@
             }
             CallEvidence::Failed => entry.told_failed(now, node, settings),
             CallEvidence::Leaving => entry
-                .leave()
-                .then(|| UpstreamChange::Leaving(entry.leaving_evidence())),
+                .leave(now)
+                .then(|| UpstreamChange::Leaving(entry.evidence(CallEvidence::Leaving))),
         };
         change.into_iter().collect()
     }
--- a/components/membership/src/upstream/entry.rs
+++ b/components/membership/src/upstream/entry.rs
@@ -21,7 +21,7 @@
     pub listed: ListedUpstream,
     /// Since when the list lacks it.
     pub absent_since: Option<Instant>,
-    leaving: bool,
+    leaving: Option<Instant>,
     failures: u32,
     flaps: u32,
     flapped: Instant,
@@ -34,7 +34,7 @@
     /// A life that nothing is known of but the list's entry.
     pub fn new(now: Instant, listed: ListedUpstream) -> Self {
         Self {
-            leaving: listed.leaving,
+            leaving: listed.leaving.then_some(now),
             listed,
             absent_since: None,
             failures: 0,
@@ -48,7 +48,7 @@
 
     /// Whether it may be given new work.
     pub fn state(&self, now: Instant) -> UpstreamState {
-        if self.leaving {
+        if self.leaving.is_some() {
             return UpstreamState::Leaving;
         }
         match self.retry_at {
@@ -59,16 +59,28 @@
     }
 
     /// Marks it as leaving, for good; returns whether that is new.
-    pub fn leave(&mut self) -> bool {
-        !std::mem::replace(&mut self.leaving, true)
+    pub fn leave(&mut self, now: Instant) -> bool {
+        let is_new = self.leaving.is_none();
+        self.leaving.get_or_insert(now);
+        is_new
     }
 
-    /// What other nodes should know once it is leaving.
-    pub fn leaving_evidence(&self) -> UpstreamEvidence {
+    /// When this node learned that it is leaving.
+    pub fn leaving_since(&self) -> Option<Instant> {
+        self.leaving
+    }
+
+    /// Whether this node's own calls to it fail.
+    pub fn is_failing(&self, now: Instant) -> bool {
+        self.failures > 0 && self.state(now) == UpstreamState::BackingOff
+    }
+
+    /// `evidence` about this life.
+    pub fn evidence(&self, evidence: CallEvidence) -> UpstreamEvidence {
         UpstreamEvidence {
             upstream: self.listed.upstream.clone(),
             incarnation: self.listed.incarnation,
-            evidence: CallEvidence::Leaving,
+            evidence,
         }
     }
 
--- a/components/membership/tests/upstream.rs
+++ b/components/membership/tests/upstream.rs
@@ -198,3 +198,22 @@
     );
     assert_eq!(watched.state(), Some(UpstreamState::Usable));
 }
+
+#[test]
+fn evidence_for_others_is_what_this_node_saw_itself() {
+    let age = Duration::from_mins(1);
+    let mut watched = Watched::new();
+    watched.handle(told("node-2", CallEvidence::Failed));
+    watched.handle(told("node-3", CallEvidence::Failed));
+    assert_eq!(watched.state(), Some(UpstreamState::BackingOff));
+    // Hearsay is not passed on as if it were seen.
+    assert!(watched.table.evidence(watched.now, age, 10).is_empty());
+    watched.fail();
+    let failing = watched.table.evidence(watched.now, age, 10);
+    assert_eq!(failing, [evidence(1, CallEvidence::Failed)]);
+    watched.list(vec![listed(1, true)]);
+    let leaving = watched.table.evidence(watched.now, age, 10);
+    assert_eq!(leaving, [evidence(1, CallEvidence::Leaving)]);
+    watched.pass(60_000);
+    assert!(watched.table.evidence(watched.now, age, 10).is_empty());
+}
--- a/components/notes/src/adopter.rs
+++ b/components/notes/src/adopter.rs
@@ -16,6 +16,12 @@
     AdopterAction, AdopterEvent, AdopterSettings, NoteHolder, NoteSource, VersionGate,
 };
 
+#[derive(Debug)]
+struct KeptNote {
+    note: AcceptedNote,
+    bytes: usize,
+}
+
 #[derive(Debug)]
 struct PendingFetch {
     source: NoteSource,
@@ -27,7 +33,8 @@
 pub struct NoteAdopter {
     settings: AdopterSettings,
     chain: Arc<ChainState>,
-    kept: VecDeque<AcceptedNote>,
+    kept: VecDeque<KeptNote>,
+    kept_bytes: usize,
     wanted: NoteVersion,
     // A version that no node is known to have, and when to want it.
     known: Option<(NoteVersion, Instant)>,
@@ -54,6 +61,7 @@
             settings,
             chain: Arc::default(),
             kept: VecDeque::new(),
+            kept_bytes: 0,
             wanted: 0,
             known: None,
             ready: false,
@@ -127,8 +135,8 @@
         if !self.ready {
             return NotesReply::default();
         }
-        let notes = self.kept.iter().filter(|note| note.version > after);
-        let notes: Vec<_> = notes.cloned().collect();
+        let notes = self.kept.iter().map(|kept| &kept.note);
+        let notes: Vec<_> = notes.filter(|note| note.version > after).cloned().collect();
         let in_force = self.version();
         let whole = notes.len() as u64 == in_force.saturating_sub(after);
         NotesReply {
@@ -240,6 +248,7 @@
         {
             self.chain = Arc::new(snapshot);
             self.kept.clear();
+            self.kept_bytes = 0;
         }
         let mut chain = ChainState::clone(&self.chain);
         let mut outcome = Ok(());
@@ -251,15 +260,25 @@
             if outcome.is_err() {
                 break;
             }
-            self.kept.push_back(note);
-        }
-        while self.kept.len() > self.settings.kept_notes {
-            self.kept.pop_front();
+            self.keep(note);
         }
         self.chain = Arc::new(chain);
         outcome
     }
 
+    /// Keeps `note` for other nodes, in place of the oldest ones.
+    fn keep(&mut self, note: AcceptedNote) {
+        let bytes = serde_json::to_vec(&note).map_or(0, |text| text.len());
+        self.kept_bytes += bytes;
+        self.kept.push_back(KeptNote { note, bytes });
+        while self.kept_bytes > self.settings.kept_bytes {
+            let Some(oldest) = self.kept.pop_front() else {
+                return;
+            };
+            self.kept_bytes -= oldest.bytes;
+        }
+    }
+
     fn fetch_failed(&mut self, source: &NoteSource) {
         self.end_fetch(source);
         self.turn += 1;
--- a/components/notes/src/adopter/event.rs
+++ b/components/notes/src/adopter/event.rs
@@ -21,8 +21,8 @@
     /// Time in which a node is expected to tell that it has a version that is
     /// only known of; then the store is asked.
     pub rumour_patience: Duration,
-    /// Notes kept for other nodes.
-    pub kept_notes: usize,
+    /// Bytes of notes, as JSON, that are kept for other nodes.
+    pub kept_bytes: usize,
     /// Time without a tick after which this process was paused: it learns the
     /// newest note again before it serves on.
     pub pause_limit: Duration,
@@ -39,7 +39,7 @@
             fetch_timeout: Duration::from_secs(2),
             peer_answers: 3,
             rumour_patience: Duration::from_secs(1),
-            kept_notes: 512,
+            kept_bytes: 1024 * 1024,
             pause_limit: Duration::from_secs(2),
             relearn_limit: Duration::from_secs(5),
         }
--- a/components/notes/tests/adopter.rs
+++ b/components/notes/tests/adopter.rs
@@ -265,6 +265,21 @@
     let delta = node.adopter.reply(7);
     assert_eq!(delta.notes.len(), 2);
     assert!(delta.snapshot.is_none());
+    // A node that keeps only two notes gives its state to those further back.
+    let bytes = |index: usize| serde_json::to_vec(&node.chains[9].1[index]).unwrap().len();
+    let settings = AdopterSettings {
+        kept_bytes: bytes(7) + bytes(8),
+        ..AdopterSettings::default()
+    };
+    let chains = node.chains.clone();
+    let mut forgetful = Adopting::new();
+    forgetful.adopter = NoteAdopter::new(forgetful.now, settings);
+    forgetful.run(SECOND, Some(9), &[]);
+    assert_eq!(forgetful.adopter.reply(7).notes, chains[9].1[7..]);
+    assert_eq!(
+        forgetful.adopter.reply(6).snapshot.as_ref(),
+        Some(&chains[9].0)
+    );
     let mut fresh = NoteAdopter::new(node.now, AdopterSettings::default());
     let source = NoteSource::Peer("node-1".to_owned());
     let whole = NotesReply {
