Stop a storm of table comparisons and compare tables by messages heard

Cause: a trial run with 200 joining nodes did not end: a node whose table had more than another's asked that one again and again, since each reply taught nothing and left more; in virtual time nodes sent 0.9 MB each in 4 s. Waiting for a quiet table also left a tail of missing entries for over 10 s. Change: a node asks on only after a reply that taught it something; replies begin with another bucket each time; tables are compared after 12 messages with another digest, however many equal ones lie between.

--- a/components/membership/src/machine.rs
+++ b/components/membership/src/machine.rs
@@ -51,6 +51,10 @@
     note_held: NoteVersion,
     topic_sequence: u64,
     joined: bool,
+    // Messages with another digest since tables were compared, and those in
+    // a row with the same.
+    mismatches: u32,
+    matches: u32,
     differing: Option<(NodeId, SocketAddr)>,
     last_tick: Instant,
     resumed: Instant,
@@ -79,7 +83,7 @@
             addresses: identity.addresses,
             note_version: 0,
         };
-        let mut table = MemberTable::new(now);
+        let mut table = MemberTable::new();
         table.merge(now, &own);
         let mut updates = UpdateQueue::new();
         updates.push(own.node.clone(), own.clone());
@@ -97,6 +101,8 @@
             note_held: 0,
             topic_sequence: 0,
             joined: false,
+            mismatches: 0,
+            matches: 0,
             differing: None,
             last_tick: now,
             resumed: now,
--- a/components/membership/src/machine/receive.rs
+++ b/components/membership/src/machine/receive.rs
@@ -2,11 +2,12 @@
 
 use std::{net::SocketAddr, time::Instant};
 
+use rand::RngExt;
 use types::{IncarnationNumber, NodeId};
 
 use crate::{
-    MemberAction, MemberEntry, MemberRecord, MemberTable, MessageKind, PeerMessage, TopicRecord,
-    machine::MemberMachine, message::encoded_size, probe::ProbeOrigin,
+    DIGEST_BUCKETS, MemberAction, MemberEntry, MemberRecord, MemberTable, MessageKind, PeerMessage,
+    TopicRecord, machine::MemberMachine, message::encoded_size, probe::ProbeOrigin,
 };
 
 impl MemberMachine {
@@ -18,18 +19,20 @@
         message: PeerMessage,
     ) {
         let synced = matches!(message.kind, MessageKind::SyncReply { .. });
+        let mut learned = false;
         for record in &message.updates {
-            self.learn(now, record, !synced);
+            learned |= self.learn(now, record, !synced);
         }
         self.table.heard(now, sender, message.note);
         self.hear_note(sender, &message);
         for record in message.topics {
             self.take_body(record);
         }
-        if message.digest == self.table.digest() {
-            self.joined = true;
-        } else {
-            self.differing = Some((sender.clone(), from));
+        self.compare_digest(sender, from, message.digest);
+        // A reply that taught nothing would be given again: where tables differ
+        // because this one has more, it is the other's turn to ask.
+        if learned && message.kind == (MessageKind::SyncReply { more: true }) {
+            self.request_sync(sender.clone(), from);
         }
         self.answer(now, sender, from, message.kind);
     }
@@ -59,31 +62,49 @@
                 self.relay_ping(now, origin, target, address);
             }
             MessageKind::SyncRequest { buckets } => self.reply_sync(sender, from, &buckets),
-            MessageKind::SyncReply { more: true } => self.request_sync(sender.clone(), from),
             MessageKind::SyncReply { more: false } => self.joined = true,
-            MessageKind::Share => {}
+            MessageKind::Share | MessageKind::SyncReply { more: true } => {}
             MessageKind::LifeTooOld { newest } => self.raise_life(now, newest),
         }
     }
 
-    pub(super) fn learn(&mut self, now: Instant, record: &MemberRecord, pass_on: bool) {
+    /// News takes a while to reach all, so tables that differ are compared
+    /// only when they go on differing. A few that are equal don't end that:
+    /// they may lack the same.
+    fn compare_digest(&mut self, sender: &NodeId, from: SocketAddr, digest: u32) {
+        if digest != self.table.digest() {
+            self.mismatches += 1;
+            self.matches = 0;
+            self.differing = Some((sender.clone(), from));
+            return;
+        }
+        self.joined = true;
+        self.matches += 1;
+        if self.matches >= self.settings.sync_patience {
+            self.mismatches = 0;
+        }
+    }
+
+    /// Takes news of a member; returns whether it was news.
+    pub(super) fn learn(&mut self, now: Instant, record: &MemberRecord, pass_on: bool) -> bool {
         if record.node == self.own.node {
             if record.supersedes(&self.own) {
                 self.renew_own(now, record.incarnation + 1);
             }
-            return;
+            return false;
         }
         let unknown = self.table.get(&record.node).is_none();
         if unknown && !record.state.is_present() {
-            return;
+            return false;
         }
         if !self.table.merge(now, record) {
-            return;
+            return false;
         }
         if pass_on {
             self.updates.push(record.node.clone(), record.clone());
         }
         self.actions.push(MemberAction::Changed(record.clone()));
+        true
     }
 
     fn hear_note(&mut self, sender: &NodeId, message: &PeerMessage) {
@@ -130,10 +151,13 @@
         };
         let entries = self.table.entries().filter(|entry| differs(entry));
         let mut records: Vec<_> = entries.map(|entry| entry.record.clone()).collect();
-        // Whole buckets come first, so that each reply makes some equal.
+        // Whole buckets come first, so that each reply makes some equal, and
+        // another bucket each time, so that none stands in the way.
+        let first = self.rng.random_range(0..DIGEST_BUCKETS);
         records.sort_by_key(|record| {
             let entry = self.table.get(&record.node);
-            entry.map_or(0, MemberTable::bucket_of)
+            let bucket = entry.map_or(0, MemberTable::bucket_of);
+            (bucket + first) % DIGEST_BUCKETS
         });
         for record in records {
             let size = encoded_size(&record);
@@ -153,8 +177,7 @@
     }
 
     pub(super) fn compare_tables(&mut self, now: Instant) {
-        let quiet = now.saturating_duration_since(self.table.changed());
-        let patient = self.joined && quiet < self.settings.sync_patience;
+        let patient = self.joined && self.mismatches < self.settings.sync_patience;
         if now < self.next_sync || patient {
             return;
         }
@@ -162,6 +185,7 @@
             return;
         };
         self.next_sync = now + self.settings.sync_period;
+        self.mismatches = 0;
         self.request_sync(node, address);
     }
 }
--- a/components/membership/src/settings.rs
+++ b/components/membership/src/settings.rs
@@ -26,8 +26,8 @@
     pub forget_after: Duration,
     /// Least time between two requests to compare tables.
     pub sync_period: Duration,
-    /// Time tables may differ before they are compared.
-    pub sync_patience: Duration,
+    /// Messages from members with another table before tables are compared.
+    pub sync_patience: u32,
     /// Largest datagram in bytes, headers included.
     pub datagram_limit: usize,
     /// Bytes a second this node may send, headers included.
@@ -51,7 +51,7 @@
             gone_probe_period: Duration::from_secs(2),
             forget_after: Duration::from_mins(10),
             sync_period: Duration::from_millis(500),
-            sync_patience: Duration::from_secs(2),
+            sync_patience: 12,
             datagram_limit: 1_200,
             bytes_per_second: 2_400,
             far_sample_interval: 3,
--- a/components/membership/src/table.rs
+++ b/components/membership/src/table.rs
@@ -29,21 +29,19 @@
 }
 
 /// All members, gone ones included until they are forgotten.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Default)]
 pub struct MemberTable {
     entries: BTreeMap<NodeId, MemberEntry>,
     buckets: [u32; DIGEST_BUCKETS],
-    changed: Instant,
 }
 
 impl MemberTable {
     /// An empty table.
     #[must_use]
-    pub fn new(now: Instant) -> Self {
+    pub fn new() -> Self {
         Self {
             entries: BTreeMap::new(),
             buckets: [0; DIGEST_BUCKETS],
-            changed: now,
         }
     }
 
@@ -131,12 +129,6 @@
         &self.buckets
     }
 
-    /// When a record last changed.
-    #[must_use]
-    pub fn changed(&self) -> Instant {
-        self.changed
-    }
-
     /// Bucket of `entry`.
     #[must_use]
     pub fn bucket_of(entry: &MemberEntry) -> usize {
@@ -165,7 +157,6 @@
         };
         self.buckets[bucket(entry.ring)] ^= entry.digest;
         self.entries.insert(entry.record.node.clone(), entry);
-        self.changed = now;
     }
 
     fn replace(&mut self, now: Instant, record: MemberRecord) {
@@ -174,9 +165,6 @@
         };
         let digest = record_digest(&record);
         self.buckets[bucket(entry.ring)] ^= entry.digest ^ digest;
-        if digest != entry.digest {
-            self.changed = now;
-        }
         entry.digest = digest;
         entry.record = record;
         entry.changed = now;
--- a/components/membership/tests/common/mod.rs
+++ b/components/membership/tests/common/mod.rs
@@ -160,10 +160,16 @@
         done(self).then(|| self.elapsed().saturating_sub(begin))
     }
 
+    /// The time as node `index` reads it.
+    pub fn local_time(&self, index: usize) -> Instant {
+        self.now + self.nodes[index].skew
+    }
+
     pub fn handle(&mut self, index: usize, event: MemberEvent) {
+        let now = self.local_time(index);
         let node = &mut self.nodes[index];
         let begun = Instant::now();
-        let actions = node.machine.handle(self.now + node.skew, event);
+        let actions = node.machine.handle(now, event);
         node.busy += begun.elapsed();
         for action in actions {
             self.act(index, action);
--- a/components/membership/tests/members.rs
+++ b/components/membership/tests/members.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use common::{NetworkFaults, SimulatedNetwork};
-use membership::{GossipTopic, MemberEvent, MemberState};
+use membership::{GossipTopic, MemberAction, MemberEvent, MemberState, MessageKind, PeerMessage};
 use proptest::{prelude::*, test_runner::RngSeed};
 
 const fn seconds(count: u64) -> Duration {
@@ -33,6 +33,50 @@
     network.nodes.iter().map(dead).sum()
 }
 
+#[test]
+fn many_nodes_that_join_at_once_agree_without_a_storm() {
+    let mut network = SimulatedNetwork::new(200, 10, 6);
+    network.run(seconds(8));
+    assert!(network.converged());
+    // 200 records take 13 kB, and each is heard several times while all join.
+    let sent: usize = network.nodes.iter().map(|node| node.sent_bytes).sum();
+    assert!(sent / 200 < 60_000, "{} bytes a node", sent / 200);
+}
+
+#[test]
+fn a_reply_that_taught_nothing_is_not_asked_for_again() {
+    let mut network = joined(20, 1);
+    let updates: Vec<_> = network.nodes[1]
+        .machine
+        .table()
+        .present()
+        .cloned()
+        .collect();
+    network.add(0, 2_000);
+    let reply = MemberEvent::Received {
+        sender: "node-1".to_owned(),
+        from: updates[1].addresses.datagram,
+        message: PeerMessage {
+            kind: MessageKind::SyncReply { more: true },
+            digest: 0,
+            note: 0,
+            note_heard: 0,
+            updates,
+            topics: Vec::new(),
+        },
+    };
+    let asks = |actions: Vec<MemberAction>| {
+        actions.iter().any(|action| {
+            matches!(action, MemberAction::Send { message, .. }
+                if matches!(message.kind, MessageKind::SyncRequest { .. }))
+        })
+    };
+    let now = network.local_time(0);
+    let machine = &mut network.nodes[0].machine;
+    assert!(asks(machine.handle(now, reply.clone())));
+    assert!(!asks(machine.handle(now, reply)));
+}
+
 #[test]
 fn a_dead_node_is_suspected_everywhere_within_three_seconds() {
     for seed in 0..5 {
