--- a/components/bench/src/lib.rs
+++ b/components/bench/src/lib.rs
@@ -38,24 +38,31 @@
 
 use std::time::Duration;
 
+use types::TokenCount;
+
 use crate::{brain::PolicyKind, driver::FleetDriver, ledger::Ledger};
 
-/// Runs a scenario under every policy; `progress` is told the name of each
-/// before it runs.
-#[must_use]
-pub fn run_scenario(kind: ScenarioKind, seed: u64, progress: impl FnMut(&str)) -> BenchReport {
-    run_scenario_within(kind, seed, Duration::MAX, progress)
+/// What a run leaves out of its scenario, or changes.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct RunLimits {
+    /// Time in which requests arrive, when shorter than the scenario's.
+    pub arrivals: Option<Duration>,
+    /// Longest prompts that are sent, in tokens.
+    pub longest: Option<TokenCount>,
+    /// Nodes of the fleet; a single one owns and sees every engine.
+    pub nodes: Option<usize>,
 }
 
-/// Runs the part of a scenario in which requests arrive before `limit`.
+/// Runs a scenario under every policy; `progress` is told the name of each
+/// before it runs.
 #[must_use]
-pub fn run_scenario_within(
+pub fn run_scenario(
     kind: ScenarioKind,
     seed: u64,
-    limit: Duration,
+    limits: RunLimits,
     mut progress: impl FnMut(&str),
 ) -> BenchReport {
-    let full = scenario_plan(kind, seed, ScenarioVariant::Full).cut_to(limit);
+    let full = scenario_plan(kind, seed, ScenarioVariant::Full).limited(limits);
     let mut report = BenchReport::new(kind, seed, full.requests.len());
     for policy in PolicyKind::ALL {
         progress(policy.name());
@@ -63,7 +70,7 @@
     }
     if kind.has_disturbance() {
         progress(ALONE_POLICY);
-        let alone = scenario_plan(kind, seed, ScenarioVariant::Alone).cut_to(limit);
+        let alone = scenario_plan(kind, seed, ScenarioVariant::Alone).limited(limits);
         let ledger = run_policy(&alone, seed, PolicyKind::Gentiantally);
         report.add(ALONE_POLICY, &ledger);
     }
--- a/components/bench/src/scenario.rs
+++ b/components/bench/src/scenario.rs
@@ -5,7 +5,7 @@
 use rand::{RngExt, SeedableRng, rngs::StdRng};
 
 use crate::{
-    BenchRequest, FleetShape,
+    BenchRequest, FleetShape, RunLimits,
     mixes::streams_of,
     workload::{engine_time, merge_streams, mix},
 };
@@ -65,14 +65,24 @@
 }
 
 impl ScenarioPlan {
-    /// Keeps what happens in the first part of the run, of length `limit`.
+    /// Leaves out what `limits` say.
     #[must_use]
-    pub fn cut_to(mut self, limit: Duration) -> Self {
-        self.duration = self.duration.min(limit);
-        self.requests.retain(|request| request.at < limit);
+    pub fn limited(mut self, limits: RunLimits) -> Self {
+        if let Some(nodes) = limits.nodes {
+            self.shape.nodes = nodes.max(1);
+        }
+        if let Some(longest) = limits.longest {
+            self.requests
+                .retain(|request| request.prompt_tokens <= longest);
+        }
+        if let Some(arrivals) = limits.arrivals {
+            self.duration = self.duration.min(arrivals);
+            self.requests.retain(|request| request.at < arrivals);
+        }
         for fault in &mut self.faults {
-            fault.at = fault.at.min(limit / 2);
+            fault.at = fault.at.min(self.duration / 2);
         }
+        renumber(&mut self.requests);
         self
     }
 
--- a/components/bench/tests/scenarios.rs
+++ b/components/bench/tests/scenarios.rs
@@ -2,14 +2,21 @@
 
 use std::time::Duration;
 
-use bench::{BenchReport, ScenarioKind, ScenarioVariant, run_scenario_within, scenario_plan};
+use bench::{
+    BenchError, BenchReport, RunLimits, ScenarioKind, ScenarioVariant, plot_report, run_scenario,
+    scenario_plan,
+};
 use serde_json::Value;
 
 /// Part of a scenario that the tests run.
 const PART: Duration = Duration::from_secs(12);
 
 fn run_part(kind: ScenarioKind, seed: u64) -> BenchReport {
-    run_scenario_within(kind, seed, PART, |_| ())
+    let limits = RunLimits {
+        arrivals: Some(PART),
+        ..RunLimits::default()
+    };
+    run_scenario(kind, seed, limits, |_| ())
 }
 
 fn bytes(report: &BenchReport) -> String {
@@ -69,3 +76,38 @@
     let value = serde_json::to_value(&report).expect("a report is plain data");
     insta::assert_json_snapshot!(shape_of(&value));
 }
+
+#[test]
+fn limits_leave_out_what_they_say() {
+    let limits = RunLimits {
+        arrivals: Some(PART),
+        longest: Some(4_000),
+        nodes: Some(1),
+    };
+    let plan = scenario_plan(ScenarioKind::EngineLoss, 2, ScenarioVariant::Full).limited(limits);
+    assert_eq!(plan.shape.nodes, 1);
+    assert!(!plan.requests.is_empty());
+    for (place, request) in plan.requests.iter().enumerate() {
+        assert_eq!(request.index, place);
+        assert!(request.at < PART && request.prompt_tokens <= 4_000);
+    }
+    assert!(plan.faults.iter().all(|fault| fault.at < PART));
+}
+
+#[test]
+fn the_plot_is_an_svg_file() {
+    let report = run_part(ScenarioKind::Prefix, 1);
+    let file = std::env::temp_dir().join(format!("bench-plot-{}.svg", std::process::id()));
+    plot_report(&report, &file).expect("a folder that can be written");
+    let picture = std::fs::read_to_string(&file).expect("the picture");
+    std::fs::remove_file(&file).expect("the picture again");
+    assert!(picture.starts_with("<svg"));
+    for policy in report.policies.keys() {
+        assert!(picture.contains(policy.as_str()), "{policy}");
+    }
+    let nowhere = file.join("below-a-file.svg");
+    assert!(matches!(
+        plot_report(&report, &nowhere),
+        Err(BenchError::Output { .. })
+    ));
+}
--- a/src/cmd/bench.rs
+++ b/src/cmd/bench.rs
@@ -8,8 +8,8 @@
 
 use argh::FromArgs;
 use bench::{
-    BenchError, BenchReport, DecisionReport, ScenarioKind, decision_table, measure_decisions,
-    plot_report, report_table, run_scenario,
+    BenchError, BenchReport, DecisionReport, RunLimits, ScenarioKind, decision_table,
+    measure_decisions, plot_report, report_table, run_scenario,
 };
 use serde::Serialize;
 
@@ -33,6 +33,12 @@
     /// write the report as JSON to this file, `-` for standard output
     #[argh(option)]
     pub json: Option<String>,
+    /// leave out prompts longer than this many tokens
+    #[argh(option)]
+    pub longest: Option<u64>,
+    /// run with this many nodes; a single one sees every engine
+    #[argh(option)]
+    pub nodes: Option<usize>,
     /// draw the time to first token by length as an SVG file
     #[argh(option)]
     pub plot: Option<String>,
@@ -51,7 +57,12 @@
         step: "bench".to_owned(),
         peer: command.scenario.clone(),
     })?;
-    let report: BenchReport = run_scenario(kind, command.seed, show_progress);
+    let limits = RunLimits {
+        arrivals: None,
+        longest: command.longest,
+        nodes: command.nodes,
+    };
+    let report: BenchReport = run_scenario(kind, command.seed, limits, show_progress);
     if let Some(file) = &command.plot {
         plot_report(&report, Path::new(file))?;
     }
