Run orders through the node: submit, ask, list and settle by hand

POST under /v1/services needs an Idempotency-Key and goes through the order service; GET reads with its retry budget and breakers. Callers ask for an order's state by key, operators list and settle what is in doubt. A planned stop waits for orders under way. The tour sends one order to two nodes: run once, the recorded answer given again.

--- a/components/node/src/api/mod.rs
+++ b/components/node/src/api/mod.rs
@@ -7,6 +7,8 @@
 mod key_index;
 mod note_answer;
 mod operator;
+mod operator_orders;
+mod order_answer;
 mod parts;
 mod prompt_body;
 mod prompt_run;
--- a/components/node/src/api/parts.rs
+++ b/components/node/src/api/parts.rs
@@ -10,7 +10,7 @@
 use super::key_index::KeyIndex;
 use crate::{
     directory::UpstreamDirectory, drain::DrainFlag, fleet::FleetView, members::MemberService,
-    notes::NoteService, prompts::PromptService,
+    notes::NoteService, orders::OrderService, prompts::PromptService,
 };
 
 /// The services behind the HTTP interface.
@@ -25,6 +25,8 @@
     pub keys: KeyIndex,
     /// Prompts.
     pub prompts: Arc<PromptService>,
+    /// Orders and reads of plain services.
+    pub orders: Arc<OrderService>,
     /// Membership.
     pub members: Arc<MemberService>,
     /// Whether this node is on its way out.
--- a/components/node/src/api/router.rs
+++ b/components/node/src/api/router.rs
@@ -5,6 +5,7 @@
 use entry::{ApiFailure, EntryHandler, EntryRequest, FailureKind};
 use http_types::{Method, Response};
 use notes::VersionGate;
+use orders::OrderName;
 use telemetry::RouteLabels;
 
 use super::{
@@ -13,8 +14,8 @@
     addresses,
     answer::{ApiResult, text_response},
     completions::complete,
-    operator,
-    services::{ServicePath, call_service},
+    operator, operator_orders,
+    services::{ServicePath, call_service, order_state},
     shape::AnswerShape,
 };
 
@@ -29,6 +30,9 @@
     OperatorStatus,
     OperatorNotes,
     OperatorTrace(String),
+    OperatorOrders,
+    OperatorOrder(OrderName),
+    OrderState { service: String, key: String },
 }
 
 /// The handler for all callers and operators.
@@ -70,6 +74,7 @@
         "/metrics" => ApiRoute::Metrics,
         "/v1/operator/status" => ApiRoute::OperatorStatus,
         "/v1/operator/notes" => ApiRoute::OperatorNotes,
+        "/v1/operator/orders" => ApiRoute::OperatorOrders,
         _ => return find_named_route(request, path),
     };
     Some(route)
@@ -79,6 +84,18 @@
     if let Some(id) = path.strip_prefix("/v1/operator/traces/") {
         return Some(ApiRoute::OperatorTrace(id.to_owned()));
     }
+    if let Some(row_key) = path.strip_prefix("/v1/operator/orders/") {
+        return OrderName::from_row_key(row_key).map(ApiRoute::OperatorOrder);
+    }
+    if let Some(rest) = path.strip_prefix("/v1/orders/") {
+        // The organisation is the caller's own; its place in a row key is
+        // taken by any name.
+        let name = OrderName::from_row_key(&format!("own/{rest}"))?;
+        return Some(ApiRoute::OrderState {
+            service: name.service,
+            key: name.key,
+        });
+    }
     let rest = path.strip_prefix("/v1/services/")?;
     let (name, below) = rest.split_once('/').unwrap_or((rest, ""));
     let rest = match request.raw_query() {
@@ -99,9 +116,12 @@
         ApiRoute::Service(_) => "services",
         ApiRoute::Live | ApiRoute::Ready => "health",
         ApiRoute::Metrics => "metrics",
-        ApiRoute::OperatorStatus | ApiRoute::OperatorNotes | ApiRoute::OperatorTrace(_) => {
-            "operator"
-        }
+        ApiRoute::OrderState { .. } => "order_state",
+        ApiRoute::OperatorStatus
+        | ApiRoute::OperatorNotes
+        | ApiRoute::OperatorTrace(_)
+        | ApiRoute::OperatorOrders
+        | ApiRoute::OperatorOrder(_) => "operator",
     }
 }
 
@@ -120,13 +140,18 @@
         }
         ApiRoute::OperatorNotes => operator::read_notes(parts, request).await,
         ApiRoute::OperatorTrace(id) => operator::trace(&parts, &request, &id),
+        ApiRoute::OperatorOrders => operator_orders::list_orders(parts, request).await,
+        ApiRoute::OperatorOrder(name) => operator_orders::one_order(parts, request, name).await,
+        ApiRoute::OrderState { service, key } => order_state(parts, request, &service, &key).await,
     }
 }
 
 fn require_method(request: &EntryRequest, route: &ApiRoute) -> Result<(), ApiFailure> {
     let allowed: &[Method] = match route {
         ApiRoute::Completion(_) => &[Method::Post],
-        ApiRoute::Service(_) | ApiRoute::OperatorNotes => &[Method::Get, Method::Post],
+        ApiRoute::Service(_) | ApiRoute::OperatorNotes | ApiRoute::OperatorOrder(_) => {
+            &[Method::Get, Method::Post]
+        }
         _ => &[Method::Get],
     };
     if allowed.contains(&request.method()) {
--- a/components/node/src/daemon.rs
+++ b/components/node/src/daemon.rs
@@ -26,6 +26,7 @@
     links::MemberLinks,
     members::{MemberConfig, MemberService},
     notes::{NOTE_SERVICE, NotePeer, NoteService, NoteStore},
+    orders::{OrderService, OrderSettings, ServicePeer, ServiceResolver, ServiceTarget},
     peers::{PeerClient, PeerHandler, PeerServer},
     prompts::{PromptParts, PromptService},
     sockets::{PeerSockets, member_identity},
@@ -58,6 +59,7 @@
     directory: Arc<UpstreamDirectory>,
     fleet: Arc<FleetView>,
     draining: Arc<DrainFlag>,
+    orders_token: CancellationToken,
     peers: Arc<PeerClient>,
     prompts: Arc<PromptService>,
     hosts: Arc<dyn HostList>,
@@ -96,6 +98,7 @@
         Self {
             fleet: FleetView::new(&settings.node.id, &settings.node.zone),
             draining: Arc::default(),
+            orders_token: CancellationToken::new(),
             hosts: Arc::new(hosts),
             table,
             objects: Arc::new(objects),
@@ -110,13 +113,19 @@
         }
     }
 
-    fn api_parts(&self, members: Arc<MemberService>, notes: Arc<NoteService>) -> ApiParts {
+    fn api_parts(
+        &self,
+        members: Arc<MemberService>,
+        notes: Arc<NoteService>,
+        orders: Arc<OrderService>,
+    ) -> ApiParts {
         ApiParts {
             settings: self.settings.clone(),
             clock: self.clock.clone(),
             notes,
             keys: KeyIndex::default(),
             prompts: Arc::clone(&self.prompts),
+            orders,
             members,
             draining: Arc::clone(&self.draining),
             addresses: Mutex::new(self.address_planner()),
@@ -136,13 +145,19 @@
         AddressPlanner::new(self.clock.now(), settings)
     }
 
-    fn drain_service(&self, members: Arc<MemberService>) -> DrainService {
+    fn drain_service(
+        &self,
+        members: Arc<MemberService>,
+        orders: Arc<OrderService>,
+    ) -> DrainService {
         DrainService {
             clock: self.clock.clone(),
             members,
             fleet: Arc::clone(&self.fleet),
             directory: Arc::clone(&self.directory),
             prompts: Arc::clone(&self.prompts),
+            orders,
+            orders_token: self.orders_token.clone(),
             flag: Arc::clone(&self.draining),
         }
     }
@@ -202,6 +217,44 @@
         )
     }
 
+    fn start_orders(&self, kernel: &ServiceKernel, notes: &Arc<NoteService>) -> Arc<OrderService> {
+        let mut settings = OrderSettings::new(self.settings.node.id.clone());
+        settings.store_limit = Duration::from_millis(self.settings.platform.timeout_ms);
+        let orders = OrderService::new(
+            settings,
+            Arc::clone(&self.table),
+            self.service_resolver(notes),
+            self.clock.clone(),
+            self.orders_token.clone(),
+        );
+        let running = Arc::clone(&orders);
+        kernel.start("orders", |token| running.run(token));
+        orders
+    }
+
+    /// Finds a service by the note in force and the upstreams known now.
+    fn service_resolver(&self, notes: &Arc<NoteService>) -> ServiceResolver {
+        let notes = Arc::clone(notes);
+        let directory = Arc::clone(&self.directory);
+        let zone = self.settings.node.zone.clone();
+        Arc::new(move |name| {
+            let state = notes.current();
+            let entry = state.services.get(name)?;
+            let processes = directory.services(&name.to_owned(), &zone);
+            Some(ServiceTarget {
+                guarantee: entry.guarantee,
+                timeout: Duration::from_millis(entry.timeout_ms),
+                peers: processes
+                    .into_iter()
+                    .map(|process| ServicePeer {
+                        id: process.id,
+                        client: process.client,
+                    })
+                    .collect(),
+            })
+        })
+    }
+
     fn start_members(
         &self,
         kernel: &ServiceKernel,
@@ -246,12 +299,17 @@
         let peers = sockets.address;
         let members = base.start_members(&kernel, &sockets, callers);
         let notes = base.start_notes(&kernel, &members);
-        register(&kernel, &base, &notes)?;
+        let orders = base.start_orders(&kernel, &notes);
+        register(&kernel, &base, &notes, &orders)?;
         start_background(&kernel, &base, &members);
         let peer_handler = base.peer_handler(Arc::clone(&notes));
         let peer_server = PeerServer::new(sockets.listener, peer_handler);
         kernel.start("peers", |token| peer_server.run(token));
-        let parts = base.api_parts(Arc::clone(&members), Arc::clone(&notes));
+        let parts = base.api_parts(
+            Arc::clone(&members),
+            Arc::clone(&notes),
+            Arc::clone(&orders),
+        );
         let handler = api_handler(Arc::new(parts));
         let server = entry.server.with_handler(handler);
         kernel.start("entry", |token| server.run(token));
@@ -263,7 +321,7 @@
             kernel,
             callers,
             peers,
-            drain: base.drain_service(Arc::clone(&members)),
+            drain: base.drain_service(Arc::clone(&members), orders),
             drain_settings: base.drain_settings(),
             members,
             notes,
@@ -334,7 +392,9 @@
     kernel: &ServiceKernel,
     base: &DaemonBase,
     notes: &Arc<NoteService>,
+    orders: &Arc<OrderService>,
 ) -> Result<(), NodeError> {
+    kernel.register("orders", Arc::clone(orders))?;
     kernel.register(NOTE_SERVICE, Arc::clone(notes))?;
     kernel.register("prompts", Arc::clone(&base.prompts))?;
     kernel.register("directory", Arc::clone(&base.directory))?;
--- a/components/node/src/drain.rs
+++ b/components/node/src/drain.rs
@@ -8,12 +8,13 @@
     time::Duration,
 };
 
-use kernel::{ClockSource, ServiceKernel};
+use kernel::{CancellationToken, ClockSource, ServiceKernel};
 use membership::{DrainAction, DrainPhase, DrainPlan, DrainSettings, HeldWork};
 use routing::SchedulerEvent;
 
 use crate::{
-    directory::UpstreamDirectory, fleet::FleetView, members::MemberService, prompts::PromptService,
+    directory::UpstreamDirectory, fleet::FleetView, members::MemberService, orders::OrderService,
+    prompts::PromptService,
 };
 
 const POLL_PAUSE: Duration = Duration::from_millis(50);
@@ -49,6 +50,10 @@
     pub directory: Arc<UpstreamDirectory>,
     /// Prompts under way.
     pub prompts: Arc<PromptService>,
+    /// Orders under way.
+    pub orders: Arc<OrderService>,
+    /// Stops new orders when cancelled.
+    pub orders_token: CancellationToken,
     /// Read by the address answers.
     pub flag: Arc<DrainFlag>,
 }
@@ -75,7 +80,7 @@
     fn held(&self) -> HeldWork {
         HeldWork {
             requests: self.prompts.open_count(),
-            orders: 0,
+            orders: self.orders.open_count(),
             holds: self.prompts.hold_count(),
         }
     }
@@ -87,6 +92,7 @@
             DrainAction::AnnounceLeaving => self.members.leave().await,
             DrainAction::HandOver => self.hand_over(),
             DrainAction::StopAccepting => {
+                self.orders_token.cancel();
                 for name in LISTENER_NAMES {
                     kernel.cancel(name);
                 }
--- a/src/cli.rs
+++ b/src/cli.rs
@@ -26,6 +26,8 @@
     Status(StatusCommand),
     /// Addresses to use.
     Resolve(ResolveCommand),
+    /// Orders to plain services.
+    Order(OrderCommand),
     /// Spans of a request.
     Trace(TraceCommand),
     /// Load scenarios.
@@ -177,6 +179,90 @@
     pub json: bool,
 }
 
+/// List, show and settle orders to plain services.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "order")]
+pub struct OrderCommand {
+    /// what to do with orders
+    #[argh(subcommand)]
+    pub action: OrderAction,
+}
+
+/// What to do with orders.
+#[derive(FromArgs)]
+#[argh(subcommand)]
+pub enum OrderAction {
+    /// List orders.
+    List(OrderList),
+    /// Show one order.
+    Show(OrderShow),
+    /// Settle an order in doubt.
+    Settle(OrderSettle),
+}
+
+/// List the orders in doubt, or all orders of one organisation.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "list")]
+pub struct OrderList {
+    /// list all orders of this organisation
+    #[argh(option)]
+    pub organisation: Option<String>,
+    /// address of any node, as IP number and port
+    #[argh(option)]
+    pub node: String,
+    /// operator's key; else the environment's GENTIANTALLY_KEY
+    #[argh(option)]
+    pub key: Option<String>,
+    /// write one JSON document
+    #[argh(switch)]
+    pub json: bool,
+}
+
+/// Show one order.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "show")]
+pub struct OrderShow {
+    /// name of the order: organisation/service/key
+    #[argh(positional)]
+    pub name: String,
+    /// address of any node, as IP number and port
+    #[argh(option)]
+    pub node: String,
+    /// operator's key; else the environment's GENTIANTALLY_KEY
+    #[argh(option)]
+    pub key: Option<String>,
+    /// write one JSON document
+    #[argh(switch)]
+    pub json: bool,
+}
+
+/// Settle an order in doubt, after the service has been asked what it did.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "settle")]
+pub struct OrderSettle {
+    /// name of the order: organisation/service/key
+    #[argh(positional)]
+    pub name: String,
+    /// the service ran it: its answer's status
+    #[argh(option)]
+    pub done: Option<u16>,
+    /// body of the service's answer, with --done
+    #[argh(option, default = "String::new()")]
+    pub body: String,
+    /// the service did not run it, and the process that had it is gone
+    #[argh(switch)]
+    pub not_run: bool,
+    /// address of any node, as IP number and port
+    #[argh(option)]
+    pub node: String,
+    /// operator's key; else the environment's GENTIANTALLY_KEY
+    #[argh(option)]
+    pub key: Option<String>,
+    /// write one JSON document
+    #[argh(switch)]
+    pub json: bool,
+}
+
 /// Show the nodes as one of them sees them.
 #[derive(FromArgs)]
 #[argh(subcommand, name = "status")]
--- a/src/cmd/client.rs
+++ b/src/cmd/client.rs
@@ -21,6 +21,7 @@
 pub struct NodeClient {
     caller: HttpCaller,
     key: Option<String>,
+    idempotency_key: Option<String>,
 }
 
 #[derive(Deserialize)]
@@ -45,15 +46,24 @@
         Self {
             caller: HttpCaller::new(address.to_owned(), ClockSource::System, CALL_LIMIT),
             key,
+            idempotency_key: None,
         }
     }
 
+    /// The same node, with an idempotency key on every call.
+    #[must_use]
+    pub fn with_idempotency_key(mut self, key: &str) -> Self {
+        self.idempotency_key = Some(key.to_owned());
+        self
+    }
+
     /// The same key towards another node.
     #[must_use]
     pub fn at(&self, address: &str) -> Self {
         Self {
             caller: HttpCaller::new(address.to_owned(), ClockSource::System, CALL_LIMIT),
             key: self.key.clone(),
+            idempotency_key: None,
         }
     }
 
@@ -92,6 +102,11 @@
                 .set_header(step, &mut request, "Authorization", &value)
                 .map_err(|error| self.fault(step, error, "use a key of plain characters"))?;
         }
+        if let Some(key) = &self.idempotency_key {
+            self.caller
+                .set_header(step, &mut request, "Idempotency-Key", key)
+                .map_err(|error| self.fault(step, error, "use a key of plain characters"))?;
+        }
         Ok(request)
     }
 
--- a/src/cmd/local/tour.rs
+++ b/src/cmd/local/tour.rs
@@ -20,6 +20,7 @@
 const SHORT_PROMPT: &str = "Is the route clear of ash?";
 /// Longer than two engines of the stand-in's memory together.
 const LONG_PROMPT_BYTES: usize = 4_000_000;
+const ORDER_KEY: &str = "notice-2026-12-03";
 const OUTPUT_TOKENS: u64 = 24;
 /// Enough to be at work for a second or so on the stand-in engines.
 const ENDURING_TOKENS: u64 = 2_000;
@@ -56,6 +57,7 @@
     short_prompt(fleet).await?;
     long_prompt(fleet).await?;
     status_read(fleet).await?;
+    repeated_order(fleet).await?;
     engine_loss(fleet).await?;
     node_drain(fleet).await?;
     write_line("every step ended as it should")
@@ -132,6 +134,27 @@
     write_line(&format!("status read: {answer}"))
 }
 
+/// Sends the same order to two nodes, one after the other.
+async fn repeated_order(fleet: &LocalFleet) -> Result<(), LaunchError> {
+    let path = format!("/v1/services/{LOCAL_SERVICE}/issue");
+    let mut answers = Vec::new();
+    for position in [0, fleet.nodes.len() - 1] {
+        let client = NodeClient::new(&fleet.callers_address(position), Some(PAYING_KEY))
+            .with_idempotency_key(ORDER_KEY);
+        let body = json!({"notice": "ash over the lake"}).to_string();
+        let answer: serde_json::Value = client.post("order", &path, body).await?;
+        answers.push(answer);
+    }
+    let runs = fleet.service.service().effects().len();
+    require(runs == 1, "order", "it did not run exactly once")?;
+    require(
+        answers[0] == answers[1],
+        "order",
+        "the resend got another answer",
+    )?;
+    write_line("order: sent twice, run once, the recorded answer given again")
+}
+
 /// Kills the engine that runs a prompt; another goes on with it.
 async fn engine_loss(fleet: &LocalFleet) -> Result<(), LaunchError> {
     let client = NodeClient::new(&fleet.callers_address(0), Some(PAYING_KEY));
--- a/src/cmd/mod.rs
+++ b/src/cmd/mod.rs
@@ -6,6 +6,7 @@
 pub mod local;
 pub mod node;
 pub mod note;
+pub mod order;
 pub mod resolve;
 pub mod status;
 pub mod trace;
@@ -23,6 +24,7 @@
         SubCommand::Note(command) => note::run(command.action),
         SubCommand::Status(command) => status::run(&command),
         SubCommand::Resolve(command) => resolve::run(&command),
+        SubCommand::Order(command) => order::run(command.action),
         SubCommand::Trace(command) => trace::run(&command),
         SubCommand::Bench(command) => {
             bench::run(&command).map_err(|error| LaunchError::Failed(error.to_string()))
