--- a/components/standins/src/engine/control.rs
+++ b/components/standins/src/engine/control.rs
@@ -2,8 +2,8 @@
 
 use std::time::Duration;
 
-use ::platform::fakes::EdgeFaults;
 use http_types::{Method, Request, StatusCode};
+use platform::fakes::EdgeFaults;
 use serde::{Deserialize, Serialize};
 use types::{IncarnationNumber, TokenCount};
 
--- a/components/standins/src/engine/server.rs
+++ b/components/standins/src/engine/server.rs
@@ -6,11 +6,11 @@
     time::Duration,
 };
 
-use ::platform::{HostEntry, HostKind, HostState};
 use errors::UpstreamError;
 use futures_lite::{StreamExt, stream::unfold};
 use http_types::{Method, Request, Response, StatusCode};
 use kernel::{CancellationToken, ClockSource};
+use platform::{HostEntry, HostKind, HostState};
 use smol::{future, net::TcpListener};
 use types::{EngineOrder, RequestId};
 use upstream::{
--- a/components/standins/src/engine/settings.rs
+++ b/components/standins/src/engine/settings.rs
@@ -2,8 +2,8 @@
 
 use std::time::Duration;
 
-use ::platform::fakes::EdgeFaults;
 use model::engine_profile;
+use platform::fakes::EdgeFaults;
 use serde::{Deserialize, Serialize};
 use types::{
     EngineId, EngineProfile, EngineRole, IncarnationNumber, LoadedModel, TokenCount, ZoneId,
--- a/components/standins/src/engine/standin.rs
+++ b/components/standins/src/engine/standin.rs
@@ -5,10 +5,10 @@
     time::{Duration, Instant},
 };
 
-use ::platform::fakes::{CallKind, FaultSwitch};
 use errors::{SendPhase, UpstreamError};
 use kernel::{CancellationToken, ClockSource};
 use model::{ModelError, SequenceId};
+use platform::fakes::{CallKind, FaultSwitch};
 use smol::channel::{Receiver, Sender, bounded};
 use types::{AttemptId, IncarnationNumber, RequestId, TokenCount};
 use upstream::KvExport;
--- a/components/standins/src/platform.rs
+++ b/components/standins/src/platform.rs
@@ -3,15 +3,15 @@
 
 use std::{io, sync::Arc, time::Duration};
 
-use ::platform::{
+use http_types::{Method, Request, Response, StatusCode};
+use kernel::{CancellationToken, ClockSource};
+use platform::{
     HostDeparture, HostEntry, HostList, ObjectStore, ReadAnswer, ReadCall, ScanAnswer, ScanCall,
     SlotCall, TableService, TransactAnswer, TransactCall, WeightStore,
     fakes::{
         EdgeFaults, FaultSwitch, MemoryHosts, MemoryObjects, MemoryTable, MemoryWeights, WeightRate,
     },
 };
-use http_types::{Method, Request, Response, StatusCode};
-use kernel::{CancellationToken, ClockSource};
 use serde::{Deserialize, Serialize};
 use smol::net::TcpListener;
 
--- a/components/standins/src/registration.rs
+++ b/components/standins/src/registration.rs
@@ -2,8 +2,8 @@
 
 use std::time::Duration;
 
-use ::platform::{HostEntry, HostRegistrar};
 use kernel::ClockSource;
+use platform::{HostEntry, HostRegistrar};
 use serde::{Deserialize, Serialize};
 
 const CALL_LIMIT: Duration = Duration::from_secs(2);
--- a/components/standins/src/reply.rs
+++ b/components/standins/src/reply.rs
@@ -2,9 +2,9 @@
 
 use std::{error::Error, time::Duration};
 
-use ::platform::ConflictAnswer;
 use errors::{PlatformError, UpstreamError};
 use http_types::{Request, Response, Status, StatusCode};
+use platform::ConflictAnswer;
 use serde::{Serialize, de::DeserializeOwned};
 use upstream::{FencedAnswer, RefusedAnswer};
 
--- a/components/standins/src/service/standin.rs
+++ b/components/standins/src/service/standin.rs
@@ -6,10 +6,10 @@
     time::Duration,
 };
 
-use ::platform::fakes::{CallKind, FaultSwitch};
 use async_trait::async_trait;
 use errors::UpstreamError;
 use kernel::ClockSource;
+use platform::fakes::{CallKind, FaultSwitch};
 use serde::{Deserialize, Serialize};
 use types::FencingNumber;
 use upstream::{OrderCall, PlainService, ServiceAnswer};
--- a/components/standins/tests/contract/main.rs
+++ b/components/standins/tests/contract/main.rs
@@ -2,6 +2,7 @@
 
 mod engine;
 mod engine_faults;
+mod engine_memory;
 mod fixture;
 mod hosts;
 mod objects;
