--- a/components/admission/src/shares.rs
+++ b/components/admission/src/shares.rs
@@ -48,6 +48,8 @@
     queued_cost: TokenCount,
     running: u32,
     recent: RecentTokens,
+    /// Cost of jobs that came while there was a backlog.
+    backlog: RecentTokens,
     remote: BTreeMap<NodeId, RemoteShare>,
 }
 
@@ -74,6 +76,11 @@
         self.now = self.now.saturating_add(tokens);
     }
 
+    fn most(mut self, epoch: u64) -> TokenCount {
+        self.turn(epoch);
+        self.now.max(self.before)
+    }
+
     fn sum(mut self, epoch: u64) -> TokenCount {
         self.turn(epoch);
         self.now.saturating_add(self.before)
@@ -131,20 +138,20 @@
         self.epoch = self.epoch.max(epoch);
     }
 
-    /// Whether the organisation took more than its fair share lately and has
+    /// Whether the organisation took more than its fair share lately and had
     /// a backlog here that would take more still.
     #[must_use]
     pub fn is_over_share(&self, index: OrganisationIndex) -> bool {
         let Some(entry) = self.entries.get(index as usize) else {
             return false;
         };
-        if entry.queued < BACKLOG_MIN {
+        if entry.backlog.sum(self.epoch) == 0 {
             return false;
         }
         let slot = plan_slot(entry.plan);
         let own = entry.recent.sum(self.epoch);
         let total = self.recent[slot].sum(self.epoch);
-        let weight = self.recent_weight[slot].sum(self.epoch).max(entry.weight);
+        let weight = self.recent_weight[slot].most(self.epoch).max(entry.weight);
         ratio(own, entry.weight) > OVER_SHARE * ratio(total, weight)
     }
 
@@ -173,6 +180,7 @@
             queued_cost: 0,
             running: 0,
             recent: RecentTokens::default(),
+            backlog: RecentTokens::default(),
             remote: BTreeMap::new(),
         });
         self.names.insert(organisation.clone(), index);
@@ -187,6 +195,9 @@
         entry.queued += 1;
         entry.queued_cost = entry.queued_cost.saturating_add(cost);
         self.queued_cost[plan_slot(entry.plan)] += cost;
+        if entry.queued >= BACKLOG_MIN {
+            entry.backlog.add(self.epoch, cost);
+        }
         if entry.queued == 1 {
             self.activate(index);
         }
@@ -419,7 +430,8 @@
         let epoch = self.epoch;
         let entry = &mut self.entries[index as usize];
         let slot = plan_slot(entry.plan);
-        if entry.recent.sum(epoch) == 0 {
+        entry.recent.turn(epoch);
+        if entry.recent.now == 0 {
             self.recent_weight[slot].add(epoch, entry.weight);
         }
         entry.recent.add(epoch, tokens);
