Tell the attempts of an engine's lives apart

Cause: since a restarted stand-in begins with a new model, its sequence numbers begin again, and a stream kept from the life before ended the attempt that had its number now. Change: attempts are named by life and sequence, and a call checks that the engine lives under the same lock as it changes it. Conclusion: streams of a dead engine touch nothing.

--- a/components/standins/src/engine/attempts.rs
+++ b/components/standins/src/engine/attempts.rs
@@ -11,7 +11,7 @@
 use futures_lite::{Stream, stream::StreamExt};
 use model::{EventKind, SequenceId};
 use smol::channel::{Receiver, Sender};
-use types::{AttemptId, RequestId};
+use types::{AttemptId, IncarnationNumber, RequestId};
 use upstream::{EngineCall, EngineEvent, SequenceMember};
 
 use crate::{answer::AnswerSeed, engine::StandinEngine};
@@ -122,15 +122,21 @@
     }
 }
 
-/// All running attempts, by the model's id.
-pub(crate) type AttemptMap = HashMap<SequenceId, RunningAttempt>;
+/// Names an attempt of one life of the engine; each life's model counts its
+/// sequences from the start.
+#[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
+pub(crate) struct AttemptPlace {
+    pub(crate) life: IncarnationNumber,
+    pub(crate) sequence: SequenceId,
+}
+
+/// All running attempts.
+pub(crate) type AttemptMap = HashMap<AttemptPlace, RunningAttempt>;
 
 /// An attempt's events; dropping it cancels the attempt.
 pub(crate) struct AttemptStream {
     pub(crate) engine: Weak<StandinEngine>,
-    pub(crate) request: RequestId,
-    pub(crate) attempt: AttemptId,
-    pub(crate) sequence: SequenceId,
+    pub(crate) place: AttemptPlace,
     pub(crate) events: Pin<Box<Receiver<Result<EngineEvent, UpstreamError>>>>,
 }
 
@@ -145,7 +151,7 @@
 impl Drop for AttemptStream {
     fn drop(&mut self) {
         if let Some(engine) = self.engine.upgrade() {
-            engine.abandon(self.sequence, &self.request, self.attempt);
+            engine.abandon(self.place);
         }
     }
 }
--- a/components/standins/src/engine/calls.rs
+++ b/components/standins/src/engine/calls.rs
@@ -40,13 +40,12 @@
         // An answer that gets lost drops the stream, which ends the attempt.
         let stream = self.change(step, |state, now| {
             let sequence = state.model.submit(now, spec)?;
-            state.attempts.insert(sequence, running);
+            let place = state.place(sequence);
+            state.attempts.insert(place, running);
             state.submits += 1;
             Ok(AttemptStream {
                 engine: self.itself.clone(),
-                request: call.request,
-                attempt: call.attempt,
-                sequence,
+                place,
                 events: Box::pin(events),
             })
         });
--- a/components/standins/src/engine/drive.rs
+++ b/components/standins/src/engine/drive.rs
@@ -3,11 +3,14 @@
 use std::time::{Duration, Instant};
 
 use kernel::CancellationToken;
-use model::{ModelEvent, SequenceId};
+use model::ModelEvent;
 use smol::future;
 
 use crate::engine::{
-    StandinEngine, attempts::AttemptStep, cache_log::CacheLog, state::EngineState,
+    StandinEngine,
+    attempts::{AttemptPlace, AttemptStep},
+    cache_log::CacheLog,
+    state::EngineState,
 };
 
 // Bounds the wait so that a clock jump never strands the driver.
@@ -52,7 +55,8 @@
 
     /// Sends an event on; whether it crashes the engine.
     fn take(&self, state: &mut EngineState, event: ModelEvent) -> bool {
-        let Some(running) = state.attempts.get_mut(&event.sequence) else {
+        let place = state.place(event.sequence);
+        let Some(running) = state.attempts.get_mut(&place) else {
             return false;
         };
         match running.take(event.kind) {
@@ -60,11 +64,11 @@
             AttemptStep::Begin => {
                 let members = running.members.clone();
                 let (request, attempt) = (running.request.clone(), running.attempt);
-                self.borrow_members(event.sequence, members, &request, attempt);
+                self.borrow_members(place, members, &request, attempt);
                 false
             }
             AttemptStep::End => {
-                state.attempts.remove(&event.sequence);
+                state.attempts.remove(&place);
                 false
             }
             AttemptStep::Crash => true,
@@ -96,12 +100,10 @@
     }
 
     /// Fails an attempt that lost one of its members.
-    pub(crate) fn fail_attempt(&self, sequence: SequenceId, cause: &str) {
-        let now = self.model_now();
+    pub(crate) fn fail_attempt(&self, place: AttemptPlace, cause: &str) {
         self.locked(|state| {
-            if let Some(running) = state.attempts.remove(&sequence) {
+            if let Some(running) = state.remove_attempt(place, self.model_now()) {
                 running.fail(cause);
-                state.model.cancel(now, &running.request, running.attempt);
             }
         });
         self.nudge();
--- a/components/standins/src/engine/lending.rs
+++ b/components/standins/src/engine/lending.rs
@@ -8,13 +8,15 @@
 
 use futures_lite::{AsyncReadExt, stream::once_future};
 use http_types::{Response, StatusCode};
-use model::SequenceId;
 use smol::{future, net::TcpStream};
 use transport::HttpCaller;
 use types::{AttemptId, RequestId};
 use upstream::{AttemptCall, SequenceMember};
 
-use crate::{engine::StandinEngine, stream_body::streamed};
+use crate::{
+    engine::{StandinEngine, attempts::AttemptPlace},
+    stream_body::streamed,
+};
 
 const BORROW_LIMIT: Duration = Duration::from_secs(2);
 const HOLD_CHECK: Duration = Duration::from_millis(100);
@@ -24,7 +26,7 @@
     /// Borrows the members of an attempt until it ends.
     pub(crate) fn borrow_members(
         &self,
-        sequence: SequenceId,
+        place: AttemptPlace,
         members: Vec<SequenceMember>,
         request: &RequestId,
         attempt: AttemptId,
@@ -38,18 +40,18 @@
                 request: request.clone(),
                 attempt,
             };
-            smol::spawn(async move { engine.borrow_member(sequence, member, call).await }).detach();
+            smol::spawn(async move { engine.borrow_member(place, member, call).await }).detach();
         }
     }
 
-    async fn borrow_member(&self, sequence: SequenceId, member: SequenceMember, call: AttemptCall) {
+    async fn borrow_member(&self, place: AttemptPlace, member: SequenceMember, call: AttemptCall) {
         let lost = async { Some(self.lent(&member, &call).await) };
         let ended = async {
-            self.ended(sequence).await;
+            self.ended(place).await;
             None
         };
         if let Some(cause) = future::or(lost, ended).await {
-            self.fail_attempt(sequence, &format!("member {}: {cause}", member.engine));
+            self.fail_attempt(place, &format!("member {}: {cause}", member.engine));
         }
     }
 
@@ -73,8 +75,8 @@
         }
     }
 
-    async fn ended(&self, sequence: SequenceId) {
-        while self.locked(|state| state.attempts.contains_key(&sequence)) {
+    async fn ended(&self, place: AttemptPlace) {
+        while self.locked(|state| state.attempts.contains_key(&place)) {
             self.clock.sleep(HOLD_CHECK).await;
         }
     }
@@ -93,8 +95,8 @@
     }
 
     fn set_lending(&self, call: &AttemptCall, lending: bool) {
-        let now = self.model_now();
         self.locked(|state| {
+            let now = self.model_now();
             state
                 .model
                 .set_lending(now, &call.request, call.attempt, lending);
--- a/components/standins/src/engine/standin.rs
+++ b/components/standins/src/engine/standin.rs
@@ -7,14 +7,14 @@
 
 use errors::{SendPhase, UpstreamError};
 use kernel::{CancellationToken, ClockSource};
-use model::{ModelError, SequenceId};
+use model::ModelError;
 use platform::fakes::{CallKind, FaultSwitch};
 use smol::channel::{Receiver, Sender, bounded};
-use types::{AttemptId, IncarnationNumber, RequestId, TokenCount};
+use types::{AttemptId, EngineReport, IncarnationNumber, RequestId, TokenCount};
 use upstream::KvExport;
 
 use crate::{
-    engine::{EngineSettings, scale::TimeScale, state::EngineState},
+    engine::{EngineSettings, attempts::AttemptPlace, scale::TimeScale, state::EngineState},
     faults::{STATUS_UNAVAILABLE, guarded},
 };
 
@@ -66,8 +66,7 @@
     /// `restart_after` it is back with a new incarnation; without, it stays
     /// down.
     pub fn kill(&self, restart_after: Option<Duration>) {
-        let now = self.model_now();
-        self.locked(|state| state.crash(now, &self.settings.id, restart_after));
+        self.locked(|state| state.crash(self.model_now(), &self.settings.id, restart_after));
         self.nudge();
         log::info!("event=standin_engine_killed engine={}", self.settings.id);
     }
@@ -81,8 +80,7 @@
     /// KV memory in use now, holds included, in tokens.
     #[must_use]
     pub fn used_tokens(&self) -> TokenCount {
-        let now = self.model_now();
-        self.locked(|state| state.model.report(now).kv_used)
+        self.model_report().kv_used
     }
 
     /// Life of the process now.
@@ -95,8 +93,8 @@
         self.locked(|state| state.life.clone())
     }
 
-    /// Begins the next life after a crash.
-    pub(crate) fn revive(&self) {
+    /// Begins the next life after a crash; `EngineServer` does it by itself.
+    pub fn revive(&self) {
         self.locked(|state| state.revive(&self.settings));
         self.nudge();
     }
@@ -106,36 +104,27 @@
     }
 
     /// Ends an attempt whose stream is gone, unless it has ended already.
-    pub(crate) fn abandon(&self, sequence: SequenceId, request: &RequestId, attempt: AttemptId) {
-        let now = self.model_now();
-        self.locked(|state| {
-            if state.attempts.remove(&sequence).is_some() {
-                state.model.cancel(now, request, attempt);
-            }
-        });
+    pub(crate) fn abandon(&self, place: AttemptPlace) {
+        self.locked(|state| state.remove_attempt(place, self.model_now()));
         self.nudge();
     }
 
     /// Sequences being decoded now.
     #[must_use]
     pub fn generating(&self) -> u32 {
-        let now = self.model_now();
-        self.locked(|state| state.model.report(now)).decoding
+        self.model_report().decoding
     }
 
     /// Whether memory is held here for an attempt.
     pub(crate) fn holds(&self, request: &RequestId, attempt: AttemptId) -> bool {
-        let now = self.model_now();
-        let report = self.locked(|state| state.model.report(now));
+        let report = self.model_report();
         let mut holds = report.holds.iter();
         holds.any(|hold| hold.request == *request && hold.attempt == attempt)
     }
 
     /// The export of that name, if it is still held.
     pub(crate) fn exported(&self, export: &str) -> Option<KvExport> {
-        let now = self.model_now();
-        let report = self.locked(|state| state.model.report(now));
-        let mut holds = report.holds.into_iter();
+        let mut holds = self.model_report().holds.into_iter();
         let hold = holds.find(|hold| format!("{}/{}", hold.request, hold.attempt) == export)?;
         Some(KvExport {
             export: export.to_owned(),
@@ -143,6 +132,11 @@
         })
     }
 
+    /// The model's report as it is now, in its own times.
+    fn model_report(&self) -> EngineReport {
+        self.locked(|state| state.model.report(self.model_now()))
+    }
+
     pub(crate) fn model_now(&self) -> Instant {
         self.scale.to_model(self.clock.now())
     }
@@ -184,7 +178,11 @@
     }
 
     pub(crate) fn check_alive(&self, step: &str) -> Result<(), UpstreamError> {
-        if !self.life().is_cancelled() {
+        self.locked(|state| self.alive(state, step))
+    }
+
+    fn alive(&self, state: &EngineState, step: &str) -> Result<(), UpstreamError> {
+        if !state.life.is_cancelled() {
             return Ok(());
         }
         Err(UpstreamError::Broken {
@@ -203,11 +201,13 @@
         change: impl FnOnce(&mut EngineState, Instant) -> Result<T, ModelError> + Send,
     ) -> Result<T, UpstreamError> {
         let work = || {
-            self.check_alive(step)?;
-            let now = self.model_now();
-            let outcome = self.locked(|state| change(state, now));
+            let outcome = self.locked(|state| {
+                self.alive(state, step)?;
+                let outcome = change(state, self.model_now());
+                outcome.map_err(|error| self.model_error(step, error))
+            });
             self.nudge();
-            outcome.map_err(|error| self.model_error(step, error))
+            outcome
         };
         guarded(&self.switch, step, CallKind::Write, work).await
     }
@@ -218,9 +218,10 @@
         look: impl FnOnce(&mut EngineState, Instant) -> T + Send,
     ) -> Result<T, UpstreamError> {
         let work = || {
-            self.check_alive(step)?;
-            let now = self.clock.now();
-            Ok(self.locked(|state| look(state, now)))
+            self.locked(|state| {
+                self.alive(state, step)?;
+                Ok(look(state, self.clock.now()))
+            })
         };
         guarded(&self.switch, step, CallKind::Read, work).await
     }
--- a/components/standins/src/engine/state.rs
+++ b/components/standins/src/engine/state.rs
@@ -3,12 +3,15 @@
 use std::time::{Duration, Instant};
 
 use kernel::CancellationToken;
-use model::EngineModel;
+use model::{EngineModel, SequenceId};
 use types::{AttemptId, EngineProfile, LoadedModel, RequestId};
 use upstream::EngineCall;
 
 use crate::engine::{
-    EngineSettings, attempts::AttemptMap, cache_log::CacheLog, loads::LoadQueue,
+    EngineSettings,
+    attempts::{AttemptMap, AttemptPlace, RunningAttempt},
+    cache_log::CacheLog,
+    loads::LoadQueue,
     report_log::ReportLog,
 };
 
@@ -90,16 +93,35 @@
         })
     }
 
+    /// Where an attempt of this life is found.
+    pub(crate) fn place(&self, sequence: SequenceId) -> AttemptPlace {
+        AttemptPlace {
+            life: self.model.profile().incarnation,
+            sequence,
+        }
+    }
+
+    /// Takes an attempt from the model too, unless it has ended already.
+    pub(crate) fn remove_attempt(
+        &mut self,
+        place: AttemptPlace,
+        now: Instant,
+    ) -> Option<RunningAttempt> {
+        let running = self.attempts.remove(&place)?;
+        self.model.cancel(now, &running.request, running.attempt);
+        Some(running)
+    }
+
     /// Ends an attempt's stream with a failure; the model is told apart.
     pub(crate) fn end_attempt(&mut self, request: &RequestId, attempt: AttemptId, cause: &str) {
         let found = self
             .attempts
             .iter()
             .find(|(_, running)| running.request == *request && running.attempt == attempt);
-        let Some(sequence) = found.map(|(sequence, _)| *sequence) else {
+        let Some(place) = found.map(|(place, _)| *place) else {
             return;
         };
-        if let Some(running) = self.attempts.remove(&sequence) {
+        if let Some(running) = self.attempts.remove(&place) {
             running.fail(cause);
         }
     }
--- a/components/standins/tests/contract/engine_faults.rs
+++ b/components/standins/tests/contract/engine_faults.rs
@@ -2,10 +2,10 @@
 
 use std::time::Duration;
 
-use kernel::ClockSource;
+use kernel::{CancellationToken, ClockSource};
 use platform::{HostList, HostState, HttpHosts, fakes::EdgeFaults};
-use smol::block_on;
-use standins::{EngineSettings, HostListing, PlatformSettings};
+use smol::{block_on, future};
+use standins::{EngineSettings, HostListing, PlatformSettings, StandinEngine};
 use types::{EngineOrder, EngineRole};
 use upstream::{EngineCall, HttpEngine, KvReservation, ModelEngine, SequenceMember};
 
@@ -95,6 +95,27 @@
     });
 }
 
+#[test]
+fn a_stream_of_an_earlier_life_does_not_end_one_of_a_later() {
+    block_on(async {
+        let engine = StandinEngine::new(fast_settings(), ClockSource::System);
+        let earlier = engine.submit(call("r1", "brief", 5)).await.expect("submit");
+        engine.kill(None);
+        engine.revive();
+        let later = engine.submit(call("r2", "brief", 5)).await.expect("submit");
+        drop(earlier);
+        let token = CancellationToken::new();
+        let drive = engine.drive(token.clone());
+        let read = async {
+            let record = read_all(later).await;
+            token.cancel();
+            record
+        };
+        let ((), record) = future::zip(drive, read).await;
+        assert_eq!(record.finished, Some(5), "{record:?}");
+    });
+}
+
 #[test]
 fn a_prompt_with_the_marker_crashes_each_life_of_the_engine() {
     block_on(async {
