Quote one short line of a refusal in errors

A refusing peer's body went into the error whole, up to 16 MiB and with line breaks that forge log lines; now the first 200 bytes go in, on one line. Shown by a_refusal_quotes_one_short_line_of_what_came.

--- a/components/platform/src/http/answer.rs
+++ b/components/platform/src/http/answer.rs
@@ -26,7 +26,7 @@
             retry_after: answer.retry_after(),
         }),
         status @ 400..=499 => Err(PlatformError::Refused {
-            step: format!("{step} (status {status}: {})", answer.text()),
+            step: format!("{step} (status {status}: {})", answer.excerpt()),
             peer: caller.peer().to_owned(),
             retry_after: None,
         }),
--- a/components/transport/src/answer.rs
+++ b/components/transport/src/answer.rs
@@ -8,6 +8,8 @@
 /// Longest body of an answer that is read whole, in bytes.
 pub const ANSWER_LIMIT_BYTES: u64 = 16 * 1024 * 1024;
 
+const EXCERPT_BYTES: usize = 200;
+
 /// An answer whose body was read to its stated end.
 #[derive(Debug)]
 pub struct HttpAnswer {
@@ -52,10 +54,12 @@
         self.body
     }
 
-    /// The body as text, with anything that isn't UTF-8 replaced.
+    /// The start of the body as one line of text, for errors and logs.
     #[must_use]
-    pub fn text(&self) -> String {
-        String::from_utf8_lossy(&self.body).into_owned()
+    pub fn excerpt(&self) -> String {
+        let start = &self.body[..self.body.len().min(EXCERPT_BYTES)];
+        let text = String::from_utf8_lossy(start);
+        text.replace(char::is_control, " ")
     }
 
     /// The body from JSON.
--- a/components/upstream/src/http/answer.rs
+++ b/components/upstream/src/http/answer.rs
@@ -58,6 +58,6 @@
 fn cause(answer: &HttpAnswer) -> String {
     match answer.json::<RefusedAnswer>() {
         Ok(refused) => refused.cause,
-        Err(_) => answer.text(),
+        Err(_) => answer.excerpt(),
     }
 }
--- a/components/upstream/src/http/service.rs
+++ b/components/upstream/src/http/service.rs
@@ -74,7 +74,7 @@
                 step: step.to_owned(),
                 peer: self.caller.peer().to_owned(),
                 status: answer.status(),
-                cause: answer.text(),
+                cause: answer.excerpt(),
                 retry_after: answer.retry_after(),
             });
         }
--- a/components/upstream/tests/answers/calls.rs
+++ b/components/upstream/tests/answers/calls.rs
@@ -155,3 +155,19 @@
         }
     });
 }
+
+#[test]
+fn a_refusal_quotes_one_short_line_of_what_came() {
+    block_on(async {
+        let body = "down\nevent=forged ".repeat(1_000);
+        let length = body.len();
+        let head = "HTTP/1.1 503 Down\r\nnot-run: true\r\ncontent-length";
+        let server = ScriptedServer::start(format!("{head}: {length}\r\n\r\n{body}")).await;
+        let service = HttpService::new(server.address.clone(), ClockSource::System, LIMIT);
+        let fault = service.order(order()).await.expect_err("refused");
+        let told = fault.to_string();
+        assert!(told.contains("down event=forged"), "{told}");
+        assert_eq!(told.lines().count(), 1);
+        assert!(told.len() < 400, "{}", told.len());
+    });
+}
