--- a/components/node/src/daemon.rs
+++ b/components/node/src/daemon.rs
@@ -9,7 +9,8 @@
 use entry::{BodyBudget, EntryLimits, EntryServer};
 use kernel::{CancellationToken, ClockSource, ServiceKernel};
 use membership::{AddressPlanner, AddressSettings, DrainSettings, MemberSettings};
-use platform::{HostList, HttpHosts, HttpTable, TableService};
+use notes::AdopterSettings;
+use platform::{HostList, HttpHosts, HttpObjects, HttpTable, ObjectStore, TableService};
 use routing::SchedulerSettings;
 use settings::NodeSettings;
 use telemetry::{HopTracer, NodeMetrics};
@@ -18,13 +19,14 @@
 
 use crate::{
     NodeError,
-    api::{ApiParts, api_handler},
+    api::{ApiParts, KeyIndex, api_handler},
     directory::UpstreamDirectory,
     drain::{DrainFlag, DrainService},
     fleet::FleetView,
     links::MemberLinks,
     members::{MemberConfig, MemberService},
-    notes::NoteService,
+    notes::{NOTE_SERVICE, NotePeer, NoteService, NoteStore},
+    orders::{OrderService, OrderSettings, ServicePeer, ServiceResolver, ServiceTarget},
     peers::{PeerClient, PeerHandler, PeerServer},
     prompts::{PromptParts, PromptService},
     sockets::{PeerSockets, member_identity},
@@ -57,10 +59,12 @@
     directory: Arc<UpstreamDirectory>,
     fleet: Arc<FleetView>,
     draining: Arc<DrainFlag>,
+    orders_token: CancellationToken,
     peers: Arc<PeerClient>,
-    notes: Arc<NoteService>,
     prompts: Arc<PromptService>,
     hosts: Arc<dyn HostList>,
+    table: Arc<dyn TableService>,
+    objects: Arc<dyn ObjectStore>,
 }
 
 impl DaemonBase {
@@ -71,6 +75,7 @@
             clock.clone(),
             limit,
         ));
+        let objects = HttpObjects::new(settings.platform.objects.clone(), clock.clone(), limit);
         let hosts = HttpHosts::new(settings.platform.hosts.clone(), clock.clone(), limit);
         let ring = Arc::new(key_ring(&settings));
         let metrics = Arc::new(NodeMetrics::default());
@@ -93,8 +98,10 @@
         Self {
             fleet: FleetView::new(&settings.node.id, &settings.node.zone),
             draining: Arc::default(),
-            notes: NoteService::new(table, clock.clone()),
+            orders_token: CancellationToken::new(),
             hosts: Arc::new(hosts),
+            table,
+            objects: Arc::new(objects),
             settings,
             clock,
             ring,
@@ -106,12 +113,19 @@
         }
     }
 
-    fn api_parts(&self, members: Arc<MemberService>) -> ApiParts {
+    fn api_parts(
+        &self,
+        members: Arc<MemberService>,
+        notes: Arc<NoteService>,
+        orders: Arc<OrderService>,
+    ) -> ApiParts {
         ApiParts {
             settings: self.settings.clone(),
             clock: self.clock.clone(),
-            notes: Arc::clone(&self.notes),
+            notes,
+            keys: KeyIndex::default(),
             prompts: Arc::clone(&self.prompts),
+            orders,
             members,
             draining: Arc::clone(&self.draining),
             addresses: Mutex::new(self.address_planner()),
@@ -131,13 +145,19 @@
         AddressPlanner::new(self.clock.now(), settings)
     }
 
-    fn drain_service(&self, members: Arc<MemberService>) -> DrainService {
+    fn drain_service(
+        &self,
+        members: Arc<MemberService>,
+        orders: Arc<OrderService>,
+    ) -> DrainService {
         DrainService {
             clock: self.clock.clone(),
             members,
             fleet: Arc::clone(&self.fleet),
             directory: Arc::clone(&self.directory),
             prompts: Arc::clone(&self.prompts),
+            orders,
+            orders_token: self.orders_token.clone(),
             flag: Arc::clone(&self.draining),
         }
     }
@@ -151,13 +171,13 @@
         }
     }
 
-    fn peer_handler(&self) -> PeerHandler {
+    fn peer_handler(&self, notes: Arc<NoteService>) -> PeerHandler {
         PeerHandler {
             own: self.settings.node.id.clone(),
             ring: Arc::clone(&self.ring),
             clock: self.clock.clone(),
             prompts: Arc::clone(&self.prompts),
-            notes: Arc::clone(&self.notes),
+            notes,
         }
     }
 
@@ -182,6 +202,59 @@
         )
     }
 
+    fn start_notes(
+        &self,
+        kernel: &ServiceKernel,
+        members: &Arc<MemberService>,
+    ) -> Arc<NoteService> {
+        let store = NoteStore::new(Arc::clone(&self.table), Arc::clone(&self.objects));
+        NoteService::start(
+            kernel,
+            AdopterSettings::default(),
+            store,
+            Arc::clone(members),
+            Arc::clone(&self.peers) as Arc<dyn NotePeer>,
+        )
+    }
+
+    fn start_orders(&self, kernel: &ServiceKernel, notes: &Arc<NoteService>) -> Arc<OrderService> {
+        let mut settings = OrderSettings::new(self.settings.node.id.clone());
+        settings.store_limit = Duration::from_millis(self.settings.platform.timeout_ms);
+        let orders = OrderService::new(
+            settings,
+            Arc::clone(&self.table),
+            self.service_resolver(notes),
+            self.clock.clone(),
+            self.orders_token.clone(),
+        );
+        let running = Arc::clone(&orders);
+        kernel.start("orders", |token| running.run(token));
+        orders
+    }
+
+    /// Finds a service by the note in force and the upstreams known now.
+    fn service_resolver(&self, notes: &Arc<NoteService>) -> ServiceResolver {
+        let notes = Arc::clone(notes);
+        let directory = Arc::clone(&self.directory);
+        let zone = self.settings.node.zone.clone();
+        Arc::new(move |name| {
+            let state = notes.current();
+            let entry = state.services.get(name)?;
+            let processes = directory.services(&name.to_owned(), &zone);
+            Some(ServiceTarget {
+                guarantee: entry.guarantee,
+                timeout: Duration::from_millis(entry.timeout_ms),
+                peers: processes
+                    .into_iter()
+                    .map(|process| ServicePeer {
+                        id: process.id,
+                        client: process.client,
+                    })
+                    .collect(),
+            })
+        })
+    }
+
     fn start_members(
         &self,
         kernel: &ServiceKernel,
@@ -225,11 +298,19 @@
         let callers = entry.callers;
         let peers = sockets.address;
         let members = base.start_members(&kernel, &sockets, callers);
-        register(&kernel, &base)?;
+        let notes = base.start_notes(&kernel, &members);
+        let orders = base.start_orders(&kernel, &notes);
+        register(&kernel, &base, &notes, &orders)?;
         start_background(&kernel, &base, &members);
-        let peer_server = PeerServer::new(sockets.listener, base.peer_handler());
+        let peer_handler = base.peer_handler(Arc::clone(&notes));
+        let peer_server = PeerServer::new(sockets.listener, peer_handler);
         kernel.start("peers", |token| peer_server.run(token));
-        let handler = api_handler(Arc::new(base.api_parts(Arc::clone(&members))));
+        let parts = base.api_parts(
+            Arc::clone(&members),
+            Arc::clone(&notes),
+            Arc::clone(&orders),
+        );
+        let handler = api_handler(Arc::new(parts));
         let server = entry.server.with_handler(handler);
         kernel.start("entry", |token| server.run(token));
         log::info!(
@@ -240,10 +321,10 @@
             kernel,
             callers,
             peers,
-            drain: base.drain_service(Arc::clone(&members)),
+            drain: base.drain_service(Arc::clone(&members), orders),
             drain_settings: base.drain_settings(),
             members,
-            notes: base.notes,
+            notes,
         })
     }
 
@@ -307,16 +388,20 @@
     Ok(BoundEntry { server, callers })
 }
 
-fn register(kernel: &ServiceKernel, base: &DaemonBase) -> Result<(), NodeError> {
-    kernel.register("notes", Arc::clone(&base.notes))?;
+fn register(
+    kernel: &ServiceKernel,
+    base: &DaemonBase,
+    notes: &Arc<NoteService>,
+    orders: &Arc<OrderService>,
+) -> Result<(), NodeError> {
+    kernel.register("orders", Arc::clone(orders))?;
+    kernel.register(NOTE_SERVICE, Arc::clone(notes))?;
     kernel.register("prompts", Arc::clone(&base.prompts))?;
     kernel.register("directory", Arc::clone(&base.directory))?;
     Ok(())
 }
 
 fn start_background(kernel: &ServiceKernel, base: &DaemonBase, members: &Arc<MemberService>) {
-    let notes = Arc::clone(&base.notes);
-    kernel.start("notes", |token| notes.run(token));
     let directory = Arc::clone(&base.directory);
     let hosts = Arc::clone(&base.hosts);
     kernel.start("directory", |token| directory.run(hosts, token));
--- a/components/node/src/peers/message.rs
+++ b/components/node/src/peers/message.rs
@@ -2,11 +2,12 @@
 
 use std::time::Duration;
 
+use notes::NotesRequest;
 use routing::RefusalReason;
 use serde::{Deserialize, Serialize};
 use types::{
-    AdapterId, ModelId, ModelVersion, NodeId, NoteVersion, OrganisationId, PlanKind, RequestId,
-    TokenCount, ZoneId,
+    AdapterId, ModelId, ModelVersion, NoteVersion, OrganisationId, PlanKind, RequestId, TokenCount,
+    ZoneId,
 };
 
 /// A prompt handed on with what was decided where it was admitted.
@@ -54,12 +55,7 @@
     /// Run a prompt and stream the replies.
     Prompt(Box<ForwardedPrompt>),
     /// The release notes after a version.
-    Notes {
-        /// The asking node.
-        node: NodeId,
-        /// Newest version it has.
-        after: NoteVersion,
-    },
+    Notes(NotesRequest),
 }
 
 /// What happens to a forwarded prompt, in order; each names its request.
