Attribute engine deaths to prompts and quarantine the guilty (partial)

The process test that counts lost engines still fails: a bystander that is retried beside the guilty prompt ties with it.

--- /dev/null
+++ b/components/engines/tests/crash.rs
@@ -0,0 +1,248 @@
+//! Attribution of engine deaths to prompts, fault by fault.
+
+use std::{
+    collections::BTreeSet,
+    time::{Duration, Instant},
+};
+
+use engines::{
+    CrashLedger, CrashSettings, CrashVerdict, DeathCause, DeathId, DeathRecord, PromptFingerprint,
+    fingerprint_of,
+};
+use rand::{RngExt, SeedableRng, rngs::StdRng, seq::SliceRandom};
+
+fn prompt(name: &str) -> PromptFingerprint {
+    fingerprint_of(&"lakeshore".to_owned(), &"atlas".to_owned(), name)
+}
+
+fn death(engine: usize, incarnation: u64) -> DeathId {
+    DeathId {
+        engine: format!("engine-{engine}"),
+        incarnation,
+    }
+}
+
+fn ledger() -> CrashLedger {
+    CrashLedger::new(CrashSettings::default())
+}
+
+fn is_quarantined(ledger: &CrashLedger, now: Instant, prompt: &PromptFingerprint) -> bool {
+    matches!(
+        ledger.verdict(now, prompt),
+        CrashVerdict::Quarantined { .. }
+    )
+}
+
+#[test]
+fn the_second_death_points_at_the_prompt_that_was_at_both() {
+    let mut ledger = ledger();
+    let now = Instant::now();
+    for name in ["guilty", "first", "second"] {
+        ledger.lost(now, &death(1, 1), prompt(name));
+    }
+    assert_eq!(
+        ledger.verdict(now, &prompt("guilty")),
+        CrashVerdict::Suspect
+    );
+
+    let later = now + Duration::from_secs(10);
+    ledger.lost(later, &death(2, 1), prompt("third"));
+    ledger.lost(later, &death(2, 1), prompt("guilty"));
+
+    assert!(is_quarantined(&ledger, later, &prompt("guilty")));
+    for name in ["first", "second", "third"] {
+        assert_eq!(
+            ledger.verdict(later, &prompt(name)),
+            CrashVerdict::Clear,
+            "{name}"
+        );
+    }
+}
+
+#[test]
+fn the_order_in_which_losses_are_noticed_does_not_matter() {
+    let now = Instant::now();
+    let mut losses = vec![
+        (death(1, 1), prompt("guilty")),
+        (death(1, 1), prompt("a")),
+        (death(1, 1), prompt("b")),
+        (death(2, 1), prompt("guilty")),
+        (death(2, 1), prompt("c")),
+    ];
+    let mut rng = StdRng::seed_from_u64(7);
+    for _ in 0..100 {
+        losses.shuffle(&mut rng);
+        let mut ledger = ledger();
+        for (death, prompt) in &losses {
+            ledger.lost(now, death, *prompt);
+        }
+        assert!(
+            is_quarantined(&ledger, now, &prompt("guilty")),
+            "{losses:?}"
+        );
+        for name in ["a", "b", "c"] {
+            assert_eq!(ledger.verdict(now, &prompt(name)), CrashVerdict::Clear);
+        }
+    }
+}
+
+#[test]
+fn one_life_of_an_engine_counts_once() {
+    let mut ledger = ledger();
+    let now = Instant::now();
+    ledger.lost(now, &death(1, 1), prompt("resent"));
+    ledger.lost(now, &death(1, 1), prompt("resent"));
+
+    assert_eq!(
+        ledger.verdict(now, &prompt("resent")),
+        CrashVerdict::Suspect
+    );
+}
+
+#[test]
+fn a_prompt_that_is_answered_whole_is_cleared() {
+    let mut ledger = ledger();
+    let now = Instant::now();
+    ledger.lost(now, &death(1, 1), prompt("innocent"));
+
+    ledger.answered(prompt("innocent"));
+    ledger.lost(
+        now + Duration::from_mins(1),
+        &death(2, 1),
+        prompt("innocent"),
+    );
+
+    assert_eq!(
+        ledger.verdict(now + Duration::from_mins(1), &prompt("innocent")),
+        CrashVerdict::Suspect
+    );
+    ledger.answered(prompt("innocent"));
+    assert!(ledger.is_empty());
+}
+
+#[test]
+fn two_prompts_at_the_same_two_deaths_are_not_told_apart() {
+    let mut ledger = ledger();
+    let now = Instant::now();
+    for engine in [1, 2] {
+        ledger.told(
+            now,
+            &DeathRecord {
+                death: death(engine, 1),
+                age: Duration::ZERO,
+                suspects: BTreeSet::from([prompt("a"), prompt("b")]),
+                cause: DeathCause::Unknown,
+            },
+        );
+    }
+
+    assert_eq!(ledger.verdict(now, &prompt("a")), CrashVerdict::Suspect);
+    assert_eq!(ledger.verdict(now, &prompt("b")), CrashVerdict::Suspect);
+
+    ledger.lost(now, &death(3, 1), prompt("b"));
+    assert!(is_quarantined(&ledger, now, &prompt("b")));
+    assert_eq!(ledger.verdict(now, &prompt("a")), CrashVerdict::Clear);
+}
+
+#[test]
+fn another_organisations_copy_of_a_text_is_another_prompt() {
+    let model = "atlas".to_owned();
+    let own = fingerprint_of(&"lakeshore".to_owned(), &model, "text");
+    let copied = fingerprint_of(&"visitor".to_owned(), &model, "text");
+
+    assert_ne!(own, copied);
+}
+
+#[test]
+fn an_organisation_cannot_have_anothers_prompt_quarantined() {
+    let mut ledger = ledger();
+    let now = Instant::now();
+    let attack = |name: &str| fingerprint_of(&"visitor".to_owned(), &"atlas".to_owned(), name);
+    // Two different prompts of an attacker meet the same bystander.
+    ledger.lost(now, &death(1, 1), prompt("bystander"));
+    ledger.lost(now, &death(1, 1), attack("first"));
+    ledger.lost(now, &death(2, 1), prompt("bystander"));
+    ledger.lost(now, &death(2, 1), attack("second"));
+    assert_eq!(
+        ledger.verdict(now, &prompt("bystander")),
+        CrashVerdict::Suspect
+    );
+
+    // The attacker's own prompt dies once more and explains its death.
+    ledger.lost(now, &death(3, 1), attack("first"));
+    assert!(is_quarantined(&ledger, now, &attack("first")));
+    assert_eq!(
+        ledger.verdict(now, &prompt("bystander")),
+        CrashVerdict::Suspect
+    );
+}
+
+#[test]
+fn an_operator_clears_a_prompt() {
+    let mut ledger = ledger();
+    let now = Instant::now();
+    ledger.lost(now, &death(1, 1), prompt("unlucky"));
+    ledger.lost(now, &death(2, 1), prompt("unlucky"));
+    assert!(is_quarantined(&ledger, now, &prompt("unlucky")));
+
+    assert!(ledger.clear(&prompt("unlucky")));
+
+    assert_eq!(ledger.verdict(now, &prompt("unlucky")), CrashVerdict::Clear);
+    assert!(!ledger.clear(&prompt("never seen")));
+}
+
+#[test]
+fn a_rack_that_dies_accuses_nobody() {
+    let mut ledger = ledger();
+    let now = Instant::now();
+    ledger.lost(now, &death(1, 1), prompt("unlucky"));
+    let later = now + Duration::from_mins(5);
+    for engine in 2..8 {
+        ledger.lost(later, &death(engine, 1), prompt(&format!("other-{engine}")));
+    }
+    ledger.lost(later, &death(8, 1), prompt("unlucky"));
+
+    assert!(!is_quarantined(&ledger, later, &prompt("unlucky")));
+}
+
+#[test]
+fn quarantine_expires_and_memory_stays_bounded() {
+    let settings = CrashSettings {
+        death_limit: 100,
+        ..CrashSettings::default()
+    };
+    let memory = settings.memory;
+    let mut ledger = CrashLedger::new(settings);
+    let start = Instant::now();
+    let mut rng = StdRng::seed_from_u64(3);
+    for step in 0..600_u64 {
+        let now = start + Duration::from_secs(step * 5);
+        let name = format!("prompt-{}", rng.random_range(0..400));
+        ledger.lost(now, &death(rng.random_range(0..50), step), prompt(&name));
+        assert!(ledger.newest(now, usize::MAX).len() <= 101);
+    }
+    let end = start + Duration::from_mins(50) + memory;
+
+    assert!(ledger.quarantined(end).is_empty());
+    ledger.lost(end, &death(1, 99_999), prompt("last"));
+    assert_eq!(ledger.newest(end, usize::MAX).len(), 1);
+}
+
+#[test]
+fn nodes_that_exchange_evidence_agree() {
+    let now = Instant::now();
+    let mut first = ledger();
+    let mut second = ledger();
+    first.lost(now, &death(1, 1), prompt("guilty"));
+    second.lost(now, &death(2, 1), prompt("guilty"));
+
+    for record in first.newest(now, 10) {
+        second.told(now, &record);
+    }
+    for record in second.newest(now, 10) {
+        first.told(now, &record);
+    }
+
+    assert!(is_quarantined(&first, now, &prompt("guilty")));
+    assert!(is_quarantined(&second, now, &prompt("guilty")));
+}
--- a/components/node/src/api/parts.rs
+++ b/components/node/src/api/parts.rs
@@ -11,6 +11,7 @@
 use crate::{
     directory::UpstreamDirectory, drain::DrainFlag, fleet::FleetView, members::MemberService,
     notes::NoteService, orders::OrderService, prompts::PromptService,
+    quarantine::QuarantineService,
 };
 
 /// The services behind the HTTP interface.
@@ -23,6 +24,8 @@
     pub notes: Arc<NoteService>,
     /// Which organisation a key belongs to.
     pub keys: KeyIndex,
+    /// Prompts that crash engines.
+    pub quarantine: Arc<QuarantineService>,
     /// Prompts.
     pub prompts: Arc<PromptService>,
     /// Orders and reads of plain services.
--- a/components/node/src/api/prompt_run.rs
+++ b/components/node/src/api/prompt_run.rs
@@ -225,6 +225,10 @@
         RefusalReason::ModelNotReady => {
             (FailureKind::Unavailable, "no engine holds the model ready")
         }
+        RefusalReason::Quarantined => (
+            FailureKind::Unprocessable,
+            "the prompt crashed engines that ran it; it is not run again for a while",
+        ),
         RefusalReason::RetriesExhausted => (
             FailureKind::BadGateway,
             "the engines that ran the prompt failed",
--- /dev/null
+++ b/components/node/src/api/quarantine.rs
@@ -0,0 +1,60 @@
+//! `/v1/operator/quarantine`: prompts that crash engines.
+
+use std::sync::Arc;
+
+use engines::{DeathId, PromptFingerprint};
+use entry::{ApiFailure, EntryRequest, FailureKind};
+use serde::{Deserialize, Serialize};
+
+use super::{
+    ApiParts,
+    access::require_operator,
+    answer::{ApiResult, json_response},
+};
+
+/// One quarantined prompt.
+#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
+pub struct QuarantinedPrompt {
+    /// Its fingerprint, in hexadecimal.
+    pub prompt: String,
+    /// The engines' lives it ended.
+    pub deaths: Vec<DeathId>,
+    /// Time left in milliseconds.
+    pub left_ms: u64,
+}
+
+/// Lists the quarantined prompts.
+///
+/// # Errors
+/// `ApiFailure` without an operator's key.
+pub fn list(parts: &Arc<ApiParts>, request: &EntryRequest) -> ApiResult {
+    require_operator(parts, request)?;
+    let entries = parts.quarantine.list().into_iter();
+    let prompts: Vec<QuarantinedPrompt> = entries
+        .map(|entry| QuarantinedPrompt {
+            prompt: entry.fingerprint.to_hex(),
+            deaths: entry.deaths,
+            left_ms: u64::try_from(entry.left.as_millis()).unwrap_or(u64::MAX),
+        })
+        .collect();
+    Ok(json_response(&prompts))
+}
+
+/// Clears one prompt, on every node.
+///
+/// # Errors
+/// `ApiFailure` without an operator's key, or when nothing is held of it.
+pub fn clear(parts: &Arc<ApiParts>, request: &EntryRequest, prompt: &str) -> ApiResult {
+    require_operator(parts, request)?;
+    let known = PromptFingerprint::from_hex(prompt);
+    if known.is_some_and(|known| parts.quarantine.clear(&known)) {
+        return list(parts, request);
+    }
+    let message = format!("nothing is held of prompt {prompt}");
+    Err(ApiFailure::new(
+        FailureKind::NotFound,
+        "unknown_prompt",
+        message,
+    ))
+}
--- a/components/node/src/api/router.rs
+++ b/components/node/src/api/router.rs
@@ -14,7 +14,7 @@
     addresses,
     answer::{ApiResult, text_response},
     completions::complete,
-    operator, operator_orders,
+    operator, operator_orders, quarantine,
     services::{ServicePath, call_service, order_state},
     shape::AnswerShape,
 };
@@ -32,6 +32,8 @@
     OperatorTrace(String),
     OperatorOrders,
     OperatorOrder(OrderName),
+    OperatorQuarantine,
+    OperatorClear(String),
     OrderState { service: String, key: String },
 }
 
@@ -75,6 +77,7 @@
         "/v1/operator/status" => ApiRoute::OperatorStatus,
         "/v1/operator/notes" => ApiRoute::OperatorNotes,
         "/v1/operator/orders" => ApiRoute::OperatorOrders,
+        "/v1/operator/quarantine" => ApiRoute::OperatorQuarantine,
         _ => return find_named_route(request, path),
     };
     Some(route)
@@ -84,6 +87,9 @@
     if let Some(id) = path.strip_prefix("/v1/operator/traces/") {
         return Some(ApiRoute::OperatorTrace(id.to_owned()));
     }
+    if let Some(prompt) = path.strip_prefix("/v1/operator/quarantine/") {
+        return Some(ApiRoute::OperatorClear(prompt.to_owned()));
+    }
     if let Some(row_key) = path.strip_prefix("/v1/operator/orders/") {
         return OrderName::from_row_key(row_key).map(ApiRoute::OperatorOrder);
     }
@@ -121,6 +127,8 @@
         | ApiRoute::OperatorNotes
         | ApiRoute::OperatorTrace(_)
         | ApiRoute::OperatorOrders
+        | ApiRoute::OperatorQuarantine
+        | ApiRoute::OperatorClear(_)
         | ApiRoute::OperatorOrder(_) => "operator",
     }
 }
@@ -140,6 +148,8 @@
         }
         ApiRoute::OperatorNotes => operator::read_notes(parts, request).await,
         ApiRoute::OperatorTrace(id) => operator::trace(&parts, &request, &id),
+        ApiRoute::OperatorQuarantine => quarantine::list(&parts, &request),
+        ApiRoute::OperatorClear(prompt) => quarantine::clear(&parts, &request, &prompt),
         ApiRoute::OperatorOrders => operator_orders::list_orders(parts, request).await,
         ApiRoute::OperatorOrder(name) => operator_orders::one_order(parts, request, name).await,
         ApiRoute::OrderState { service, key } => order_state(parts, request, &service, &key).await,
@@ -148,7 +158,7 @@
 
 fn require_method(request: &EntryRequest, route: &ApiRoute) -> Result<(), ApiFailure> {
     let allowed: &[Method] = match route {
-        ApiRoute::Completion(_) => &[Method::Post],
+        ApiRoute::Completion(_) | ApiRoute::OperatorClear(_) => &[Method::Post],
         ApiRoute::Service(_) | ApiRoute::OperatorNotes | ApiRoute::OperatorOrder(_) => {
             &[Method::Get, Method::Post]
         }
--- a/components/node/src/daemon.rs
+++ b/components/node/src/daemon.rs
@@ -29,6 +29,7 @@
     orders::{OrderService, OrderSettings, ServicePeer, ServiceResolver, ServiceTarget},
     peers::{PeerClient, PeerHandler, PeerServer},
     prompts::{PromptParts, PromptService},
+    quarantine::QuarantineService,
     sockets::{PeerSockets, member_identity},
     watch::EngineWatch,
 };
@@ -61,6 +62,7 @@
     draining: Arc<DrainFlag>,
     orders_token: CancellationToken,
     peers: Arc<PeerClient>,
+    quarantine: Arc<QuarantineService>,
     prompts: Arc<PromptService>,
     hosts: Arc<dyn HostList>,
     table: Arc<dyn TableService>,
@@ -82,12 +84,14 @@
         let tracer = HopTracer::new(&settings.node.id, SPAN_CAPACITY);
         let directory = UpstreamDirectory::new(clock.clone());
         let peers = PeerClient::new(settings.node.id.clone(), Arc::clone(&ring), clock.clone());
+        let quarantine = QuarantineService::new(clock.clone());
         let prompts = PromptService::new(PromptParts {
             node: settings.node.id.clone(),
             zone: settings.node.zone.clone(),
             clock: clock.clone(),
             directory: Arc::clone(&directory),
             peers: Arc::clone(&peers),
+            quarantine: Arc::clone(&quarantine),
             tracer: tracer.clone(),
             metrics: Arc::clone(&metrics),
             settings: SchedulerSettings {
@@ -109,6 +113,7 @@
             tracer,
             directory,
             peers,
+            quarantine,
             prompts,
         }
     }
@@ -124,6 +129,7 @@
             clock: self.clock.clone(),
             notes,
             keys: KeyIndex::default(),
+            quarantine: Arc::clone(&self.quarantine),
             prompts: Arc::clone(&self.prompts),
             orders,
             members,
@@ -188,6 +194,7 @@
             fleet: Arc::clone(&self.fleet),
             peers: Arc::clone(&self.peers),
             directory: Arc::clone(&self.directory),
+            quarantine: Arc::clone(&self.quarantine),
             prompts: Arc::clone(&self.prompts),
             metrics: Arc::clone(&self.metrics),
         }
@@ -415,6 +422,8 @@
     kernel.start("evidence", |token| {
         links.clone().run_evidence_publisher(token)
     });
+    kernel.start("deaths", |token| links.clone().run_death_publisher(token));
+    kernel.start("deaths told", |token| links.clone().run_death_reader(token));
     kernel.start("told", |token| links.clone().run_evidence_reader(token));
     kernel.start("reader", |token| links.run_reader(token));
 }
--- a/components/node/src/lib.rs
+++ b/components/node/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod orders;
 pub mod peers;
 pub mod prompts;
+pub mod quarantine;
 pub mod sockets;
 pub mod watch;
 
--- a/components/node/src/links.rs
+++ b/components/node/src/links.rs
@@ -6,6 +6,7 @@
     time::Duration,
 };
 
+use engines::DeathRecord;
 use kernel::{CancellationToken, ClockSource};
 use membership::{GossipTopic, MemberSnapshot, UpstreamEvidence};
 use routing::SchedulerEvent;
@@ -14,7 +15,7 @@
 
 use crate::{
     directory::UpstreamDirectory, fleet::FleetView, members::MemberService, peers::PeerClient,
-    prompts::PromptService,
+    prompts::PromptService, quarantine::QuarantineService,
 };
 
 /// Summaries are made at this pace; membership sends each to few members.
@@ -36,6 +37,8 @@
     pub peers: Arc<PeerClient>,
     /// Known upstreams.
     pub directory: Arc<UpstreamDirectory>,
+    /// Prompts that crash engines.
+    pub quarantine: Arc<QuarantineService>,
     /// The scheduler's service.
     pub prompts: Arc<PromptService>,
     /// Metrics.
@@ -167,4 +170,39 @@
         };
         smol::future::or(reading, token.cancelled()).await;
     }
+
+    /// Tells other nodes of engines that died under prompts, until `token` is
+    /// cancelled.
+    pub async fn run_death_publisher(self, token: CancellationToken) {
+        let news = self.quarantine.news();
+        let publishing = async {
+            while news.recv().await.is_ok() {
+                let Ok(body) = postcard::to_stdvec(&self.quarantine.evidence()) else {
+                    continue;
+                };
+                let topic = GossipTopic::CrashEvidence;
+                if let Err(fault) = self.members.publish(topic, body).await {
+                    log::warn!("event=deaths_not_sent cause=\"{fault}\"");
+                }
+            }
+        };
+        smol::future::or(publishing, token.cancelled()).await;
+    }
+
+    /// Takes what other nodes tell of deaths until `token` is cancelled.
+    pub async fn run_death_reader(self, token: CancellationToken) {
+        let evidence = self.members.subscribe(GossipTopic::CrashEvidence);
+        let reading = async {
+            while let Ok(record) = evidence.recv().await {
+                match postcard::from_bytes::<Vec<DeathRecord>>(&record.body) {
+                    Ok(records) => self.quarantine.told(&records),
+                    Err(error) => log::warn!(
+                        "event=deaths_not_read node={} cause=\"{error}\"",
+                        record.origin
+                    ),
+                }
+            }
+        };
+        smol::future::or(reading, token.cancelled()).await;
+    }
 }
--- a/components/node/src/prompts/attempt.rs
+++ b/components/node/src/prompts/attempt.rs
@@ -2,6 +2,7 @@
 
 use std::{sync::Arc, time::Duration};
 
+use engines::DeathId;
 use errors::UpstreamError;
 use futures_lite::StreamExt;
 use kernel::CancellationToken;
@@ -17,6 +18,7 @@
     gang::GangHold,
     open::{OpenPrompt, PromptWork},
 };
+use crate::directory::KnownEngine;
 
 /// An attempt under way.
 pub(super) struct RunningAttempt {
@@ -24,6 +26,8 @@
     request: RequestId,
     attempt: AttemptId,
     engines: Vec<EngineId>,
+    /// The engine called, as known when the attempt began.
+    engine: Option<KnownEngine>,
     call: EngineCall,
     token: CancellationToken,
     span: HopSpan,
@@ -69,6 +73,7 @@
             service: Arc::clone(self),
             request,
             attempt,
+            engine: self.directory.engine(&first),
             engines,
             call,
             token,
@@ -152,7 +157,7 @@
             AttemptEnd::Dropped
         })
         .await;
-        self.report(end);
+        self.report(end).await;
     }
 
     async fn try_run(&self) -> AttemptEnd {
@@ -188,11 +193,8 @@
 
     async fn stream(&self, call: EngineCall) -> Result<AttemptEnd, UpstreamError> {
         let engine = &self.engines[0];
-        let known = self
-            .service
-            .directory
-            .engine(engine)
-            .ok_or_else(|| unknown_engine(engine))?;
+        let known = self.engine.as_ref();
+        let known = known.ok_or_else(|| unknown_engine(engine))?;
         let mut stream = known.client.submit(call).await?;
         while let Some(event) = stream.next().await {
             if let Some(end) = self.take(event?).await? {
@@ -311,7 +313,7 @@
         }
     }
 
-    fn report(&self, end: AttemptEnd) {
+    async fn report(&self, end: AttemptEnd) {
         let request = self.request.clone();
         let attempt = self.attempt;
         match end {
@@ -333,11 +335,11 @@
                     engine,
                 });
             }
-            AttemptEnd::Failed(error) => self.report_failure(&error),
+            AttemptEnd::Failed(error) => self.report_failure(&error).await,
         }
     }
 
-    fn report_failure(&self, error: &UpstreamError) {
+    async fn report_failure(&self, error: &UpstreamError) {
         self.span.fail(&error.to_string());
         self.service
             .metrics
@@ -350,8 +352,15 @@
         );
         if is_engine_fault(error) {
             self.doubt_engine();
+            self.note_death().await;
         }
         let delivered = self.release_work();
+        if self.service.refuse_quarantined(&self.request) {
+            self.service.handle(SchedulerEvent::Cancelled {
+                request: self.request.clone(),
+            });
+            return;
+        }
         self.service.handle(SchedulerEvent::Failed {
             request: self.request.clone(),
             attempt: self.attempt,
@@ -373,6 +382,32 @@
         });
     }
 
+    /// Finds out whether the engine's life ended, and holds it against the
+    /// prompt if so.
+    async fn note_death(&self) {
+        let Some(known) = &self.engine else {
+            return;
+        };
+        let alive = match known.client.report().await {
+            Ok(report) => report.profile.incarnation == known.incarnation,
+            Err(_) => false,
+        };
+        if alive {
+            return;
+        }
+        let death = DeathId {
+            engine: known.id.clone(),
+            incarnation: known.incarnation,
+        };
+        let prompt = self.service.with_open(|open| {
+            let prompt = open.get(&self.request)?;
+            Some((prompt.job.clone(), Arc::clone(&prompt.text)))
+        });
+        if let Some((job, text)) = prompt {
+            self.service.quarantine.lost(&death, &job, &text);
+        }
+    }
+
     /// Takes the prompt off this attempt; returns the tokens delivered.
     fn release_work(&self) -> TokenCount {
         self.service.with_open(|open| {
--- a/components/node/src/prompts/service.rs
+++ b/components/node/src/prompts/service.rs
@@ -22,7 +22,7 @@
     open::{OpenPrompt, PromptWork},
     patience::ReadyMemory,
 };
-use crate::{directory::UpstreamDirectory, peers::PeerClient};
+use crate::{directory::UpstreamDirectory, peers::PeerClient, quarantine::QuarantineService};
 
 const UPDATE_CAPACITY: usize = 256;
 const THOUSANDTHS: f64 = 1_000.0;
@@ -48,6 +48,7 @@
     pub(super) clock: ClockSource,
     pub(super) directory: Arc<UpstreamDirectory>,
     pub(super) peers: Arc<PeerClient>,
+    pub(super) quarantine: Arc<QuarantineService>,
     pub(super) tracer: HopTracer,
     pub(super) metrics: Arc<NodeMetrics>,
     scheduler: Mutex<NodeScheduler>,
@@ -70,6 +71,8 @@
     pub directory: Arc<UpstreamDirectory>,
     /// Calls to other nodes.
     pub peers: Arc<PeerClient>,
+    /// Prompts that crash engines.
+    pub quarantine: Arc<QuarantineService>,
     /// Spans.
     pub tracer: HopTracer,
     /// Metrics.
@@ -89,6 +92,7 @@
             clock: parts.clock,
             directory: parts.directory,
             peers: parts.peers,
+            quarantine: parts.quarantine,
             tracer: parts.tracer,
             metrics: parts.metrics,
             scheduler: Mutex::new(scheduler),
@@ -118,10 +122,12 @@
         };
         self.with_open(|open| open.insert(request.clone(), prompt));
         self.metrics.open_prompts.inc();
-        self.handle(SchedulerEvent::Arrived {
-            job: submission.job,
-            via: submission.via,
-        });
+        if !self.refuse_quarantined(&request) {
+            self.handle(SchedulerEvent::Arrived {
+                job: submission.job,
+                via: submission.via,
+            });
+        }
         PromptTicket {
             service: Arc::clone(self),
             request,
@@ -254,6 +260,22 @@
         }
     }
 
+    /// Ends a prompt that is in quarantine; false when it is not.
+    pub(super) fn refuse_quarantined(&self, request: &RequestId) -> bool {
+        let known = self.with_open(|open| {
+            let prompt = open.get(request)?;
+            Some((prompt.job.clone(), Arc::clone(&prompt.text)))
+        });
+        let Some((job, text)) = known else {
+            return false;
+        };
+        let Some(left) = self.quarantine.quarantine_of(&job, &text) else {
+            return false;
+        };
+        self.refuse(request, RefusalReason::Quarantined, left);
+        true
+    }
+
     fn refuse(&self, request: &RequestId, reason: RefusalReason, retry_after: Duration) {
         let Some(prompt) = self.remove(request) else {
             return;
@@ -279,6 +301,7 @@
         let Some(prompt) = self.remove(request) else {
             return;
         };
+        self.quarantine.answered(&prompt.job, &prompt.text);
         self.count_outcome(prompt.job.plan, "finished");
         send_last(&prompt, PromptUpdate::Finished { tokens });
     }
@@ -330,6 +353,7 @@
         RefusalReason::TooLong => "too_long",
         RefusalReason::ModelNotReady => "model_not_ready",
         RefusalReason::RetriesExhausted => "retries_exhausted",
+        RefusalReason::Quarantined => "prompt_quarantined",
     }
 }
 
--- a/components/routing/src/message.rs
+++ b/components/routing/src/message.rs
@@ -233,6 +233,8 @@
     ModelNotReady,
     /// Attempts failed and the retry budget is used up.
     RetriesExhausted,
+    /// The prompt crashed engines that ran it.
+    Quarantined,
 }
 
 /// What the node must do.
--- a/src/cli.rs
+++ b/src/cli.rs
@@ -28,6 +28,8 @@
     Resolve(ResolveCommand),
     /// Orders to plain services.
     Order(OrderCommand),
+    /// Prompts that crash engines.
+    Quarantine(QuarantineCommand),
     /// Spans of a request.
     Trace(TraceCommand),
     /// Load scenarios.
@@ -263,6 +265,58 @@
     pub json: bool,
 }
 
+/// List and clear prompts that crash the engines that run them.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "quarantine")]
+pub struct QuarantineCommand {
+    /// what to do with quarantined prompts
+    #[argh(subcommand)]
+    pub action: QuarantineAction,
+}
+
+/// What to do with quarantined prompts.
+#[derive(FromArgs)]
+#[argh(subcommand)]
+pub enum QuarantineAction {
+    /// List them.
+    List(QuarantineList),
+    /// Let one run again.
+    Clear(QuarantineClear),
+}
+
+/// List quarantined prompts.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "list")]
+pub struct QuarantineList {
+    /// address of any node, as IP number and port
+    #[argh(option)]
+    pub node: String,
+    /// operator's key; else the environment's GENTIANTALLY_KEY
+    #[argh(option)]
+    pub key: Option<String>,
+    /// write one JSON document
+    #[argh(switch)]
+    pub json: bool,
+}
+
+/// Let a quarantined prompt run again, on every node.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "clear")]
+pub struct QuarantineClear {
+    /// the prompt, as the list names it
+    #[argh(positional)]
+    pub prompt: String,
+    /// address of any node, as IP number and port
+    #[argh(option)]
+    pub node: String,
+    /// operator's key; else the environment's GENTIANTALLY_KEY
+    #[argh(option)]
+    pub key: Option<String>,
+    /// write one JSON document
+    #[argh(switch)]
+    pub json: bool,
+}
+
 /// Show the nodes as one of them sees them.
 #[derive(FromArgs)]
 #[argh(subcommand, name = "status")]
--- a/src/cmd/mod.rs
+++ b/src/cmd/mod.rs
@@ -7,6 +7,7 @@
 pub mod node;
 pub mod note;
 pub mod order;
+pub mod quarantine;
 pub mod resolve;
 pub mod status;
 pub mod trace;
@@ -25,6 +26,7 @@
         SubCommand::Status(command) => status::run(&command),
         SubCommand::Resolve(command) => resolve::run(&command),
         SubCommand::Order(command) => order::run(command.action),
+        SubCommand::Quarantine(command) => quarantine::run(command.action),
         SubCommand::Trace(command) => trace::run(&command),
         SubCommand::Bench(command) => {
             bench::run(&command).map_err(|error| LaunchError::Failed(error.to_string()))
--- /dev/null
+++ b/src/cmd/quarantine.rs
@@ -0,0 +1,55 @@
+//! `gentiantally quarantine`.
+
+use node::api::QuarantinedPrompt;
+
+use super::client::{NodeClient, write_json, write_line};
+use crate::{
+    cli::{QuarantineAction, QuarantineClear, QuarantineList},
+    launch::LaunchError,
+};
+
+const PATH: &str = "/v1/operator/quarantine";
+
+/// Lists or clears quarantined prompts.
+///
+/// # Errors
+/// `LaunchError::Failed`.
+pub fn run(action: QuarantineAction) -> Result<(), LaunchError> {
+    match action {
+        QuarantineAction::List(command) => list(&command),
+        QuarantineAction::Clear(command) => clear(&command),
+    }
+}
+
+fn list(command: &QuarantineList) -> Result<(), LaunchError> {
+    let client = NodeClient::new(&command.node, command.key.as_deref());
+    let prompts = smol::block_on(client.get("quarantine list", PATH))?;
+    show(prompts, command.json)
+}
+
+fn clear(command: &QuarantineClear) -> Result<(), LaunchError> {
+    let client = NodeClient::new(&command.node, command.key.as_deref());
+    let path = format!("{PATH}/{}", command.prompt);
+    let prompts = smol::block_on(client.post("quarantine clear", &path, String::new()))?;
+    show(prompts, command.json)
+}
+
+fn show(prompts: Vec<QuarantinedPrompt>, json: bool) -> Result<(), LaunchError> {
+    if json {
+        return write_json(&prompts);
+    }
+    for prompt in &prompts {
+        let engines: Vec<&str> = prompt
+            .deaths
+            .iter()
+            .map(|death| death.engine.as_str())
+            .collect();
+        write_line(&format!(
+            "{} crashed {}, {} ms left",
+            prompt.prompt,
+            engines.join(" "),
+            prompt.left_ms
+        ))?;
+    }
+    write_line(&format!("{} prompts in quarantine", prompts.len()))
+}
--- a/tests/processes.rs
+++ b/tests/processes.rs
@@ -3,7 +3,7 @@
 mod common;
 
 use common::{TestFleet, alive_members, named_addresses, poll, require_whole_answer, run_command};
-use gentiantally::cmd::local;
+use gentiantally::cmd::{client::NodeClient, local};
 use rustix::process::Signal;
 
 const PROMPT: &str = "Is the route clear of ash?";
@@ -103,6 +103,35 @@
     }
 }
 
+#[test]
+fn a_prompt_that_crashes_engines_costs_two_of_them() {
+    let fleet = TestFleet::start(3, 6);
+    let bystanders = start_answers(&fleet, 6);
+    poll("bystanders are open", || open_prompts(&fleet) > 0);
+
+    // The caller sends it again through every node, twice.
+    for round in 0..2 {
+        for node in &fleet.nodes {
+            let refusal = smol::block_on(send_crashing(node.callers.clone()));
+            assert!(refusal.contains("prompt_quarantined"), "{round}: {refusal}");
+        }
+    }
+
+    smol::block_on(finish(bystanders));
+    poll("the engines are back", || engine_lives_lost(&fleet) == 2);
+    let listed = run_command(&[
+        "quarantine",
+        "list",
+        "--node",
+        &fleet.nodes[2].callers,
+        "--key",
+        local::OPERATOR_KEY,
+        "--json",
+    ]);
+    let prompts: serde_json::Value = serde_json::from_slice(&listed.stdout).unwrap();
+    assert_eq!(prompts.as_array().unwrap().len(), 1, "{prompts}");
+}
+
 #[test]
 fn faulty_settings_and_a_busy_port_are_told_apart() {
     let folder = tempfile::TempDir::new().unwrap();
@@ -151,6 +180,31 @@
     assert_eq!(status["members"].as_array().unwrap().len(), 1);
 }
 
+async fn send_crashing(address: String) -> String {
+    let client = NodeClient::new(&address, Some(local::PAYING_KEY));
+    let body = serde_json::json!({
+        "model": common::MODEL,
+        "prompt": "please crash this engine",
+        "max_tokens": 16,
+    });
+    let sent: Result<serde_json::Value, _> = client
+        .post("prompt", "/v1/completions", body.to_string())
+        .await;
+    format!("{:?}", sent.unwrap_err())
+}
+
+/// Lives of engines that ended, by the incarnations they are at now.
+fn engine_lives_lost(fleet: &TestFleet) -> u64 {
+    let Some(status) = common::status(&fleet.nodes[0]) else {
+        return 0;
+    };
+    status
+        .engines
+        .iter()
+        .map(|engine| engine.incarnation - 1)
+        .sum()
+}
+
 /// Starts prompts on every node; they run for a while.
 fn start_answers(fleet: &TestFleet, count: usize) -> Vec<smol::Task<()>> {
     let addresses = fleet.nodes.iter().map(|node| node.callers.clone());
