Hold organisations to fleet-wide limits by shares of demand

Change: each node lets in its share of a limit, by the demand it sees over the demand that all nodes tell of; no store is asked. Long prompts are helped by calm engines of the same node, and are preempted only by work a sixty-fourth of their length; only short work stretches their estimates.

--- a/components/admission/src/queue.rs
+++ b/components/admission/src/queue.rs
@@ -129,6 +129,15 @@
         self.places.contains_key(request)
     }
 
+    /// Engine time of a request that waits.
+    #[must_use]
+    pub fn work_of(&self, request: &RequestId) -> Option<Duration> {
+        let place = self.places.get(request)?;
+        let lane = self.lanes.get(&place.lane)?;
+        let job = lane.jobs.get(&place.organisation)?.get(&place.key)?;
+        Some(job.work)
+    }
+
     /// Whether what waits is within the bounds.
     #[must_use]
     pub fn within(&self, bounds: QueueBounds) -> bool {
--- a/components/routing/src/arrival.rs
+++ b/components/routing/src/arrival.rs
@@ -68,6 +68,9 @@
         via: Option<&NodeId>,
     ) -> Result<Option<SchedulerAction>, Rejection> {
         self.retries.earn();
+        if via.is_none() {
+            self.enter(now, &job)?;
+        }
         let pool = self.pools.intern(PoolKey::of(&job));
         let class = self.class_of(now, &job)?;
         let queued = self.queued_job(now, job, pool, class);
@@ -75,6 +78,16 @@
         self.settle(now, queued, handed)
     }
 
+    /// Holds the organisation to its limits, on the node its caller reached.
+    fn enter(&mut self, now: Instant, job: &PromptJob) -> Result<(), Rejection> {
+        let tokens = job.prompt_tokens.saturating_add(job.output_tokens);
+        let admitted = self.limits.admit(now, &job.organisation, tokens);
+        admitted.map_err(|wait| Rejection::new(RefusalReason::OrganisationLimit, wait))?;
+        self.entered
+            .insert(job.request.clone(), job.organisation.clone());
+        Ok(())
+    }
+
     /// Forwards a prompt, unless `handed` forbids it, or queues it here.
     pub(crate) fn settle(
         &mut self,
--- a/components/routing/src/dispatch.rs
+++ b/components/routing/src/dispatch.rs
@@ -3,10 +3,12 @@
 use std::time::{Duration, Instant};
 
 use admission::{LengthClass, PoolIndex, QueuedJob};
-use types::{EngineId, PlanKind, RequestId, TokenCount};
+use types::{EngineId, EngineRole, PlanKind, RequestId, TokenCount};
 
 use crate::{
     NodeScheduler, SchedulerAction,
+    estimate::seconds,
+    gang::group_pace,
     load::LoadMeter,
     placement::{EngineOffer, PromptUrgency, engine_priority, may_borrow, needed_tokens, place},
     pool::PoolKey,
@@ -25,6 +27,13 @@
     urgency: PromptUrgency,
 }
 
+/// Prefill time from which other engines help a long prompt.
+const HELPED_WORK: Duration = Duration::from_secs(8);
+/// Most engines that help one prompt.
+const HELPERS_MAX: usize = 2;
+/// Free part of its memory that an engine needs to help.
+const HELPER_MEMORY: f64 = 0.5;
+
 impl NodeScheduler {
     /// Starts everything that an engine can take now.
     pub(crate) fn dispatch_all(&mut self, now: Instant, actions: &mut Vec<SchedulerAction>) {
@@ -54,12 +63,46 @@
             return;
         };
         while let Some(choice) = self.choose_engine(pool, now, class, &key) {
-            let engines = vec![choice.engine];
+            let engines = self.with_helpers(&key, choice.engine, &choice.request, class);
             let started = self.start(now, &choice.request, engines, choice.urgency);
             actions.extend(started);
         }
     }
 
+    /// The engine chosen and, for a long prompt, calm engines that lend it
+    /// their compute; enough of them stay with the short prompts.
+    fn with_helpers(
+        &self,
+        key: &PoolKey,
+        leader: EngineId,
+        request: &RequestId,
+        class: LengthClass,
+    ) -> Vec<EngineId> {
+        let work = self.queue.work_of(request).unwrap_or_default();
+        if class != LengthClass::Long || work < HELPED_WORK || self.gangs.backs_off(request) {
+            return vec![leader];
+        }
+        let calm: Vec<&EngineId> = self
+            .engines
+            .iter()
+            .filter(|(engine, view)| **engine != leader && key.served_by(&view.report))
+            .filter(|(engine, view)| view.is_idle(&self.node) && !self.gangs.reserves(engine))
+            .filter(|(_, view)| view.kv_free(&self.node) >= view.kv_part(HELPER_MEMORY))
+            .map(|(engine, _)| engine)
+            .collect();
+        let spare = calm.len().saturating_sub(self.kept_calm());
+        let mut engines = vec![leader];
+        engines.extend(calm.into_iter().rev().take(spare.min(HELPERS_MAX)).cloned());
+        engines
+    }
+
+    /// Calm engines that short prompts need at their present rate.
+    fn kept_calm(&self) -> usize {
+        let wanted = self.engines.values();
+        let short = wanted.filter(|view| view.wanted_role == EngineRole::Short);
+        short.count().max(1)
+    }
+
     /// How a job ranks on an engine now.
     pub(crate) fn urgency(&self, queued: &QueuedJob) -> PromptUrgency {
         match queued.job.plan {
@@ -127,10 +170,15 @@
                 continue;
             };
             if place == 0 && queued.class != LengthClass::Gang {
-                expected = left_on(view, &queued);
+                let alone = left_on(view, &queued);
+                expected = seconds(alone.as_secs_f64() / group_pace(engines.len()));
             }
             let mut flight = flight(now, &queued, priority, share, expected);
             flight.secondary = urgency.is_secondary();
+            flight.grouped = engines.len() > 1;
+            if place > 0 {
+                flight.class = LengthClass::Gang;
+            }
             view.add(now, flight);
         }
         let action = SchedulerAction::Dispatch {
@@ -142,7 +190,7 @@
         };
         self.deadlines
             .insert((queued.job.deadline, request.clone()));
-        if queued.class == LengthClass::Gang {
+        if engines.len() > 1 {
             self.groups.insert(request.clone(), engines.clone());
         }
         let running = RunningJob {
@@ -198,6 +246,7 @@
         least: least_left(left),
         dispatched: now,
         secondary: false,
+        grouped: false,
         shared: false,
     }
 }
--- a/components/routing/src/gang.rs
+++ b/components/routing/src/gang.rs
@@ -79,6 +79,11 @@
         self.wanted.contains_key(engine) || self.claims.contains_key(engine)
     }
 
+    /// Whether a group was refused to the request before.
+    pub(crate) fn backs_off(&self, request: &RequestId) -> bool {
+        self.backoffs.contains_key(request)
+    }
+
     /// Takes the claims that another node tells of.
     pub(crate) fn take_claims(&mut self, now: Instant, node: &NodeId, claims: &[EngineClaim]) {
         self.forget_node(node);
@@ -172,9 +177,7 @@
         let views = self.engines.values();
         let capacity = views.map(|view| view.report.profile.kv_capacity).max()?;
         let needed = job.prompt_tokens.saturating_add(job.output_tokens);
-        let others = self.group_size(needed, capacity).saturating_sub(1);
-        let others = u32::try_from(others).unwrap_or(u32::MAX);
-        Some(1.0 + MEMBER_EFFICIENCY * f64::from(others))
+        Some(group_pace(self.group_size(needed, capacity)))
     }
 
     /// The node that should gather the group, unless it is this one: one
@@ -434,6 +437,12 @@
     }
 }
 
+/// Prefill speed of a group over that of one engine.
+pub(crate) fn group_pace(engines: usize) -> f64 {
+    let others = u32::try_from(engines.saturating_sub(1)).unwrap_or(u32::MAX);
+    1.0 + MEMBER_EFFICIENCY * f64::from(others)
+}
+
 /// Weight of a node as the one that gathers a model's groups.
 fn rendezvous(node: &NodeId, job: &PromptJob) -> u64 {
     let mut hasher = DefaultHasher::new();
--- a/components/routing/src/lib.rs
+++ b/components/routing/src/lib.rs
@@ -23,9 +23,10 @@
 mod summary;
 mod view;
 
+pub use admission::LimitSettings;
 pub use message::{
-    EngineClaim, EngineDigest, NodeSummary, OrganisationUsage, PoolSummary, RefusalReason,
-    SchedulerAction, SchedulerEvent,
+    EngineClaim, EngineDigest, NodeSummary, OrganisationDemand, OrganisationUsage, PoolSummary,
+    RefusalReason, SchedulerAction, SchedulerEvent,
 };
 pub use scheduler::{NodeScheduler, SchedulerLoad};
 pub use settings::SchedulerSettings;
--- a/components/routing/src/load.rs
+++ b/components/routing/src/load.rs
@@ -6,8 +6,8 @@
 
 /// Time over which the measurement forgets.
 const MEMORY: Duration = Duration::from_secs(30);
-/// Most of an engine's time that shorter work is taken to fill.
-const LOAD_MAX: f64 = 0.9;
+/// Most of an engine's time that short work is taken to fill.
+const LOAD_MAX: f64 = 0.7;
 
 /// Engine time begun in each class, with exponential forgetting.
 #[derive(Debug)]
@@ -40,14 +40,13 @@
         self.seconds[class as usize] * (-passed / memory).exp() / window
     }
 
-    /// Part of the time of `engines` engines that work shorter than the class
-    /// takes.
+    /// Part of the time of `engines` engines that short work takes from a
+    /// prompt of the class.
     pub(crate) fn shorter(&self, now: Instant, class: LengthClass, engines: usize) -> f64 {
-        let busy: f64 = LengthClass::ALL
-            .iter()
-            .filter(|other| **other < class)
-            .map(|other| self.engines(now, *other))
-            .sum();
+        if class == LengthClass::Short {
+            return 0.0;
+        }
+        let busy = self.engines(now, LengthClass::Short);
         let engines = f64::from(u32::try_from(engines.max(1)).unwrap_or(u32::MAX));
         (busy / engines).min(LOAD_MAX)
     }
--- a/components/routing/src/message.rs
+++ b/components/routing/src/message.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use admission::LimitSettings;
 use serde::{Deserialize, Serialize};
 use types::{
     AdapterId, AttemptId, CacheEvent, EngineId, EngineReport, EngineRole, ModelId, ModelVersion,
@@ -75,6 +76,18 @@
     pub running: u32,
 }
 
+/// Demand of one limited organisation on one node.
+#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
+pub struct OrganisationDemand {
+    /// The organisation.
+    pub organisation: OrganisationId,
+    /// Thousandths of a request a second, let in or not.
+    pub milli_rate: u32,
+    /// Requests under way.
+    pub running: u32,
+}
+
 /// What a node tells other nodes about itself; reaches them late or never.
 #[derive(Clone, Debug, PartialEq)]
 #[derive(Deserialize, Serialize)]
@@ -89,6 +102,8 @@
     pub pools: Vec<PoolSummary>,
     /// The organisations it serves most.
     pub usage: Vec<OrganisationUsage>,
+    /// The organisations nearest to their limits.
+    pub demand: Vec<OrganisationDemand>,
     /// Engines of other nodes that it wants for groups.
     pub claims: Vec<EngineClaim>,
 }
@@ -203,6 +218,13 @@
         /// The request.
         request: RequestId,
     },
+    /// An organisation's fleet-wide limits changed; `None` lifts them.
+    LimitsChanged {
+        /// The organisation.
+        organisation: OrganisationId,
+        /// Its limits.
+        limits: Option<LimitSettings>,
+    },
     /// Another node's summary.
     Summary(NodeSummary),
     /// A node left or died.
--- a/components/routing/src/outcome.rs
+++ b/components/routing/src/outcome.rs
@@ -81,6 +81,8 @@
         let Some(running) = self.end_attempt(now, request) else {
             return;
         };
+        self.gangs.forget(request);
+        self.leave(request);
         let unused = running.queued.job.output_tokens.saturating_sub(output);
         let returned = job_cost(0, unused).min(running.charged);
         self.shares.refund(running.queued.organisation, returned);
@@ -129,6 +131,7 @@
         request: &RequestId,
         actions: &mut Vec<SchedulerAction>,
     ) {
+        self.leave(request);
         if self.end_forward(request, None).is_some() {
             return;
         }
--- a/components/routing/src/scheduler.rs
+++ b/components/routing/src/scheduler.rs
@@ -5,9 +5,9 @@
     time::{Duration, Instant},
 };
 
-use admission::{DeadlineGate, FairQueue, QueuedJob, ShareTable, TrialFloor};
+use admission::{DeadlineGate, FairQueue, LimitTable, QueuedJob, ShareTable, TrialFloor};
 use rand::{SeedableRng, rngs::StdRng};
-use types::{EngineId, EngineReport, NodeId, RequestId, ZoneId};
+use types::{EngineId, EngineReport, NodeId, OrganisationId, RequestId, ZoneId};
 
 use crate::{
     RefusalReason, SchedulerAction, SchedulerEvent, SchedulerSettings, arrival::Rejection,
@@ -27,6 +27,9 @@
     pub(crate) queue: FairQueue,
     pub(crate) floor: TrialFloor,
     pub(crate) shares: ShareTable,
+    pub(crate) limits: LimitTable,
+    /// Organisations of the requests that were let in here and are not over.
+    pub(crate) entered: HashMap<RequestId, OrganisationId>,
     pub(crate) gate: DeadlineGate,
     pub(crate) gangs: GangPlanner,
     /// Engines of each group of this node that runs.
@@ -81,6 +84,8 @@
             queue: FairQueue::default(),
             floor: TrialFloor::new(settings.trial_floor),
             shares: ShareTable::new(settings.fairness_lead_tokens),
+            limits: LimitTable::default(),
+            entered: HashMap::new(),
             gate: DeadlineGate {
                 wait_margin: settings.wait_margin,
             },
@@ -120,6 +125,7 @@
         self.end_silent(now, &mut actions);
         self.plan_roles(now, &mut actions);
         self.dispatch_all(now, &mut actions);
+        self.leave_refused(&actions);
         actions
     }
 
@@ -173,7 +179,9 @@
                 delivered,
             } => self.forward_failed(now, &request, &node, delivered, actions),
             SchedulerEvent::ForwardFinished { request, node, .. } => {
-                self.end_forward(&request, Some(&node));
+                if self.end_forward(&request, Some(&node)).is_some() {
+                    self.leave(&request);
+                }
             }
             SchedulerEvent::GangRefused {
                 request,
@@ -181,6 +189,10 @@
                 engine,
             } => self.gang_refused(now, &request, attempt, &engine, actions),
             SchedulerEvent::Cancelled { request } => self.cancelled(now, &request, actions),
+            SchedulerEvent::LimitsChanged {
+                organisation,
+                limits,
+            } => self.limits.set(now, &organisation, limits),
             SchedulerEvent::Summary(summary) => self.take_summary(now, summary),
             SchedulerEvent::NodeGone { node } => {
                 self.peers.remove(&node);
@@ -203,6 +215,22 @@
         }
     }
 
+    /// Counts the end of requests that were let in and are refused now.
+    fn leave_refused(&mut self, actions: &[SchedulerAction]) {
+        for action in actions {
+            if let SchedulerAction::Refuse { request, .. } = action {
+                self.leave(request);
+            }
+        }
+    }
+
+    /// Counts the end of a request that was let in here.
+    pub(crate) fn leave(&mut self, request: &RequestId) {
+        if let Some(organisation) = self.entered.remove(request) {
+            self.limits.end(&organisation);
+        }
+    }
+
     /// Whether the request waits or runs here.
     pub(crate) fn knows(&self, request: &RequestId) -> bool {
         self.queue.contains(request)
--- a/components/routing/src/summary.rs
+++ b/components/routing/src/summary.rs
@@ -5,11 +5,11 @@
     time::{Duration, Instant},
 };
 
-use admission::{LengthClass, PoolIndex};
+use admission::{DemandShare, LengthClass, PoolIndex};
 use types::{AdapterId, EngineId, ModelId, ModelVersion, PlanKind};
 
 use crate::{
-    EngineDigest, NodeScheduler, NodeSummary, OrganisationUsage, PoolSummary,
+    EngineDigest, NodeScheduler, NodeSummary, OrganisationDemand, OrganisationUsage, PoolSummary,
     placement::{PromptUrgency, engine_priority},
     pool::PoolKey,
     view::EngineView,
@@ -17,6 +17,8 @@
 
 /// Most organisations told of.
 const USAGE_LIMIT: usize = 12;
+/// Most limited organisations told of.
+const DEMAND_LIMIT: usize = 12;
 /// Most engines told of for one pool.
 const DIGEST_LIMIT: usize = 4;
 /// Prompt lengths that stand for short and long ones, in tokens.
@@ -40,6 +42,7 @@
                 .gangs
                 .claims(now, |engine| engines.contains_key(engine)),
             usage: self.usage(),
+            demand: self.demand(now),
         }
     }
 
@@ -55,11 +58,31 @@
                 usage.running,
             );
         }
+        for demand in &summary.demand {
+            let share = DemandShare {
+                organisation: demand.organisation.clone(),
+                milli_rate: demand.milli_rate,
+                running: demand.running,
+            };
+            self.limits.merge_remote(now, &summary.node, &share);
+        }
         self.gangs.take_claims(now, &summary.node, &summary.claims);
         let lifetime = self.settings.summary_lifetime;
         self.peers.update(now, lifetime, summary);
     }
 
+    fn demand(&self, now: Instant) -> Vec<OrganisationDemand> {
+        let pressing = self.limits.pressing(now, DEMAND_LIMIT);
+        pressing
+            .into_iter()
+            .map(|share| OrganisationDemand {
+                organisation: share.organisation,
+                milli_rate: share.milli_rate,
+                running: share.running,
+            })
+            .collect()
+    }
+
     fn usage(&mut self) -> Vec<OrganisationUsage> {
         let usage = self.shares.take_busiest(USAGE_LIMIT);
         usage
--- a/components/routing/src/view.rs
+++ b/components/routing/src/view.rs
@@ -26,7 +26,7 @@
 /// step until it starts, and half a step that is filled up behind it.
 const STEP_RESIDUAL: Duration = Duration::from_millis(40);
 /// Times that a prompt in prefill must be longer for another to preempt it.
-const PREEMPT_RATIO: u32 = 4;
+const PREEMPT_RATIO: u32 = 64;
 /// Part of a prefill's expected time taken to be left when it is over.
 const OVERDUE_PART: f64 = 0.05;
 /// Factor on an engine's times while it computes for another's sequence.
@@ -58,6 +58,8 @@
     pub(crate) dispatched: Instant,
     /// Whether it runs on what others leave.
     pub(crate) secondary: bool,
+    /// Whether other engines share it.
+    pub(crate) grouped: bool,
     /// Whether another prefill ran beside it.
     pub(crate) shared: bool,
 }
@@ -168,7 +170,7 @@
         };
         flight.phase = FlightPhase::Decode;
         flight.left = Duration::ZERO;
-        let alone = !flight.shared && flight.class != LengthClass::Gang;
+        let alone = !flight.shared && !flight.grouped;
         if alone {
             self.speed.learn_prefill(expected, taken.mul_f64(pace));
         }
@@ -186,7 +188,7 @@
         self.advance(now);
         let left = self.speed.prefill(&self.report.profile, cached, prompt);
         let flight = self.flight(request, attempt)?;
-        if flight.phase == FlightPhase::Prefill && flight.class != LengthClass::Gang {
+        if flight.phase == FlightPhase::Prefill && !flight.grouped {
             flight.left = left;
             flight.least = least_left(left);
         }
