--- a/components/bench/tests/scenarios.rs
+++ b/components/bench/tests/scenarios.rs
@@ -1,6 +1,23 @@
 //! Whole runs of the bench: same seed same bytes, and nothing unaccounted.
 
-use bench::{BenchReport, ScenarioKind, ScenarioVariant, run_scenario, scenario_plan};
+use std::time::Duration;
+
+use bench::{
+    BenchError, BenchReport, RunLimits, ScenarioKind, ScenarioVariant, plot_report, run_scenario,
+    scenario_plan,
+};
+use serde_json::Value;
+
+/// Part of a scenario that the tests run.
+const PART: Duration = Duration::from_secs(12);
+
+fn run_part(kind: ScenarioKind, seed: u64) -> BenchReport {
+    let limits = RunLimits {
+        arrivals: Some(PART),
+        ..RunLimits::default()
+    };
+    run_scenario(kind, seed, limits, |_| ())
+}
 
 fn bytes(report: &BenchReport) -> String {
     serde_json::to_string(report).expect("a report is plain data")
@@ -8,16 +25,16 @@
 
 #[test]
 fn one_seed_gives_one_report() {
-    let first = run_scenario(ScenarioKind::HotHerd, 7);
-    let second = run_scenario(ScenarioKind::HotHerd, 7);
+    let first = run_part(ScenarioKind::HotHerd, 7);
+    let second = run_part(ScenarioKind::HotHerd, 7);
     assert_eq!(bytes(&first), bytes(&second));
-    let other = run_scenario(ScenarioKind::HotHerd, 8);
+    let other = run_part(ScenarioKind::HotHerd, 8);
     assert_ne!(bytes(&first), bytes(&other));
 }
 
 #[test]
 fn every_request_ends_once_under_every_policy() {
-    let report = run_scenario(ScenarioKind::EngineLoss, 3);
+    let report = run_part(ScenarioKind::EngineLoss, 3);
     assert_eq!(report.policies.len(), 4);
     for name in report.policies.keys() {
         let policy = report.policy(name).expect("a policy report");
@@ -38,3 +55,59 @@
         assert!(in_order, "{}", kind.name());
     }
 }
+
+/// Replaces every number by 0, so that only the shape is left.
+fn shape_of(value: &Value) -> Value {
+    match value {
+        Value::Object(fields) => {
+            let shapes = fields.iter();
+            shapes
+                .map(|(name, field)| (name.clone(), shape_of(field)))
+                .collect()
+        }
+        Value::Number(_) => Value::from(0),
+        other => other.clone(),
+    }
+}
+
+#[test]
+fn the_report_has_the_shape_of_the_bench_page() {
+    let report = run_part(ScenarioKind::BigCustomer, 1);
+    let value = serde_json::to_value(&report).expect("a report is plain data");
+    insta::assert_json_snapshot!(shape_of(&value));
+}
+
+#[test]
+fn limits_leave_out_what_they_say() {
+    let limits = RunLimits {
+        arrivals: Some(PART),
+        longest: Some(4_000),
+        nodes: Some(1),
+    };
+    let plan = scenario_plan(ScenarioKind::EngineLoss, 2, ScenarioVariant::Full).limited(limits);
+    assert_eq!(plan.shape.nodes, 1);
+    assert!(!plan.requests.is_empty());
+    for (place, request) in plan.requests.iter().enumerate() {
+        assert_eq!(request.index, place);
+        assert!(request.at < PART && request.prompt_tokens <= 4_000);
+    }
+    assert!(plan.faults.iter().all(|fault| fault.at < PART));
+}
+
+#[test]
+fn the_plot_is_an_svg_file() {
+    let report = run_part(ScenarioKind::Prefix, 1);
+    let file = std::env::temp_dir().join(format!("bench-plot-{}.svg", std::process::id()));
+    plot_report(&report, &file).expect("a folder that can be written");
+    let picture = std::fs::read_to_string(&file).expect("the picture");
+    std::fs::remove_file(&file).expect("the picture again");
+    assert!(picture.starts_with("<svg"));
+    for policy in report.policies.keys() {
+        assert!(picture.contains(policy.as_str()), "{policy}");
+    }
+    let nowhere = file.join("below-a-file.svg");
+    assert!(matches!(
+        plot_report(&report, &nowhere),
+        Err(BenchError::Output { .. })
+    ));
+}
--- a/components/membership/src/machine.rs
+++ b/components/membership/src/machine.rs
@@ -29,7 +29,8 @@
 /// Seeds that are asked in one round while no member is known.
 const JOIN_SEEDS: usize = 3;
 
-/// Times an update is sent, for each decimal digit of the member count.
+/// Times an update is sent, for each decimal digit of the member count and
+/// once more.
 const SENDS_PER_DIGIT: u32 = 4;
 
 /// Decides everything about one node's membership.
@@ -47,6 +48,7 @@
     samples: SampleOrder,
     budget: SendBudget,
     note_heard: NoteVersion,
+    note_held: NoteVersion,
     topic_sequence: u64,
     joined: bool,
     differing: Option<(NodeId, SocketAddr)>,
@@ -89,9 +91,10 @@
             order: ProbeOrder::default(),
             updates,
             topics: TopicStore::default(),
-            samples: SampleOrder::new(settings.far_sample_interval),
+            samples: SampleOrder::new(&own.node, settings.far_sample_interval),
             budget: SendBudget::new(now, settings.bytes_per_second),
             note_heard: 0,
+            note_held: 0,
             topic_sequence: 0,
             joined: false,
             differing: None,
@@ -216,13 +219,16 @@
     }
 
     fn note_in_force(&mut self, now: Instant, version: NoteVersion) {
-        self.own.note_version = self.own.note_version.max(version);
+        if version <= self.own.note_version {
+            return;
+        }
+        self.own.note_version = version;
         let node = self.own.node.clone();
         self.table.heard(now, &node, version);
-        if version > self.note_heard {
-            self.note_heard = version;
-            self.push_news();
-        }
+        self.note_heard = self.note_heard.max(version);
+        self.note_held = self.note_held.max(version);
+        // Who has it tells of it, so that those who hear can fetch it there.
+        self.push_news();
     }
 
     fn change_own(&mut self, now: Instant, state: MemberState) {
--- a/components/node/src/api/access.rs
+++ b/components/node/src/api/access.rs
@@ -1,13 +1,16 @@
 //! Who a caller is and what it may use.
 
-use std::sync::Arc;
+use std::{sync::Arc, time::Duration};
 
 use entry::{ApiFailure, EntryRequest, FailureKind, HeaderName, digest_matches};
-use notes::{FleetState, OrganisationEntry};
+use notes::{FleetState, OrganisationEntry, VersionGate};
 use types::{AdapterId, ModelId, ModelVersion, NoteVersion, OrganisationId, ServiceName};
 
 use super::ApiParts;
 
+const GATE_LIMIT: Duration = Duration::from_millis(500);
+const NOTE_RETRY_AFTER: Duration = Duration::from_secs(1);
+
 /// A caller whose key has been recognised, under one release note.
 pub struct CallerAccess {
     /// The organisation.
@@ -34,27 +37,39 @@
 /// # Errors
 /// `ApiFailure` without a known key, or when this node has an older note in
 /// force than the caller has been served under.
-pub fn recognise(parts: &ApiParts, request: &EntryRequest) -> Result<CallerAccess, ApiFailure> {
-    let state = parts.notes.current();
-    let least: NoteVersion = request.number(HeaderName::NoteVersion)?.unwrap_or(0);
-    if state.version < least {
-        return Err(note_behind(state.version, least));
-    }
+pub async fn recognise(
+    parts: &ApiParts,
+    request: &EntryRequest,
+) -> Result<CallerAccess, ApiFailure> {
+    let shown: NoteVersion = request.number(HeaderName::NoteVersion)?.unwrap_or(0);
+    require_version(parts, shown).await?;
     let digest = request.key_digest().ok_or_else(missing_key)?;
-    let found = state.organisations.iter().find(|(_, entry)| {
-        entry
-            .key_digests
-            .iter()
-            .fold(false, |found, known| digest_matches(known, &digest) | found)
-    });
-    let (organisation, entry) = found.ok_or_else(unknown_key)?;
+    let state = parts.notes.current();
+    let organisation = parts
+        .keys
+        .organisation_of(&state, &digest)
+        .ok_or_else(unknown_key)?;
+    let entry = state
+        .organisations
+        .get(&organisation)
+        .ok_or_else(unknown_key)?;
     Ok(CallerAccess {
-        organisation: organisation.clone(),
+        organisation,
         entry: entry.clone(),
         state: Arc::clone(&state),
     })
 }
 
+/// Requires that the note in force is not older than one the caller was
+/// served under; a newer one is waited for, for a moment.
+async fn require_version(parts: &ApiParts, shown: NoteVersion) -> Result<(), ApiFailure> {
+    match parts.notes.await_gate(shown, GATE_LIMIT).await {
+        VersionGate::Serve => Ok(()),
+        VersionGate::Await(least) => Err(note_behind(parts.notes.current().version, least)),
+        VersionGate::NotReady => Err(not_ready()),
+    }
+}
+
 /// Requires an operator's key.
 ///
 /// # Errors
@@ -149,11 +164,22 @@
     )
 }
 
+/// The failure of a node that does not know yet what is in force.
+pub fn not_ready() -> ApiFailure {
+    ApiFailure::new(
+        FailureKind::Unavailable,
+        "not_ready",
+        "this node does not know yet which release note is in force; nothing was run; use \
+         another address",
+    )
+    .with_retry_after(NOTE_RETRY_AFTER)
+}
+
 fn note_behind(version: NoteVersion, least: NoteVersion) -> ApiFailure {
     let message = format!(
         "this node has release note {version} in force, and you were served under {least}; \
          nothing was run; use another address"
     );
     ApiFailure::new(FailureKind::Unavailable, "note_behind", message)
-        .with_retry_after(std::time::Duration::from_secs(1))
+        .with_retry_after(NOTE_RETRY_AFTER)
 }
--- a/components/node/src/api/parts.rs
+++ b/components/node/src/api/parts.rs
@@ -1,14 +1,16 @@
 //! What the handlers work with.
 
-use std::sync::Arc;
+use std::sync::{Arc, Mutex};
 
 use kernel::ClockSource;
+use membership::AddressPlanner;
 use settings::NodeSettings;
 use telemetry::{HopTracer, NodeMetrics};
 
+use super::key_index::KeyIndex;
 use crate::{
-    directory::UpstreamDirectory, members::MemberService, notes::NoteService,
-    prompts::PromptService,
+    directory::UpstreamDirectory, drain::DrainFlag, fleet::FleetView, members::MemberService,
+    notes::NoteService, orders::OrderService, prompts::PromptService,
 };
 
 /// The services behind the HTTP interface.
@@ -19,10 +21,20 @@
     pub clock: ClockSource,
     /// Release notes.
     pub notes: Arc<NoteService>,
+    /// Which organisation a key belongs to.
+    pub keys: KeyIndex,
     /// Prompts.
     pub prompts: Arc<PromptService>,
+    /// Orders and reads of plain services.
+    pub orders: Arc<OrderService>,
     /// Membership.
     pub members: Arc<MemberService>,
+    /// Whether this node is on its way out.
+    pub draining: Arc<DrainFlag>,
+    /// Answers callers that ask which node to use.
+    pub addresses: Mutex<AddressPlanner>,
+    /// Who owns which engine.
+    pub fleet: Arc<FleetView>,
     /// Upstreams.
     pub directory: Arc<UpstreamDirectory>,
     /// Spans.
--- a/components/node/src/daemon.rs
+++ b/components/node/src/daemon.rs
@@ -1,24 +1,32 @@
 //! Composing the services of a node, and stopping them.
 
-use std::{net::SocketAddr, sync::Arc, time::Duration};
+use std::{
+    net::SocketAddr,
+    sync::{Arc, Mutex},
+    time::Duration,
+};
 
 use entry::{BodyBudget, EntryLimits, EntryServer};
 use kernel::{CancellationToken, ClockSource, ServiceKernel};
-use membership::MemberSettings;
-use platform::{HostList, HttpHosts, HttpTable, TableService};
+use membership::{AddressPlanner, AddressSettings, DrainSettings, MemberSettings};
+use notes::AdopterSettings;
+use platform::{HostList, HttpHosts, HttpObjects, HttpTable, ObjectStore, TableService};
 use routing::SchedulerSettings;
 use settings::NodeSettings;
 use telemetry::{HopTracer, NodeMetrics};
+use types::NoteVersion;
 use wire::{KeyRing, SealKey};
 
 use crate::{
     NodeError,
-    api::{ApiParts, api_handler},
+    api::{ApiParts, KeyIndex, api_handler},
     directory::UpstreamDirectory,
+    drain::{DrainFlag, DrainService},
     fleet::FleetView,
     links::MemberLinks,
     members::{MemberConfig, MemberService},
-    notes::NoteService,
+    notes::{NOTE_SERVICE, NotePeer, NoteService, NoteStore},
+    orders::{OrderService, OrderSettings, ServicePeer, ServiceResolver, ServiceTarget},
     peers::{PeerClient, PeerHandler, PeerServer},
     prompts::{PromptParts, PromptService},
     sockets::{PeerSockets, member_identity},
@@ -35,6 +43,10 @@
     kernel: Arc<ServiceKernel>,
     callers: SocketAddr,
     peers: SocketAddr,
+    members: Arc<MemberService>,
+    notes: Arc<NoteService>,
+    drain: DrainService,
+    drain_settings: DrainSettings,
 }
 
 /// What every service is built from.
@@ -46,10 +58,13 @@
     tracer: HopTracer,
     directory: Arc<UpstreamDirectory>,
     fleet: Arc<FleetView>,
+    draining: Arc<DrainFlag>,
+    orders_token: CancellationToken,
     peers: Arc<PeerClient>,
-    notes: Arc<NoteService>,
     prompts: Arc<PromptService>,
     hosts: Arc<dyn HostList>,
+    table: Arc<dyn TableService>,
+    objects: Arc<dyn ObjectStore>,
 }
 
 impl DaemonBase {
@@ -60,6 +75,7 @@
             clock.clone(),
             limit,
         ));
+        let objects = HttpObjects::new(settings.platform.objects.clone(), clock.clone(), limit);
         let hosts = HttpHosts::new(settings.platform.hosts.clone(), clock.clone(), limit);
         let ring = Arc::new(key_ring(&settings));
         let metrics = Arc::new(NodeMetrics::default());
@@ -81,8 +97,11 @@
         });
         Self {
             fleet: FleetView::new(&settings.node.id, &settings.node.zone),
-            notes: NoteService::new(table, clock.clone()),
+            draining: Arc::default(),
+            orders_token: CancellationToken::new(),
             hosts: Arc::new(hosts),
+            table,
+            objects: Arc::new(objects),
             settings,
             clock,
             ring,
@@ -94,26 +113,71 @@
         }
     }
 
-    fn api_parts(&self, members: Arc<MemberService>) -> ApiParts {
+    fn api_parts(
+        &self,
+        members: Arc<MemberService>,
+        notes: Arc<NoteService>,
+        orders: Arc<OrderService>,
+    ) -> ApiParts {
         ApiParts {
             settings: self.settings.clone(),
             clock: self.clock.clone(),
-            notes: Arc::clone(&self.notes),
+            notes,
+            keys: KeyIndex::default(),
             prompts: Arc::clone(&self.prompts),
+            orders,
             members,
+            draining: Arc::clone(&self.draining),
+            addresses: Mutex::new(self.address_planner()),
+            fleet: Arc::clone(&self.fleet),
             directory: Arc::clone(&self.directory),
             tracer: self.tracer.clone(),
             metrics: Arc::clone(&self.metrics),
         }
     }
 
-    fn peer_handler(&self) -> PeerHandler {
+    fn address_planner(&self) -> AddressPlanner {
+        let settings = AddressSettings {
+            lifetime: Duration::from_millis(self.settings.timeouts.address_lifetime_ms),
+            seed: rand::random(),
+            ..AddressSettings::default()
+        };
+        AddressPlanner::new(self.clock.now(), settings)
+    }
+
+    fn drain_service(
+        &self,
+        members: Arc<MemberService>,
+        orders: Arc<OrderService>,
+    ) -> DrainService {
+        DrainService {
+            clock: self.clock.clone(),
+            members,
+            fleet: Arc::clone(&self.fleet),
+            directory: Arc::clone(&self.directory),
+            prompts: Arc::clone(&self.prompts),
+            orders,
+            orders_token: self.orders_token.clone(),
+            flag: Arc::clone(&self.draining),
+        }
+    }
+
+    fn drain_settings(&self) -> DrainSettings {
+        let timeouts = &self.settings.timeouts;
+        DrainSettings {
+            answer_lifetime: Duration::from_millis(timeouts.address_lifetime_ms),
+            hard_limit: Duration::from_millis(timeouts.drain_ms),
+            ..DrainSettings::default()
+        }
+    }
+
+    fn peer_handler(&self, notes: Arc<NoteService>) -> PeerHandler {
         PeerHandler {
             own: self.settings.node.id.clone(),
             ring: Arc::clone(&self.ring),
             clock: self.clock.clone(),
             prompts: Arc::clone(&self.prompts),
-            notes: Arc::clone(&self.notes),
+            notes,
         }
     }
 
@@ -123,6 +187,7 @@
             members,
             fleet: Arc::clone(&self.fleet),
             peers: Arc::clone(&self.peers),
+            directory: Arc::clone(&self.directory),
             prompts: Arc::clone(&self.prompts),
             metrics: Arc::clone(&self.metrics),
         }
@@ -137,6 +202,59 @@
         )
     }
 
+    fn start_notes(
+        &self,
+        kernel: &ServiceKernel,
+        members: &Arc<MemberService>,
+    ) -> Arc<NoteService> {
+        let store = NoteStore::new(Arc::clone(&self.table), Arc::clone(&self.objects));
+        NoteService::start(
+            kernel,
+            AdopterSettings::default(),
+            store,
+            Arc::clone(members),
+            Arc::clone(&self.peers) as Arc<dyn NotePeer>,
+        )
+    }
+
+    fn start_orders(&self, kernel: &ServiceKernel, notes: &Arc<NoteService>) -> Arc<OrderService> {
+        let mut settings = OrderSettings::new(self.settings.node.id.clone());
+        settings.store_limit = Duration::from_millis(self.settings.platform.timeout_ms);
+        let orders = OrderService::new(
+            settings,
+            Arc::clone(&self.table),
+            self.service_resolver(notes),
+            self.clock.clone(),
+            self.orders_token.clone(),
+        );
+        let running = Arc::clone(&orders);
+        kernel.start("orders", |token| running.run(token));
+        orders
+    }
+
+    /// Finds a service by the note in force and the upstreams known now.
+    fn service_resolver(&self, notes: &Arc<NoteService>) -> ServiceResolver {
+        let notes = Arc::clone(notes);
+        let directory = Arc::clone(&self.directory);
+        let zone = self.settings.node.zone.clone();
+        Arc::new(move |name| {
+            let state = notes.current();
+            let entry = state.services.get(name)?;
+            let processes = directory.services(&name.to_owned(), &zone);
+            Some(ServiceTarget {
+                guarantee: entry.guarantee,
+                timeout: Duration::from_millis(entry.timeout_ms),
+                peers: processes
+                    .into_iter()
+                    .map(|process| ServicePeer {
+                        id: process.id,
+                        client: process.client,
+                    })
+                    .collect(),
+            })
+        })
+    }
+
     fn start_members(
         &self,
         kernel: &ServiceKernel,
@@ -180,11 +298,19 @@
         let callers = entry.callers;
         let peers = sockets.address;
         let members = base.start_members(&kernel, &sockets, callers);
-        register(&kernel, &base)?;
+        let notes = base.start_notes(&kernel, &members);
+        let orders = base.start_orders(&kernel, &notes);
+        register(&kernel, &base, &notes, &orders)?;
         start_background(&kernel, &base, &members);
-        let peer_server = PeerServer::new(sockets.listener, base.peer_handler());
+        let peer_handler = base.peer_handler(Arc::clone(&notes));
+        let peer_server = PeerServer::new(sockets.listener, peer_handler);
         kernel.start("peers", |token| peer_server.run(token));
-        let handler = api_handler(Arc::new(base.api_parts(members)));
+        let parts = base.api_parts(
+            Arc::clone(&members),
+            Arc::clone(&notes),
+            Arc::clone(&orders),
+        );
+        let handler = api_handler(Arc::new(parts));
         let server = entry.server.with_handler(handler);
         kernel.start("entry", |token| server.run(token));
         log::info!(
@@ -195,6 +321,10 @@
             kernel,
             callers,
             peers,
+            drain: base.drain_service(Arc::clone(&members), orders),
+            drain_settings: base.drain_settings(),
+            members,
+            notes,
         })
     }
 
@@ -210,6 +340,31 @@
         self.peers
     }
 
+    /// Number of members that take new work, as this node sees them.
+    #[must_use]
+    pub fn serving_members(&self) -> usize {
+        self.members.members().serving().count()
+    }
+
+    /// Whether at least release note `version` is in force here.
+    #[must_use]
+    pub fn is_ready(&self, version: NoteVersion) -> bool {
+        self.notes.current().version >= version
+    }
+
+    /// Stops as planned: no new answers name this node, callers with old
+    /// answers are served, and what runs is finished. Returns the number of
+    /// requests that had to be cut at the hard limit.
+    pub async fn drain(self) -> usize {
+        let cut = self
+            .drain
+            .run(&self.kernel, self.drain_settings.clone())
+            .await;
+        log::info!("event=node_stopped cut={cut}");
+        self.kernel.stop(STOP_LIMIT).await;
+        cut
+    }
+
     /// Stops every service; returns the names of those that had to be cut.
     pub async fn stop(self) -> Vec<String> {
         self.kernel.stop(STOP_LIMIT).await
@@ -233,16 +388,20 @@
     Ok(BoundEntry { server, callers })
 }
 
-fn register(kernel: &ServiceKernel, base: &DaemonBase) -> Result<(), NodeError> {
-    kernel.register("notes", Arc::clone(&base.notes))?;
+fn register(
+    kernel: &ServiceKernel,
+    base: &DaemonBase,
+    notes: &Arc<NoteService>,
+    orders: &Arc<OrderService>,
+) -> Result<(), NodeError> {
+    kernel.register("orders", Arc::clone(orders))?;
+    kernel.register(NOTE_SERVICE, Arc::clone(notes))?;
     kernel.register("prompts", Arc::clone(&base.prompts))?;
     kernel.register("directory", Arc::clone(&base.directory))?;
     Ok(())
 }
 
 fn start_background(kernel: &ServiceKernel, base: &DaemonBase, members: &Arc<MemberService>) {
-    let notes = Arc::clone(&base.notes);
-    kernel.start("notes", |token| notes.run(token));
     let directory = Arc::clone(&base.directory);
     let hosts = Arc::clone(&base.hosts);
     kernel.start("directory", |token| directory.run(hosts, token));
@@ -253,6 +412,10 @@
     let links = base.links(Arc::clone(members));
     kernel.start("changes", |token| links.clone().run_changes(token));
     kernel.start("publisher", |token| links.clone().run_publisher(token));
+    kernel.start("evidence", |token| {
+        links.clone().run_evidence_publisher(token)
+    });
+    kernel.start("told", |token| links.clone().run_evidence_reader(token));
     kernel.start("reader", |token| links.run_reader(token));
 }
 
--- a/components/node/src/peers/server.rs
+++ b/components/node/src/peers/server.rs
@@ -93,8 +93,8 @@
         };
         let outcome = match request {
             PeerRequest::Prompt(prompt) => self.run_prompt(stream, &caller, *prompt).await,
-            PeerRequest::Notes { after, .. } => {
-                let answer = self.notes.answer_peer(after);
+            PeerRequest::Notes(asked) => {
+                let answer = self.notes.reply(&asked);
                 reply(&mut stream, &caller, &answer).await
             }
         };
--- a/components/upstream/src/http/service.rs
+++ b/components/upstream/src/http/service.rs
@@ -74,7 +74,7 @@
                 step: step.to_owned(),
                 peer: self.caller.peer().to_owned(),
                 status: answer.status(),
-                cause: answer.text(),
+                cause: answer.excerpt(),
                 retry_after: answer.retry_after(),
             });
         }
@@ -103,6 +103,7 @@
         let mut request = self.caller.request(step, Method::Get, &rooted(path))?;
         self.caller
             .set_header(step, &mut request, TRACE_HEADER, traceparent)?;
+        request.insert_header(DEADLINE_HEADER, limit.as_millis().to_string());
         let answer = self.caller.call_within(step, request, limit).await?;
         self.take(step, answer)
     }
