--- a/components/membership/src/machine.rs
+++ b/components/membership/src/machine.rs
@@ -24,7 +24,7 @@
 pub const BODY_LIMIT_BYTES: usize = 1_000;
 
 /// Members that are told at once of a new release note or an exit.
-const PUSH_MEMBERS: usize = 4;
+const PUSH_MEMBERS: usize = 8;
 
 /// Seeds that are asked in one round while no member is known.
 const JOIN_SEEDS: usize = 3;
