--- a/components/membership/examples/membership_figures/main.rs
+++ b/components/membership/examples/membership_figures/main.rs
@@ -1,7 +1,8 @@
 //! Prints membership's figures in virtual time as JSON: detection time and
 //! false suspicions against loss, bytes and processor time a node, and the
-//! time until a release note is in force everywhere. With the argument
-//! `switch`: how long nodes differ in the note they have in force.
+//! time until a release note is in force everywhere. With a number: only for
+//! that many nodes. With the argument `switch`: how long nodes differ in the
+//! note they have in force.
 
 #[path = "../../tests/common/mod.rs"]
 mod common;
@@ -25,14 +26,17 @@
 fn main() {
     let report = match std::env::args().nth(1).as_deref() {
         Some("switch") => switch::report(),
-        _ => report(),
+        size => report(size.and_then(|size| size.parse().ok())),
     };
     println!("{report:#}");
 }
 
-fn report() -> Value {
+fn report(size: Option<usize>) -> Value {
     let mut reports = Vec::new();
     for (count, zones) in [(8, 3), (50, 10), (200, 10), (380, 10)] {
+        if size.is_some_and(|size| size != count) {
+            continue;
+        }
         for loss in [0.0, 0.01, 0.05, 0.1, 0.2] {
             let large = count > 50;
             if large && loss > 0.0 && (loss - 0.05_f64).abs() > 1e-9 {
