Count an answer past its deadline as a failure to the hop

Cause: an answer that left its engine before the deadline and reached the caller in the two hops after it counted as finished.

Change: the ledger compares the time at the caller.

--- a/components/bench/src/ledger.rs
+++ b/components/bench/src/ledger.rs
@@ -110,8 +110,10 @@
         }
     }
 
-    /// The answer was told to be whole.
+    /// The answer was told to be whole; past the deadline it is a failure.
     pub(crate) fn finish(&mut self, request: usize, tokens: TokenCount, at: Instant) {
+        let spec = &self.plan.requests[request];
+        let in_time = at <= self.plan.start + spec.at + spec.patience;
         let account = &mut self.accounts[request];
         if account.outcome != CallerOutcome::Pending {
             self.doubled += u64::from(account.outcome != CallerOutcome::Failed);
@@ -120,6 +122,10 @@
         if account.gap || account.delivered != tokens {
             self.broken += 1;
         }
+        if !in_time {
+            account.outcome = CallerOutcome::Failed;
+            return;
+        }
         account.outcome = CallerOutcome::Finished;
         account.finished = Some(at);
     }
