Bound the engines lost to a crash-causing prompt at two, resent to every node

Change: other nodes are told directly before the prompt runs again, forwarded prompts carry their deaths, suspects are tried one at a time and pass after 8 tokens, and lives come from engines' own reports. Ruled out: counting an organisation's presence alone, which lets it frame others; a third death is asked for instead where another organisation was at both. Simultaneous copies to several nodes may cost one engine each until the nodes have heard.

--- a/components/engines/src/crash.rs
+++ b/components/engines/src/crash.rs
@@ -72,6 +72,8 @@
 struct KnownDeath {
     first_told: Instant,
     suspects: BTreeSet<PromptFingerprint>,
+    // Prompts that ran on since, and are not held by a late word again.
+    passed: BTreeSet<PromptFingerprint>,
     cause: DeathCause,
     in_mass: bool,
 }
@@ -102,15 +104,17 @@
         self.by_prompt.is_empty()
     }
 
-    /// Takes that a prompt was lost when one life of an engine ended.
-    pub fn lost(&mut self, now: Instant, death: &DeathId, prompt: PromptFingerprint) {
+    /// Takes that one life of an engine ended and which prompts ran there.
+    pub fn died(&mut self, now: Instant, death: &DeathId, prompts: &[PromptFingerprint]) {
         self.expire(now);
-        self.hold(now, death, prompt);
+        for prompt in prompts {
+            self.hold(now, death, *prompt);
+        }
         self.attribute();
     }
 
-    /// Takes that a prompt was answered whole: what it was lost by, it did
-    /// not cause.
+    /// Takes that a prompt was answered whole, or ran on past the place of the
+    /// death: what it was lost by, it did not cause.
     pub fn answered(&mut self, prompt: PromptFingerprint) {
         let Some(deaths) = self.by_prompt.remove(&prompt) else {
             return;
@@ -118,6 +122,7 @@
         for death in deaths {
             if let Some(known) = self.deaths.get_mut(&death) {
                 known.suspects.remove(&prompt);
+                known.passed.insert(prompt);
             }
         }
         self.attribute();
@@ -132,10 +137,12 @@
         for prompt in &record.suspects {
             self.hold(now, &record.death, *prompt);
         }
-        if record.cause == DeathCause::Cleared
+        if record.cause != DeathCause::Unknown
             && let Some(known) = self.deaths.get_mut(&record.death)
+            && known.cause != DeathCause::Cleared
         {
-            known.cause = DeathCause::Cleared;
+            // The other node may know which of the others ran on since.
+            known.cause = record.cause;
         }
         self.attribute();
     }
@@ -165,6 +172,24 @@
         CrashVerdict::Clear
     }
 
+    /// The deaths that a prompt was lost by, without the other prompts, for
+    /// the node that runs it next.
+    #[must_use]
+    pub fn deaths_of(&self, now: Instant, prompt: &PromptFingerprint) -> Vec<DeathRecord> {
+        let deaths = self.by_prompt.get(prompt).into_iter().flatten();
+        deaths
+            .filter_map(|death| {
+                let known = self.deaths.get(death)?;
+                Some(DeathRecord {
+                    death: death.clone(),
+                    age: now.saturating_duration_since(known.first_told),
+                    suspects: BTreeSet::from([*prompt]),
+                    cause: known.cause,
+                })
+            })
+            .collect()
+    }
+
     /// The quarantined prompts.
     #[must_use]
     pub fn quarantined(&self, now: Instant) -> Vec<QuarantineEntry> {
@@ -221,10 +246,12 @@
             .or_insert_with(|| KnownDeath {
                 first_told: now,
                 suspects: BTreeSet::new(),
+                passed: BTreeSet::new(),
                 cause: DeathCause::Unknown,
                 in_mass: false,
             });
-        if known.suspects.len() >= self.settings.suspect_limit {
+        let full = known.suspects.len() >= self.settings.suspect_limit;
+        if full || known.passed.contains(&prompt) {
             return;
         }
         known.suspects.insert(prompt);
@@ -234,15 +261,11 @@
             .insert(death.clone());
     }
 
-    /// Decides anew which deaths are held against which prompts. What comes
-    /// out depends on what is known, not on the order in which it came.
+    /// Holds deaths that nothing explains yet against the prompts that have
+    /// enough of them. A death once explained stays so: a bystander that is
+    /// lost again can't take a quarantine back.
     fn attribute(&mut self) {
         self.mark_mass_failures();
-        for known in self.deaths.values_mut() {
-            if known.cause != DeathCause::Cleared {
-                known.cause = DeathCause::Unknown;
-            }
-        }
         while let Some(prompt) = self.next_guilty() {
             for death in self.unexplained(&prompt) {
                 if let Some(known) = self.deaths.get_mut(&death) {
--- a/components/engines/tests/crash.rs
+++ b/components/engines/tests/crash.rs
@@ -22,6 +22,12 @@
     }
 }
 
+/// Tells the ledger of one death and the prompts lost by it, by name.
+fn die(ledger: &mut CrashLedger, now: Instant, death: &DeathId, names: &[&str]) {
+    let prompts: Vec<PromptFingerprint> = names.iter().map(|name| prompt(name)).collect();
+    ledger.died(now, death, &prompts);
+}
+
 fn ledger() -> CrashLedger {
     CrashLedger::new(CrashSettings::default())
 }
@@ -37,17 +43,19 @@
 fn the_second_death_points_at_the_prompt_that_was_at_both() {
     let mut ledger = ledger();
     let now = Instant::now();
-    for name in ["guilty", "first", "second"] {
-        ledger.lost(now, &death(1, 1), prompt(name));
-    }
+    die(
+        &mut ledger,
+        now,
+        &death(1, 1),
+        &["guilty", "first", "second"],
+    );
     assert_eq!(
         ledger.verdict(now, &prompt("guilty")),
         CrashVerdict::Suspect
     );
 
     let later = now + Duration::from_secs(10);
-    ledger.lost(later, &death(2, 1), prompt("third"));
-    ledger.lost(later, &death(2, 1), prompt("guilty"));
+    die(&mut ledger, later, &death(2, 1), &["third", "guilty"]);
 
     assert!(is_quarantined(&ledger, later, &prompt("guilty")));
     for name in ["first", "second", "third"] {
@@ -60,25 +68,23 @@
 }
 
 #[test]
-fn the_order_in_which_losses_are_noticed_does_not_matter() {
+fn the_order_in_which_deaths_are_heard_of_does_not_matter() {
     let now = Instant::now();
-    let mut losses = vec![
-        (death(1, 1), prompt("guilty")),
-        (death(1, 1), prompt("a")),
-        (death(1, 1), prompt("b")),
-        (death(2, 1), prompt("guilty")),
-        (death(2, 1), prompt("c")),
+    let mut deaths = vec![
+        (death(1, 1), vec!["guilty", "a", "b"]),
+        (death(2, 1), vec!["guilty", "c"]),
+        (death(3, 1), vec!["d"]),
     ];
     let mut rng = StdRng::seed_from_u64(7);
     for _ in 0..100 {
-        losses.shuffle(&mut rng);
+        deaths.shuffle(&mut rng);
         let mut ledger = ledger();
-        for (death, prompt) in &losses {
-            ledger.lost(now, death, *prompt);
+        for (death, names) in &deaths {
+            die(&mut ledger, now, death, names);
         }
         assert!(
             is_quarantined(&ledger, now, &prompt("guilty")),
-            "{losses:?}"
+            "{deaths:?}"
         );
         for name in ["a", "b", "c"] {
             assert_eq!(ledger.verdict(now, &prompt(name)), CrashVerdict::Clear);
@@ -86,12 +92,27 @@
     }
 }
 
+#[test]
+fn a_bystander_that_is_lost_again_does_not_take_a_quarantine_back() {
+    let mut ledger = ledger();
+    let now = Instant::now();
+    die(&mut ledger, now, &death(1, 1), &["guilty", "bystander"]);
+    die(&mut ledger, now, &death(2, 1), &["guilty"]);
+    die(&mut ledger, now, &death(3, 1), &["bystander"]);
+
+    assert!(is_quarantined(&ledger, now, &prompt("guilty")));
+    assert_eq!(
+        ledger.verdict(now, &prompt("bystander")),
+        CrashVerdict::Suspect
+    );
+}
+
 #[test]
 fn one_life_of_an_engine_counts_once() {
     let mut ledger = ledger();
     let now = Instant::now();
-    ledger.lost(now, &death(1, 1), prompt("resent"));
-    ledger.lost(now, &death(1, 1), prompt("resent"));
+    die(&mut ledger, now, &death(1, 1), &["resent"]);
+    die(&mut ledger, now, &death(1, 1), &["resent"]);
 
     assert_eq!(
         ledger.verdict(now, &prompt("resent")),
@@ -103,14 +124,11 @@
 fn a_prompt_that_is_answered_whole_is_cleared() {
     let mut ledger = ledger();
     let now = Instant::now();
-    ledger.lost(now, &death(1, 1), prompt("innocent"));
+    die(&mut ledger, now, &death(1, 1), &["innocent"]);
 
     ledger.answered(prompt("innocent"));
-    ledger.lost(
-        now + Duration::from_mins(1),
-        &death(2, 1),
-        prompt("innocent"),
-    );
+    let later = now + Duration::from_mins(1);
+    die(&mut ledger, later, &death(2, 1), &["innocent"]);
 
     assert_eq!(
         ledger.verdict(now + Duration::from_mins(1), &prompt("innocent")),
@@ -139,7 +157,7 @@
     assert_eq!(ledger.verdict(now, &prompt("a")), CrashVerdict::Suspect);
     assert_eq!(ledger.verdict(now, &prompt("b")), CrashVerdict::Suspect);
 
-    ledger.lost(now, &death(3, 1), prompt("b"));
+    die(&mut ledger, now, &death(3, 1), &["b"]);
     assert!(is_quarantined(&ledger, now, &prompt("b")));
     assert_eq!(ledger.verdict(now, &prompt("a")), CrashVerdict::Clear);
 }
@@ -159,17 +177,15 @@
     let now = Instant::now();
     let attack = |name: &str| fingerprint_of(&"visitor".to_owned(), &"atlas".to_owned(), name);
     // Two different prompts of an attacker meet the same bystander.
-    ledger.lost(now, &death(1, 1), prompt("bystander"));
-    ledger.lost(now, &death(1, 1), attack("first"));
-    ledger.lost(now, &death(2, 1), prompt("bystander"));
-    ledger.lost(now, &death(2, 1), attack("second"));
+    ledger.died(now, &death(1, 1), &[prompt("bystander"), attack("first")]);
+    ledger.died(now, &death(2, 1), &[prompt("bystander"), attack("second")]);
     assert_eq!(
         ledger.verdict(now, &prompt("bystander")),
         CrashVerdict::Suspect
     );
 
     // The attacker's own prompt dies once more and explains its death.
-    ledger.lost(now, &death(3, 1), attack("first"));
+    ledger.died(now, &death(3, 1), &[attack("first")]);
     assert!(is_quarantined(&ledger, now, &attack("first")));
     assert_eq!(
         ledger.verdict(now, &prompt("bystander")),
@@ -177,12 +193,43 @@
     );
 }
 
+#[test]
+fn a_prompt_that_ran_on_is_not_held_again_by_a_late_word() {
+    let mut ledger = ledger();
+    let now = Instant::now();
+    die(&mut ledger, now, &death(1, 1), &["guilty", "innocent"]);
+    ledger.answered(prompt("innocent"));
+
+    die(&mut ledger, now, &death(1, 1), &["innocent"]);
+    die(&mut ledger, now, &death(2, 1), &["guilty", "innocent"]);
+
+    assert!(is_quarantined(&ledger, now, &prompt("guilty")));
+}
+
+#[test]
+fn a_node_takes_over_what_another_could_tell_apart() {
+    let mut first = ledger();
+    let mut second = ledger();
+    let now = Instant::now();
+    die(&mut first, now, &death(1, 1), &["guilty", "innocent"]);
+    first.answered(prompt("innocent"));
+    die(&mut first, now, &death(2, 1), &["guilty", "innocent"]);
+    die(&mut second, now, &death(1, 1), &["guilty", "innocent"]);
+
+    for record in first.newest(now, 10) {
+        second.told(now, &record);
+    }
+
+    assert!(is_quarantined(&second, now, &prompt("guilty")));
+    assert!(!is_quarantined(&second, now, &prompt("innocent")));
+}
+
 #[test]
 fn an_operator_clears_a_prompt() {
     let mut ledger = ledger();
     let now = Instant::now();
-    ledger.lost(now, &death(1, 1), prompt("unlucky"));
-    ledger.lost(now, &death(2, 1), prompt("unlucky"));
+    die(&mut ledger, now, &death(1, 1), &["unlucky"]);
+    die(&mut ledger, now, &death(2, 1), &["unlucky"]);
     assert!(is_quarantined(&ledger, now, &prompt("unlucky")));
 
     assert!(ledger.clear(&prompt("unlucky")));
@@ -195,12 +242,17 @@
 fn a_rack_that_dies_accuses_nobody() {
     let mut ledger = ledger();
     let now = Instant::now();
-    ledger.lost(now, &death(1, 1), prompt("unlucky"));
+    die(&mut ledger, now, &death(1, 1), &["unlucky"]);
     let later = now + Duration::from_mins(5);
     for engine in 2..8 {
-        ledger.lost(later, &death(engine, 1), prompt(&format!("other-{engine}")));
+        die(
+            &mut ledger,
+            later,
+            &death(engine, 1),
+            &[&format!("other-{engine}")],
+        );
     }
-    ledger.lost(later, &death(8, 1), prompt("unlucky"));
+    die(&mut ledger, later, &death(8, 1), &["unlucky"]);
 
     assert!(!is_quarantined(&ledger, later, &prompt("unlucky")));
 }
@@ -218,13 +270,18 @@
     for step in 0..600_u64 {
         let now = start + Duration::from_secs(step * 5);
         let name = format!("prompt-{}", rng.random_range(0..400));
-        ledger.lost(now, &death(rng.random_range(0..50), step), prompt(&name));
+        die(
+            &mut ledger,
+            now,
+            &death(rng.random_range(0..50), step),
+            &[&name],
+        );
         assert!(ledger.newest(now, usize::MAX).len() <= 101);
     }
     let end = start + Duration::from_mins(50) + memory;
 
     assert!(ledger.quarantined(end).is_empty());
-    ledger.lost(end, &death(1, 99_999), prompt("last"));
+    die(&mut ledger, end, &death(1, 99_999), &["last"]);
     assert_eq!(ledger.newest(end, usize::MAX).len(), 1);
 }
 
@@ -233,8 +290,8 @@
     let now = Instant::now();
     let mut first = ledger();
     let mut second = ledger();
-    first.lost(now, &death(1, 1), prompt("guilty"));
-    second.lost(now, &death(2, 1), prompt("guilty"));
+    die(&mut first, now, &death(1, 1), &["guilty"]);
+    die(&mut second, now, &death(2, 1), &["guilty"]);
 
     for record in first.newest(now, 10) {
         second.told(now, &record);
--- a/components/node/src/daemon.rs
+++ b/components/node/src/daemon.rs
@@ -23,6 +23,7 @@
     directory::UpstreamDirectory,
     drain::{DrainFlag, DrainService},
     fleet::FleetView,
+    limits::LimitFeed,
     links::MemberLinks,
     members::{MemberConfig, MemberService},
     notes::{NOTE_SERVICE, NotePeer, NoteService, NoteStore},
@@ -183,6 +184,7 @@
             ring: Arc::clone(&self.ring),
             clock: self.clock.clone(),
             prompts: Arc::clone(&self.prompts),
+            quarantine: Arc::clone(&self.quarantine),
             notes,
         }
     }
@@ -200,6 +202,14 @@
         }
     }
 
+    fn limit_feed(&self, notes: &Arc<NoteService>) -> LimitFeed {
+        LimitFeed {
+            clock: self.clock.clone(),
+            notes: Arc::clone(notes),
+            prompts: Arc::clone(&self.prompts),
+        }
+    }
+
     fn watch(&self) -> EngineWatch {
         EngineWatch::new(
             self.clock.clone(),
@@ -309,6 +319,8 @@
         let orders = base.start_orders(&kernel, &notes);
         register(&kernel, &base, &notes, &orders)?;
         start_background(&kernel, &base, &members);
+        let limits = base.limit_feed(&notes);
+        kernel.start("limits", |token| limits.run(token));
         let peer_handler = base.peer_handler(Arc::clone(&notes));
         let peer_server = PeerServer::new(sockets.listener, peer_handler);
         kernel.start("peers", |token| peer_server.run(token));
--- a/components/node/src/directory.rs
+++ b/components/node/src/directory.rs
@@ -68,6 +68,8 @@
 struct DirectoryState {
     table: UpstreamTable,
     upstreams: BTreeMap<UpstreamId, KnownUpstream>,
+    /// Lives that engines themselves reported; the list lags behind them.
+    reported: BTreeMap<EngineId, IncarnationNumber>,
 }
 
 /// The upstreams known now.
@@ -88,6 +90,7 @@
             state: Mutex::new(DirectoryState {
                 table: UpstreamTable::new(UpstreamSettings::default()),
                 upstreams: BTreeMap::new(),
+                reported: BTreeMap::new(),
             }),
             news,
             news_reader,
@@ -171,6 +174,19 @@
         self.handle(event);
     }
 
+    /// Takes the life that an engine's own report names.
+    pub fn reported(&self, id: &EngineId, incarnation: IncarnationNumber) {
+        self.locked().reported.insert(id.clone(), incarnation);
+    }
+
+    /// The life of an engine that this node heard of last.
+    #[must_use]
+    pub fn newest_life(&self, id: &EngineId) -> Option<IncarnationNumber> {
+        let state = self.locked();
+        let listed = state.upstreams.get(id).map(|known| known.host.incarnation);
+        state.reported.get(id).copied().max(listed)
+    }
+
     /// Takes what another node told.
     pub fn told(&self, node: NodeId, evidence: UpstreamEvidence) {
         self.handle(UpstreamEvent::Told { node, evidence });
@@ -213,6 +229,7 @@
             UpstreamChange::Gone(upstream) => {
                 log::info!("event=upstream_gone upstream={upstream}");
                 state.upstreams.remove(upstream);
+                state.reported.remove(upstream);
             }
         }
     }
--- /dev/null
+++ b/components/node/src/limits.rs
@@ -0,0 +1,71 @@
+//! Carries the limits of the release note in force to the scheduler.
+
+use std::{collections::BTreeMap, sync::Arc, time::Duration};
+
+use admission::LimitSettings;
+use kernel::{CancellationToken, ClockSource};
+use notes::FleetState;
+use routing::SchedulerEvent;
+use types::OrganisationId;
+
+use crate::{notes::NoteService, prompts::PromptService};
+
+const REVIEW_PAUSE: Duration = Duration::from_millis(200);
+
+/// Watches what is in force and tells the scheduler of changed limits.
+pub struct LimitFeed {
+    /// Clock.
+    pub clock: ClockSource,
+    /// Release notes.
+    pub notes: Arc<NoteService>,
+    /// The scheduler's service.
+    pub prompts: Arc<PromptService>,
+}
+
+impl LimitFeed {
+    /// Feeds the scheduler until `token` is cancelled.
+    pub async fn run(self, token: CancellationToken) {
+        let mut fed: Arc<FleetState> = Arc::default();
+        while !token.is_cancelled() {
+            let current = self.notes.current();
+            if !Arc::ptr_eq(&fed, &current) {
+                for (organisation, limits) in changed_limits(&fed, &current) {
+                    self.prompts.handle(SchedulerEvent::LimitsChanged {
+                        organisation,
+                        limits,
+                    });
+                }
+                fed = current;
+            }
+            smol::future::or(self.clock.sleep(REVIEW_PAUSE), token.cancelled()).await;
+        }
+    }
+}
+
+/// The organisations whose limits differ, with their limits in `after`.
+fn changed_limits(
+    before: &FleetState,
+    after: &FleetState,
+) -> BTreeMap<OrganisationId, Option<LimitSettings>> {
+    let mut changed = BTreeMap::new();
+    for (organisation, entry) in &after.organisations {
+        let same = before
+            .organisations
+            .get(organisation)
+            .is_some_and(|known| known.limits == entry.limits);
+        if !same {
+            let limits = LimitSettings {
+                requests_per_second: entry.limits.requests_per_second,
+                tokens_per_minute: entry.limits.tokens_per_minute,
+                concurrent_requests: entry.limits.concurrent_requests,
+            };
+            changed.insert(organisation.clone(), Some(limits));
+        }
+    }
+    for organisation in before.organisations.keys() {
+        if !after.organisations.contains_key(organisation) {
+            changed.insert(organisation.clone(), None);
+        }
+    }
+    changed
+}
--- a/components/node/src/peers/client.rs
+++ b/components/node/src/peers/client.rs
@@ -7,15 +7,16 @@
 };
 
 use async_trait::async_trait;
+use engines::DeathRecord;
 use kernel::ClockSource;
 use membership::MemberRecord;
 use notes::{NotesReply, NotesRequest};
 use serde::{Serialize, de::DeserializeOwned};
-use smol::net::TcpStream;
+use smol::{Task, net::TcpStream};
 use types::{NodeId, RequestId};
 use wire::{FrameError, KeyRing, receive_frame, send_frame};
 
-use super::{ForwardedPrompt, PeerReply, PeerRequest, handshake::prove_caller};
+use super::{DeathsTaken, ForwardedPrompt, PeerReply, PeerRequest, handshake::prove_caller};
 use crate::notes::{NotePeer, NotePeerFault};
 
 const CONNECT_LIMIT: Duration = Duration::from_secs(1);
@@ -92,6 +93,40 @@
             .unwrap_or_else(|| Err(overdue("ask", node)))
     }
 
+    /// Tells every known node of deaths at once and waits until each knows,
+    /// at most `limit`; membership messages reach the rest later.
+    pub async fn tell_deaths(self: &Arc<Self>, records: Vec<DeathRecord>, limit: Duration) {
+        let others = self.others();
+        let request = Arc::new(PeerRequest::Deaths(records));
+        let telling: Vec<Task<()>> = others
+            .into_iter()
+            .map(|(node, address)| {
+                let client = Arc::clone(self);
+                let request = Arc::clone(&request);
+                smol::spawn(async move {
+                    let told: Result<DeathsTaken, FrameError> =
+                        client.ask(&node, &address, &request, limit).await;
+                    if let Err(error) = told {
+                        log::warn!("event=deaths_not_told node={node} cause=\"{error}\"");
+                    }
+                })
+            })
+            .collect();
+        for task in telling {
+            task.await;
+        }
+    }
+
+    fn others(&self) -> Vec<(NodeId, String)> {
+        let known = self.addresses.lock();
+        let known = known.unwrap_or_else(PoisonError::into_inner);
+        known
+            .iter()
+            .filter(|(node, _)| **node != self.own)
+            .map(|(node, address)| (node.clone(), address.clone()))
+            .collect()
+    }
+
     async fn connect(&self, node: &NodeId, address: &str) -> Result<TcpStream, FrameError> {
         let connecting = async {
             let mut stream = TcpStream::connect(address)
--- a/components/node/src/peers/message.rs
+++ b/components/node/src/peers/message.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use engines::DeathRecord;
 use notes::NotesRequest;
 use routing::RefusalReason;
 use serde::{Deserialize, Serialize};
@@ -44,6 +45,8 @@
     pub resume_at: TokenCount,
     /// W3C trace context of the hop.
     pub traceparent: String,
+    /// Deaths of engines that the prompt was lost by.
+    pub deaths: Vec<DeathRecord>,
     /// The prompt's text.
     pub text: String,
 }
@@ -56,8 +59,15 @@
     Prompt(Box<ForwardedPrompt>),
     /// The release notes after a version.
     Notes(NotesRequest),
+    /// Deaths of engines under prompts; answered by `DeathsTaken`.
+    Deaths(Vec<DeathRecord>),
 }
 
+/// The answer to `PeerRequest::Deaths`: what was told is known from now on.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
+pub struct DeathsTaken;
+
 /// What happens to a forwarded prompt, in order; each names its request.
 #[derive(Clone, Debug, PartialEq)]
 #[derive(Deserialize, Serialize)]
@@ -95,6 +105,8 @@
         reason: RefusalReason,
         /// When to come back.
         retry_after: Duration,
+        /// Deaths of engines that the prompt was lost by.
+        deaths: Vec<DeathRecord>,
     },
 }
 
--- a/components/node/src/peers/server.rs
+++ b/components/node/src/peers/server.rs
@@ -8,10 +8,13 @@
 use types::{NodeId, PromptJob, RequestId};
 use wire::{FrameError, KeyRing, receive_frame};
 
-use super::{ForwardedPrompt, PeerReply, PeerRequest, client::reply, handshake::prove_called};
+use super::{
+    DeathsTaken, ForwardedPrompt, PeerReply, PeerRequest, client::reply, handshake::prove_called,
+};
 use crate::{
     notes::NoteService,
     prompts::{PromptService, PromptSubmission, PromptTicket, PromptUpdate},
+    quarantine::QuarantineService,
 };
 
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
@@ -27,6 +30,8 @@
     pub clock: ClockSource,
     /// Runs forwarded prompts.
     pub prompts: Arc<PromptService>,
+    /// Prompts that crash engines.
+    pub quarantine: Arc<QuarantineService>,
     /// Hands out release notes.
     pub notes: Arc<NoteService>,
 }
@@ -93,6 +98,10 @@
         };
         let outcome = match request {
             PeerRequest::Prompt(prompt) => self.run_prompt(stream, &caller, *prompt).await,
+            PeerRequest::Deaths(records) => {
+                self.quarantine.told(&records);
+                reply(&mut stream, &caller, &DeathsTaken).await
+            }
             PeerRequest::Notes(asked) => {
                 let answer = self.notes.reply(&asked);
                 reply(&mut stream, &caller, &answer).await
@@ -121,9 +130,17 @@
         prompt: ForwardedPrompt,
     ) -> Result<(), FrameError> {
         let request = prompt.request.clone();
-        let ticket = self.prompts.submit(self.submission(caller, prompt));
+        self.quarantine.told(&prompt.deaths);
+        let submission = self.submission(caller, prompt);
+        let hop = RelayHop {
+            request,
+            job: submission.job.clone(),
+            text: Arc::clone(&submission.text),
+            quarantine: Arc::clone(&self.quarantine),
+        };
+        let ticket = self.prompts.submit(submission);
         let mut watched = stream.clone();
-        let relay = relay_updates(&mut stream, caller, &request, &ticket);
+        let relay = hop.relay(&mut stream, caller, &ticket);
         // The other side sends nothing more: an end or a byte means it left.
         let left = async {
             let mut byte = [0_u8; 1];
@@ -167,48 +184,60 @@
     }
 }
 
-async fn relay_updates(
-    stream: &mut TcpStream,
-    caller: &NodeId,
-    request: &RequestId,
-    ticket: &PromptTicket,
-) -> Result<(), FrameError> {
-    while let Some(update) = ticket.next().await {
-        let last = matches!(
-            update,
-            PromptUpdate::Finished { .. } | PromptUpdate::Refused { .. }
-        );
-        reply(stream, caller, &peer_reply(request.clone(), update)).await?;
-        if last {
-            return Ok(());
+/// A forwarded prompt whose updates go back to the node that sent it.
+struct RelayHop {
+    request: RequestId,
+    job: PromptJob,
+    text: Arc<str>,
+    quarantine: Arc<QuarantineService>,
+}
+
+impl RelayHop {
+    async fn relay(
+        &self,
+        stream: &mut TcpStream,
+        caller: &NodeId,
+        ticket: &PromptTicket,
+    ) -> Result<(), FrameError> {
+        while let Some(update) = ticket.next().await {
+            let last = matches!(
+                update,
+                PromptUpdate::Finished { .. } | PromptUpdate::Refused { .. }
+            );
+            reply(stream, caller, &self.peer_reply(update)).await?;
+            if last {
+                return Ok(());
+            }
         }
+        Ok(())
     }
-    Ok(())
-}
 
-fn peer_reply(request: RequestId, update: PromptUpdate) -> PeerReply {
-    match update {
-        PromptUpdate::Started {
-            prompt_tokens,
-            cached_tokens,
-        } => PeerReply::Started {
-            request,
-            prompt_tokens,
-            cached_tokens,
-        },
-        PromptUpdate::Token { index, text } => PeerReply::Token {
-            request,
-            index,
-            text,
-        },
-        PromptUpdate::Finished { tokens } => PeerReply::Finished { request, tokens },
-        PromptUpdate::Refused {
-            reason,
-            retry_after,
-        } => PeerReply::Refused {
-            request,
-            reason,
-            retry_after,
-        },
+    fn peer_reply(&self, update: PromptUpdate) -> PeerReply {
+        let request = self.request.clone();
+        match update {
+            PromptUpdate::Started {
+                prompt_tokens,
+                cached_tokens,
+            } => PeerReply::Started {
+                request,
+                prompt_tokens,
+                cached_tokens,
+            },
+            PromptUpdate::Token { index, text } => PeerReply::Token {
+                request,
+                index,
+                text,
+            },
+            PromptUpdate::Finished { tokens } => PeerReply::Finished { request, tokens },
+            PromptUpdate::Refused {
+                reason,
+                retry_after,
+            } => PeerReply::Refused {
+                request,
+                reason,
+                retry_after,
+                deaths: self.quarantine.deaths_of(&self.job, &self.text),
+            },
+        }
     }
 }
--- a/components/node/src/prompts/attempt.rs
+++ b/components/node/src/prompts/attempt.rs
@@ -10,7 +10,7 @@
 use routing::SchedulerEvent;
 use smol::channel::Sender;
 use telemetry::{HopKind, HopSpan};
-use types::{AttemptId, EngineId, RequestId, TokenCount};
+use types::{AttemptId, EngineId, IncarnationNumber, RequestId, TokenCount};
 use upstream::{EngineCall, EngineEvent};
 
 use super::{
@@ -18,7 +18,11 @@
     gang::GangHold,
     open::{OpenPrompt, PromptWork},
 };
-use crate::directory::KnownEngine;
+use crate::{directory::KnownEngine, quarantine::LostPrompt};
+
+/// Longest time that a retry, or the answer, waits for other nodes to know of
+/// a death.
+const TELL_LIMIT: Duration = Duration::from_millis(100);
 
 /// An attempt under way.
 pub(super) struct RunningAttempt {
@@ -28,6 +32,8 @@
     engines: Vec<EngineId>,
     /// The engine called, as known when the attempt began.
     engine: Option<KnownEngine>,
+    /// The engine's life then.
+    life: IncarnationNumber,
     call: EngineCall,
     token: CancellationToken,
     span: HopSpan,
@@ -56,6 +62,7 @@
             let prompt = open.get_mut(&request)?;
             prompt.token = CancellationToken::new();
             prompt.work = PromptWork::Attempt(attempt);
+            prompt.engine = Some(first.clone());
             let span = self.tracer.start(
                 "engine",
                 HopKind::Client,
@@ -74,6 +81,7 @@
             request,
             attempt,
             engine: self.directory.engine(&first),
+            life: self.directory.newest_life(&first).unwrap_or_default(),
             engines,
             call,
             token,
@@ -304,6 +312,7 @@
             first.then(|| prompt.job.clone())
         });
         self.service.metrics.tokens.inc();
+        self.service.review_trial(&self.request, index + 1);
         if let Some(job) = first {
             self.service.count_first_token(&job);
             self.service.handle(SchedulerEvent::FirstToken {
@@ -355,18 +364,13 @@
             self.note_death().await;
         }
         let delivered = self.release_work();
-        if self.service.refuse_quarantined(&self.request) {
-            self.service.handle(SchedulerEvent::Cancelled {
-                request: self.request.clone(),
-            });
-            return;
-        }
-        self.service.handle(SchedulerEvent::Failed {
+        let failure = SchedulerEvent::Failed {
             request: self.request.clone(),
             attempt: self.attempt,
             delivered,
             retryable: is_retryable(error),
-        });
+        };
+        self.service.admit(&self.request, failure);
     }
 
     /// Takes the engine from the scheduler until its next report, so that a
@@ -389,7 +393,7 @@
             return;
         };
         let alive = match known.client.report().await {
-            Ok(report) => report.profile.incarnation == known.incarnation,
+            Ok(report) => report.profile.incarnation == self.life,
             Err(_) => false,
         };
         if alive {
@@ -397,14 +401,18 @@
         }
         let death = DeathId {
             engine: known.id.clone(),
-            incarnation: known.incarnation,
+            incarnation: self.life,
         };
-        let prompt = self.service.with_open(|open| {
-            let prompt = open.get(&self.request)?;
-            Some((prompt.job.clone(), Arc::clone(&prompt.text)))
+        // All that ran there, whether or not their tasks have noticed yet.
+        let lost: Vec<LostPrompt> = self.service.with_open(|open| {
+            let there = open.values().filter(|prompt| prompt.runs_on(&known.id));
+            there.map(OpenPrompt::lost).collect()
         });
-        if let Some((job, text)) = prompt {
-            self.service.quarantine.lost(&death, &job, &text);
+        if !lost.is_empty() {
+            let records = self.service.quarantine.died(&death, &lost);
+            // The others know before the prompt runs again or its caller can
+            // send it to them.
+            self.service.peers.tell_deaths(records, TELL_LIMIT).await;
         }
     }
 
--- a/components/node/src/prompts/forward.rs
+++ b/components/node/src/prompts/forward.rs
@@ -83,6 +83,7 @@
             deadline_in: job.deadline.saturating_duration_since(now),
             resume_at: prompt.delivered,
             traceparent: span.traceparent(),
+            deaths: self.quarantine.deaths_of(job, &prompt.text),
             text: prompt.text.to_string(),
         }
     }
@@ -133,8 +134,10 @@
                 PeerReply::Refused {
                     reason,
                     retry_after,
+                    deaths,
                     ..
                 } => {
+                    self.service.quarantine.told(&deaths);
                     return Ok(ForwardEnd::Refused {
                         reason,
                         retry_after,
@@ -216,12 +219,13 @@
             } => {
                 self.span.fail(super::refusal_code(reason));
                 self.release_work();
-                self.service.handle(SchedulerEvent::ForwardRefused {
-                    request,
+                let refusal = SchedulerEvent::ForwardRefused {
+                    request: request.clone(),
                     node,
                     reason,
                     retry_after,
-                });
+                };
+                self.service.admit(&request, refusal);
             }
             ForwardEnd::Failed(error) => self.report_failure(&error),
         }
--- a/components/node/src/prompts/mod.rs
+++ b/components/node/src/prompts/mod.rs
@@ -7,6 +7,7 @@
 mod patience;
 mod service;
 mod ticker;
+mod trial;
 
 pub use open::{PromptTicket, PromptUpdate};
 pub use service::{PromptParts, PromptService, PromptSubmission, refusal_code};
--- a/components/node/src/prompts/open.rs
+++ b/components/node/src/prompts/open.rs
@@ -5,9 +5,10 @@
 use kernel::CancellationToken;
 use routing::RefusalReason;
 use smol::channel::{Receiver, Sender};
-use types::{AttemptId, NodeId, PromptJob, RequestId, TokenCount};
+use types::{AttemptId, EngineId, NodeId, PromptJob, RequestId, TokenCount};
 
 use super::PromptService;
+use crate::quarantine::LostPrompt;
 
 /// What happens to an open prompt, in order.
 #[derive(Clone, Debug, Eq, PartialEq)]
@@ -86,4 +87,21 @@
     pub(super) token: CancellationToken,
     /// Whether the first token has been counted.
     pub(super) first_token_seen: bool,
+    /// Engine that the attempt under way calls.
+    pub(super) engine: Option<EngineId>,
+}
+
+impl OpenPrompt {
+    /// Whether an attempt of it runs on `engine` now.
+    pub(super) fn runs_on(&self, engine: &EngineId) -> bool {
+        matches!(self.work, PromptWork::Attempt(_)) && self.engine.as_ref() == Some(engine)
+    }
+
+    /// What the quarantine needs to know of it.
+    pub(super) fn lost(&self) -> LostPrompt {
+        LostPrompt {
+            job: self.job.clone(),
+            text: Arc::clone(&self.text),
+        }
+    }
 }
--- a/components/node/src/prompts/service.rs
+++ b/components/node/src/prompts/service.rs
@@ -21,6 +21,7 @@
     PromptTicket, PromptUpdate,
     open::{OpenPrompt, PromptWork},
     patience::ReadyMemory,
+    trial::TrialGate,
 };
 use crate::{directory::UpstreamDirectory, peers::PeerClient, quarantine::QuarantineService};
 
@@ -57,6 +58,7 @@
     loads: Mutex<HashMap<NodeId, f64>>,
     pub(super) holds: AtomicUsize,
     pub(super) ready: ReadyMemory,
+    pub(super) trials: TrialGate,
 }
 
 /// What a prompt service works with.
@@ -101,6 +103,7 @@
             loads: Mutex::default(),
             holds: AtomicUsize::new(0),
             ready,
+            trials: TrialGate::default(),
         })
     }
 
@@ -119,15 +122,15 @@
             work: PromptWork::Queued,
             token: CancellationToken::new(),
             first_token_seen: submission.resume_at > 0,
+            engine: None,
         };
         self.with_open(|open| open.insert(request.clone(), prompt));
         self.metrics.open_prompts.inc();
-        if !self.refuse_quarantined(&request) {
-            self.handle(SchedulerEvent::Arrived {
-                job: submission.job,
-                via: submission.via,
-            });
-        }
+        let arrival = SchedulerEvent::Arrived {
+            job: submission.job,
+            via: submission.via,
+        };
+        self.admit(&request, arrival);
         PromptTicket {
             service: Arc::clone(self),
             request,
@@ -260,23 +263,12 @@
         }
     }
 
-    /// Ends a prompt that is in quarantine; false when it is not.
-    pub(super) fn refuse_quarantined(&self, request: &RequestId) -> bool {
-        let known = self.with_open(|open| {
-            let prompt = open.get(request)?;
-            Some((prompt.job.clone(), Arc::clone(&prompt.text)))
-        });
-        let Some((job, text)) = known else {
-            return false;
-        };
-        let Some(left) = self.quarantine.quarantine_of(&job, &text) else {
-            return false;
-        };
+    /// Ends a prompt that is in quarantine.
+    pub(super) fn refuse_quarantined(self: &Arc<Self>, request: &RequestId, left: Duration) {
         self.refuse(request, RefusalReason::Quarantined, left);
-        true
     }
 
-    fn refuse(&self, request: &RequestId, reason: RefusalReason, retry_after: Duration) {
+    fn refuse(self: &Arc<Self>, request: &RequestId, reason: RefusalReason, retry_after: Duration) {
         let Some(prompt) = self.remove(request) else {
             return;
         };
@@ -297,7 +289,7 @@
     }
 
     /// Ends a prompt whose answer is whole.
-    pub(super) fn finish(&self, request: &RequestId, tokens: TokenCount) {
+    pub(super) fn finish(self: &Arc<Self>, request: &RequestId, tokens: TokenCount) {
         let Some(prompt) = self.remove(request) else {
             return;
         };
@@ -327,8 +319,9 @@
         change(&mut open)
     }
 
-    fn remove(&self, request: &RequestId) -> Option<OpenPrompt> {
+    fn remove(self: &Arc<Self>, request: &RequestId) -> Option<OpenPrompt> {
         let prompt = self.with_open(|open| open.remove(request))?;
+        self.end_trial(request);
         self.metrics.open_prompts.dec();
         Some(prompt)
     }
--- /dev/null
+++ b/components/node/src/prompts/trial.rs
@@ -0,0 +1,141 @@
+//! Prompts that may be crashing engines are tried one at a time.
+//!
+//! While one is on trial the others wait, so that the next death points at
+//! one of them. A prompt that gets some tokens further than it had when its
+//! engine died has passed.
+
+use std::{
+    collections::HashMap,
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
+};
+
+use engines::CrashVerdict;
+use routing::SchedulerEvent;
+use types::{RequestId, TokenCount};
+
+use super::PromptService;
+
+/// Tokens past the place of the death that clear a prompt.
+const PASSING_TOKENS: TokenCount = 8;
+
+#[derive(Debug)]
+struct WaitingTrial {
+    event: SchedulerEvent,
+    /// Answer tokens it had; the fewer, the more likely it is the cause.
+    delivered: TokenCount,
+}
+
+#[derive(Debug, Default)]
+struct TrialState {
+    on_trial: Option<RequestId>,
+    /// Answer tokens at which the prompt on trial has passed.
+    passes_at: TokenCount,
+    waiting: HashMap<RequestId, WaitingTrial>,
+}
+
+/// Lets one suspected prompt after the other into the scheduler.
+#[derive(Debug, Default)]
+pub(super) struct TrialGate {
+    state: Mutex<TrialState>,
+}
+
+impl TrialGate {
+    fn locked(&self) -> MutexGuard<'_, TrialState> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Takes the place on trial, or a place in the queue; true when `event`
+    /// may go on now.
+    fn enter(&self, request: &RequestId, event: &SchedulerEvent, delivered: TokenCount) -> bool {
+        let mut state = self.locked();
+        if state.on_trial.as_ref().is_none_or(|other| other == request) {
+            state.on_trial = Some(request.clone());
+            state.passes_at = delivered + PASSING_TOKENS;
+            return true;
+        }
+        let waiting = WaitingTrial {
+            event: event.clone(),
+            delivered,
+        };
+        state.waiting.insert(request.clone(), waiting);
+        false
+    }
+
+    /// Whether `request` is on trial and has passed by `delivered` tokens.
+    fn has_passed(&self, request: &RequestId, delivered: TokenCount) -> bool {
+        let state = self.locked();
+        state.on_trial.as_ref() == Some(request) && delivered >= state.passes_at
+    }
+
+    /// Ends a prompt's trial or wait; returns whom to try next.
+    fn leave(&self, request: &RequestId) -> Option<(RequestId, SchedulerEvent)> {
+        let mut state = self.locked();
+        state.waiting.remove(request);
+        if state.on_trial.as_ref() != Some(request) {
+            return None;
+        }
+        state.on_trial = None;
+        let next = state
+            .waiting
+            .iter()
+            .min_by_key(|(request, waiting)| (waiting.delivered, (*request).clone()))
+            .map(|(request, _)| request.clone())?;
+        let waiting = state.waiting.remove(&next)?;
+        state.on_trial = Some(next.clone());
+        state.passes_at = waiting.delivered + PASSING_TOKENS;
+        Some((next, waiting.event))
+    }
+}
+
+impl PromptService {
+    /// Hands the scheduler the event by which a prompt comes back or arrives:
+    /// at once, after other suspects, or not at all when it is quarantined.
+    pub(super) fn admit(self: &Arc<Self>, request: &RequestId, event: SchedulerEvent) {
+        let known = self.with_open(|open| {
+            let prompt = open.get(request)?;
+            Some((prompt.lost(), prompt.delivered))
+        });
+        let Some((prompt, delivered)) = known else {
+            self.handle(event);
+            return;
+        };
+        match self.quarantine.verdict(&prompt.job, &prompt.text) {
+            CrashVerdict::Clear => self.handle(event),
+            CrashVerdict::Suspect => {
+                if self.trials.enter(request, &event, delivered) {
+                    self.handle(SchedulerEvent::Suspected {
+                        request: request.clone(),
+                    });
+                    self.handle(event);
+                }
+            }
+            CrashVerdict::Quarantined { left } => {
+                self.refuse_quarantined(request, left);
+                self.handle(SchedulerEvent::Cancelled {
+                    request: request.clone(),
+                });
+            }
+        }
+    }
+
+    /// Clears a prompt on trial that got far enough.
+    pub(super) fn review_trial(self: &Arc<Self>, request: &RequestId, delivered: TokenCount) {
+        if !self.trials.has_passed(request, delivered) {
+            return;
+        }
+        let prompt = self.with_open(|open| open.get(request).map(super::open::OpenPrompt::lost));
+        if let Some(prompt) = prompt {
+            self.quarantine.answered(&prompt.job, &prompt.text);
+        }
+        self.end_trial(request);
+    }
+
+    /// Lets the next suspect in when `request` was on trial.
+    pub(super) fn end_trial(self: &Arc<Self>, request: &RequestId) {
+        if let Some((next, event)) = self.trials.leave(request) {
+            let service = Arc::clone(self);
+            // Not from within the scheduler's lock.
+            smol::spawn(async move { service.admit(&next, event) }).detach();
+        }
+    }
+}
--- a/components/node/src/quarantine.rs
+++ b/components/node/src/quarantine.rs
@@ -1,12 +1,9 @@
 //! Prompts that crash engines: what this node saw and what others told.
 
-use std::{
-    sync::{Arc, Mutex, MutexGuard, PoisonError},
-    time::Duration,
-};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
 use engines::{
-    CrashLedger, CrashSettings, CrashVerdict, DeathId, DeathRecord, PromptFingerprint,
+    CrashLedger, CrashSettings, CrashVerdict, DeathCause, DeathId, DeathRecord, PromptFingerprint,
     QuarantineEntry, fingerprint_of,
 };
 use kernel::ClockSource;
@@ -18,6 +15,15 @@
 /// Suspects of one death that fit beside the others.
 const TOLD_SUSPECTS: usize = 12;
 
+/// A prompt that ran on an engine that died.
+#[derive(Clone, Debug)]
+pub struct LostPrompt {
+    /// The prompt.
+    pub job: PromptJob,
+    /// Its text.
+    pub text: Arc<str>,
+}
+
 /// Keeps the crash ledger of a node.
 pub struct QuarantineService {
     clock: ClockSource,
@@ -39,34 +45,55 @@
         })
     }
 
-    /// Time for which a prompt is not run; `None` when it may be.
+    /// What is held of a prompt.
     ///
     /// The text is hashed only while something is held of some prompt.
     #[must_use]
-    pub fn quarantine_of(&self, job: &PromptJob, text: &str) -> Option<Duration> {
+    pub fn verdict(&self, job: &PromptJob, text: &str) -> CrashVerdict {
         if self.locked().is_empty() {
-            return None;
+            return CrashVerdict::Clear;
         }
         let prompt = fingerprint(job, text);
-        match self.locked().verdict(self.clock.now(), &prompt) {
-            CrashVerdict::Quarantined { left } => Some(left),
-            CrashVerdict::Clear | CrashVerdict::Suspect => None,
+        self.locked().verdict(self.clock.now(), &prompt)
+    }
+
+    /// Takes that an engine's life ended and which prompts ran there; returns
+    /// what to tell other nodes at once.
+    #[must_use]
+    pub fn died(&self, death: &DeathId, lost: &[LostPrompt]) -> Vec<DeathRecord> {
+        let prompts: Vec<PromptFingerprint> = lost
+            .iter()
+            .map(|lost| fingerprint(&lost.job, &lost.text))
+            .collect();
+        self.locked().died(self.clock.now(), death, &prompts);
+        for (lost, prompt) in lost.iter().zip(&prompts) {
+            log::warn!(
+                "event=prompt_lost request={} organisation={} engine={} incarnation={} prompt={}",
+                lost.job.request,
+                lost.job.organisation,
+                death.engine,
+                death.incarnation,
+                prompt.to_hex()
+            );
         }
+        self.news.try_send(()).ok();
+        let mut newest = self.locked().newest(self.clock.now(), usize::MAX);
+        newest.retain(|record| {
+            let explained =
+                matches!(&record.cause, DeathCause::Prompt(guilty) if prompts.contains(guilty));
+            record.death == *death || explained
+        });
+        newest
     }
 
-    /// Takes that a prompt was lost when an engine's life ended.
-    pub fn lost(&self, death: &DeathId, job: &PromptJob, text: &str) {
+    /// The deaths that a prompt was lost by, for the node that runs it next.
+    #[must_use]
+    pub fn deaths_of(&self, job: &PromptJob, text: &str) -> Vec<DeathRecord> {
+        if self.locked().is_empty() {
+            return Vec::new();
+        }
         let prompt = fingerprint(job, text);
-        self.locked().lost(self.clock.now(), death, prompt);
-        log::warn!(
-            "event=prompt_lost request={} organisation={} engine={} incarnation={} prompt={}",
-            job.request,
-            job.organisation,
-            death.engine,
-            death.incarnation,
-            prompt.to_hex()
-        );
-        self.news.try_send(()).ok();
+        self.locked().deaths_of(self.clock.now(), &prompt)
     }
 
     /// Takes that a prompt was answered whole.
--- a/components/routing/src/dispatch.rs
+++ b/components/routing/src/dispatch.rs
@@ -138,6 +138,10 @@
             let far = view.report.profile.zone != head.job.zone;
             offers.extend(offer.map(|offer| (offer, far, engine)));
         }
+        let avoided = self.suspects.avoided(&head.job.request, &self.running);
+        if offers.iter().any(|(.., engine)| !avoided.contains(*engine)) {
+            offers.retain(|(.., engine)| !avoided.contains(*engine));
+        }
         let best = best_offer(&offers, class)?;
         Some(EngineChoice {
             request: head.job.request.clone(),
--- a/components/routing/src/lib.rs
+++ b/components/routing/src/lib.rs
@@ -21,6 +21,7 @@
 mod scheduler;
 mod settings;
 mod summary;
+mod suspects;
 mod view;
 
 pub use admission::LimitSettings;
--- a/components/routing/src/message.rs
+++ b/components/routing/src/message.rs
@@ -204,6 +204,12 @@
         /// Tokens generated.
         output_tokens: TokenCount,
     },
+    /// A request may be crashing engines; sent before `Arrived`, or before the
+    /// `Failed` of the attempt that was lost. It is forgotten when it ends.
+    Suspected {
+        /// The request.
+        request: RequestId,
+    },
     /// Memory for an attempt over several engines could not be had.
     GangRefused {
         /// The request.
--- a/components/routing/src/scheduler.rs
+++ b/components/routing/src/scheduler.rs
@@ -12,7 +12,8 @@
 use crate::{
     RefusalReason, SchedulerAction, SchedulerEvent, SchedulerSettings, arrival::Rejection,
     forwarding::ForwardedJob, gang::GangPlanner, load::LoadMeter, peers::PeerTable,
-    pool::PoolTable, retry::RetryBudget, roles::RolePlanner, view::EngineView,
+    pool::PoolTable, retry::RetryBudget, roles::RolePlanner, suspects::SuspectSet,
+    view::EngineView,
 };
 
 /// Decides about every prompt that a node holds.
@@ -40,6 +41,7 @@
     pub(crate) forwarded: HashMap<RequestId, ForwardedJob>,
     pub(crate) silences: BTreeSet<(Instant, RequestId)>,
     pub(crate) deadlines: BTreeSet<(Instant, RequestId)>,
+    pub(crate) suspects: SuspectSet,
     pub(crate) meter: Option<LoadMeter>,
     pub(crate) rng: StdRng,
     pub(crate) sequence: u64,
@@ -97,6 +99,7 @@
             forwarded: HashMap::new(),
             silences: BTreeSet::new(),
             deadlines: BTreeSet::new(),
+            suspects: SuspectSet::default(),
             meter: None,
             rng: StdRng::seed_from_u64(settings.seed),
             sequence: 0,
@@ -126,6 +129,7 @@
         self.plan_roles(now, &mut actions);
         self.dispatch_all(now, &mut actions);
         self.leave_refused(&actions);
+        self.suspects.forget_ended(&actions);
         actions
     }
 
@@ -154,7 +158,10 @@
                 request,
                 attempt,
                 output_tokens,
-            } => self.finished(now, &request, attempt, output_tokens),
+            } => {
+                self.suspects.remove(&request);
+                self.finished(now, &request, attempt, output_tokens);
+            }
             SchedulerEvent::Failed {
                 request,
                 attempt,
@@ -183,12 +190,16 @@
                     self.leave(&request);
                 }
             }
+            SchedulerEvent::Suspected { request } => self.suspects.insert(request),
             SchedulerEvent::GangRefused {
                 request,
                 attempt,
                 engine,
             } => self.gang_refused(now, &request, attempt, &engine, actions),
-            SchedulerEvent::Cancelled { request } => self.cancelled(now, &request, actions),
+            SchedulerEvent::Cancelled { request } => {
+                self.suspects.remove(&request);
+                self.cancelled(now, &request, actions);
+            }
             SchedulerEvent::LimitsChanged {
                 organisation,
                 limits,
--- /dev/null
+++ b/components/routing/src/suspects.rs
@@ -0,0 +1,54 @@
+//! Prompts that are suspected of crashing engines.
+//!
+//! Two of them don't share an engine while there is another choice, so that
+//! the next death points at one of them alone.
+
+use std::collections::{BTreeSet, HashMap};
+
+use types::{EngineId, RequestId};
+
+use crate::{SchedulerAction, scheduler::RunningJob};
+
+/// The suspected requests of a node.
+#[derive(Debug, Default)]
+pub(crate) struct SuspectSet {
+    requests: BTreeSet<RequestId>,
+}
+
+impl SuspectSet {
+    pub(crate) fn insert(&mut self, request: RequestId) {
+        self.requests.insert(request);
+    }
+
+    pub(crate) fn remove(&mut self, request: &RequestId) {
+        self.requests.remove(request);
+    }
+
+    /// Forgets what has left this node by `actions`.
+    pub(crate) fn forget_ended(&mut self, actions: &[SchedulerAction]) {
+        for action in actions {
+            if let SchedulerAction::Refuse { request, .. }
+            | SchedulerAction::Forward { request, .. } = action
+            {
+                self.remove(request);
+            }
+        }
+    }
+
+    /// Engines that `request` should stay away from: those that run another
+    /// suspect, if it is one itself.
+    pub(crate) fn avoided(
+        &self,
+        request: &RequestId,
+        running: &HashMap<RequestId, RunningJob>,
+    ) -> BTreeSet<EngineId> {
+        if !self.requests.contains(request) {
+            return BTreeSet::new();
+        }
+        let others = self.requests.iter().filter(|other| *other != request);
+        others
+            .filter_map(|other| running.get(other))
+            .flat_map(|job| job.engines.iter().cloned())
+            .collect()
+    }
+}
--- a/src/cmd/quarantine.rs
+++ b/src/cmd/quarantine.rs
@@ -23,22 +23,23 @@
 
 fn list(command: &QuarantineList) -> Result<(), LaunchError> {
     let client = NodeClient::new(&command.node, command.key.as_deref());
-    let prompts = smol::block_on(client.get("quarantine list", PATH))?;
-    show(prompts, command.json)
+    let prompts: Vec<QuarantinedPrompt> = smol::block_on(client.get("quarantine list", PATH))?;
+    show(&prompts, command.json)
 }
 
 fn clear(command: &QuarantineClear) -> Result<(), LaunchError> {
     let client = NodeClient::new(&command.node, command.key.as_deref());
     let path = format!("{PATH}/{}", command.prompt);
-    let prompts = smol::block_on(client.post("quarantine clear", &path, String::new()))?;
-    show(prompts, command.json)
+    let prompts: Vec<QuarantinedPrompt> =
+        smol::block_on(client.post("quarantine clear", &path, String::new()))?;
+    show(&prompts, command.json)
 }
 
-fn show(prompts: Vec<QuarantinedPrompt>, json: bool) -> Result<(), LaunchError> {
+fn show(prompts: &[QuarantinedPrompt], json: bool) -> Result<(), LaunchError> {
     if json {
         return write_json(&prompts);
     }
-    for prompt in &prompts {
+    for prompt in prompts {
         let engines: Vec<&str> = prompt
             .deaths
             .iter()
