Send nothing to an engine that failed until it reports again

Change: a failed call makes an engine suspect until a later report; prompts whose engines are gone go to another node or back to the one they came from.

--- a/components/admission/src/queue.rs
+++ b/components/admission/src/queue.rs
@@ -48,6 +48,8 @@
     pub attempt: AttemptId,
     /// Answer tokens the caller has already.
     pub resume_at: TokenCount,
+    /// Whether another node forwarded it here.
+    pub forwarded: bool,
     /// Attempts that failed on their engines.
     pub failures: u32,
     /// When it began to wait.
@@ -252,6 +254,14 @@
         self.remove(&request, shares)
     }
 
+    /// Takes out some job of a pool.
+    pub fn take_any(&mut self, pool: PoolIndex, shares: &mut ShareTable) -> Option<QueuedJob> {
+        let lane = self.lanes.iter().find(|(lane, _)| lane.pool == pool)?.1;
+        let job = lane.jobs.values().next()?.values().next()?;
+        let request = job.job.request.clone();
+        self.remove(&request, shares)
+    }
+
     /// Takes out the job of the lowest value of a plan: the last of the
     /// organisation that was served most.
     pub fn evict(&mut self, plan: PlanKind, shares: &mut ShareTable) -> Option<QueuedJob> {
--- a/components/routing/src/arrival.rs
+++ b/components/routing/src/arrival.rs
@@ -73,7 +73,8 @@
         }
         let pool = self.pools.intern(PoolKey::of(&job));
         let class = self.class_of(now, &job)?;
-        let queued = self.queued_job(now, job, pool, class);
+        let mut queued = self.queued_job(now, job, pool, class);
+        queued.forwarded = via.is_some();
         let handed = via.is_none().then(Vec::new);
         self.settle(now, queued, handed)
     }
@@ -131,6 +132,7 @@
             attempt: 1,
             resume_at: 0,
             failures: 0,
+            forwarded: false,
             since: now,
             job,
         }
@@ -143,7 +145,7 @@
         let mut engines = 0;
         let mut best: Option<(Duration, Duration)> = None;
         for view in self.engines.values() {
-            if !key.served_by(&view.report) {
+            if !key.usable(view) {
                 continue;
             }
             engines += 1;
@@ -185,7 +187,7 @@
         let mut engines: u32 = 0;
         let mut least: Option<Duration> = None;
         for view in self.engines.values_mut() {
-            if !key.served_by(&view.report) {
+            if !key.usable(view) {
                 continue;
             }
             view.advance(now);
--- a/components/routing/src/dispatch.rs
+++ b/components/routing/src/dispatch.rs
@@ -85,7 +85,7 @@
         let calm: Vec<&EngineId> = self
             .engines
             .iter()
-            .filter(|(engine, view)| **engine != leader && key.served_by(&view.report))
+            .filter(|(engine, view)| **engine != leader && key.usable(view))
             .filter(|(engine, view)| view.is_idle(&self.node) && !self.gangs.reserves(engine))
             .filter(|(_, view)| view.kv_free(&self.node) >= view.kv_part(HELPER_MEMORY))
             .map(|(engine, _)| engine)
@@ -128,7 +128,7 @@
         let urgency = self.urgency(&head);
         let mut offers = Vec::new();
         for (engine, view) in &self.engines {
-            if !key.served_by(&view.report) || !may_borrow(now, view, &head) {
+            if !key.usable(view) || !may_borrow(now, view, &head) {
                 continue;
             }
             if class != LengthClass::Short && self.gangs.reserves(engine) {
--- a/components/routing/src/gang.rs
+++ b/components/routing/src/gang.rs
@@ -358,7 +358,7 @@
     fn candidates(&self, now: Instant, key: &PoolKey) -> Vec<GangCandidate> {
         let mut candidates = Vec::new();
         for (engine, view) in &self.engines {
-            if !key.served_by(&view.report) {
+            if !key.usable(view) {
                 continue;
             }
             candidates.push(GangCandidate {
@@ -424,7 +424,7 @@
         let own = self
             .engines
             .values()
-            .filter(|view| key.served_by(&view.report))
+            .filter(|view| key.usable(view))
             .count();
         let need = PoolNeed::of(job);
         let others: u32 = self
--- a/components/routing/src/outcome.rs
+++ b/components/routing/src/outcome.rs
@@ -3,11 +3,12 @@
 use std::time::{Duration, Instant};
 
 use admission::{DeadlineGate, QueuedJob, job_cost};
-use types::{AttemptId, RequestId, TokenCount};
+use types::{AttemptId, PromptJob, RequestId, TokenCount};
 
 use crate::{
     NodeScheduler, RefusalReason, SchedulerAction,
     estimate::float,
+    pool::PoolKey,
     scheduler::{RunningJob, refusal},
 };
 
@@ -111,6 +112,11 @@
         let Some(running) = self.end_attempt(now, request) else {
             return;
         };
+        for engine in running.engines.iter().filter(|_| retryable) {
+            if let Some(view) = self.engines.get_mut(engine) {
+                view.suspect(now);
+            }
+        }
         let mut queued = running.queued;
         self.shares.refund(queued.organisation, running.charged);
         queued.resume_at = queued.resume_at.max(delivered);
@@ -168,7 +174,48 @@
             actions.push(refusal(queued.job.request, reason, retry_after));
             return;
         }
-        self.queue.push(queued, &mut self.shares);
+        if self.has_engine(&queued.job) {
+            self.queue.push(queued, &mut self.shares);
+        } else {
+            self.move_on(now, queued, actions);
+        }
+    }
+
+    /// Hands on what waits for engines that this node has no more.
+    pub(crate) fn move_orphans(&mut self, now: Instant, actions: &mut Vec<SchedulerAction>) {
+        for pool in self.queue.pools() {
+            let key = self.pools.key(pool);
+            let served = |key: &PoolKey| {
+                self.engines
+                    .values()
+                    .any(|view| key.served_by(&view.report))
+            };
+            if key.is_none_or(served) {
+                continue;
+            }
+            while let Some(queued) = self.queue.take_any(pool, &mut self.shares) {
+                self.gangs.forget(&queued.job.request);
+                self.move_on(now, queued, actions);
+            }
+        }
+    }
+
+    /// Sends a prompt that no engine here can take to another node, or back
+    /// to the node it came from.
+    fn move_on(&mut self, now: Instant, queued: QueuedJob, actions: &mut Vec<SchedulerAction>) {
+        let request = queued.job.request.clone();
+        let handed = (!queued.forwarded).then(Vec::new);
+        match self.settle(now, queued, handed) {
+            Ok(action) => actions.extend(action),
+            Err(rejection) => {
+                actions.push(refusal(request, rejection.reason, rejection.retry_after));
+            }
+        }
+    }
+
+    fn has_engine(&self, job: &PromptJob) -> bool {
+        let key = PoolKey::of(job);
+        self.engines.values().any(|view| key.usable(view))
     }
 
     /// The attempt that runs for a request, unless it is another one.
--- a/components/routing/src/pool.rs
+++ b/components/routing/src/pool.rs
@@ -5,6 +5,8 @@
 use admission::PoolIndex;
 use types::{AdapterId, EngineReport, ModelId, ModelVersion, PromptJob};
 
+use crate::view::EngineView;
+
 /// What an engine must hold ready.
 #[derive(Clone, Debug, Eq, Hash, PartialEq)]
 pub(crate) struct PoolKey {
@@ -22,6 +24,11 @@
         }
     }
 
+    /// Whether new work of the pool may be sent to the engine.
+    pub(crate) fn usable(&self, view: &EngineView) -> bool {
+        view.is_usable() && self.served_by(&view.report)
+    }
+
     pub(crate) fn served_by(&self, report: &EngineReport) -> bool {
         report.models.iter().any(|loaded| {
             let adapter = self
--- a/components/routing/src/scheduler.rs
+++ b/components/routing/src/scheduler.rs
@@ -135,6 +135,7 @@
             SchedulerEvent::Reported(report) => self.take_report(now, report),
             SchedulerEvent::EngineGone { engine } => {
                 self.engines.remove(&engine);
+                self.move_orphans(now, actions);
             }
             SchedulerEvent::Cached { engine, events, .. } => {
                 if let Some(view) = self.engines.get_mut(&engine) {
--- a/components/routing/src/view.rs
+++ b/components/routing/src/view.rs
@@ -79,6 +79,8 @@
     pub(crate) prefixes: PrefixIndex,
     pub(crate) flights: Vec<EngineFlight>,
     pub(crate) wanted_role: EngineRole,
+    /// When a call to it failed, until a later report shows that it lives.
+    suspect: Option<Instant>,
     ended: Vec<EndedFlight>,
     advanced: Instant,
 }
@@ -91,6 +93,7 @@
             prefixes: PrefixIndex::default(),
             flights: Vec::new(),
             wanted_role: report.role,
+            suspect: None,
             ended: Vec::new(),
             advanced: now,
             report,
@@ -112,11 +115,24 @@
         if report.profile.incarnation == life && taken < self.taken {
             return false;
         }
+        if self.suspect.is_some_and(|since| taken > since) {
+            self.suspect = None;
+        }
         self.taken = taken;
         self.report = report;
         true
     }
 
+    /// Notes that a call to the engine failed.
+    pub(crate) fn suspect(&mut self, now: Instant) {
+        self.suspect = Some(now);
+    }
+
+    /// Whether new work may be sent to it.
+    pub(crate) fn is_usable(&self) -> bool {
+        self.suspect.is_none()
+    }
+
     /// Moves the prefill of the attempts forward to `now`.
     pub(crate) fn advance(&mut self, now: Instant) {
         let mut left = now.saturating_duration_since(self.advanced);
