--- /dev/null
+++ b/components/routing/tests/faults.rs
@@ -0,0 +1,657 @@
+//! The faults that the decisions must bear, one table for each.
+
+mod support;
+
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    time::{Duration, Instant},
+};
+
+use routing::{
+    LimitSettings, NodeScheduler, RefusalReason, SchedulerAction, SchedulerEvent, SchedulerSettings,
+};
+use types::{CacheEvent, PlanKind, PromptJob};
+
+const MINUTE: Duration = Duration::from_mins(1);
+
+fn with_engines(count: usize) -> NodeScheduler {
+    let mut scheduler = support::scheduler();
+    let now = Instant::now();
+    for place in 0..count {
+        let report = support::report(&format!("e{place:02}"));
+        scheduler.handle(now, SchedulerEvent::Reported(report));
+    }
+    scheduler
+}
+
+/// Engines whose trial floor is nothing.
+fn without_floor(count: usize) -> NodeScheduler {
+    let settings = SchedulerSettings {
+        trial_floor: 0.0,
+        ..SchedulerSettings::default()
+    };
+    let mut scheduler = NodeScheduler::new("node-a".to_owned(), "duluth".to_owned(), settings);
+    for place in 0..count {
+        let report = support::report(&format!("e{place:02}"));
+        scheduler.handle(Instant::now(), SchedulerEvent::Reported(report));
+    }
+    scheduler
+}
+
+fn refusals(actions: &[SchedulerAction]) -> Vec<(String, RefusalReason, Duration)> {
+    let found = actions.iter().filter_map(|action| match action {
+        SchedulerAction::Refuse {
+            request,
+            reason,
+            retry_after,
+        } => Some((request.clone(), *reason, *retry_after)),
+        _ => None,
+    });
+    found.collect()
+}
+
+fn started_requests(actions: &[SchedulerAction]) -> BTreeSet<String> {
+    let dispatched = support::dispatched(actions);
+    dispatched
+        .into_iter()
+        .map(|(request, ..)| request)
+        .collect()
+}
+
+fn priority_of(actions: &[SchedulerAction], wanted: &str) -> Option<u32> {
+    actions.iter().find_map(|action| match action {
+        SchedulerAction::Dispatch {
+            request, priority, ..
+        } if request == wanted => Some(*priority),
+        _ => None,
+    })
+}
+
+/// Deadlines: refused at once when it can't be met, and in the queue as soon
+/// as it can't be met any more.
+#[test]
+fn deadlines_are_refused_early() {
+    let cases = [
+        ("1 s for 60 s of work", 200_000, 1),
+        ("nothing left", 1_000, 0),
+    ];
+    for (name, tokens, seconds) in cases {
+        let now = Instant::now();
+        let mut scheduler = with_engines(1);
+        let mut job = support::job(now, "r", tokens);
+        job.deadline = now + Duration::from_secs(seconds);
+        let actions = support::arrive(&mut scheduler, now, job);
+        let refused = refusals(&actions);
+        assert_eq!(refused.len(), 1, "{name}");
+        assert_eq!(refused[0].1, RefusalReason::DeadlineUnreachable, "{name}");
+    }
+}
+
+#[test]
+fn a_queued_prompt_is_refused_when_its_time_is_up() {
+    let now = Instant::now();
+    let mut scheduler = with_engines(1);
+    let first = support::job(now, "first", 300_000);
+    support::arrive(&mut scheduler, now, first);
+    let mut second = support::job(now, "second", 100_000);
+    second.deadline = now + Duration::from_mins(4);
+    assert!(support::arrive(&mut scheduler, now, second).is_empty());
+    let early = scheduler.handle(now + Duration::from_secs(200), SchedulerEvent::Tick);
+    assert!(refusals(&early).is_empty());
+    let late = scheduler.handle(now + Duration::from_secs(226), SchedulerEvent::Tick);
+    assert_eq!(refusals(&late)[0].0, "second");
+}
+
+/// A third of the engines dies: retries stay within the budget.
+#[test]
+fn retries_stay_within_the_budget() {
+    let now = Instant::now();
+    let mut scheduler = with_engines(6);
+    let settings = SchedulerSettings::default();
+    let mut running = BTreeMap::new();
+    let mut arrived = 0;
+    let mut retried = 0;
+    for round in 0..200u64 {
+        let at = now + Duration::from_millis(round * 20);
+        arrived += 1;
+        let job = support::job(at, &format!("r{round}"), 1_000);
+        let mut pending = support::arrive(&mut scheduler, at, job);
+        while let Some((request, attempt, _)) = support::dispatched(&pending).pop() {
+            retried += u32::from(running.insert(request.clone(), attempt).is_some());
+            let failed = SchedulerEvent::Failed {
+                request,
+                attempt,
+                delivered: 0,
+                retryable: true,
+            };
+            pending = scheduler.handle(at, failed);
+        }
+        for place in 0..6 {
+            let report = support::report(&format!("e{place:02}"));
+            let later = at + Duration::from_millis(1);
+            scheduler.handle(later, SchedulerEvent::Reported(report));
+        }
+    }
+    let bound = settings.retry_burst + settings.retry_ratio * f64::from(arrived);
+    assert!(retried > 0);
+    assert!(f64::from(retried) <= bound, "{retried} of {bound}");
+}
+
+fn flood(now: Instant, case: &str, place: usize) -> PromptJob {
+    let tokens = if case == "long prompts only" {
+        150_000
+    } else {
+        3_000
+    };
+    let mut job = support::trial_job(now, &format!("flood-{place}"), tokens);
+    if case == "many organisations" {
+        job.organisation = format!("guest-{place}");
+    }
+    job.deadline = now + MINUTE * 20;
+    job
+}
+
+/// Trial floods: a paying prompt starts at once, ahead of all trial work.
+#[test]
+fn trial_floods_do_not_hold_paying_work() {
+    for case in [
+        "one organisation",
+        "many organisations",
+        "long prompts only",
+    ] {
+        let now = Instant::now();
+        let mut scheduler = without_floor(2);
+        let mut trial = Vec::new();
+        for place in 0..300 {
+            let actions = support::arrive(&mut scheduler, now, flood(now, case, place));
+            let started = started_requests(&actions);
+            trial.extend(started.iter().filter_map(|one| priority_of(&actions, one)));
+        }
+        for (name, tokens) in [("short", 2_000), ("medium", 12_000), ("long", 60_000)] {
+            let actions = support::arrive(&mut scheduler, now, support::job(now, name, tokens));
+            let priority = priority_of(&actions, name);
+            assert!(priority.is_some(), "{case}: {name} waits");
+            let ahead = trial
+                .iter()
+                .filter(|other| Some(**other) < priority)
+                .count();
+            assert!(ahead <= 2, "{case}: {ahead} trial prompts ahead of {name}");
+        }
+    }
+}
+
+/// A trial flood through other nodes: its forwarded part yields as well.
+#[test]
+fn forwarded_trial_work_yields_too() {
+    let now = Instant::now();
+    let mut scheduler = without_floor(1);
+    for place in 0..50 {
+        let job = flood(now, "one organisation", place);
+        let via = Some("node-b".to_owned());
+        scheduler.handle(now, SchedulerEvent::Arrived { job, via });
+    }
+    let actions = support::arrive(&mut scheduler, now, support::job(now, "paying", 2_000));
+    assert_eq!(priority_of(&actions, "paying"), Some(0));
+}
+
+/// A paying organisation floods: another one's prompt starts before the
+/// flood's queue.
+#[test]
+fn a_flooding_payer_does_not_hold_the_others() {
+    for length in [2_000, 10_000, 60_000] {
+        let now = Instant::now();
+        let mut scheduler = with_engines(2);
+        for place in 0..200 {
+            let mut job = support::job(now, &format!("flood-{place}"), 2_500);
+            "flooder".clone_into(&mut job.organisation);
+            support::arrive(&mut scheduler, now, job);
+        }
+        let mut job = support::job(now, "other", length);
+        "other".clone_into(&mut job.organisation);
+        let mut actions = support::arrive(&mut scheduler, now, job);
+        let mut started_before = 0;
+        let mut at = now;
+        while !started_requests(&actions).contains("other") {
+            at += Duration::from_millis(300);
+            assert!(at < now + Duration::from_secs(10), "{length} tokens wait");
+            let load = scheduler.load();
+            actions = finish_all(&mut scheduler, at);
+            started_before += started_requests(&actions).len();
+            assert!(load.queued > 0);
+        }
+        assert!(
+            started_before <= 4,
+            "{started_before} before {length} tokens"
+        );
+    }
+}
+
+/// Finishes whatever a short flood has on its engines.
+fn finish_all(scheduler: &mut NodeScheduler, now: Instant) -> Vec<SchedulerAction> {
+    let mut actions = Vec::new();
+    for place in 0..200 {
+        let request = format!("flood-{place}");
+        for event in [
+            SchedulerEvent::FirstToken {
+                request: request.clone(),
+                attempt: 1,
+            },
+            SchedulerEvent::Finished {
+                request: request.clone(),
+                attempt: 1,
+                output_tokens: 100,
+            },
+        ] {
+            actions.extend(scheduler.handle(now, event));
+            if started_requests(&actions).contains("other") {
+                return actions;
+            }
+        }
+    }
+    actions
+}
+
+/// Long prompts start although short ones never cease.
+#[test]
+fn a_stream_of_short_prompts_does_not_starve_long_ones() {
+    for length in [20_000, 100_000, 300_000] {
+        let now = Instant::now();
+        let mut scheduler = with_engines(1);
+        let mut long_started = false;
+        let mut at = now;
+        let first = support::job(now, "s", 4_000);
+        let mut last = support::dispatched(&support::arrive(&mut scheduler, at, first)).pop();
+        let job = support::job(now, "long", length);
+        long_started |=
+            started_requests(&support::arrive(&mut scheduler, at, job)).contains("long");
+        for round in 0..500 {
+            at += Duration::from_millis(100);
+            let job = support::job(at, &format!("s{round}"), 4_000);
+            let actions = support::arrive(&mut scheduler, at, job);
+            long_started |= started_requests(&actions).contains("long");
+            if let Some((request, attempt, _)) = last.take() {
+                let first = SchedulerEvent::FirstToken { request, attempt };
+                let actions = scheduler.handle(at, first);
+                long_started |= started_requests(&actions).contains("long");
+                last = support::dispatched(&actions).pop();
+            }
+        }
+        assert!(long_started, "{length} tokens never started");
+    }
+}
+
+/// Nodes with the same old view of idle peers spread out.
+#[test]
+fn nodes_with_the_same_view_spread_out() {
+    let now = Instant::now();
+    let mut chosen: BTreeMap<String, u32> = BTreeMap::new();
+    for node in 0..40u64 {
+        let settings = SchedulerSettings {
+            seed: node,
+            ..SchedulerSettings::default()
+        };
+        let mut scheduler =
+            NodeScheduler::new(format!("node-{node}"), "sault".to_owned(), settings);
+        for peer in ["peer-a", "peer-b", "peer-c", "peer-d"] {
+            let mut source = NodeScheduler::new(
+                peer.to_owned(),
+                "sault".to_owned(),
+                SchedulerSettings::default(),
+            );
+            for engine in 0..3 {
+                let report = support::report(&format!("{peer}-{engine}"));
+                source.handle(now, SchedulerEvent::Reported(report));
+            }
+            let summary = source.summary(now);
+            scheduler.handle(now, SchedulerEvent::Summary(summary));
+        }
+        for place in 0..3 {
+            let job = support::job(now, &format!("r{node}-{place}"), 2_000);
+            for action in support::arrive(&mut scheduler, now, job) {
+                if let SchedulerAction::Forward { node, .. } = action {
+                    *chosen.entry(node).or_default() += 1;
+                }
+            }
+        }
+    }
+    assert_eq!(chosen.values().sum::<u32>(), 120);
+    assert!(
+        chosen.values().all(|count| (15..=45).contains(count)),
+        "{chosen:?}"
+    );
+}
+
+/// Engines that grant reservations, and the nodes that ask them.
+struct EngineArbiter {
+    holds: BTreeMap<String, String>,
+}
+
+impl EngineArbiter {
+    /// Reserves all engines in order or none; the engine that refused.
+    fn reserve(&mut self, request: &str, engines: &[String]) -> Result<(), String> {
+        if let Some(taken) = engines
+            .iter()
+            .find(|engine| self.holds.contains_key(*engine))
+        {
+            return Err(taken.clone());
+        }
+        for engine in engines {
+            self.holds.insert(engine.clone(), request.to_owned());
+        }
+        Ok(())
+    }
+
+    fn release(&mut self, request: &str) {
+        self.holds.retain(|_, holder| holder != request);
+    }
+}
+
+/// Two nodes with two and one engine: each knows of all three, and a
+/// prompt of a million tokens needs all three.
+fn gang_nodes(now: Instant) -> Vec<NodeScheduler> {
+    let owned: [&[&str]; 2] = [&["e1", "e2"], &["e3"]];
+    let mut nodes: Vec<NodeScheduler> = owned
+        .iter()
+        .zip(["node-a", "node-b"])
+        .map(|(engines, node)| {
+            let settings = SchedulerSettings::default();
+            let mut scheduler = NodeScheduler::new(node.to_owned(), "sault".to_owned(), settings);
+            for engine in *engines {
+                scheduler.handle(now, SchedulerEvent::Reported(support::report(engine)));
+            }
+            scheduler
+        })
+        .collect();
+    spread_summaries(&mut nodes, now);
+    nodes
+}
+
+/// Tells each node's summary to all; returns what each then does.
+fn spread_summaries(nodes: &mut [NodeScheduler], now: Instant) -> Vec<Vec<SchedulerAction>> {
+    let summaries: Vec<_> = nodes.iter_mut().map(|node| node.summary(now)).collect();
+    let mut told = Vec::new();
+    for node in nodes.iter_mut() {
+        let mut actions = Vec::new();
+        for summary in &summaries {
+            actions.extend(node.handle(now, SchedulerEvent::Summary(summary.clone())));
+        }
+        told.push(actions);
+    }
+    told
+}
+
+/// Prompts larger than one engine, from two nodes at once: each ends, no
+/// engine is held by halves, whatever way the first one ends.
+#[test]
+fn groups_never_deadlock() {
+    for way in ["finished", "failed", "cancelled", "node died"] {
+        let start = Instant::now();
+        let mut nodes = gang_nodes(start);
+        let mut arbiter = EngineArbiter {
+            holds: BTreeMap::new(),
+        };
+        let mut waiting = Vec::new();
+        for (place, node) in nodes.iter_mut().enumerate() {
+            let job = support::job(start, &format!("g{place}"), 1_000_000);
+            let via = Some("node-z".to_owned());
+            let actions = node.handle(start, SchedulerEvent::Arrived { job, via });
+            waiting.push(actions);
+        }
+        let mut ended = BTreeSet::new();
+        let mut held: Option<(usize, String, u32, Instant)> = None;
+        for step in 1..2_000u64 {
+            let now = start + Duration::from_millis(step * 50);
+            for place in 0..nodes.len() {
+                let actions = std::mem::take(&mut waiting[place]);
+                for (request, attempt, engines) in support::dispatched(&actions) {
+                    assert_eq!(engines.len(), 3, "a whole group");
+                    assert!(engines.is_sorted(), "in one order for all nodes");
+                    match arbiter.reserve(&request, &engines) {
+                        Ok(()) => held = Some((place, request, attempt, now)),
+                        Err(engine) => {
+                            let refused = SchedulerEvent::GangRefused {
+                                request,
+                                attempt,
+                                engine,
+                            };
+                            waiting[place].extend(nodes[place].handle(now, refused));
+                        }
+                    }
+                }
+                waiting[place].extend(nodes[place].handle(now, SchedulerEvent::Tick));
+            }
+            if step % 20 == 0 {
+                let reported = report_holds(&mut nodes, &arbiter, now);
+                let told = spread_summaries(&mut nodes, now);
+                for (place, actions) in reported.into_iter().chain(told).enumerate() {
+                    waiting[place % 2].extend(actions);
+                }
+            }
+            let over = held.take_if(|(.., since)| now - *since > Duration::from_secs(5));
+            if let Some((place, request, attempt, _)) = over {
+                arbiter.release(&request);
+                ended.insert(request.clone());
+                let actions = end_group(&mut nodes[place], now, way, request, attempt);
+                waiting[place].extend(actions);
+            }
+        }
+        assert_eq!(ended.len(), 2, "{way}: {ended:?}");
+        assert!(arbiter.holds.is_empty(), "{way}");
+    }
+}
+
+fn end_group(
+    node: &mut NodeScheduler,
+    now: Instant,
+    way: &str,
+    request: String,
+    attempt: u32,
+) -> Vec<SchedulerAction> {
+    let event = match way {
+        "finished" => SchedulerEvent::Finished {
+            request,
+            attempt,
+            output_tokens: 50,
+        },
+        "failed" => SchedulerEvent::Failed {
+            request,
+            attempt,
+            delivered: 0,
+            retryable: false,
+        },
+        "cancelled" => SchedulerEvent::Cancelled { request },
+        _ => {
+            let settings = SchedulerSettings::default();
+            *node = NodeScheduler::new("node-r".to_owned(), "sault".to_owned(), settings);
+            return Vec::new();
+        }
+    };
+    node.handle(now, event)
+}
+
+fn report_holds(
+    nodes: &mut [NodeScheduler],
+    arbiter: &EngineArbiter,
+    now: Instant,
+) -> Vec<Vec<SchedulerAction>> {
+    let mut told = vec![Vec::new(), Vec::new()];
+    for (engine, owner) in [("e1", 0), ("e2", 0), ("e3", 1)] {
+        let mut report = support::report(engine);
+        if let Some(request) = arbiter.holds.get(engine) {
+            let holder = if request == "g0" { "node-a" } else { "node-b" };
+            report.holds.push(support::hold(holder, 333_400));
+            report.kv_used = 333_400;
+        }
+        told[owner].extend(nodes[owner].handle(now, SchedulerEvent::Reported(report)));
+    }
+    told
+}
+
+/// Larger than all engines together: said at once.
+#[test]
+fn a_prompt_too_long_for_the_fleet_is_refused_as_such() {
+    let now = Instant::now();
+    let mut scheduler = with_engines(2);
+    let actions = support::arrive(&mut scheduler, now, support::job(now, "r", 1_000_000));
+    assert_eq!(refusals(&actions)[0].1, RefusalReason::TooLong);
+}
+
+/// Overload: what is admitted fits its deadline, the rest is refused on
+/// arrival with the time to come back; queues stay within their bounds.
+#[test]
+fn overload_is_refused_on_arrival() {
+    let now = Instant::now();
+    let settings = SchedulerSettings {
+        queue: admission::QueueBounds {
+            requests: 100,
+            tokens: 10_000_000,
+        },
+        ..SchedulerSettings::default()
+    };
+    let mut scheduler = NodeScheduler::new("node-a".to_owned(), "sault".to_owned(), settings);
+    scheduler.handle(now, SchedulerEvent::Reported(support::report("e1")));
+    let mut waits = Vec::new();
+    for place in 0..500 {
+        let mut job = support::job(now, &format!("r{place}"), 4_000);
+        job.deadline = now + Duration::from_secs(30);
+        let refused = refusals(&support::arrive(&mut scheduler, now, job));
+        waits.extend(refused.iter().map(|(_, _, retry_after)| *retry_after));
+        assert!(scheduler.load().queued <= 100);
+    }
+    assert!(waits.len() >= 400, "{} refused", waits.len());
+    assert!(waits.iter().all(|wait| *wait >= Duration::from_secs(1)));
+    assert!(scheduler.load().queued > 10, "the queue is used");
+}
+
+#[test]
+fn full_queues_shed_trial_first() {
+    let now = Instant::now();
+    let settings = SchedulerSettings {
+        queue: admission::QueueBounds {
+            requests: 4,
+            tokens: 10_000_000,
+        },
+        ..SchedulerSettings::default()
+    };
+    let mut scheduler = NodeScheduler::new("node-a".to_owned(), "sault".to_owned(), settings);
+    let mut report = support::report("e1");
+    report.kv_used = support::KV_CAPACITY;
+    report
+        .holds
+        .push(support::hold("node-z", support::KV_CAPACITY));
+    scheduler.handle(now, SchedulerEvent::Reported(report));
+    for place in 0..4 {
+        let job = support::trial_job(now, &format!("t{place}"), 1_000);
+        assert!(support::arrive(&mut scheduler, now, job).is_empty());
+    }
+    let actions = support::arrive(&mut scheduler, now, support::job(now, "p", 1_000));
+    let refused = refusals(&actions);
+    assert_eq!(refused.len(), 1);
+    assert_eq!(refused[0].1, RefusalReason::TrialShed);
+    assert!(refused[0].0.starts_with('t'));
+}
+
+#[test]
+fn organisations_over_their_limit_are_told_when_to_come_back() {
+    let now = Instant::now();
+    let mut scheduler = with_engines(4);
+    let limits = LimitSettings {
+        requests_per_second: 1,
+        tokens_per_minute: 1_000_000,
+        concurrent_requests: 10,
+    };
+    let changed = SchedulerEvent::LimitsChanged {
+        organisation: "payer".to_owned(),
+        limits: Some(limits),
+    };
+    scheduler.handle(now, changed);
+    let mut reasons = Vec::new();
+    for place in 0..5 {
+        let job = support::job(now, &format!("r{place}"), 1_000);
+        reasons.extend(refusals(&support::arrive(&mut scheduler, now, job)));
+    }
+    assert_eq!(reasons.len(), 3);
+    assert!(
+        reasons
+            .iter()
+            .all(|refused| refused.1 == RefusalReason::OrganisationLimit)
+    );
+}
+
+/// Cache events that are late, lost or wrong: they move a choice, and the
+/// next answer corrects them.
+#[test]
+fn wrong_cache_beliefs_cost_time_only() {
+    for gap in [false, true] {
+        let now = Instant::now();
+        let mut scheduler = with_engines(2);
+        let prefixes: Vec<u64> = (0..40).collect();
+        let stored = prefixes
+            .iter()
+            .map(|prefix| CacheEvent::Stored { prefix: *prefix });
+        let cached = SchedulerEvent::Cached {
+            engine: "e01".to_owned(),
+            gap,
+            events: stored.collect(),
+        };
+        scheduler.handle(now, cached);
+        let chosen = |scheduler: &mut NodeScheduler, name: &str| {
+            let mut job = support::job(now, name, 20_480);
+            job.prefixes.clone_from(&prefixes);
+            let dispatched = support::dispatched(&support::arrive(scheduler, now, job));
+            dispatched[0].2[0].clone()
+        };
+        assert_eq!(chosen(&mut scheduler, "first"), "e01");
+        let wrong = SchedulerEvent::Started {
+            request: "first".to_owned(),
+            attempt: 1,
+            prompt_tokens: 20_480,
+            cached_tokens: 0,
+        };
+        scheduler.handle(now, wrong);
+        assert_eq!(chosen(&mut scheduler, "second"), "e00", "e01 is busy now");
+    }
+}
+
+/// A hot prefix does not heat one engine: beyond what the cache saves, work
+/// goes elsewhere.
+#[test]
+fn a_hot_prefix_spreads_over_engines() {
+    let now = Instant::now();
+    let mut scheduler = with_engines(4);
+    let prefixes: Vec<u64> = (0..8).collect();
+    let stored = prefixes
+        .iter()
+        .map(|prefix| CacheEvent::Stored { prefix: *prefix });
+    let cached = SchedulerEvent::Cached {
+        engine: "e00".to_owned(),
+        gap: false,
+        events: stored.collect(),
+    };
+    scheduler.handle(now, cached);
+    let mut engines = BTreeSet::new();
+    for place in 0..12 {
+        let mut job = support::job(now, &format!("r{place}"), 8_000);
+        job.prefixes.clone_from(&prefixes);
+        job.plan = PlanKind::Paying;
+        for (_, _, chosen) in support::dispatched(&support::arrive(&mut scheduler, now, job)) {
+            engines.extend(chosen);
+        }
+    }
+    assert_eq!(engines.len(), 4);
+}
+
+/// A summary of a large node stays small.
+#[test]
+fn a_summary_is_a_few_hundred_bytes() {
+    let now = Instant::now();
+    let mut scheduler = with_engines(10);
+    for place in 0..500 {
+        let mut job = support::job(now, &format!("r{place}"), 2_000);
+        job.organisation = format!("organisation-{place}");
+        support::arrive(&mut scheduler, now, job);
+    }
+    let summary = scheduler.summary(now);
+    let bytes = postcard::to_allocvec(&summary).unwrap();
+    assert!(bytes.len() <= 700, "{} bytes", bytes.len());
+}
