--- a/components/routing/src/dispatch.rs
+++ b/components/routing/src/dispatch.rs
@@ -28,7 +28,7 @@
 }
 
 /// Prefill time from which other engines help a long prompt.
-const HELPED_WORK: Duration = Duration::from_secs(8);
+const HELPED_WORK: Duration = Duration::from_secs(20);
 /// Most engines that help one prompt.
 const HELPERS_MAX: usize = 2;
 /// Free part of its memory that an engine needs to help.
@@ -69,8 +69,7 @@
         }
     }
 
-    /// The engine chosen and, for a long prompt, calm engines that lend it
-    /// their compute; enough of them stay with the short prompts.
+    /// The engine chosen and, for a long prompt, its helpers.
     fn with_helpers(
         &self,
         key: &PoolKey,
@@ -78,22 +77,29 @@
         request: &RequestId,
         class: LengthClass,
     ) -> Vec<EngineId> {
+        let mut engines = vec![leader];
         let work = self.queue.work_of(request).unwrap_or_default();
-        if class != LengthClass::Long || work < HELPED_WORK || self.gangs.backs_off(request) {
-            return vec![leader];
+        if class == LengthClass::Long && work >= HELPED_WORK && !self.gangs.backs_off(request) {
+            let helpers = self.helpers(key, &engines);
+            engines.extend(helpers);
         }
+        engines
+    }
+
+    /// Calm engines of this node that may lend a long prompt their compute;
+    /// enough of them stay with the short prompts.
+    pub(crate) fn helpers(&self, key: &PoolKey, chosen: &[EngineId]) -> Vec<EngineId> {
         let calm: Vec<&EngineId> = self
             .engines
             .iter()
-            .filter(|(engine, view)| **engine != leader && key.usable(view))
+            .filter(|(engine, view)| !chosen.contains(engine) && key.usable(view))
             .filter(|(engine, view)| view.is_idle(&self.node) && !self.gangs.reserves(engine))
             .filter(|(_, view)| view.kv_free(&self.node) >= view.kv_part(HELPER_MEMORY))
             .map(|(engine, _)| engine)
             .collect();
         let spare = calm.len().saturating_sub(self.kept_calm());
-        let mut engines = vec![leader];
-        engines.extend(calm.into_iter().rev().take(spare.min(HELPERS_MAX)).cloned());
-        engines
+        let helpers = calm.into_iter().rev().take(spare.min(HELPERS_MAX));
+        helpers.cloned().collect()
     }
 
     /// Calm engines that short prompts need at their present rate.
--- a/components/routing/src/load.rs
+++ b/components/routing/src/load.rs
@@ -7,7 +7,7 @@
 /// Time over which the measurement forgets.
 const MEMORY: Duration = Duration::from_secs(30);
 /// Most of an engine's time that short work is taken to fill.
-const LOAD_MAX: f64 = 0.7;
+const LOAD_MAX: f64 = 0.9;
 
 /// Engine time begun in each class, with exponential forgetting.
 #[derive(Debug)]
--- a/components/routing/src/placement.rs
+++ b/components/routing/src/placement.rs
@@ -20,7 +20,7 @@
 const SLOWDOWN_ALLOWANCE: f64 = 0.18;
 /// Part of its prefill time that a long prompt waits before it takes an
 /// engine for short ones.
-const BORROW_PART: f64 = 0.25;
+const BORROW_PART: f64 = 0.05;
 /// Cost of a short prompt on an engine for long ones.
 const SHORT_ON_LONG: Duration = Duration::from_millis(2);
 /// Cost of longer work on an engine for short prompts.
