Test the orders service's answers, clean-up and single sends

Cause: resends, conflicts, outages, hand settlement, retention, a stop and the HTTP client below each have their own promise.

Change: one test for each; the histories move beside them into one binary.

--- a/components/node/tests/orders_history.rs
+++ b/components/node/tests/orders/history.rs
@@ -7,15 +7,13 @@
     time::Duration,
 };
 
+use crate::support::{Arrival, FaultWorld, NodeEdge, pump};
 use kernel::{CancellationToken, ClockSource, PausedClock};
 use node::orders::{OrderRequest, OrderService, OrderSettings, ServicePeer, ServiceTarget};
 use notes::ServiceGuarantee;
 use orders::{
     GuardSet, OrderGuard, OrderName, OrderOutcome, RefusalCause, RefusalScope, StateAnswer,
 };
-use orders_support::{Arrival, FaultWorld, NodeEdge, pump};
-
-mod orders_support;
 
 const NODES: usize = 3;
 const ORDERS: u64 = 4;
--- /dev/null
+++ b/components/node/tests/orders/main.rs
@@ -0,0 +1,5 @@
+//! Tests of the orders service.
+
+mod history;
+mod service;
+mod support;
