Check order histories over HTTP against the stand-ins

Cause: the in-memory histories leave out the HTTP clients and servers.

Change: 200 seeded callers through three drivers, with the platform and a service that can't deduplicate behind loopback ports that lose requests and answers and hold writes. A stop now also waits for late answers.

--- a/components/node/src/orders/driver.rs
+++ b/components/node/src/orders/driver.rs
@@ -14,7 +14,7 @@
 use super::{
     owed::OwedEntry,
     request::{OrderRequest, ServicePeer, ServiceTarget},
-    service::OrderParts,
+    service::{OpenOrder, OrderParts},
 };
 
 /// Time a send counts as under way beyond its timeout.
@@ -117,13 +117,14 @@
         let parts = Arc::clone(&self.parts);
         let name = self.request.name.clone();
         let tag = self.tag.clone();
+        let open = OpenOrder::new(&parts);
         smol::spawn(async move {
-            let Ok(result) = answer.recv().await else {
-                return;
-            };
-            let verdict = result.verdict();
-            let owed = OwedSettlement { tag, verdict };
-            parts.owed.push(OwedEntry { name, owed });
+            if let Ok(result) = answer.recv().await {
+                let verdict = result.verdict();
+                let owed = OwedSettlement { tag, verdict };
+                parts.owed.push(OwedEntry { name, owed });
+            }
+            drop(open);
         })
         .detach();
     }
--- a/components/node/src/orders/service.rs
+++ b/components/node/src/orders/service.rs
@@ -46,6 +46,22 @@
     under_way: AtomicUsize,
 }
 
+/// Counts one order as under way until it is dropped.
+pub(crate) struct OpenOrder(Arc<OrderParts>);
+
+impl OpenOrder {
+    pub(crate) fn new(parts: &Arc<OrderParts>) -> Self {
+        parts.under_way.fetch_add(1, Ordering::Relaxed);
+        Self(Arc::clone(parts))
+    }
+}
+
+impl Drop for OpenOrder {
+    fn drop(&mut self) {
+        self.0.under_way.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
 /// Orders and reads of plain services on one node.
 pub struct OrderService {
     parts: Arc<OrderParts>,
@@ -126,11 +142,10 @@
             Err(outcome) => return outcome,
         };
         let (sender, receiver) = bounded(1);
-        let parts = Arc::clone(&self.parts);
-        parts.under_way.fetch_add(1, Ordering::Relaxed);
+        let open = OpenOrder::new(&self.parts);
         smol::spawn(async move {
             let outcome = driver.run().await;
-            parts.under_way.fetch_sub(1, Ordering::Relaxed);
+            drop(open);
             sender.try_send(outcome).ok();
         })
         .detach();
@@ -263,7 +278,7 @@
         }
     }
 
-    /// Orders under way and settlements owed.
+    /// Orders under way, late answers awaited and settlements owed.
     #[must_use]
     pub fn open_count(&self) -> usize {
         self.parts.under_way.load(Ordering::Relaxed) + self.parts.owed.len()
--- /dev/null
+++ b/components/node/tests/orders/http.rs
@@ -0,0 +1,211 @@
+//! Histories over HTTP: three drivers, the platform and a plain service that
+//! can't deduplicate, each behind a loopback port and losing messages.
+
+use std::{
+    collections::BTreeMap,
+    sync::{Arc, Mutex},
+    time::Duration,
+};
+
+use kernel::{CancellationToken, ClockSource};
+use node::orders::{OrderRequest, OrderService, OrderSettings, ServicePeer, ServiceTarget};
+use notes::ServiceGuarantee;
+use orders::{OrderName, OrderOutcome, RefusalScope, StateAnswer};
+use platform::{HttpTable, fakes::EdgeFaults};
+use rand::{RngExt, SeedableRng, rngs::StdRng};
+use smol::Task;
+use standins::{PlatformServer, PlatformSettings, ServiceServer, ServiceSettings};
+use upstream::HttpService;
+
+const HISTORIES: u64 = 200;
+const HISTORIES_AT_ONCE: usize = 25;
+const NODES: usize = 3;
+const CALL_LIMIT: Duration = Duration::from_secs(1);
+
+struct HttpWorld {
+    platform: Arc<PlatformServer>,
+    desk: Arc<ServiceServer>,
+    nodes: Vec<Arc<OrderService>>,
+    stop: CancellationToken,
+    /// By key: outcome and effects seen before the submission.
+    log: Mutex<BTreeMap<String, Vec<(usize, OrderOutcome)>>>,
+}
+
+impl HttpWorld {
+    async fn start() -> Arc<Self> {
+        let clock = ClockSource::System;
+        let stop = CancellationToken::new();
+        let any_port = "127.0.0.1:0";
+        let settings = PlatformSettings::default();
+        let platform = PlatformServer::bind(any_port, settings, clock.clone());
+        let platform = platform.await.unwrap();
+        let settings = ServiceSettings::default();
+        let desk = ServiceServer::bind(any_port, settings, clock);
+        let desk = desk.await.unwrap();
+        smol::spawn(Arc::clone(&platform).run(stop.clone())).detach();
+        smol::spawn(Arc::clone(&desk).run(stop.clone())).detach();
+        let nodes = (0..NODES).map(|index| start_node(index, &platform, &desk, &stop));
+        Arc::new(Self {
+            nodes: nodes.collect(),
+            platform,
+            desk,
+            stop,
+            log: Mutex::default(),
+        })
+    }
+
+    fn effects(&self, key: &str) -> usize {
+        let dedup_key = name(key).dedup_key();
+        let effects = self.desk.service().effects();
+        let own = effects
+            .iter()
+            .filter(|effect| effect.dedup_key.as_ref() == Some(&dedup_key));
+        own.count()
+    }
+
+    /// One seeded caller: two to four submissions, some at the same moment.
+    async fn call(self: Arc<Self>, seed: u64) {
+        let mut dice = StdRng::seed_from_u64(seed);
+        let key = format!("key-{seed}");
+        let mut open: Vec<Task<()>> = Vec::new();
+        for _ in 0..dice.random_range(2..5) {
+            self.disturb(&mut dice);
+            let place = dice.random_range(0..NODES);
+            let submission = smol::spawn(Arc::clone(&self).submit(key.clone(), place));
+            if dice.random_bool(0.5) {
+                submission.await;
+            } else {
+                open.push(submission);
+            }
+        }
+        for submission in open {
+            submission.await;
+        }
+    }
+
+    /// Loses or holds one of the next messages, whosever it is.
+    fn disturb(&self, dice: &mut StdRng) {
+        let store = self.platform.table().switch();
+        let desk = self.desk.service().switch();
+        match dice.random_range(0..20) {
+            0 | 1 => store.change(|faults| faults.lose_answers += 1),
+            2 => store.change(|faults| faults.lose_requests += 1),
+            3 => store.change(|faults| faults.hold_writes += 1),
+            4 => {
+                self.platform.table().release_held();
+            }
+            5 => desk.change(|faults| faults.lose_answers += 1),
+            6 => desk.change(|faults| faults.lose_requests += 1),
+            _ => {}
+        }
+    }
+
+    async fn submit(self: Arc<Self>, key: String, place: usize) {
+        let request = OrderRequest {
+            name: name(&key),
+            path: "issue".to_owned(),
+            content_type: "text/plain".to_owned(),
+            body: "notice".to_owned(),
+            deadline_in: Duration::from_secs(20),
+            traceparent: String::new(),
+        };
+        let before = self.effects(&key);
+        let outcome = self.nodes[place].submit(request).await;
+        let mut log = self.log.lock().unwrap();
+        log.entry(key).or_default().push((before, outcome));
+    }
+
+    async fn fault(&self, key: &str) -> Option<String> {
+        let effects = self.effects(key);
+        let state = self.nodes[0].state(&name(key)).await;
+        let log = self.log.lock().unwrap();
+        let told = &log[key];
+        let is_done = |(_, outcome): &(_, _)| matches!(outcome, OrderOutcome::Done { .. });
+        let is_refused = |(_, outcome): &(_, _)| matches!(outcome, OrderOutcome::Refused { .. });
+        let false_order = told.iter().any(|(before, outcome)| match outcome {
+            OrderOutcome::Refused { scope, .. } => *scope == RefusalScope::Order && *before > 0,
+            _ => false,
+        });
+        let state_not_run = match &state {
+            StateAnswer::Known { outcome } => matches!(outcome, OrderOutcome::Refused { .. }),
+            StateAnswer::Unrecorded => true,
+            StateAnswer::StoreUnavailable => return Some(format!("{key} can't be read")),
+        };
+        let wrong = effects > 1
+            || false_order
+            || (effects == 0 && told.iter().any(is_done))
+            || (effects == 1 && (told.iter().all(is_refused) || state_not_run));
+        wrong.then(|| format!("{key}: {effects} effects, {state:?}, {told:?}"))
+    }
+}
+
+fn start_node(
+    index: usize,
+    platform: &PlatformServer,
+    desk: &ServiceServer,
+    stop: &CancellationToken,
+) -> Arc<OrderService> {
+    let clock = ClockSource::System;
+    let address = platform.address().to_owned();
+    let table = HttpTable::new(address, clock.clone(), CALL_LIMIT);
+    let client = HttpService::new(desk.address().to_owned(), clock.clone(), CALL_LIMIT);
+    let target = ServiceTarget {
+        guarantee: ServiceGuarantee::None,
+        timeout: CALL_LIMIT,
+        peers: vec![ServicePeer {
+            id: "desk-1".to_owned(),
+            client: Arc::new(client),
+        }],
+    };
+    let orders = OrderService::new(
+        OrderSettings::new(format!("node-{index}")),
+        Arc::new(table),
+        Arc::new(move |_| Some(target.clone())),
+        clock,
+        CancellationToken::new(),
+    );
+    smol::spawn(Arc::clone(&orders).run(stop.clone())).detach();
+    orders
+}
+
+fn name(key: &str) -> OrderName {
+    OrderName {
+        organisation: "ash".to_owned(),
+        service: "notices".to_owned(),
+        key: key.to_owned(),
+    }
+}
+
+#[test]
+fn histories_over_http_are_true() {
+    smol::block_on(async {
+        let world = HttpWorld::start().await;
+        let seeds: Vec<u64> = (0..HISTORIES).collect();
+        for group in seeds.chunks(HISTORIES_AT_ONCE) {
+            let calls = group
+                .iter()
+                .map(|seed| smol::spawn(Arc::clone(&world).call(*seed)));
+            for call in calls.collect::<Vec<_>>() {
+                call.await;
+            }
+        }
+        world.platform.table().switch().set(EdgeFaults::default());
+        world.desk.service().switch().set(EdgeFaults::default());
+        world.platform.table().release_held();
+        for node in &world.nodes {
+            assert_eq!(node.drain(Duration::from_mins(2)).await, 0);
+        }
+        let mut faults = Vec::new();
+        for seed in 0..HISTORIES {
+            faults.extend(world.fault(&format!("key-{seed}")).await);
+        }
+        assert_eq!(faults, Vec::<String>::new());
+        let mut codes = BTreeMap::new();
+        for (_, outcome) in world.log.lock().unwrap().values().flatten() {
+            *codes.entry(outcome.code()).or_insert(0) += 1;
+        }
+        println!("{HISTORIES} histories over HTTP: {codes:?}");
+        assert!(codes.contains_key("order_done") && codes.contains_key("order_in_doubt"));
+        world.stop.cancel();
+    });
+}
