Wait out the store's rate limit instead of refusing marked orders

Cause: under a store limit of 300 transactions/s, 256 callers with batches of one got 9 orders/s: claims were written whose marks were then refused.

Change: a batch that the rate limit refused (nothing took effect) waits and goes again, at most 2 s, while the next one grows; a long backlog refuses new orders; a rate limit no longer opens the breaker.

--- a/components/node/examples/orders_figures.rs
+++ b/components/node/examples/orders_figures.rs
@@ -23,7 +23,7 @@
 
 const STORE_DELAY_MS: u64 = 5;
 const STORE_WRITES_PER_S: u32 = 300;
-const CALLERS: u64 = 256;
+const CALLERS: usize = 256;
 const RUN_TIME: Duration = Duration::from_secs(5);
 const OWED_ORDERS: u64 = 1_000;
 
@@ -62,12 +62,17 @@
 struct Bench {
     table: Arc<MemoryTable>,
     desk: Arc<DelayService>,
-    orders: Arc<OrderService>,
+    nodes: Vec<Arc<OrderService>>,
     stop: CancellationToken,
 }
 
 impl Bench {
-    fn new(guarantee: ServiceGuarantee, service_delay: Duration, batch_orders: usize) -> Self {
+    fn new(
+        guarantee: ServiceGuarantee,
+        service_delay: Duration,
+        batch_orders: usize,
+        nodes: usize,
+    ) -> Self {
         let table = Arc::new(MemoryTable::new(ClockSource::System));
         table
             .switch()
@@ -84,28 +89,33 @@
                 client: Arc::clone(&desk) as _,
             }],
         };
-        let settings = OrderSettings {
-            batch_orders,
-            ..OrderSettings::new("node-1".to_owned())
-        };
-        let orders = OrderService::new(
-            settings,
-            Arc::clone(&table) as _,
-            Arc::new(move |_| Some(target.clone())),
-            ClockSource::System,
-            CancellationToken::new(),
-        );
         let stop = CancellationToken::new();
-        smol::spawn(Arc::clone(&orders).run(stop.clone())).detach();
+        let nodes = (0..nodes).map(|index| {
+            let settings = OrderSettings {
+                batch_orders,
+                ..OrderSettings::new(format!("node-{index}"))
+            };
+            let target = target.clone();
+            let orders = OrderService::new(
+                settings,
+                Arc::clone(&table) as _,
+                Arc::new(move |_| Some(target.clone())),
+                ClockSource::System,
+                CancellationToken::new(),
+            );
+            smol::spawn(Arc::clone(&orders).run(stop.clone())).detach();
+            orders
+        });
+        let nodes = nodes.collect();
         Self {
             table,
             desk,
-            orders,
+            nodes,
             stop,
         }
     }
 
-    async fn submit(&self, key: String) -> OrderOutcome {
+    async fn submit(&self, node: usize, key: String) -> OrderOutcome {
         let request = OrderRequest {
             name: OrderName {
                 organisation: "ash".to_owned(),
@@ -118,19 +128,19 @@
             deadline_in: Duration::from_secs(30),
             traceparent: String::new(),
         };
-        self.orders.submit(request).await
+        self.nodes[node % self.nodes.len()].submit(request).await
     }
 }
 
 /// One caller after the other: calls for each order, and the time they add.
 async fn measure_single(guarantee: ServiceGuarantee) {
-    let bench = Bench::new(guarantee, Duration::ZERO, 32);
+    let bench = Bench::new(guarantee, Duration::ZERO, 32, 1);
     let mut times = Histogram::<u64>::new(3).expect("a valid precision");
     let orders = 200;
     for number in 0..orders {
         let began = Instant::now();
-        bench.submit(format!("key-{number}")).await;
-        times.saturating_record(u64::try_from(began.elapsed().as_micros()).unwrap_or(u64::MAX));
+        bench.submit(0, format!("key-{number}")).await;
+        times += u64::try_from(began.elapsed().as_micros()).unwrap_or(u64::MAX);
     }
     print_calls(&format!("{guarantee:?}, one at a time"), &bench, orders);
     println!(
@@ -142,7 +152,14 @@
 }
 
 fn print_calls(title: &str, bench: &Bench, orders: u64) {
-    let [reads, transactions, rows] = bench.orders.store_calls().map(|count| count as f64);
+    let mut sums = [0.0; 3];
+    for node in &bench.nodes {
+        let calls = node.store_calls();
+        for (sum, count) in sums.iter_mut().zip(calls) {
+            *sum += count as f64;
+        }
+    }
+    let [reads, transactions, rows] = sums;
     let orders = orders as f64;
     println!(
         "{title}: reads {:.2}, transactions {:.2}, row writes {:.2} an order",
@@ -157,11 +174,12 @@
 }
 
 /// Many callers at once under the store's limit on transactions.
-async fn measure_load(batch_orders: usize) {
+async fn measure_load(nodes: usize, batch_orders: usize) {
     let bench = Arc::new(Bench::new(
         ServiceGuarantee::None,
         Duration::from_millis(10),
         batch_orders,
+        nodes,
     ));
     bench
         .table
@@ -175,7 +193,7 @@
             let mut serial = 0;
             while Instant::now() < until {
                 serial += 1;
-                match bench.submit(format!("{caller}-{serial}")).await {
+                match bench.submit(caller, format!("{caller}-{serial}")).await {
                     OrderOutcome::Done { .. } => done += 1,
                     _ => ClockSource::System.sleep(Duration::from_millis(50)).await,
                 }
@@ -189,7 +207,7 @@
         done += caller.await;
     }
     print_calls(
-        &format!("{CALLERS} callers, {batch_orders} orders a batch"),
+        &format!("{CALLERS} callers on {nodes} nodes, {batch_orders} orders a batch"),
         &bench,
         done,
     );
@@ -206,11 +224,12 @@
         ServiceGuarantee::None,
         Duration::from_secs(3),
         32,
+        1,
     ));
     let callers: Vec<_> = (0..OWED_ORDERS)
         .map(|caller| {
             let bench = Arc::clone(&bench);
-            smol::spawn(async move { bench.submit(format!("key-{caller}")).await })
+            smol::spawn(async move { bench.submit(0, format!("key-{caller}")).await })
         })
         .collect();
     while bench.desk.runs.load(Ordering::Relaxed) < OWED_ORDERS {
@@ -224,13 +243,13 @@
         caller.await;
     }
     ClockSource::System.sleep(Duration::from_secs(10)).await;
-    println!("owed after the outage: {}", bench.orders.open_count());
+    println!("owed after the outage: {}", bench.nodes[0].open_count());
     bench.table.switch().change(|faults| {
         faults.outage = OutageKind::None;
         faults.writes_per_s = STORE_WRITES_PER_S;
     });
     let began = Instant::now();
-    while bench.orders.open_count() > 0 {
+    while bench.nodes[0].open_count() > 0 {
         ClockSource::System.sleep(Duration::from_millis(5)).await;
     }
     println!(
@@ -245,8 +264,9 @@
     smol::block_on(async {
         measure_single(ServiceGuarantee::None).await;
         measure_single(ServiceGuarantee::Deduplicated).await;
-        measure_load(1).await;
-        measure_load(32).await;
+        measure_load(1, 1).await;
+        measure_load(1, 32).await;
+        measure_load(8, 32).await;
         measure_recovery().await;
     });
 }
--- a/components/node/src/orders/ledger.rs
+++ b/components/node/src/orders/ledger.rs
@@ -56,6 +56,10 @@
         self.locked(|breaker| breaker.admit(now))
     }
 
+    pub(crate) async fn sleep(&self, time: Duration) {
+        self.clock.sleep(time).await;
+    }
+
     /// Reads an order's row, latest.
     pub(crate) async fn order(&self, row_key: &str) -> Result<Option<FoundRow>, PlatformError> {
         let row = self.row(ORDERS_TABLE, row_key).await?;
@@ -107,6 +111,11 @@
         let now = self.clock.now();
         self.locked(|breaker| match &result {
             Ok(_) | Err(PlatformError::Conflict { .. }) => breaker.succeeded(),
+            // A rate limit is no outage.
+            Err(PlatformError::Refused {
+                retry_after: Some(_),
+                ..
+            }) => {}
             Err(_) => breaker.failed(now),
         });
         result
--- a/components/node/src/orders/service.rs
+++ b/components/node/src/orders/service.rs
@@ -165,7 +165,7 @@
             .first()
             .cloned()
             .ok_or_else(|| refused(RefusalCause::ServiceUnreachable))?;
-        if !self.parts.ledger.admits() {
+        if self.parts.writer.is_full() || !self.parts.ledger.admits() {
             return Err(refused(RefusalCause::StoreUnavailable));
         }
         let serial = self.serial.fetch_add(1, Ordering::Relaxed);
--- a/components/node/src/orders/writer.rs
+++ b/components/node/src/orders/writer.rs
@@ -3,7 +3,7 @@
 use std::{
     collections::{HashSet, VecDeque},
     sync::{Arc, Mutex, PoisonError},
-    time::SystemTime,
+    time::{Duration, SystemTime},
 };
 
 use errors::PlatformError;
@@ -17,6 +17,11 @@
     ledger::{CLAIMS_TABLE, DOUBTS_TABLE, ORDERS_TABLE, OrderLedger},
 };
 
+/// Longest that one batch waits for the store's rate limit.
+const LONGEST_RATE_WAIT: Duration = Duration::from_secs(2);
+/// Writes waiting from which new orders are refused.
+const LONGEST_BACKLOG: usize = 4_096;
+
 type WriteResult = Result<RowVersion, PlatformError>;
 
 struct PendingWrite {
@@ -80,6 +85,11 @@
         result.recv().await.unwrap_or_else(|_| Err(lost_reply()))
     }
 
+    /// Whether so much waits that a new order had better be refused.
+    pub(crate) fn is_full(&self) -> bool {
+        self.locked(|queue| queue.waiting.len() >= LONGEST_BACKLOG)
+    }
+
     async fn commit_all(self: Arc<Self>) {
         while let Some(batch) = self.next_batch() {
             self.commit(batch).await;
@@ -114,11 +124,20 @@
     }
 
     /// Commits together; a row that conflicts leaves the batch and the others
-    /// go again, since a conflict says that nothing took effect.
+    /// go again, since a conflict says that nothing took effect. So does a
+    /// refusal by the store's rate limit, and the next batch grows meanwhile.
     async fn commit(&self, mut batch: Vec<PendingWrite>) {
+        let mut waited = Duration::ZERO;
         while !batch.is_empty() {
             let writes = self.row_writes(&batch);
             match self.ledger.transact(writes).await {
+                Err(PlatformError::Refused {
+                    retry_after: Some(pause),
+                    ..
+                }) if waited + pause <= LONGEST_RATE_WAIT => {
+                    waited += pause;
+                    self.ledger.sleep(pause).await;
+                }
                 Ok(versions) => return acknowledge(batch, &versions),
                 Err(PlatformError::Conflict {
                     step,
