--- a/components/node/src/api/completions.rs
+++ b/components/node/src/api/completions.rs
@@ -28,7 +28,7 @@
     mut request: EntryRequest,
     shape: AnswerShape,
 ) -> ApiResult {
-    let access = recognise(&parts, &request)?;
+    let access = recognise(&parts, &request).await?;
     let held = request.body().await?;
     let body = match shape {
         AnswerShape::Text => parse_completion(held.bytes())?,
--- a/components/node/src/api/parts.rs
+++ b/components/node/src/api/parts.rs
@@ -7,9 +7,11 @@
 use settings::NodeSettings;
 use telemetry::{HopTracer, NodeMetrics};
 
+use super::key_index::KeyIndex;
 use crate::{
     directory::UpstreamDirectory, drain::DrainFlag, fleet::FleetView, members::MemberService,
-    notes::NoteService, prompts::PromptService,
+    notes::NoteService, orders::OrderService, prompts::PromptService,
+    quarantine::QuarantineService,
 };
 
 /// The services behind the HTTP interface.
@@ -20,8 +22,14 @@
     pub clock: ClockSource,
     /// Release notes.
     pub notes: Arc<NoteService>,
+    /// Which organisation a key belongs to.
+    pub keys: KeyIndex,
+    /// Prompts that crash engines.
+    pub quarantine: Arc<QuarantineService>,
     /// Prompts.
     pub prompts: Arc<PromptService>,
+    /// Orders and reads of plain services.
+    pub orders: Arc<OrderService>,
     /// Membership.
     pub members: Arc<MemberService>,
     /// Whether this node is on its way out.
--- a/components/node/src/peers/client.rs
+++ b/components/node/src/peers/client.rs
@@ -6,15 +6,20 @@
     time::Duration,
 };
 
+use async_trait::async_trait;
 use kernel::ClockSource;
+use membership::MemberRecord;
+use notes::{NotesReply, NotesRequest};
 use serde::{Serialize, de::DeserializeOwned};
 use smol::net::TcpStream;
 use types::{NodeId, RequestId};
 use wire::{FrameError, KeyRing, receive_frame, send_frame};
 
 use super::{ForwardedPrompt, PeerReply, PeerRequest, handshake::prove_caller};
+use crate::notes::{NotePeer, NotePeerFault};
 
 const CONNECT_LIMIT: Duration = Duration::from_secs(1);
+const NOTES_LIMIT: Duration = Duration::from_secs(2);
 
 /// Calls other nodes; it is told their addresses by membership.
 pub struct PeerClient {
@@ -54,7 +59,7 @@
         node: &NodeId,
         prompt: &ForwardedPrompt,
     ) -> Result<PromptExchange, FrameError> {
-        let mut stream = self.connect(node).await?;
+        let mut stream = self.connect(node, &self.address(node)?).await?;
         let request = PeerRequest::Prompt(Box::new(prompt.clone()));
         send_frame(&mut stream, node, &request).await?;
         Ok(PromptExchange {
@@ -64,18 +69,20 @@
         })
     }
 
-    /// Sends one request and awaits its one reply, within `limit`.
+    /// Sends one request to `node` at `address` and awaits its one reply,
+    /// within `limit`.
     ///
     /// # Errors
     /// `FrameError` when no whole reply came in time.
     pub async fn ask<T: DeserializeOwned>(
         &self,
         node: &NodeId,
+        address: &str,
         request: &PeerRequest,
         limit: Duration,
     ) -> Result<T, FrameError> {
         let call = async {
-            let mut stream = self.connect(node).await?;
+            let mut stream = self.connect(node, address).await?;
             send_frame(&mut stream, node, request).await?;
             receive_frame(&mut stream, node).await
         };
@@ -85,10 +92,9 @@
             .unwrap_or_else(|| Err(overdue("ask", node)))
     }
 
-    async fn connect(&self, node: &NodeId) -> Result<TcpStream, FrameError> {
-        let address = self.address(node)?;
+    async fn connect(&self, node: &NodeId, address: &str) -> Result<TcpStream, FrameError> {
         let connecting = async {
-            let mut stream = TcpStream::connect(&address)
+            let mut stream = TcpStream::connect(address)
                 .await
                 .map_err(|error| broken("connect", node, &error.to_string()))?;
             stream.set_nodelay(true).ok();
@@ -113,6 +119,25 @@
     }
 }
 
+#[async_trait]
+impl NotePeer for PeerClient {
+    async fn fetch(
+        &self,
+        peer: &MemberRecord,
+        request: NotesRequest,
+    ) -> Result<NotesReply, NotePeerFault> {
+        let address = peer.addresses.peer.to_string();
+        let request = PeerRequest::Notes(request);
+        self.ask(&peer.node, &address, &request, NOTES_LIMIT)
+            .await
+            .map_err(|error| NotePeerFault {
+                step: "fetch notes".to_owned(),
+                peer: peer.node.clone(),
+                cause: error.to_string(),
+            })
+    }
+}
+
 /// A prompt under way on another node; dropping it cancels the prompt there.
 pub struct PromptExchange {
     stream: TcpStream,
--- a/components/node/src/prompts/attempt.rs
+++ b/components/node/src/prompts/attempt.rs
@@ -2,9 +2,11 @@
 
 use std::{sync::Arc, time::Duration};
 
+use engines::DeathId;
 use errors::UpstreamError;
 use futures_lite::StreamExt;
 use kernel::CancellationToken;
+use membership::CallEvidence;
 use routing::SchedulerEvent;
 use smol::channel::Sender;
 use telemetry::{HopKind, HopSpan};
@@ -16,6 +18,7 @@
     gang::GangHold,
     open::{OpenPrompt, PromptWork},
 };
+use crate::directory::KnownEngine;
 
 /// An attempt under way.
 pub(super) struct RunningAttempt {
@@ -23,6 +26,8 @@
     request: RequestId,
     attempt: AttemptId,
     engines: Vec<EngineId>,
+    /// The engine called, as known when the attempt began.
+    engine: Option<KnownEngine>,
     call: EngineCall,
     token: CancellationToken,
     span: HopSpan,
@@ -68,6 +73,7 @@
             service: Arc::clone(self),
             request,
             attempt,
+            engine: self.directory.engine(&first),
             engines,
             call,
             token,
@@ -151,7 +157,7 @@
             AttemptEnd::Dropped
         })
         .await;
-        self.report(end);
+        self.report(end).await;
     }
 
     async fn try_run(&self) -> AttemptEnd {
@@ -187,11 +193,8 @@
 
     async fn stream(&self, call: EngineCall) -> Result<AttemptEnd, UpstreamError> {
         let engine = &self.engines[0];
-        let known = self
-            .service
-            .directory
-            .engine(engine)
-            .ok_or_else(|| unknown_engine(engine))?;
+        let known = self.engine.as_ref();
+        let known = known.ok_or_else(|| unknown_engine(engine))?;
         let mut stream = known.client.submit(call).await?;
         while let Some(event) = stream.next().await {
             if let Some(end) = self.take(event?).await? {
@@ -310,7 +313,7 @@
         }
     }
 
-    fn report(&self, end: AttemptEnd) {
+    async fn report(&self, end: AttemptEnd) {
         let request = self.request.clone();
         let attempt = self.attempt;
         match end {
@@ -332,11 +335,11 @@
                     engine,
                 });
             }
-            AttemptEnd::Failed(error) => self.report_failure(&error),
+            AttemptEnd::Failed(error) => self.report_failure(&error).await,
         }
     }
 
-    fn report_failure(&self, error: &UpstreamError) {
+    async fn report_failure(&self, error: &UpstreamError) {
         self.span.fail(&error.to_string());
         self.service
             .metrics
@@ -347,7 +350,17 @@
             self.attempt,
             self.engines[0]
         );
+        if is_engine_fault(error) {
+            self.doubt_engine();
+            self.note_death().await;
+        }
         let delivered = self.release_work();
+        if self.service.refuse_quarantined(&self.request) {
+            self.service.handle(SchedulerEvent::Cancelled {
+                request: self.request.clone(),
+            });
+            return;
+        }
         self.service.handle(SchedulerEvent::Failed {
             request: self.request.clone(),
             attempt: self.attempt,
@@ -356,6 +369,45 @@
         });
     }
 
+    /// Takes the engine from the scheduler until its next report, so that a
+    /// retry does not go where the attempt just failed.
+    fn doubt_engine(&self) {
+        let engine = &self.engines[0];
+        if let Some(known) = self.service.directory.engine(engine) {
+            let directory = &self.service.directory;
+            directory.called(engine, known.incarnation, CallEvidence::Failed);
+        }
+        self.service.handle(SchedulerEvent::EngineGone {
+            engine: engine.clone(),
+        });
+    }
+
+    /// Finds out whether the engine's life ended, and holds it against the
+    /// prompt if so.
+    async fn note_death(&self) {
+        let Some(known) = &self.engine else {
+            return;
+        };
+        let alive = match known.client.report().await {
+            Ok(report) => report.profile.incarnation == known.incarnation,
+            Err(_) => false,
+        };
+        if alive {
+            return;
+        }
+        let death = DeathId {
+            engine: known.id.clone(),
+            incarnation: known.incarnation,
+        };
+        let prompt = self.service.with_open(|open| {
+            let prompt = open.get(&self.request)?;
+            Some((prompt.job.clone(), Arc::clone(&prompt.text)))
+        });
+        if let Some((job, text)) = prompt {
+            self.service.quarantine.lost(&death, &job, &text);
+        }
+    }
+
     /// Takes the prompt off this attempt; returns the tokens delivered.
     fn release_work(&self) -> TokenCount {
         self.service.with_open(|open| {
@@ -384,6 +436,16 @@
     }
 }
 
+/// Whether the engine itself may be at fault, rather than the prompt.
+fn is_engine_fault(error: &UpstreamError) -> bool {
+    match error {
+        UpstreamError::Broken { .. }
+        | UpstreamError::Overdue { .. }
+        | UpstreamError::Malformed { .. } => true,
+        UpstreamError::Refused { .. } | UpstreamError::Fenced { .. } => false,
+    }
+}
+
 /// Prompts are idempotent: only a refusal of the content is final.
 fn is_retryable(error: &UpstreamError) -> bool {
     match error {
--- a/components/node/src/prompts/service.rs
+++ b/components/node/src/prompts/service.rs
@@ -20,8 +20,9 @@
 use super::{
     PromptTicket, PromptUpdate,
     open::{OpenPrompt, PromptWork},
+    patience::ReadyMemory,
 };
-use crate::{directory::UpstreamDirectory, peers::PeerClient};
+use crate::{directory::UpstreamDirectory, peers::PeerClient, quarantine::QuarantineService};
 
 const UPDATE_CAPACITY: usize = 256;
 const THOUSANDTHS: f64 = 1_000.0;
@@ -47,6 +48,7 @@
     pub(super) clock: ClockSource,
     pub(super) directory: Arc<UpstreamDirectory>,
     pub(super) peers: Arc<PeerClient>,
+    pub(super) quarantine: Arc<QuarantineService>,
     pub(super) tracer: HopTracer,
     pub(super) metrics: Arc<NodeMetrics>,
     scheduler: Mutex<NodeScheduler>,
@@ -54,6 +56,7 @@
     roles: Mutex<HashMap<EngineId, EngineRole>>,
     loads: Mutex<HashMap<NodeId, f64>>,
     pub(super) holds: AtomicUsize,
+    pub(super) ready: ReadyMemory,
 }
 
 /// What a prompt service works with.
@@ -68,6 +71,8 @@
     pub directory: Arc<UpstreamDirectory>,
     /// Calls to other nodes.
     pub peers: Arc<PeerClient>,
+    /// Prompts that crash engines.
+    pub quarantine: Arc<QuarantineService>,
     /// Spans.
     pub tracer: HopTracer,
     /// Metrics.
@@ -81,11 +86,13 @@
     #[must_use]
     pub fn new(parts: PromptParts) -> Arc<Self> {
         let scheduler = NodeScheduler::new(parts.node.clone(), parts.zone, parts.settings);
+        let ready = ReadyMemory::new(parts.clock.now());
         Arc::new(Self {
             node: parts.node,
             clock: parts.clock,
             directory: parts.directory,
             peers: parts.peers,
+            quarantine: parts.quarantine,
             tracer: parts.tracer,
             metrics: parts.metrics,
             scheduler: Mutex::new(scheduler),
@@ -93,6 +100,7 @@
             roles: Mutex::default(),
             loads: Mutex::default(),
             holds: AtomicUsize::new(0),
+            ready,
         })
     }
 
@@ -103,6 +111,7 @@
         let request = submission.job.request.clone();
         let prompt = OpenPrompt {
             job: submission.job.clone(),
+            forwarded_here: submission.via.is_some(),
             text: submission.text,
             traceparent: submission.traceparent,
             updates,
@@ -113,10 +122,12 @@
         };
         self.with_open(|open| open.insert(request.clone(), prompt));
         self.metrics.open_prompts.inc();
-        self.handle(SchedulerEvent::Arrived {
-            job: submission.job,
-            via: submission.via,
-        });
+        if !self.refuse_quarantined(&request) {
+            self.handle(SchedulerEvent::Arrived {
+                job: submission.job,
+                via: submission.via,
+            });
+        }
         PromptTicket {
             service: Arc::clone(self),
             request,
@@ -172,6 +183,7 @@
     }
 
     fn note_load(&self, summary: &NodeSummary) {
+        self.ready.note(self.clock.now(), summary);
         let highest = summary.pools.iter().map(|pool| pool.short_load).max();
         let load = f64::from(highest.unwrap_or(0)) / THOUSANDTHS;
         let mut loads = self.loads.lock().unwrap_or_else(PoisonError::into_inner);
@@ -235,7 +247,12 @@
                 request,
                 reason,
                 retry_after,
-            } => self.refuse(&request, reason, retry_after),
+            } => {
+                let waits = reason == RefusalReason::ModelNotReady && self.wait_for_model(&request);
+                if !waits {
+                    self.refuse(&request, reason, retry_after);
+                }
+            }
             SchedulerAction::ChangeRole { engine, role } => {
                 let mut roles = self.roles.lock().unwrap_or_else(PoisonError::into_inner);
                 roles.insert(engine, role);
@@ -243,6 +260,22 @@
         }
     }
 
+    /// Ends a prompt that is in quarantine; false when it is not.
+    pub(super) fn refuse_quarantined(&self, request: &RequestId) -> bool {
+        let known = self.with_open(|open| {
+            let prompt = open.get(request)?;
+            Some((prompt.job.clone(), Arc::clone(&prompt.text)))
+        });
+        let Some((job, text)) = known else {
+            return false;
+        };
+        let Some(left) = self.quarantine.quarantine_of(&job, &text) else {
+            return false;
+        };
+        self.refuse(request, RefusalReason::Quarantined, left);
+        true
+    }
+
     fn refuse(&self, request: &RequestId, reason: RefusalReason, retry_after: Duration) {
         let Some(prompt) = self.remove(request) else {
             return;
@@ -268,6 +301,7 @@
         let Some(prompt) = self.remove(request) else {
             return;
         };
+        self.quarantine.answered(&prompt.job, &prompt.text);
         self.count_outcome(prompt.job.plan, "finished");
         send_last(&prompt, PromptUpdate::Finished { tokens });
     }
@@ -319,6 +353,7 @@
         RefusalReason::TooLong => "too_long",
         RefusalReason::ModelNotReady => "model_not_ready",
         RefusalReason::RetriesExhausted => "retries_exhausted",
+        RefusalReason::Quarantined => "prompt_quarantined",
     }
 }
 
--- a/components/notes/src/fault.rs
+++ b/components/notes/src/fault.rs
@@ -2,8 +2,12 @@
 
 use std::{error::Error, fmt};
 
+use serde::{Deserialize, Serialize};
+
 /// What an entry of a release note describes.
 #[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+#[derive(Deserialize, Serialize)]
+#[serde(rename_all = "lowercase")]
 pub enum EntryKind {
     /// An organisation.
     Organisation,
@@ -28,6 +32,7 @@
 
 /// One entry's kind and name.
 #[derive(Clone, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+#[derive(Deserialize, Serialize)]
 pub struct EntryName {
     /// Kind.
     pub kind: EntryKind,
--- a/components/routing/src/dispatch.rs
+++ b/components/routing/src/dispatch.rs
@@ -3,12 +3,14 @@
 use std::time::{Duration, Instant};
 
 use admission::{LengthClass, PoolIndex, QueuedJob};
-use types::{EngineId, PlanKind, RequestId, TokenCount};
+use types::{EngineId, EngineRole, PlanKind, RequestId, TokenCount};
 
 use crate::{
     NodeScheduler, SchedulerAction,
+    estimate::seconds,
+    gang::group_pace,
     load::LoadMeter,
-    placement::{PromptUrgency, engine_priority, needed_tokens, place},
+    placement::{EngineOffer, PromptUrgency, engine_priority, may_borrow, needed_tokens, place},
     pool::PoolKey,
     scheduler::RunningJob,
     view::{EngineFlight, EngineView, FlightPhase, least_left},
@@ -25,6 +27,13 @@
     urgency: PromptUrgency,
 }
 
+/// Prefill time from which other engines help a long prompt.
+const HELPED_WORK: Duration = Duration::from_secs(8);
+/// Most engines that help one prompt.
+const HELPERS_MAX: usize = 2;
+/// Free part of its memory that an engine needs to help.
+const HELPER_MEMORY: f64 = 0.5;
+
 impl NodeScheduler {
     /// Starts everything that an engine can take now.
     pub(crate) fn dispatch_all(&mut self, now: Instant, actions: &mut Vec<SchedulerAction>) {
@@ -53,16 +62,53 @@
         let Some(key) = self.pools.key(pool).cloned() else {
             return;
         };
-        while let Some(choice) = self.choose_engine(pool, class, &key) {
-            let engines = vec![choice.engine];
+        while let Some(choice) = self.choose_engine(pool, now, class, &key) {
+            let engines = self.with_helpers(&key, choice.engine, &choice.request, class);
             let started = self.start(now, &choice.request, engines, choice.urgency);
             actions.extend(started);
         }
     }
 
+    /// The engine chosen and, for a long prompt, calm engines that lend it
+    /// their compute; enough of them stay with the short prompts.
+    fn with_helpers(
+        &self,
+        key: &PoolKey,
+        leader: EngineId,
+        request: &RequestId,
+        class: LengthClass,
+    ) -> Vec<EngineId> {
+        let work = self.queue.work_of(request).unwrap_or_default();
+        if class != LengthClass::Long || work < HELPED_WORK || self.gangs.backs_off(request) {
+            return vec![leader];
+        }
+        let calm: Vec<&EngineId> = self
+            .engines
+            .iter()
+            .filter(|(engine, view)| **engine != leader && key.served_by(&view.report))
+            .filter(|(engine, view)| view.is_idle(&self.node) && !self.gangs.reserves(engine))
+            .filter(|(_, view)| view.kv_free(&self.node) >= view.kv_part(HELPER_MEMORY))
+            .map(|(engine, _)| engine)
+            .collect();
+        let spare = calm.len().saturating_sub(self.kept_calm());
+        let mut engines = vec![leader];
+        engines.extend(calm.into_iter().rev().take(spare.min(HELPERS_MAX)).cloned());
+        engines
+    }
+
+    /// Calm engines that short prompts need at their present rate.
+    fn kept_calm(&self) -> usize {
+        let wanted = self.engines.values();
+        let short = wanted.filter(|view| view.wanted_role == EngineRole::Short);
+        short.count().max(1)
+    }
+
     /// How a job ranks on an engine now.
     pub(crate) fn urgency(&self, queued: &QueuedJob) -> PromptUrgency {
         match queued.job.plan {
+            PlanKind::Paying if self.shares.is_over_share(queued.organisation) => {
+                PromptUrgency::Surplus
+            }
             PlanKind::Paying => PromptUrgency::Paying,
             PlanKind::Trial if queued.work <= self.floor.available() => PromptUrgency::TrialFloor,
             PlanKind::Trial => PromptUrgency::Trial,
@@ -73,31 +119,29 @@
     fn choose_engine(
         &mut self,
         pool: PoolIndex,
+        now: Instant,
         class: LengthClass,
         key: &PoolKey,
     ) -> Option<EngineChoice> {
         let floor = self.floor.available();
         let head = self.queue.head(pool, class, &self.shares, floor)?.clone();
         let urgency = self.urgency(&head);
-        let mut best: Option<(Duration, bool, &EngineId)> = None;
+        let mut offers = Vec::new();
         for (engine, view) in &self.engines {
-            if !key.served_by(&view.report) {
+            if !key.served_by(&view.report) || !may_borrow(now, view, &head) {
                 continue;
             }
             if class != LengthClass::Short && self.gangs.reserves(engine) {
                 continue;
             }
-            let Some(score) = place(view, &self.node, &head, urgency, &self.settings) else {
-                continue;
-            };
-            let entry = (score, view.report.profile.zone != head.job.zone, engine);
-            if best.is_none_or(|known| entry < known) {
-                best = Some(entry);
-            }
+            let offer = place(view, &self.node, &head, urgency, &self.settings);
+            let far = view.report.profile.zone != head.job.zone;
+            offers.extend(offer.map(|offer| (offer, far, engine)));
         }
-        best.map(|(_, _, engine)| EngineChoice {
+        let best = best_offer(&offers, class)?;
+        Some(EngineChoice {
             request: head.job.request.clone(),
-            engine: engine.clone(),
+            engine: best.clone(),
             urgency,
         })
     }
@@ -126,9 +170,16 @@
                 continue;
             };
             if place == 0 && queued.class != LengthClass::Gang {
-                expected = left_on(view, &queued);
+                let alone = left_on(view, &queued);
+                expected = seconds(alone.as_secs_f64() / group_pace(engines.len()));
+            }
+            let mut flight = flight(now, &queued, priority, share, expected);
+            flight.secondary = urgency.is_secondary();
+            flight.grouped = engines.len() > 1;
+            if place > 0 {
+                flight.class = LengthClass::Gang;
             }
-            view.add(now, flight(now, &queued, priority, share, expected));
+            view.add(now, flight);
         }
         let action = SchedulerAction::Dispatch {
             request: request.clone(),
@@ -139,7 +190,7 @@
         };
         self.deadlines
             .insert((queued.job.deadline, request.clone()));
-        if queued.class == LengthClass::Gang {
+        if engines.len() > 1 {
             self.groups.insert(request.clone(), engines.clone());
         }
         let running = RunningJob {
@@ -155,6 +206,21 @@
     }
 }
 
+/// The engine of least cost. A short prompt that can bear a step of longer
+/// work leaves the last calm engine to one that can't.
+fn best_offer<'a>(
+    offers: &[(EngineOffer, bool, &'a EngineId)],
+    class: LengthClass,
+) -> Option<&'a EngineId> {
+    let calm = offers.iter().filter(|(offer, ..)| offer.calm).count();
+    let leaves = class == LengthClass::Short && calm <= 1;
+    let best = offers.iter().min_by_key(|(offer, far, engine)| {
+        let avoided = leaves && (offer.calm || !offer.allowed);
+        (avoided, offer.cost, *far, *engine)
+    });
+    best.map(|(_, _, engine)| *engine)
+}
+
 fn left_on(view: &EngineView, queued: &QueuedJob) -> Duration {
     let cached = view.prefixes.cached_tokens(&queued.job);
     let profile = &view.report.profile;
@@ -179,6 +245,8 @@
         left,
         least: least_left(left),
         dispatched: now,
+        secondary: false,
+        grouped: false,
         shared: false,
     }
 }
--- a/components/routing/src/lib.rs
+++ b/components/routing/src/lib.rs
@@ -17,14 +17,16 @@
 mod pool;
 mod prefix;
 mod retry;
+mod roles;
 mod scheduler;
 mod settings;
 mod summary;
 mod view;
 
+pub use admission::LimitSettings;
 pub use message::{
-    EngineClaim, EngineDigest, NodeSummary, OrganisationUsage, PoolSummary, RefusalReason,
-    SchedulerAction, SchedulerEvent,
+    EngineClaim, EngineDigest, NodeSummary, OrganisationDemand, OrganisationUsage, PoolSummary,
+    RefusalReason, SchedulerAction, SchedulerEvent,
 };
 pub use scheduler::{NodeScheduler, SchedulerLoad};
 pub use settings::SchedulerSettings;
--- a/components/routing/src/scheduler.rs
+++ b/components/routing/src/scheduler.rs
@@ -5,14 +5,14 @@
     time::{Duration, Instant},
 };
 
-use admission::{DeadlineGate, FairQueue, QueuedJob, ShareTable, TrialFloor};
+use admission::{DeadlineGate, FairQueue, LimitTable, QueuedJob, ShareTable, TrialFloor};
 use rand::{SeedableRng, rngs::StdRng};
-use types::{EngineId, EngineReport, NodeId, RequestId, ZoneId};
+use types::{EngineId, EngineReport, NodeId, OrganisationId, RequestId, ZoneId};
 
 use crate::{
     RefusalReason, SchedulerAction, SchedulerEvent, SchedulerSettings, arrival::Rejection,
     forwarding::ForwardedJob, gang::GangPlanner, load::LoadMeter, peers::PeerTable,
-    pool::PoolTable, retry::RetryBudget, view::EngineView,
+    pool::PoolTable, retry::RetryBudget, roles::RolePlanner, view::EngineView,
 };
 
 /// Decides about every prompt that a node holds.
@@ -27,10 +27,14 @@
     pub(crate) queue: FairQueue,
     pub(crate) floor: TrialFloor,
     pub(crate) shares: ShareTable,
+    pub(crate) limits: LimitTable,
+    /// Organisations of the requests that were let in here and are not over.
+    pub(crate) entered: HashMap<RequestId, OrganisationId>,
     pub(crate) gate: DeadlineGate,
     pub(crate) gangs: GangPlanner,
     /// Engines of each group of this node that runs.
     pub(crate) groups: HashMap<RequestId, Vec<EngineId>>,
+    pub(crate) roles: RolePlanner,
     pub(crate) retries: RetryBudget,
     pub(crate) running: HashMap<RequestId, RunningJob>,
     pub(crate) forwarded: HashMap<RequestId, ForwardedJob>,
@@ -39,6 +43,7 @@
     pub(crate) meter: Option<LoadMeter>,
     pub(crate) rng: StdRng,
     pub(crate) sequence: u64,
+    start: Option<Instant>,
 }
 
 /// One prompt that an attempt runs for.
@@ -79,11 +84,14 @@
             queue: FairQueue::default(),
             floor: TrialFloor::new(settings.trial_floor),
             shares: ShareTable::new(settings.fairness_lead_tokens),
+            limits: LimitTable::default(),
+            entered: HashMap::new(),
             gate: DeadlineGate {
                 wait_margin: settings.wait_margin,
             },
             gangs: GangPlanner::default(),
             groups: HashMap::new(),
+            roles: RolePlanner::default(),
             retries: RetryBudget::new(settings.retry_ratio, settings.retry_burst),
             running: HashMap::new(),
             forwarded: HashMap::new(),
@@ -92,6 +100,7 @@
             meter: None,
             rng: StdRng::seed_from_u64(settings.seed),
             sequence: 0,
+            start: None,
             settings,
         }
     }
@@ -109,10 +118,14 @@
     /// Takes one event and returns what to do, in order.
     pub fn handle(&mut self, now: Instant, event: SchedulerEvent) -> Vec<SchedulerAction> {
         let mut actions = Vec::new();
+        let start = *self.start.get_or_insert(now);
+        self.shares.advance_to(now.saturating_duration_since(start));
         self.apply(now, event, &mut actions);
         self.expire(now, &mut actions);
         self.end_silent(now, &mut actions);
+        self.plan_roles(now, &mut actions);
         self.dispatch_all(now, &mut actions);
+        self.leave_refused(&actions);
         actions
     }
 
@@ -166,7 +179,9 @@
                 delivered,
             } => self.forward_failed(now, &request, &node, delivered, actions),
             SchedulerEvent::ForwardFinished { request, node, .. } => {
-                self.end_forward(&request, Some(&node));
+                if self.end_forward(&request, Some(&node)).is_some() {
+                    self.leave(&request);
+                }
             }
             SchedulerEvent::GangRefused {
                 request,
@@ -174,6 +189,10 @@
                 engine,
             } => self.gang_refused(now, &request, attempt, &engine, actions),
             SchedulerEvent::Cancelled { request } => self.cancelled(now, &request, actions),
+            SchedulerEvent::LimitsChanged {
+                organisation,
+                limits,
+            } => self.limits.set(now, &organisation, limits),
             SchedulerEvent::Summary(summary) => self.take_summary(now, summary),
             SchedulerEvent::NodeGone { node } => {
                 self.peers.remove(&node);
@@ -196,6 +215,22 @@
         }
     }
 
+    /// Counts the end of requests that were let in and are refused now.
+    fn leave_refused(&mut self, actions: &[SchedulerAction]) {
+        for action in actions {
+            if let SchedulerAction::Refuse { request, .. } = action {
+                self.leave(request);
+            }
+        }
+    }
+
+    /// Counts the end of a request that was let in here.
+    pub(crate) fn leave(&mut self, request: &RequestId) {
+        if let Some(organisation) = self.entered.remove(request) {
+            self.limits.end(&organisation);
+        }
+    }
+
     /// Whether the request waits or runs here.
     pub(crate) fn knows(&self, request: &RequestId) -> bool {
         self.queue.contains(request)
--- a/components/routing/src/summary.rs
+++ b/components/routing/src/summary.rs
@@ -5,11 +5,11 @@
     time::{Duration, Instant},
 };
 
-use admission::{LengthClass, PoolIndex};
+use admission::{DemandShare, LengthClass, PoolIndex};
 use types::{AdapterId, EngineId, ModelId, ModelVersion, PlanKind};
 
 use crate::{
-    EngineDigest, NodeScheduler, NodeSummary, OrganisationUsage, PoolSummary,
+    EngineDigest, NodeScheduler, NodeSummary, OrganisationDemand, OrganisationUsage, PoolSummary,
     placement::{PromptUrgency, engine_priority},
     pool::PoolKey,
     view::EngineView,
@@ -17,6 +17,8 @@
 
 /// Most organisations told of.
 const USAGE_LIMIT: usize = 12;
+/// Most limited organisations told of.
+const DEMAND_LIMIT: usize = 12;
 /// Most engines told of for one pool.
 const DIGEST_LIMIT: usize = 4;
 /// Prompt lengths that stand for short and long ones, in tokens.
@@ -40,6 +42,7 @@
                 .gangs
                 .claims(now, |engine| engines.contains_key(engine)),
             usage: self.usage(),
+            demand: self.demand(now),
         }
     }
 
@@ -55,11 +58,31 @@
                 usage.running,
             );
         }
+        for demand in &summary.demand {
+            let share = DemandShare {
+                organisation: demand.organisation.clone(),
+                milli_rate: demand.milli_rate,
+                running: demand.running,
+            };
+            self.limits.merge_remote(now, &summary.node, &share);
+        }
         self.gangs.take_claims(now, &summary.node, &summary.claims);
         let lifetime = self.settings.summary_lifetime;
         self.peers.update(now, lifetime, summary);
     }
 
+    fn demand(&self, now: Instant) -> Vec<OrganisationDemand> {
+        let pressing = self.limits.pressing(now, DEMAND_LIMIT);
+        pressing
+            .into_iter()
+            .map(|share| OrganisationDemand {
+                organisation: share.organisation,
+                milli_rate: share.milli_rate,
+                running: share.running,
+            })
+            .collect()
+    }
+
     fn usage(&mut self) -> Vec<OrganisationUsage> {
         let usage = self.shares.take_busiest(USAGE_LIMIT);
         usage
@@ -111,12 +134,16 @@
             PromptUrgency::Trial,
             SHORT_SAMPLE_TOKENS,
         );
-        let waiting = |class: LengthClass, plan| {
+        let waiting = |class, plan, prompt| {
             let sums = pools
                 .iter()
                 .map(|pool| self.queue.waiting_to(*pool, class, plan));
-            sums.sum::<Duration>() / count.max(1)
+            let part = self.shares.newcomer_part_ahead(plan, prompt);
+            sums.sum::<Duration>().mul_f64(part) / count.max(1)
         };
+        let short_queue = waiting(LengthClass::Short, PlanKind::Paying, SHORT_SAMPLE_TOKENS);
+        let long_queue = waiting(LengthClass::Long, PlanKind::Paying, LONG_SAMPLE_TOKENS);
+        let trial_queue = waiting(LengthClass::Gang, PlanKind::Trial, SHORT_SAMPLE_TOKENS);
         let calm = engines
             .iter()
             .filter(|(_, view)| view.is_calm(&self.node))
@@ -128,7 +155,6 @@
         let load = self.meter.as_ref().map_or(0.0, |load| {
             load.engines(now, LengthClass::Short) / f64::from(count.max(1))
         });
-        let all = waiting(LengthClass::Gang, PlanKind::Paying);
         PoolSummary {
             model: model.clone(),
             version: version.clone(),
@@ -137,9 +163,9 @@
             calm: u32::try_from(calm).unwrap_or(u32::MAX),
             lent: u32::try_from(lent).unwrap_or(u32::MAX),
             short_load: thousandths(load),
-            short_wait: short + waiting(LengthClass::Short, PlanKind::Paying),
-            long_wait: long + waiting(LengthClass::Long, PlanKind::Paying),
-            trial_wait: trial + all + waiting(LengthClass::Gang, PlanKind::Trial),
+            short_wait: short + short_queue,
+            long_wait: long + long_queue,
+            trial_wait: trial + long_queue + trial_queue,
             kv_free: engines
                 .iter()
                 .map(|(_, view)| view.kv_free(&self.node))
--- a/src/cmd/note.rs
+++ b/src/cmd/note.rs
@@ -2,12 +2,12 @@
 
 use std::fs;
 
-use node::api::{FleetStatus, PublishAnswer};
-use notes::FleetState;
+use node::api::{FleetStatus, HistoryEntry, PublishAnswer};
+use notes::{EntryChange, FleetState};
 
 use super::client::{NodeClient, write_json, write_line};
 use crate::{
-    cli::{NoteAction, NotePublish, NoteShow, NoteStatus},
+    cli::{NoteAction, NoteDiff, NoteHistory, NotePublish, NoteShow, NoteStatus},
     launch::LaunchError,
 };
 
@@ -19,6 +19,8 @@
     match action {
         NoteAction::Publish(command) => publish(&command),
         NoteAction::Show(command) => show(&command),
+        NoteAction::History(command) => history(&command),
+        NoteAction::Diff(command) => changes(&command),
         NoteAction::Status(command) => status(&command),
     }
 }
@@ -27,13 +29,52 @@
     let text = fs::read_to_string(&command.file)
         .map_err(|error| LaunchError::Usage(format!("{}: {error}", command.file)))?;
     let client = NodeClient::new(&command.node, command.key.as_deref());
-    let answer: PublishAnswer = smol::block_on(client.post("publish", "/v1/operator/notes", text))?;
+    let mut path = format!("/v1/operator/notes?rebase={}", command.rebase);
+    if let Some(base) = command.base {
+        path = format!("{path}&base={base}");
+    }
+    let answer: PublishAnswer = smol::block_on(client.post("publish", &path, text))?;
     if command.json {
         return write_json(&answer);
     }
+    if answer.repeated {
+        return write_line(&format!("is release note {} already", answer.version));
+    }
     write_line(&format!("accepted as release note {}", answer.version))
 }
 
+fn history(command: &NoteHistory) -> Result<(), LaunchError> {
+    let client = NodeClient::new(&command.node, command.key.as_deref());
+    let path = format!("/v1/operator/notes?after={}", command.after);
+    let entries: Vec<HistoryEntry> = smol::block_on(client.get("history", &path))?;
+    if command.json {
+        return write_json(&entries);
+    }
+    for entry in &entries {
+        write_line(&format!("{} {} {}", entry.version, entry.id, entry.summary))?;
+    }
+    Ok(())
+}
+
+fn changes(command: &NoteDiff) -> Result<(), LaunchError> {
+    let client = NodeClient::new(&command.node, command.key.as_deref());
+    let path = format!("/v1/operator/notes?from={}&to={}", command.from, command.to);
+    let changes: Vec<EntryChange> = smol::block_on(client.get("diff", &path))?;
+    if command.json {
+        return write_json(&changes);
+    }
+    for change in &changes {
+        write_line(&format!("{:?} {}", change.change, change.entry))?;
+        if !change.before.is_empty() {
+            write_line(&format!("  - {}", change.before))?;
+        }
+        if !change.after.is_empty() {
+            write_line(&format!("  + {}", change.after))?;
+        }
+    }
+    Ok(())
+}
+
 fn show(command: &NoteShow) -> Result<(), LaunchError> {
     let client = NodeClient::new(&command.node, command.key.as_deref());
     let state: FleetState = smol::block_on(client.get("show", "/v1/operator/notes"))?;
