Have engines hold what the release note asks for

The owner of an engine plans its models from the note in force: a model is dealt to as many engines as asked by rendezvous hashing, the one with fewest ready copies first, each load with leave of the weight store; a superseded version stays two minutes behind its successor. Orders carry a fencing number from one of 64 counter rows, taken when ownership begins, so the store sees a write for each change of owner, not for each engine and second. Engines that ignore numbers are observed and ordered again. A process test adds a model and changes its version: both served on every node.

--- a/components/engines/src/lib.rs
+++ b/components/engines/src/lib.rs
@@ -1,9 +1,11 @@
-//! Engines that die, and the prompts that were there: pure decisions.
+//! What engines should hold, and which prompts crash them: pure decisions.
 
 mod crash;
 mod evidence;
 mod fingerprint;
+mod plan;
 
 pub use crash::{CrashLedger, CrashSettings, CrashVerdict, QuarantineEntry};
 pub use evidence::{DeathCause, DeathId, DeathRecord};
 pub use fingerprint::{PromptFingerprint, fingerprint_of};
+pub use plan::{ModelNeed, ModelPlan, ModelPlanner};
--- a/components/node/src/daemon.rs
+++ b/components/node/src/daemon.rs
@@ -10,7 +10,9 @@
 use kernel::{CancellationToken, ClockSource, ServiceKernel};
 use membership::{AddressPlanner, AddressSettings, DrainSettings, MemberSettings};
 use notes::AdopterSettings;
-use platform::{HostList, HttpHosts, HttpObjects, HttpTable, ObjectStore, TableService};
+use platform::{
+    HostList, HttpHosts, HttpObjects, HttpTable, HttpWeights, ObjectStore, TableService,
+};
 use routing::SchedulerSettings;
 use settings::NodeSettings;
 use telemetry::{HopTracer, NodeMetrics};
@@ -22,6 +24,7 @@
     api::{ApiParts, KeyIndex, api_handler},
     directory::UpstreamDirectory,
     drain::{DrainFlag, DrainService},
+    engines::{EngineOwner, FencingSource, OwnerParts},
     fleet::FleetView,
     limits::LimitFeed,
     links::MemberLinks,
@@ -202,6 +205,21 @@
         }
     }
 
+    fn engine_owner(&self, notes: &Arc<NoteService>) -> EngineOwner {
+        let limit = Duration::from_millis(self.settings.platform.timeout_ms);
+        let address = self.settings.platform.weights.clone();
+        EngineOwner::new(OwnerParts {
+            node: self.settings.node.id.clone(),
+            clock: self.clock.clone(),
+            directory: Arc::clone(&self.directory),
+            fleet: Arc::clone(&self.fleet),
+            notes: Arc::clone(notes),
+            prompts: Arc::clone(&self.prompts),
+            weights: Arc::new(HttpWeights::new(address, self.clock.clone(), limit)),
+            fencing: FencingSource::new(Arc::clone(&self.table)),
+        })
+    }
+
     fn limit_feed(&self, notes: &Arc<NoteService>) -> LimitFeed {
         LimitFeed {
             clock: self.clock.clone(),
@@ -319,6 +337,8 @@
         let orders = base.start_orders(&kernel, &notes);
         register(&kernel, &base, &notes, &orders)?;
         start_background(&kernel, &base, &members);
+        let owner = base.engine_owner(&notes);
+        kernel.start("engines", |token| owner.run(token));
         let limits = base.limit_feed(&notes);
         kernel.start("limits", |token| limits.run(token));
         let peer_handler = base.peer_handler(Arc::clone(&notes));
--- a/components/node/src/directory.rs
+++ b/components/node/src/directory.rs
@@ -15,7 +15,7 @@
 };
 use platform::{HostEntry, HostKind, HostList, HostState};
 use smol::channel::{Receiver, Sender, bounded};
-use types::{EngineId, IncarnationNumber, NodeId, ServiceName, UpstreamId, ZoneId};
+use types::{EngineId, EngineReport, IncarnationNumber, NodeId, ServiceName, UpstreamId, ZoneId};
 use upstream::{HttpEngine, HttpService, ModelEngine, PlainService};
 
 const POLL_PAUSE: Duration = Duration::from_secs(1);
@@ -68,8 +68,8 @@
 struct DirectoryState {
     table: UpstreamTable,
     upstreams: BTreeMap<UpstreamId, KnownUpstream>,
-    /// Lives that engines themselves reported; the list lags behind them.
-    reported: BTreeMap<EngineId, IncarnationNumber>,
+    /// The last report of each engine; the list lags behind its incarnation.
+    reported: BTreeMap<EngineId, EngineReport>,
 }
 
 /// The upstreams known now.
@@ -174,9 +174,16 @@
         self.handle(event);
     }
 
-    /// Takes the life that an engine's own report names.
-    pub fn reported(&self, id: &EngineId, incarnation: IncarnationNumber) {
-        self.locked().reported.insert(id.clone(), incarnation);
+    /// Takes an engine's own report.
+    pub fn reported(&self, report: EngineReport) {
+        let engine = report.profile.engine.clone();
+        self.locked().reported.insert(engine, report);
+    }
+
+    /// The last report of an engine that this node watches or watched.
+    #[must_use]
+    pub fn last_report(&self, id: &EngineId) -> Option<EngineReport> {
+        self.locked().reported.get(id).cloned()
     }
 
     /// The life of an engine that this node heard of last.
@@ -184,7 +191,11 @@
     pub fn newest_life(&self, id: &EngineId) -> Option<IncarnationNumber> {
         let state = self.locked();
         let listed = state.upstreams.get(id).map(|known| known.host.incarnation);
-        state.reported.get(id).copied().max(listed)
+        let reported = state
+            .reported
+            .get(id)
+            .map(|report| report.profile.incarnation);
+        reported.max(listed)
     }
 
     /// Takes what another node told.
--- a/components/node/src/engines.rs
+++ b/components/node/src/engines.rs
@@ -1,1 +1,7 @@
-//! The engines service of a node.
+//! The engine service of a node: desired state of the engines it owns.
+
+mod fencing;
+mod owner;
+
+pub use fencing::FencingSource;
+pub use owner::{EngineOwner, OwnerParts};
--- /dev/null
+++ b/components/node/src/engines/fencing.rs
@@ -0,0 +1,72 @@
+//! Fencing numbers from the table service.
+
+use std::sync::Arc;
+
+use errors::PlatformError;
+use platform::{ReadMode, RowExpectation, RowWrite, TableRow, TableService};
+use sha2::{Digest, Sha256};
+use types::{EngineId, FencingNumber};
+
+const TABLE: &str = "fencing";
+/// Rows over which engines are spread, so that many nodes that take numbers
+/// at once seldom meet.
+const SHARDS: u8 = 64;
+const TRIES: u32 = 8;
+
+/// Hands out fencing numbers that only grow, whoever asks.
+#[derive(Clone)]
+pub struct FencingSource {
+    table: Arc<dyn TableService>,
+}
+
+impl FencingSource {
+    /// Numbers kept in `table`.
+    #[must_use]
+    pub fn new(table: Arc<dyn TableService>) -> Self {
+        Self { table }
+    }
+
+    /// A number for `engine`, higher than any given before and than `least`.
+    ///
+    /// # Errors
+    /// `PlatformError` when the store gives none; then nothing was promised.
+    pub async fn next(
+        &self,
+        engine: &EngineId,
+        least: FencingNumber,
+    ) -> Result<FencingNumber, PlatformError> {
+        let key = shard_key(engine);
+        let mut tries = 0;
+        loop {
+            tries += 1;
+            let row = self.table.read(TABLE, &key, ReadMode::Latest).await?;
+            let number = current(row.as_ref()).max(least) + 1;
+            let write = RowWrite {
+                table: TABLE.to_owned(),
+                key: key.clone(),
+                expected: row.map_or(RowExpectation::Absent, |row| {
+                    RowExpectation::Version(row.version)
+                }),
+                value: Some(number.to_string()),
+            };
+            match self.table.transact(vec![write]).await {
+                Ok(_) => return Ok(number),
+                // Another node took it, or the answer was lost: a number that
+                // nobody uses does no harm.
+                Err(error) if tries == TRIES => return Err(error),
+                Err(PlatformError::Conflict { .. }) => {}
+                Err(error) if error.effect_unknown() => {}
+                Err(error) => return Err(error),
+            }
+        }
+    }
+}
+
+fn current(row: Option<&TableRow>) -> FencingNumber {
+    row.and_then(|row| row.value.parse().ok()).unwrap_or(0)
+}
+
+fn shard_key(engine: &EngineId) -> String {
+    let digest = Sha256::digest(engine.as_bytes());
+    format!("{:02}", digest[0] % SHARDS)
+}
--- a/components/node/src/links.rs
+++ b/components/node/src/links.rs
@@ -9,7 +9,6 @@
 use engines::DeathRecord;
 use kernel::{CancellationToken, ClockSource};
 use membership::{GossipTopic, MemberSnapshot, UpstreamEvidence};
-use routing::SchedulerEvent;
 use telemetry::NodeMetrics;
 use types::NodeId;
 
@@ -78,8 +77,7 @@
             .collect();
         for node in before.difference(&serving) {
             log::info!("event=node_gone node={node}");
-            self.prompts
-                .handle(SchedulerEvent::NodeGone { node: node.clone() });
+            self.prompts.forget_node(node);
         }
         let count = i64::try_from(serving.len()).unwrap_or(i64::MAX);
         self.metrics.live_members.set(count);
--- a/components/node/src/prompts/service.rs
+++ b/components/node/src/prompts/service.rs
@@ -15,7 +15,10 @@
 };
 use smol::channel::bounded;
 use telemetry::{HopTracer, LengthLabels, NodeMetrics, OutcomeLabels, length_bucket};
-use types::{EngineId, EngineRole, NodeId, PlanKind, PromptJob, RequestId, TokenCount, ZoneId};
+use types::{
+    EngineId, EngineRole, ModelId, ModelVersion, NodeId, PlanKind, PromptJob, RequestId,
+    TokenCount, ZoneId,
+};
 
 use super::{
     PromptTicket, PromptUpdate,
@@ -55,7 +58,7 @@
     scheduler: Mutex<NodeScheduler>,
     open: Mutex<HashMap<RequestId, OpenPrompt>>,
     roles: Mutex<HashMap<EngineId, EngineRole>>,
-    loads: Mutex<HashMap<NodeId, f64>>,
+    summaries: Mutex<HashMap<NodeId, NodeSummary>>,
     pub(super) holds: AtomicUsize,
     pub(super) ready: ReadyMemory,
     pub(super) trials: TrialGate,
@@ -100,7 +103,7 @@
             scheduler: Mutex::new(scheduler),
             open: Mutex::default(),
             roles: Mutex::default(),
-            loads: Mutex::default(),
+            summaries: Mutex::default(),
             holds: AtomicUsize::new(0),
             ready,
             trials: TrialGate::default(),
@@ -168,29 +171,56 @@
         let mut scheduler = self.locked_scheduler();
         let summary = scheduler.summary(now);
         drop(scheduler);
-        self.note_load(&summary);
+        self.note_summary(&summary);
         summary
     }
 
     /// Takes what another node told about itself.
     pub fn take_summary(self: &Arc<Self>, summary: NodeSummary) {
-        self.note_load(&summary);
+        self.note_summary(&summary);
         self.handle(SchedulerEvent::Summary(summary));
     }
 
     /// Load of a node as last heard; 1 is full, 0 when nothing was heard.
     #[must_use]
     pub fn load_of(&self, node: &NodeId) -> f64 {
-        let loads = self.loads.lock().unwrap_or_else(PoisonError::into_inner);
-        loads.get(node).copied().unwrap_or(0.0)
+        let summaries = self.summaries.lock();
+        let summaries = summaries.unwrap_or_else(PoisonError::into_inner);
+        let pools = summaries
+            .get(node)
+            .into_iter()
+            .flat_map(|summary| &summary.pools);
+        let highest = pools.map(|pool| pool.short_load).max();
+        f64::from(highest.unwrap_or(0)) / THOUSANDTHS
+    }
+
+    /// Engines known to hold a model ready, on this and other nodes.
+    #[must_use]
+    pub fn ready_engines(&self, model: &ModelId, version: &ModelVersion) -> u32 {
+        let summaries = self.summaries.lock();
+        let summaries = summaries.unwrap_or_else(PoisonError::into_inner);
+        summaries
+            .values()
+            .flat_map(|summary| &summary.pools)
+            .filter(|pool| pool.model == *model && pool.version == *version)
+            .map(|pool| pool.engines)
+            .sum()
+    }
+
+    /// Forgets what a node that is gone told of itself.
+    pub fn forget_node(self: &Arc<Self>, node: &NodeId) {
+        let summaries = self.summaries.lock();
+        let mut summaries = summaries.unwrap_or_else(PoisonError::into_inner);
+        summaries.remove(node);
+        drop(summaries);
+        self.handle(SchedulerEvent::NodeGone { node: node.clone() });
     }
 
-    fn note_load(&self, summary: &NodeSummary) {
+    fn note_summary(&self, summary: &NodeSummary) {
         self.ready.note(self.clock.now(), summary);
-        let highest = summary.pools.iter().map(|pool| pool.short_load).max();
-        let load = f64::from(highest.unwrap_or(0)) / THOUSANDTHS;
-        let mut loads = self.loads.lock().unwrap_or_else(PoisonError::into_inner);
-        loads.insert(summary.node.clone(), load);
+        let summaries = self.summaries.lock();
+        let mut summaries = summaries.unwrap_or_else(PoisonError::into_inner);
+        summaries.insert(summary.node.clone(), summary.clone());
     }
 
     fn locked_scheduler(&self) -> MutexGuard<'_, NodeScheduler> {
--- a/components/node/src/watch.rs
+++ b/components/node/src/watch.rs
@@ -113,7 +113,7 @@
         match engine.client.report().await {
             Ok(report) => {
                 directory.called(&engine.id, engine.incarnation, CallEvidence::Answered);
-                directory.reported(&engine.id, report.profile.incarnation);
+                directory.reported(report.clone());
                 prompts.handle(SchedulerEvent::Reported(report));
                 known = true;
                 place = poll_cache(&prompts, &engine, place).await;
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -160,8 +160,17 @@
     }
 
     fn publish_first_note(&self) {
-        let note = serde_json::to_value(local::first_note()).unwrap();
-        let file = write_file(&self.folder, "note.jsonc", &note);
+        self.publish(&serde_json::to_value(local::first_note()).unwrap());
+        poll("the note is in force everywhere", || {
+            self.nodes
+                .iter()
+                .all(|node| status(node).is_some_and(|status| status.note_version >= 1))
+        });
+    }
+
+    /// Publishes a release note through the first node.
+    pub fn publish(&self, note: &Value) {
+        let file = write_file(&self.folder, "note.jsonc", note);
         let output = run_command(&[
             "note",
             "publish",
@@ -172,11 +181,6 @@
             local::OPERATOR_KEY,
         ]);
         assert!(output.status.success(), "{output:?}");
-        poll("the note is in force everywhere", || {
-            self.nodes
-                .iter()
-                .all(|node| status(node).is_some_and(|status| status.note_version >= 1))
-        });
     }
 
     pub fn await_members(&self, count: usize) {
@@ -219,20 +223,36 @@
 
 /// Sends a prompt and requires its own whole answer.
 pub async fn require_whole_answer(address: String, prompt: String, output_tokens: u64) {
-    let client = NodeClient::new(&address, Some(local::PAYING_KEY));
-    let body = json!({"model": MODEL, "prompt": prompt, "max_tokens": output_tokens});
-    let answer: Value = client
+    let text = complete(&address, MODEL, &prompt, output_tokens).await;
+    let text = text.unwrap_or_else(|cause| panic!("{address}: {cause}"));
+    assert_eq!(text, whole_answer(MODEL, "1", &prompt, output_tokens));
+}
+
+/// The text of an answer, or why there is none.
+pub async fn complete(
+    address: &str,
+    model: &str,
+    prompt: &str,
+    output_tokens: u64,
+) -> Result<String, String> {
+    let client = NodeClient::new(address, Some(local::PAYING_KEY));
+    let body = json!({"model": model, "prompt": prompt, "max_tokens": output_tokens});
+    let sent: Result<Value, _> = client
         .post("prompt", "/v1/completions", body.to_string())
-        .await
-        .unwrap_or_else(|error| panic!("{address}: {error:?}"));
-    let expected = expected_answer(
-        &MODEL.to_owned(),
-        &"1".to_owned(),
+        .await;
+    let answer = sent.map_err(|error| format!("{error:?}"))?;
+    Ok(answer["choices"][0]["text"].as_str().unwrap().to_owned())
+}
+
+/// What the stand-in engines answer.
+pub fn whole_answer(model: &str, version: &str, prompt: &str, output_tokens: u64) -> String {
+    expected_answer(
+        &model.to_owned(),
+        &version.to_owned(),
         None,
-        &prompt,
+        prompt,
         output_tokens,
-    );
-    assert_eq!(answer["choices"][0]["text"], expected);
+    )
 }
 
 /// Waits until `reached`, without a claim about how long it takes.
--- a/tests/processes.rs
+++ b/tests/processes.rs
@@ -103,6 +103,24 @@
     }
 }
 
+#[test]
+fn a_note_that_adds_and_changes_a_model_has_engines_load_it() {
+    let fleet = TestFleet::start(2, 3);
+    let model = |version: &str| serde_json::json!({"beacon": {"version": version, "context_tokens": 100_000, "copies": 2}});
+    let mut organisation =
+        serde_json::to_value(local::first_note()).unwrap()["added"]["organisations"]["lakeshore"]
+            .take();
+    organisation["models"] = serde_json::json!([common::MODEL, "beacon"]);
+    fleet.publish(&serde_json::json!({
+        "added": {"models": model("1")},
+        "changed": {"organisations": {"lakeshore": organisation}},
+    }));
+    await_answer(&fleet, "1");
+
+    fleet.publish(&serde_json::json!({"changed": {"models": model("2")}}));
+    await_answer(&fleet, "2");
+}
+
 #[test]
 fn a_prompt_that_crashes_engines_costs_two_of_them() {
     let fleet = TestFleet::start(3, 6);
@@ -180,6 +198,20 @@
     assert_eq!(status["members"].as_array().unwrap().len(), 1);
 }
 
+/// Waits until every node answers with a version of the added model.
+fn await_answer(fleet: &TestFleet, version: &str) {
+    let expected = common::whole_answer("beacon", version, PROMPT, 8);
+    for node in &fleet.nodes {
+        poll(
+            &format!("{} answers with version {version}", node.callers),
+            || {
+                let answer = smol::block_on(common::complete(&node.callers, "beacon", PROMPT, 8));
+                answer.is_ok_and(|text| text == expected)
+            },
+        );
+    }
+}
+
 async fn send_crashing(address: String) -> String {
     let client = NodeClient::new(&address, Some(local::PAYING_KEY));
     let body = serde_json::json!({
