--- a/components/node/src/directory.rs
+++ b/components/node/src/directory.rs
@@ -15,7 +15,7 @@
 };
 use platform::{HostEntry, HostKind, HostList, HostState};
 use smol::channel::{Receiver, Sender, bounded};
-use types::{EngineId, IncarnationNumber, NodeId, ServiceName, UpstreamId, ZoneId};
+use types::{EngineId, EngineReport, IncarnationNumber, NodeId, ServiceName, UpstreamId, ZoneId};
 use upstream::{HttpEngine, HttpService, ModelEngine, PlainService};
 
 const POLL_PAUSE: Duration = Duration::from_secs(1);
@@ -68,6 +68,8 @@
 struct DirectoryState {
     table: UpstreamTable,
     upstreams: BTreeMap<UpstreamId, KnownUpstream>,
+    /// The last report of each engine; the list lags behind its incarnation.
+    reported: BTreeMap<EngineId, EngineReport>,
 }
 
 /// The upstreams known now.
@@ -88,6 +90,7 @@
             state: Mutex::new(DirectoryState {
                 table: UpstreamTable::new(UpstreamSettings::default()),
                 upstreams: BTreeMap::new(),
+                reported: BTreeMap::new(),
             }),
             news,
             news_reader,
@@ -171,6 +174,30 @@
         self.handle(event);
     }
 
+    /// Takes an engine's own report.
+    pub fn reported(&self, report: EngineReport) {
+        let engine = report.profile.engine.clone();
+        self.locked().reported.insert(engine, report);
+    }
+
+    /// The last report of an engine that this node watches or watched.
+    #[must_use]
+    pub fn last_report(&self, id: &EngineId) -> Option<EngineReport> {
+        self.locked().reported.get(id).cloned()
+    }
+
+    /// The life of an engine that this node heard of last.
+    #[must_use]
+    pub fn newest_life(&self, id: &EngineId) -> Option<IncarnationNumber> {
+        let state = self.locked();
+        let listed = state.upstreams.get(id).map(|known| known.host.incarnation);
+        let reported = state
+            .reported
+            .get(id)
+            .map(|report| report.profile.incarnation);
+        reported.max(listed)
+    }
+
     /// Takes what another node told.
     pub fn told(&self, node: NodeId, evidence: UpstreamEvidence) {
         self.handle(UpstreamEvent::Told { node, evidence });
@@ -213,6 +240,7 @@
             UpstreamChange::Gone(upstream) => {
                 log::info!("event=upstream_gone upstream={upstream}");
                 state.upstreams.remove(upstream);
+                state.reported.remove(upstream);
             }
         }
     }
--- a/components/node/src/prompts/service.rs
+++ b/components/node/src/prompts/service.rs
@@ -15,12 +15,16 @@
 };
 use smol::channel::bounded;
 use telemetry::{HopTracer, LengthLabels, NodeMetrics, OutcomeLabels, length_bucket};
-use types::{EngineId, EngineRole, NodeId, PlanKind, PromptJob, RequestId, TokenCount, ZoneId};
+use types::{
+    EngineId, EngineRole, ModelId, ModelVersion, NodeId, PlanKind, PromptJob, RequestId,
+    TokenCount, ZoneId,
+};
 
 use super::{
     PromptTicket, PromptUpdate,
     open::{OpenPrompt, PromptWork},
     patience::ReadyMemory,
+    trial::TrialGate,
 };
 use crate::{directory::UpstreamDirectory, peers::PeerClient, quarantine::QuarantineService};
 
@@ -54,9 +58,10 @@
     scheduler: Mutex<NodeScheduler>,
     open: Mutex<HashMap<RequestId, OpenPrompt>>,
     roles: Mutex<HashMap<EngineId, EngineRole>>,
-    loads: Mutex<HashMap<NodeId, f64>>,
+    summaries: Mutex<HashMap<NodeId, NodeSummary>>,
     pub(super) holds: AtomicUsize,
     pub(super) ready: ReadyMemory,
+    pub(super) trials: TrialGate,
 }
 
 /// What a prompt service works with.
@@ -98,9 +103,10 @@
             scheduler: Mutex::new(scheduler),
             open: Mutex::default(),
             roles: Mutex::default(),
-            loads: Mutex::default(),
+            summaries: Mutex::default(),
             holds: AtomicUsize::new(0),
             ready,
+            trials: TrialGate::default(),
         })
     }
 
@@ -119,15 +125,15 @@
             work: PromptWork::Queued,
             token: CancellationToken::new(),
             first_token_seen: submission.resume_at > 0,
+            engine: None,
         };
         self.with_open(|open| open.insert(request.clone(), prompt));
         self.metrics.open_prompts.inc();
-        if !self.refuse_quarantined(&request) {
-            self.handle(SchedulerEvent::Arrived {
-                job: submission.job,
-                via: submission.via,
-            });
-        }
+        let arrival = SchedulerEvent::Arrived {
+            job: submission.job,
+            via: submission.via,
+        };
+        self.admit(&request, arrival);
         PromptTicket {
             service: Arc::clone(self),
             request,
@@ -165,29 +171,56 @@
         let mut scheduler = self.locked_scheduler();
         let summary = scheduler.summary(now);
         drop(scheduler);
-        self.note_load(&summary);
+        self.note_summary(&summary);
         summary
     }
 
     /// Takes what another node told about itself.
     pub fn take_summary(self: &Arc<Self>, summary: NodeSummary) {
-        self.note_load(&summary);
+        self.note_summary(&summary);
         self.handle(SchedulerEvent::Summary(summary));
     }
 
     /// Load of a node as last heard; 1 is full, 0 when nothing was heard.
     #[must_use]
     pub fn load_of(&self, node: &NodeId) -> f64 {
-        let loads = self.loads.lock().unwrap_or_else(PoisonError::into_inner);
-        loads.get(node).copied().unwrap_or(0.0)
+        let summaries = self.summaries.lock();
+        let summaries = summaries.unwrap_or_else(PoisonError::into_inner);
+        let pools = summaries
+            .get(node)
+            .into_iter()
+            .flat_map(|summary| &summary.pools);
+        let highest = pools.map(|pool| pool.short_load).max();
+        f64::from(highest.unwrap_or(0)) / THOUSANDTHS
+    }
+
+    /// Engines known to hold a model ready, on this and other nodes.
+    #[must_use]
+    pub fn ready_engines(&self, model: &ModelId, version: &ModelVersion) -> u32 {
+        let summaries = self.summaries.lock();
+        let summaries = summaries.unwrap_or_else(PoisonError::into_inner);
+        summaries
+            .values()
+            .flat_map(|summary| &summary.pools)
+            .filter(|pool| pool.model == *model && pool.version == *version)
+            .map(|pool| pool.engines)
+            .sum()
+    }
+
+    /// Forgets what a node that is gone told of itself.
+    pub fn forget_node(self: &Arc<Self>, node: &NodeId) {
+        let summaries = self.summaries.lock();
+        let mut summaries = summaries.unwrap_or_else(PoisonError::into_inner);
+        summaries.remove(node);
+        drop(summaries);
+        self.handle(SchedulerEvent::NodeGone { node: node.clone() });
     }
 
-    fn note_load(&self, summary: &NodeSummary) {
+    fn note_summary(&self, summary: &NodeSummary) {
         self.ready.note(self.clock.now(), summary);
-        let highest = summary.pools.iter().map(|pool| pool.short_load).max();
-        let load = f64::from(highest.unwrap_or(0)) / THOUSANDTHS;
-        let mut loads = self.loads.lock().unwrap_or_else(PoisonError::into_inner);
-        loads.insert(summary.node.clone(), load);
+        let summaries = self.summaries.lock();
+        let mut summaries = summaries.unwrap_or_else(PoisonError::into_inner);
+        summaries.insert(summary.node.clone(), summary.clone());
     }
 
     fn locked_scheduler(&self) -> MutexGuard<'_, NodeScheduler> {
@@ -260,23 +293,12 @@
         }
     }
 
-    /// Ends a prompt that is in quarantine; false when it is not.
-    pub(super) fn refuse_quarantined(&self, request: &RequestId) -> bool {
-        let known = self.with_open(|open| {
-            let prompt = open.get(request)?;
-            Some((prompt.job.clone(), Arc::clone(&prompt.text)))
-        });
-        let Some((job, text)) = known else {
-            return false;
-        };
-        let Some(left) = self.quarantine.quarantine_of(&job, &text) else {
-            return false;
-        };
+    /// Ends a prompt that is in quarantine.
+    pub(super) fn refuse_quarantined(self: &Arc<Self>, request: &RequestId, left: Duration) {
         self.refuse(request, RefusalReason::Quarantined, left);
-        true
     }
 
-    fn refuse(&self, request: &RequestId, reason: RefusalReason, retry_after: Duration) {
+    fn refuse(self: &Arc<Self>, request: &RequestId, reason: RefusalReason, retry_after: Duration) {
         let Some(prompt) = self.remove(request) else {
             return;
         };
@@ -297,7 +319,7 @@
     }
 
     /// Ends a prompt whose answer is whole.
-    pub(super) fn finish(&self, request: &RequestId, tokens: TokenCount) {
+    pub(super) fn finish(self: &Arc<Self>, request: &RequestId, tokens: TokenCount) {
         let Some(prompt) = self.remove(request) else {
             return;
         };
@@ -327,8 +349,9 @@
         change(&mut open)
     }
 
-    fn remove(&self, request: &RequestId) -> Option<OpenPrompt> {
+    fn remove(self: &Arc<Self>, request: &RequestId) -> Option<OpenPrompt> {
         let prompt = self.with_open(|open| open.remove(request))?;
+        self.end_trial(request);
         self.metrics.open_prompts.dec();
         Some(prompt)
     }
