--- a/src/cmd/local/fleet.rs
+++ b/src/cmd/local/fleet.rs
@@ -21,7 +21,7 @@
 const ZONES: [&str; 3] = ["duluth", "thunder-bay", "sault"];
 const REGION: &str = "great-lakes";
 /// Work on the stand-in engines takes a fiftieth of its time.
-const TIME_SCALE: f64 = 0.02;
+pub const TOUR_TIME_SCALE: f64 = 0.02;
 const ENGINE_RESTART_MS: u64 = 3_000;
 const ADDRESS_LIFETIME_MS: u64 = 1_000;
 const PLATFORM_TIMEOUT_MS: u64 = 2_000;
@@ -29,13 +29,15 @@
 const STARTUP_PAUSE: Duration = Duration::from_millis(50);
 const STARTUP_LIMIT: Duration = Duration::from_secs(20);
 
-/// How large a local fleet is.
-#[derive(Clone, Debug, Eq, PartialEq)]
+/// How large a local fleet is and how fast its engines work.
+#[derive(Clone, Debug, PartialEq)]
 pub struct FleetPlan {
     /// Number of nodes.
     pub nodes: usize,
     /// Number of model engines.
     pub engines: usize,
+    /// Factor on the time that work takes on an engine.
+    pub time_scale: f64,
 }
 
 /// A running local fleet.
@@ -48,6 +50,7 @@
     pub service: Arc<ServiceServer>,
     /// The nodes.
     pub nodes: Vec<NodeDaemon>,
+    time_scale: f64,
     clock: ClockSource,
     platform_token: CancellationToken,
     upstream_token: CancellationToken,
@@ -80,6 +83,7 @@
             platform,
             engines: Vec::new(),
             nodes: Vec::new(),
+            time_scale: plan.time_scale,
             clock,
             platform_token,
             upstream_token: CancellationToken::new(),
@@ -102,7 +106,7 @@
         let settings = EngineSettings {
             id: format!("engine-{}", position + 1),
             zone: zone(position),
-            time_scale: TIME_SCALE,
+            time_scale: self.time_scale,
             restart_ms: Some(ENGINE_RESTART_MS),
             models: vec![LoadedModel {
                 model: LOCAL_MODEL.to_owned(),
--- a/src/cmd/local/mod.rs
+++ b/src/cmd/local/mod.rs
@@ -12,8 +12,9 @@
     launch::{LaunchError, cancel_on_signal},
 };
 
-pub use fleet::{FleetPlan, LocalFleet};
+pub use fleet::{FleetPlan, LocalFleet, TOUR_TIME_SCALE};
 pub use note::{LOCAL_MODEL, LOCAL_SERVICE, OPERATOR_KEY, PAYING_KEY, TRIAL_KEY, first_note};
+pub use tour::publish_first_note;
 
 /// Runs the fleet until Ctrl-C, or the tour.
 ///
@@ -25,6 +26,7 @@
     let plan = FleetPlan {
         nodes: command.nodes,
         engines: command.engines,
+        time_scale: TOUR_TIME_SCALE,
     };
     smol::block_on(async {
         let stop = CancellationToken::new();
