Forget claims and kept engines that nobody waits for

Cause: a claim of a node that fell silent was dropped only by nodes that gather groups themselves, and engines kept for a prompt that was shed stayed kept; long work would never have used them again.

Change: both are dropped once a second.

--- a/components/routing/src/gang.rs
+++ b/components/routing/src/gang.rs
@@ -131,6 +131,17 @@
             .retain(|_, claim| now.saturating_duration_since(claim.heard) < CLAIM_LIFETIME);
     }
 
+    /// Drops what has expired, and what belongs to requests that don't wait
+    /// any more.
+    pub(crate) fn prune(&mut self, now: Instant, waits: impl Fn(&RequestId) -> bool) {
+        self.wanted.retain(|_, (request, _)| waits(request));
+        self.backoffs
+            .retain(|request, backoff| backoff.until > now || waits(request));
+        self.refused.retain(|_, until| *until > now);
+        self.claims
+            .retain(|_, claim| now.saturating_duration_since(claim.heard) < CLAIM_LIFETIME);
+    }
+
     pub(crate) fn forget(&mut self, request: &RequestId) {
         self.wanted.retain(|_, (wanted, _)| wanted != request);
         self.backoffs.remove(request);
--- a/components/routing/src/roles.rs
+++ b/components/routing/src/roles.rs
@@ -34,6 +34,8 @@
             return;
         }
         self.roles.next = Some(now + ROLE_PERIOD);
+        self.gangs
+            .prune(now, |request| self.queue.contains(request));
         let short = self.short_engines(now);
         let wanted = self
             .engines
--- a/components/routing/tests/faults.rs
+++ b/components/routing/tests/faults.rs
@@ -487,6 +487,34 @@
     told
 }
 
+/// A node that claimed an engine and fell silent: the owner uses it again.
+#[test]
+fn claims_of_silent_nodes_are_forgotten() {
+    let now = Instant::now();
+    let mut scheduler = with_engines(1);
+    let mut silent = NodeScheduler::new(
+        "node-b".to_owned(),
+        "sault".to_owned(),
+        SchedulerSettings::default(),
+    );
+    let mut summary = silent.summary(now);
+    summary.claims.push(routing::EngineClaim {
+        engine: "e00".to_owned(),
+        waited: MINUTE,
+    });
+    scheduler.handle(now, SchedulerEvent::Summary(summary));
+    let held = support::arrive(&mut scheduler, now, support::job(now, "r", 20_000));
+    assert!(held.is_empty(), "the engine is left to the claim");
+    let mut started = BTreeSet::new();
+    for second in 1..10 {
+        let at = now + Duration::from_secs(second);
+        started.extend(started_requests(
+            &scheduler.handle(at, SchedulerEvent::Tick),
+        ));
+    }
+    assert!(started.contains("r"));
+}
+
 /// Larger than all engines together: said at once.
 #[test]
 fn a_prompt_too_long_for_the_fleet_is_refused_as_such() {
