--- a/components/node/src/orders/service.rs
+++ b/components/node/src/orders/service.rs
@@ -13,7 +13,7 @@
 use kernel::{CancellationToken, ClockSource};
 use orders::{
     DoubtCause, HandRefusal, OrderName, OrderOutcome, OrderVerdict, RefusalCause, RefusalScope,
-    StateAnswer, hand_settle,
+    StateAnswer, hand_settle, question_step,
 };
 use platform::TableService;
 use smol::channel::bounded;
@@ -178,15 +178,23 @@
         })
     }
 
-    /// Where an order stands.
+    /// Where an order stands. A row that its attempt left is settled first.
     pub async fn state(&self, name: &OrderName) -> StateAnswer {
-        match self.parts.ledger.order(&name.row_key()).await {
-            Ok(Some(found)) => StateAnswer::Known {
-                outcome: found.row.outcome(self.parts.wall.now()),
-            },
-            Ok(None) => StateAnswer::Unrecorded,
-            Err(_) => StateAnswer::StoreUnavailable,
+        let row_key = name.row_key();
+        let found = match self.parts.ledger.order(&row_key).await {
+            Ok(Some(found)) => found,
+            Ok(None) => return StateAnswer::Unrecorded,
+            Err(_) => return StateAnswer::StoreUnavailable,
+        };
+        let now = self.parts.wall.now();
+        let mut outcome = found.row.outcome(now);
+        if let Some(write) = question_step(&found, now) {
+            let settled = write.row.outcome(now);
+            if self.parts.writer.write(row_key, write).await.is_ok() {
+                outcome = settled;
+            }
         }
+        StateAnswer::Known { outcome }
     }
 
     /// One order as an operator sees it; `None` when it is not recorded.
--- a/components/orders/src/attempt.rs
+++ b/components/orders/src/attempt.rs
@@ -16,11 +16,9 @@
 use crate::{
     AttemptTag, DoubtCause, FoundRow, GuardSet, OrderGuard, OrderOutcome, OrderPhase, OrderRow,
     OrderVerdict, OrderWrite, OwedSettlement, RecordedAnswer, RefusalCause, RefusalScope,
-    ResendRule, RowCondition, SettleStep, settle::settled_row, settle_step,
+    ResendRule, RowCondition, SettleStep, settle::settled_row, settle_step, sweep::CLAIM_LEASE,
 };
 
-/// Age from which a claim that was not marked may be taken over.
-const CLAIM_LEASE: Duration = Duration::from_secs(5);
 /// Reads that an attempt makes before it gives up.
 const MAX_READS: u8 = 3;
 /// Most earlier sends that a row carries; a resend beyond stays in doubt.
--- a/components/orders/src/lib.rs
+++ b/components/orders/src/lib.rs
@@ -23,4 +23,4 @@
     RecordedAnswer, ResendRule, RowCondition,
 };
 pub use settle::{HandRefusal, OwedSettlement, SettleStep, hand_settle, settle_step};
-pub use sweep::{PurgeStep, RETENTION, SWEEP_AGE, purge_step, sweep_step};
+pub use sweep::{PurgeStep, RETENTION, SWEEP_AGE, purge_step, question_step, sweep_step};
--- a/components/orders/src/sweep.rs
+++ b/components/orders/src/sweep.rs
@@ -9,6 +9,8 @@
 
 /// How long a key is kept, counted from the last claim.
 pub const RETENTION: Duration = Duration::from_hours(7 * 24);
+/// Age from which a claim that was not marked may be taken over.
+pub(crate) const CLAIM_LEASE: Duration = Duration::from_secs(5);
 /// Age of a claim at which the sweep looks at it.
 pub const SWEEP_AGE: Duration = Duration::from_mins(5);
 
@@ -19,10 +21,17 @@
 /// A row that says `Sending` can only become in doubt.
 #[must_use]
 pub fn sweep_step(found: &FoundRow, now: SystemTime) -> Option<OrderWrite> {
-    if !found
-        .row
-        .older_than(SWEEP_AGE.max(found.row.send_limit), now)
-    {
+    stale_step(found, now, SWEEP_AGE)
+}
+
+/// The same, after a shorter time, for a row that a caller asks about.
+#[must_use]
+pub fn question_step(found: &FoundRow, now: SystemTime) -> Option<OrderWrite> {
+    stale_step(found, now, CLAIM_LEASE)
+}
+
+fn stale_step(found: &FoundRow, now: SystemTime, age: Duration) -> Option<OrderWrite> {
+    if !found.row.older_than(age.max(found.row.send_limit), now) {
         return None;
     }
     let verdict = match &found.row.phase {
