--- a/components/node/src/daemon.rs
+++ b/components/node/src/daemon.rs
@@ -10,7 +10,9 @@
 use kernel::{CancellationToken, ClockSource, ServiceKernel};
 use membership::{AddressPlanner, AddressSettings, DrainSettings, MemberSettings};
 use notes::AdopterSettings;
-use platform::{HostList, HttpHosts, HttpObjects, HttpTable, ObjectStore, TableService};
+use platform::{
+    HostList, HttpHosts, HttpObjects, HttpTable, HttpWeights, ObjectStore, TableService,
+};
 use routing::SchedulerSettings;
 use settings::NodeSettings;
 use telemetry::{HopTracer, NodeMetrics};
@@ -22,7 +24,9 @@
     api::{ApiParts, KeyIndex, api_handler},
     directory::UpstreamDirectory,
     drain::{DrainFlag, DrainService},
+    engines::{EngineOwner, FencingSource, OwnerParts},
     fleet::FleetView,
+    limits::LimitFeed,
     links::MemberLinks,
     members::{MemberConfig, MemberService},
     notes::{NOTE_SERVICE, NotePeer, NoteService, NoteStore},
@@ -183,6 +187,7 @@
             ring: Arc::clone(&self.ring),
             clock: self.clock.clone(),
             prompts: Arc::clone(&self.prompts),
+            quarantine: Arc::clone(&self.quarantine),
             notes,
         }
     }
@@ -200,6 +205,29 @@
         }
     }
 
+    fn engine_owner(&self, notes: &Arc<NoteService>) -> EngineOwner {
+        let limit = Duration::from_millis(self.settings.platform.timeout_ms);
+        let address = self.settings.platform.weights.clone();
+        EngineOwner::new(OwnerParts {
+            node: self.settings.node.id.clone(),
+            clock: self.clock.clone(),
+            directory: Arc::clone(&self.directory),
+            fleet: Arc::clone(&self.fleet),
+            notes: Arc::clone(notes),
+            prompts: Arc::clone(&self.prompts),
+            weights: Arc::new(HttpWeights::new(address, self.clock.clone(), limit)),
+            fencing: FencingSource::new(Arc::clone(&self.table)),
+        })
+    }
+
+    fn limit_feed(&self, notes: &Arc<NoteService>) -> LimitFeed {
+        LimitFeed {
+            clock: self.clock.clone(),
+            notes: Arc::clone(notes),
+            prompts: Arc::clone(&self.prompts),
+        }
+    }
+
     fn watch(&self) -> EngineWatch {
         EngineWatch::new(
             self.clock.clone(),
@@ -309,6 +337,10 @@
         let orders = base.start_orders(&kernel, &notes);
         register(&kernel, &base, &notes, &orders)?;
         start_background(&kernel, &base, &members);
+        let owner = base.engine_owner(&notes);
+        kernel.start("engines", |token| owner.run(token));
+        let limits = base.limit_feed(&notes);
+        kernel.start("limits", |token| limits.run(token));
         let peer_handler = base.peer_handler(Arc::clone(&notes));
         let peer_server = PeerServer::new(sockets.listener, peer_handler);
         kernel.start("peers", |token| peer_server.run(token));
