--- a/components/node/src/daemon.rs
+++ b/components/node/src/daemon.rs
@@ -2,7 +2,7 @@
 
 use std::{
     net::SocketAddr,
-    sync::{Arc, Mutex},
+    sync::{Arc, Mutex, atomic::AtomicU32},
     time::Duration,
 };
 
@@ -60,6 +60,7 @@
     clock: ClockSource,
     ring: Arc<KeyRing>,
     metrics: Arc<NodeMetrics>,
+    budget: Arc<BodyBudget>,
     tracer: HopTracer,
     directory: Arc<UpstreamDirectory>,
     fleet: Arc<FleetView>,
@@ -107,6 +108,7 @@
             fleet: FleetView::new(&settings.node.id, &settings.node.zone),
             draining: Arc::default(),
             orders_token: CancellationToken::new(),
+            budget: BodyBudget::new(settings.limits.held_body_bytes),
             hosts: Arc::new(hosts),
             table,
             objects: Arc::new(objects),
@@ -127,6 +129,7 @@
         members: Arc<MemberService>,
         notes: Arc<NoteService>,
         orders: Arc<OrderService>,
+        connections: Arc<AtomicU32>,
     ) -> ApiParts {
         ApiParts {
             settings: self.settings.clone(),
@@ -143,6 +146,8 @@
             directory: Arc::clone(&self.directory),
             tracer: self.tracer.clone(),
             metrics: Arc::clone(&self.metrics),
+            budget: Arc::clone(&self.budget),
+            connections,
         }
     }
 
@@ -348,6 +353,7 @@
             Arc::clone(&members),
             Arc::clone(&notes),
             Arc::clone(&orders),
+            entry.server.connections(),
         );
         let handler = api_handler(Arc::new(parts));
         let server = entry.server.with_handler(handler);
@@ -418,7 +424,7 @@
 async fn bind_entry(base: &DaemonBase) -> Result<BoundEntry, NodeError> {
     let address = &base.settings.addresses.callers;
     let fault = |error: std::io::Error| NodeError::bind(address, &error);
-    let budget = BodyBudget::new(base.settings.limits.held_body_bytes);
+    let budget = Arc::clone(&base.budget);
     let limits = entry_limits(&base.settings);
     let server = EntryServer::bind(address, limits, budget, base.clock.clone())
         .await
