--- a/components/node/src/api/router.rs
+++ b/components/node/src/api/router.rs
@@ -1,6 +1,6 @@
 //! From a path to its handler.
 
-use std::sync::Arc;
+use std::sync::{Arc, atomic::Ordering};
 
 use entry::{ApiFailure, EntryHandler, EntryRequest, FailureKind};
 use http_types::{Method, Response};
@@ -184,10 +184,21 @@
 }
 
 fn metrics(parts: &ApiParts) -> Response {
-    let mut response = text_response(&parts.metrics.encode());
+    let metrics = &parts.metrics;
+    let open = parts.connections.load(Ordering::Relaxed);
+    metrics.connections.set(i64::from(open));
+    metrics.held_body_bytes.set(gauge(parts.budget.held()));
+    metrics
+        .note_version
+        .set(gauge(parts.notes.current().version));
+    let mut response = text_response(&metrics.encode());
     response.insert_header(
         "Content-Type",
         "application/openmetrics-text; version=1.0.0; charset=utf-8",
     );
     response
 }
+
+fn gauge(value: u64) -> i64 {
+    i64::try_from(value).unwrap_or(i64::MAX)
+}
