Cut the attempt and the orders service into smaller modules

Change: events and actions move to event.rs, the operators' part to operate.rs; no behaviour changes.

All tests of both components and the histories through the nodes pass after the move.

--- a/components/node/src/orders.rs
+++ b/components/node/src/orders.rs
@@ -3,6 +3,7 @@
 mod clock;
 mod driver;
 mod ledger;
+mod operate;
 mod owed;
 mod reads;
 mod request;
--- /dev/null
+++ b/components/node/src/orders/operate.rs
@@ -0,0 +1,101 @@
+//! What operators ask of orders and settle by hand.
+
+use errors::PlatformError;
+use orders::{HandRefusal, OrderName, OrderVerdict, hand_settle};
+use types::OrganisationId;
+
+use super::{
+    OrderListing, OrderService,
+    ledger::{DOUBTS_TABLE, ORDERS_TABLE, parse_order},
+};
+
+impl OrderService {
+    /// One order as an operator sees it; `None` when it is not recorded.
+    ///
+    /// # Errors
+    /// `PlatformError` when the table service can't be read.
+    pub async fn show(&self, name: &OrderName) -> Result<Option<OrderListing>, PlatformError> {
+        let found = self.parts.ledger.order(&name.row_key()).await?;
+        Ok(found.map(|found| OrderListing {
+            name: name.clone(),
+            row: found.row,
+        }))
+    }
+
+    /// The orders in doubt after `after`, by row key.
+    ///
+    /// # Errors
+    /// `PlatformError` when the table service can't be read.
+    pub async fn list_in_doubt(
+        &self,
+        after: Option<&OrderName>,
+        limit: usize,
+    ) -> Result<Vec<OrderListing>, PlatformError> {
+        let after = after.map(OrderName::row_key);
+        let ledger = &self.parts.ledger;
+        let doubts = ledger
+            .scan(DOUBTS_TABLE, "", after.as_deref(), limit)
+            .await?;
+        let mut listings = Vec::new();
+        for doubt in doubts {
+            let found = ledger.order(&doubt.key).await?;
+            let found = found.filter(|found| found.row.in_doubt());
+            let name = OrderName::from_row_key(&doubt.key);
+            if let (Some(found), Some(name)) = (found, name) {
+                let row = found.row;
+                listings.push(OrderListing { name, row });
+            }
+        }
+        Ok(listings)
+    }
+
+    /// The orders of one organisation after `after`, by row key.
+    ///
+    /// # Errors
+    /// `PlatformError` when the table service can't be read.
+    pub async fn list(
+        &self,
+        organisation: &OrganisationId,
+        after: Option<&OrderName>,
+        limit: usize,
+    ) -> Result<Vec<OrderListing>, PlatformError> {
+        let after = after.map(OrderName::row_key);
+        let prefix = OrderName::prefix(organisation);
+        let ledger = &self.parts.ledger;
+        let rows = ledger
+            .scan(ORDERS_TABLE, &prefix, after.as_deref(), limit)
+            .await?;
+        let listings = rows.iter().filter_map(|row| {
+            let name = OrderName::from_row_key(&row.key)?;
+            let found = parse_order(row).ok()?;
+            Some(OrderListing {
+                name,
+                row: found.row,
+            })
+        });
+        Ok(listings.collect())
+    }
+
+    /// Settles an order in doubt by an operator's hand.
+    ///
+    /// # Errors
+    /// `HandRefusal`; after `StoreUnavailable` the order may be settled.
+    pub async fn settle(
+        &self,
+        name: &OrderName,
+        verdict: &OrderVerdict,
+    ) -> Result<(), HandRefusal> {
+        let row_key = name.row_key();
+        let found = self.parts.ledger.order(&row_key).await;
+        let found = found.map_err(|_| HandRefusal::StoreUnavailable)?;
+        let write = hand_settle(found.as_ref(), verdict, self.parts.wall.now())?;
+        match self.parts.writer.write(row_key.clone(), write).await {
+            Ok(_) => {
+                log::info!("event=order_settled_by_hand order={row_key}");
+                Ok(())
+            }
+            Err(PlatformError::Conflict { .. }) => Err(HandRefusal::Changed),
+            Err(_) => Err(HandRefusal::StoreUnavailable),
+        }
+    }
+}
--- a/components/orders/src/attempt.rs
+++ b/components/orders/src/attempt.rs
@@ -6,17 +6,15 @@
 //! mark acknowledged may send, so a claim or mark that shows up late
 //! authorises nobody.
 
-use std::{
-    mem,
-    time::{Duration, SystemTime},
-};
+use std::{mem, time::SystemTime};
 
-use types::{FencingNumber, NodeId, RowVersion};
+use types::FencingNumber;
 
 use crate::{
-    AttemptTag, DoubtCause, FoundRow, GuardSet, OrderGuard, OrderOutcome, OrderPhase, OrderRow,
-    OrderVerdict, OrderWrite, OwedSettlement, RecordedAnswer, RefusalCause, RefusalScope,
-    ResendRule, RowCondition, SettleStep, settle::settled_row, settle_step, sweep::CLAIM_LEASE,
+    AttemptAction, AttemptEnd, AttemptEvent, AttemptPlan, AttemptTag, DoubtCause, FoundRow,
+    GuardSet, OrderGuard, OrderOutcome, OrderPhase, OrderRow, OrderVerdict, OrderWrite,
+    OwedSettlement, RefusalCause, RefusalScope, RowCondition, SendResult, SettleStep,
+    settle::settled_row, settle_step, sweep::CLAIM_LEASE,
 };
 
 /// Reads that an attempt makes before it gives up.
@@ -24,100 +22,6 @@
 /// Most earlier sends that a row carries; a resend beyond stays in doubt.
 const MAX_EARLIER: usize = 8;
 
-/// What an attempt is to do.
-#[derive(Clone, Debug, Eq, Hash, PartialEq)]
-pub struct AttemptPlan {
-    /// Names the attempt.
-    pub tag: AttemptTag,
-    /// Node that makes it.
-    pub node: NodeId,
-    /// Digest of path, media type and body.
-    pub digest: String,
-    /// What the service promises.
-    pub rule: ResendRule,
-    /// Time within which a send counts as under way.
-    pub send_limit: Duration,
-    /// Nothing is sent after this.
-    pub deadline: SystemTime,
-}
-
-/// How a send ended.
-#[derive(Clone, Debug, Eq, PartialEq)]
-pub enum SendResult {
-    /// The service answered.
-    Answered(RecordedAnswer),
-    /// It is known that the service did not and will not run it.
-    NotRun(RefusalCause),
-    /// It may have run.
-    Unknown(DoubtCause),
-}
-
-impl SendResult {
-    /// The result as a verdict on this send alone.
-    #[must_use]
-    pub fn verdict(self) -> OrderVerdict {
-        match self {
-            // A service that failed does not say whether it ran the order.
-            Self::Answered(answer) if answer.status >= 500 => OrderVerdict::InDoubt {
-                cause: DoubtCause::ServiceFailed {
-                    status: answer.status,
-                },
-            },
-            Self::Answered(answer) => OrderVerdict::Done { answer },
-            Self::NotRun(cause) => OrderVerdict::NotRun { cause },
-            Self::Unknown(cause) => OrderVerdict::InDoubt { cause },
-        }
-    }
-}
-
-/// What happened to an attempt.
-#[derive(Clone, Debug, Eq, PartialEq)]
-pub enum AttemptEvent {
-    /// The caller submitted the order.
-    Begun,
-    /// The write took effect; the row has this version.
-    Written(RowVersion),
-    /// The row was not as expected; nothing took effect.
-    Conflicted,
-    /// Nothing took effect, and nothing will.
-    WriteFailed,
-    /// No answer: the write may have taken effect, or may yet.
-    WriteUnknown,
-    /// The row as a latest read found it.
-    Found(Option<FoundRow>),
-    /// The row could not be read.
-    ReadFailed,
-    /// The send ended.
-    Sent(SendResult),
-}
-
-/// How an attempt ended.
-#[derive(Clone, Debug, Eq, PartialEq)]
-pub struct AttemptEnd {
-    /// The caller's answer.
-    pub outcome: OrderOutcome,
-    /// What the store must still be told.
-    pub owed: Option<OwedSettlement>,
-}
-
-/// What to do next; exactly one action at a time.
-#[derive(Clone, Debug, Eq, PartialEq)]
-pub enum AttemptAction {
-    /// Change the row.
-    Write(OrderWrite),
-    /// Read the row, latest.
-    Read,
-    /// Send the order, once.
-    Send {
-        /// Number for a service that checks one.
-        fencing: FencingNumber,
-    },
-    /// Answer the caller.
-    Finish(AttemptEnd),
-    /// Nothing: the event came too late to matter.
-    Ignore,
-}
-
 #[derive(Clone, Debug, Eq, Hash, PartialEq)]
 enum AttemptPhase {
     Idle,
--- a/components/orders/src/lib.rs
+++ b/components/orders/src/lib.rs
@@ -5,6 +5,7 @@
 //! found by [`sweep_step`] and [`purge_step`].
 
 mod attempt;
+mod event;
 mod guard;
 mod name;
 mod outcome;
@@ -13,7 +14,8 @@
 mod settle;
 mod sweep;
 
-pub use attempt::{AttemptAction, AttemptEnd, AttemptEvent, AttemptPlan, OrderAttempt, SendResult};
+pub use attempt::OrderAttempt;
+pub use event::{AttemptAction, AttemptEnd, AttemptEvent, AttemptPlan, SendResult};
 pub use guard::{GuardSet, OrderGuard};
 pub use name::{OrderName, body_digest};
 pub use outcome::{DoubtCause, OrderOutcome, RefusalCause, RefusalScope, StateAnswer};
