Let short secondary prompts end before long paying ones

Cause: three trial prompts of lakeshore, started on calm engines, were held for their whole patience by a long paying prompt that came after them.

Change: short secondary prompts run behind short and medium paying ones, ahead of long ones.

--- a/components/routing/src/placement.rs
+++ b/components/routing/src/placement.rs
@@ -14,6 +14,8 @@
 const PRIORITY_STEP_TOKENS: TokenCount = 256;
 /// Priority of the most urgent trial prompt.
 const TRIAL_PRIORITY: u32 = 1 << 17;
+/// Priority of short secondary prompts: behind the longest medium one.
+const BEHIND_MEDIUM_PRIORITY: u32 = 129;
 /// Priority of the most urgent prompt of an organisation over its share.
 const SURPLUS_PRIORITY: u32 = 1 << 16;
 /// Part of its prefill time that a short prompt may be delayed.
@@ -28,7 +30,8 @@
 
 /// Priority of a prompt on its engine: short before long, paying before
 /// trial unless it is within its floor. Short prompts share one priority, so
-/// that none waits for a later one.
+/// that none waits for a later one; short secondary ones go before long paying
+/// ones, which would hold them for minutes.
 pub(crate) fn engine_priority(urgency: PromptUrgency, prompt_tokens: TokenCount) -> u32 {
     let steps = prompt_tokens / PRIORITY_STEP_TOKENS;
     let length = u32::try_from(steps)
@@ -39,6 +42,7 @@
         _ => length,
     };
     match urgency {
+        _ if urgency.is_secondary() && length == 0 => BEHIND_MEDIUM_PRIORITY,
         PromptUrgency::Paying | PromptUrgency::TrialFloor => length,
         PromptUrgency::Surplus => SURPLUS_PRIORITY + length,
         PromptUrgency::Trial => TRIAL_PRIORITY + length,
