--- a/components/routing/src/lib.rs
+++ b/components/routing/src/lib.rs
@@ -5,6 +5,7 @@
 //! and the bench drive the same code.
 
 mod arrival;
+mod claims;
 mod dispatch;
 mod estimate;
 mod forwarding;
--- a/components/routing/src/scheduler.rs
+++ b/components/routing/src/scheduler.rs
@@ -11,7 +11,7 @@
 
 use crate::{
     RefusalReason, SchedulerAction, SchedulerEvent, SchedulerSettings, arrival::Rejection,
-    forwarding::ForwardedJob, gang::GangPlanner, load::LoadMeter, peers::PeerTable,
+    claims::GangPlanner, forwarding::ForwardedJob, load::LoadMeter, peers::PeerTable,
     pool::PoolTable, retry::RetryBudget, roles::RolePlanner, view::EngineView,
 };
 
