--- a/components/entry/tests/bad_input.rs
+++ b/components/entry/tests/bad_input.rs
@@ -33,6 +33,14 @@
     }
 }
 
+struct EndGuard(smol::channel::Sender<()>);
+
+impl Drop for EndGuard {
+    fn drop(&mut self) {
+        self.0.try_send(()).ok();
+    }
+}
+
 /// Echoes the length of the body; `/stream` streams without end; `/wait`
 /// answers only when the caller has gone.
 fn handler(left: smol::channel::Sender<()>) -> EntryHandler {
@@ -42,8 +50,9 @@
             match request.path() {
                 "/stream" => endless_stream(),
                 "/wait" => {
+                    // Told when the work ends, by its own end or by being dropped.
+                    let _guard = EndGuard(left);
                     request.gone.cancelled().await;
-                    left.send(()).await.ok();
                     Response::new(StatusCode::Ok)
                 }
                 _ => match request.body().await {
@@ -234,18 +243,7 @@
             .unwrap();
         drop(stream);
 
-        // The handler is told, or dropped with its sender, whichever is first.
-        smol::future::or(
-            async {
-                gone.recv().await.ok();
-            },
-            async {
-                while server.clock.next_due().is_some() {
-                    yield_now().await;
-                }
-            },
-        )
-        .await;
+        gone.recv().await.unwrap();
     });
 }
 
--- a/components/kernel/src/clock.rs
+++ b/components/kernel/src/clock.rs
@@ -86,7 +86,7 @@
             state.now += step;
             let now = state.now;
             state.sleepers.retain(|(due, waker)| {
-                let waits = *due > now;
+                let waits = *due > now && !waker.is_closed();
                 if !waits {
                     waker.try_send(()).ok();
                 }
@@ -99,6 +99,8 @@
     #[must_use]
     pub fn next_due(&self) -> Option<Duration> {
         self.locked(|state| {
+            // A sleeper that was given up waits for nothing.
+            state.sleepers.retain(|(_, waker)| !waker.is_closed());
             let due = state.sleepers.iter().map(|(due, _)| *due).min()?;
             Some(due.saturating_duration_since(state.now))
         })
--- a/components/kernel/tests/lifecycle.rs
+++ b/components/kernel/tests/lifecycle.rs
@@ -81,3 +81,19 @@
         sleeper.await;
     });
 }
+
+#[test]
+fn a_sleep_that_was_given_up_is_due_for_nobody() {
+    smol::block_on(async {
+        let clock = PausedClock::new();
+        let source = ClockSource::Paused(Arc::clone(&clock));
+        let sleeper = smol::spawn(async move { source.sleep(Duration::from_secs(3)).await });
+        while clock.next_due().is_none() {
+            smol::future::yield_now().await;
+        }
+
+        sleeper.cancel().await;
+
+        assert_eq!(clock.next_due(), None);
+    });
+}
--- a/components/node/src/api/services.rs
+++ b/components/node/src/api/services.rs
@@ -4,7 +4,8 @@
 
 use entry::{ApiFailure, EntryRequest, FailureKind, HeaderName};
 use http_types::{Method, Response};
-use orders::{OrderName, OrderOutcome};
+use membership::CallEvidence;
+use orders::{OrderName, OrderOutcome, RefusalCause};
 use telemetry::{HopKind, HopSpan, OutcomeLabels};
 
 use super::{
@@ -102,6 +103,7 @@
             traceparent: span.traceparent(),
         })
         .await;
+    note_reach(parts, &path.name, &outcome);
     count(parts, &path.name, &outcome);
     if !matches!(outcome, OrderOutcome::Done { .. }) {
         span.fail(outcome.code());
@@ -150,6 +152,25 @@
         .start(name, HopKind::Client, traceparent, id, service)
 }
 
+/// Tells the directory that the first process of a service can't be reached,
+/// so that the next order goes to another.
+fn note_reach(parts: &ApiParts, service: &str, outcome: &OrderOutcome) {
+    let unreached = matches!(
+        outcome,
+        OrderOutcome::Refused {
+            cause: RefusalCause::ServiceUnreachable,
+            ..
+        }
+    );
+    let zone = &parts.settings.node.zone;
+    let found = parts.directory.services(&service.to_owned(), zone);
+    if let Some(first) = found.first().filter(|_| unreached) {
+        parts
+            .directory
+            .called(&first.id, first.incarnation, CallEvidence::Failed);
+    }
+}
+
 fn count(parts: &ApiParts, service: &str, outcome: &OrderOutcome) {
     let labels = OutcomeLabels {
         plan: service.to_owned(),
--- a/components/node/src/directory.rs
+++ b/components/node/src/directory.rs
@@ -20,7 +20,8 @@
 
 const POLL_PAUSE: Duration = Duration::from_secs(1);
 const ENGINE_CALL_LIMIT: Duration = Duration::from_secs(5);
-const SERVICE_CALL_LIMIT: Duration = Duration::from_secs(30);
+/// Far above a service's own timeout: a late answer still settles an order.
+const SERVICE_CALL_LIMIT: Duration = Duration::from_mins(5);
 const NEWS_CAPACITY: usize = 256;
 
 /// A known model engine.
