--- a/components/node/src/directory.rs
+++ b/components/node/src/directory.rs
@@ -79,6 +79,8 @@
     state: Mutex<DirectoryState>,
     news: Sender<UpstreamEvidence>,
     news_reader: Receiver<UpstreamEvidence>,
+    changed: Sender<()>,
+    changed_reader: Receiver<()>,
 }
 
 impl UpstreamDirectory {
@@ -86,6 +88,7 @@
     #[must_use]
     pub fn new(clock: ClockSource) -> Arc<Self> {
         let (news, news_reader) = bounded(NEWS_CAPACITY);
+        let (changed, changed_reader) = bounded(1);
         Arc::new(Self {
             clock,
             state: Mutex::new(DirectoryState {
@@ -95,6 +98,8 @@
             }),
             news,
             news_reader,
+            changed,
+            changed_reader,
         })
     }
 
@@ -144,6 +149,12 @@
         self.news_reader.clone()
     }
 
+    /// Wakes its reader after any upstream's state changed.
+    #[must_use]
+    pub fn changes(&self) -> Receiver<()> {
+        self.changed_reader.clone()
+    }
+
     /// Takes a new reading of the host list.
     pub fn update(&self, hosts: &[HostEntry]) {
         let upstreams: Vec<&HostEntry> = hosts
@@ -213,6 +224,7 @@
     }
 
     fn apply(&self, state: &mut DirectoryState, change: &UpstreamChange) {
+        self.changed.try_send(()).ok();
         match change {
             UpstreamChange::New(listed) => log::info!(
                 "event=upstream_new upstream={} incarnation={} address={}",
--- a/components/node/src/watch.rs
+++ b/components/node/src/watch.rs
@@ -27,7 +27,7 @@
 
 struct WatchedEngine {
     incarnation: IncarnationNumber,
-    _task: Task<()>,
+    task: Task<()>,
 }
 
 impl EngineWatch {
@@ -49,14 +49,19 @@
 
     /// Reviews ownership until `token` is cancelled.
     pub async fn run(self, token: CancellationToken) {
+        let changes = self.directory.changes();
         let mut watched: HashMap<EngineId, WatchedEngine> = HashMap::new();
         while !token.is_cancelled() {
-            self.review(&mut watched);
-            smol::future::or(self.clock.sleep(REVIEW_PAUSE), token.cancelled()).await;
+            self.review(&mut watched).await;
+            let woken = async {
+                changes.recv().await.ok();
+            };
+            let rested = smol::future::or(woken, self.clock.sleep(REVIEW_PAUSE));
+            smol::future::or(rested, token.cancelled()).await;
         }
     }
 
-    fn review(&self, watched: &mut HashMap<EngineId, WatchedEngine>) {
+    async fn review(&self, watched: &mut HashMap<EngineId, WatchedEngine>) {
         let owned: Vec<KnownEngine> = self
             .directory
             .engines()
@@ -64,17 +69,17 @@
             .filter(|engine| engine.state != UpstreamState::Leaving)
             .filter(|engine| self.fleet.owns(&engine.id, &engine.zone))
             .collect();
-        watched.retain(|id, engine| {
-            let kept = owned
+        let is_kept = |id: &EngineId, engine: &mut WatchedEngine| {
+            owned
                 .iter()
-                .any(|known| known.id == *id && known.incarnation == engine.incarnation);
-            if !kept {
-                log::info!("event=engine_released engine={id}");
-                self.prompts
-                    .handle(SchedulerEvent::EngineGone { engine: id.clone() });
-            }
-            kept
-        });
+                .any(|known| known.id == *id && known.incarnation == engine.incarnation)
+        };
+        let lost: Vec<(EngineId, WatchedEngine)> = watched
+            .extract_if(|id, engine| !is_kept(id, engine))
+            .collect();
+        for (id, engine) in lost {
+            self.release(id, engine).await;
+        }
         for engine in owned {
             if watched.contains_key(&engine.id) {
                 continue;
@@ -87,7 +92,7 @@
             let id = engine.id.clone();
             let entry = WatchedEngine {
                 incarnation: engine.incarnation,
-                _task: smol::spawn(poll_engine(
+                task: smol::spawn(poll_engine(
                     self.clock.clone(),
                     Arc::clone(&self.prompts),
                     Arc::clone(&self.directory),
@@ -99,6 +104,17 @@
     }
 }
 
+impl EngineWatch {
+    /// Ends the polls of an engine before the scheduler is told: a report that
+    /// came behind would make the engine known for ever.
+    async fn release(&self, id: EngineId, engine: WatchedEngine) {
+        engine.task.cancel().await;
+        log::info!("event=engine_released engine={id}");
+        self.prompts
+            .handle(SchedulerEvent::EngineGone { engine: id });
+    }
+}
+
 /// Polls one engine. While it backs off the scheduler does not know it; the
 /// first report that comes makes it known again.
 async fn poll_engine(
--- a/src/cmd/local/note.rs
+++ b/src/cmd/local/note.rs
@@ -63,9 +63,9 @@
         key_digests: vec![key_digest(key)],
         weight: 1,
         limits: OrganisationLimits {
-            requests_per_second: 1_000,
-            tokens_per_minute: 100_000_000,
-            concurrent_requests: 1_000,
+            requests_per_second: 100_000,
+            tokens_per_minute: 100_000_000_000,
+            concurrent_requests: 10_000,
         },
         models: vec![LOCAL_MODEL.to_owned()],
         adapters: Vec::new(),
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -1,5 +1,8 @@
 //! Nodes and stand-ins as processes of their own.
 
+// Each test file uses its own part.
+#![allow(dead_code)]
+
 use std::{
     fs,
     io::{BufRead, BufReader},
@@ -81,7 +84,9 @@
     _platform: TestProcess,
     pub platform_address: String,
     pub engines: Vec<TestProcess>,
+    pub engine_addresses: Vec<String>,
     _service: TestProcess,
+    pub service_address: String,
     pub nodes: Vec<TestNode>,
 }
 
@@ -99,13 +104,15 @@
                 "listing": {"platform": platform_address},
             }),
         );
-        let (service, _) = start_standin("service", Some(&service_file));
+        let (service, service_address) = start_standin("service", Some(&service_file));
         let mut fleet = Self {
             folder,
             _platform: platform,
             platform_address,
             engines: Vec::new(),
+            engine_addresses: Vec::new(),
             _service: service,
+            service_address,
             nodes: Vec::new(),
         };
         for position in 0..engines {
@@ -133,8 +140,9 @@
         });
         let name = format!("engine-{position}.jsonc");
         let file = write_file(&self.folder, &name, &settings);
-        let (engine, _) = start_standin("engine", Some(&file));
+        let (engine, address) = start_standin("engine", Some(&file));
         self.engines.push(engine);
+        self.engine_addresses.push(address);
     }
 
     /// Starts the node of that position; earlier nodes are its seeds.
