--- a/components/node/src/api/parts.rs
+++ b/components/node/src/api/parts.rs
@@ -1,7 +1,8 @@
 //! What the handlers work with.
 
-use std::sync::{Arc, Mutex};
+use std::sync::{Arc, Mutex, atomic::AtomicU32};
 
+use entry::BodyBudget;
 use kernel::ClockSource;
 use membership::AddressPlanner;
 use settings::NodeSettings;
@@ -44,4 +45,8 @@
     pub tracer: HopTracer,
     /// Metrics.
     pub metrics: Arc<NodeMetrics>,
+    /// Memory of request bodies.
+    pub budget: Arc<BodyBudget>,
+    /// Connections open now.
+    pub connections: Arc<AtomicU32>,
 }
--- a/components/node/src/daemon.rs
+++ b/components/node/src/daemon.rs
@@ -2,7 +2,7 @@
 
 use std::{
     net::SocketAddr,
-    sync::{Arc, Mutex},
+    sync::{Arc, Mutex, atomic::AtomicU32},
     time::Duration,
 };
 
@@ -10,7 +10,9 @@
 use kernel::{CancellationToken, ClockSource, ServiceKernel};
 use membership::{AddressPlanner, AddressSettings, DrainSettings, MemberSettings};
 use notes::AdopterSettings;
-use platform::{HostList, HttpHosts, HttpObjects, HttpTable, ObjectStore, TableService};
+use platform::{
+    HostList, HttpHosts, HttpObjects, HttpTable, HttpWeights, ObjectStore, TableService,
+};
 use routing::SchedulerSettings;
 use settings::NodeSettings;
 use telemetry::{HopTracer, NodeMetrics};
@@ -22,7 +24,9 @@
     api::{ApiParts, KeyIndex, api_handler},
     directory::UpstreamDirectory,
     drain::{DrainFlag, DrainService},
+    engines::{EngineOwner, FencingSource, OwnerParts},
     fleet::FleetView,
+    limits::LimitFeed,
     links::MemberLinks,
     members::{MemberConfig, MemberService},
     notes::{NOTE_SERVICE, NotePeer, NoteService, NoteStore},
@@ -56,6 +60,7 @@
     clock: ClockSource,
     ring: Arc<KeyRing>,
     metrics: Arc<NodeMetrics>,
+    budget: Arc<BodyBudget>,
     tracer: HopTracer,
     directory: Arc<UpstreamDirectory>,
     fleet: Arc<FleetView>,
@@ -103,6 +108,7 @@
             fleet: FleetView::new(&settings.node.id, &settings.node.zone),
             draining: Arc::default(),
             orders_token: CancellationToken::new(),
+            budget: BodyBudget::new(settings.limits.held_body_bytes),
             hosts: Arc::new(hosts),
             table,
             objects: Arc::new(objects),
@@ -123,6 +129,7 @@
         members: Arc<MemberService>,
         notes: Arc<NoteService>,
         orders: Arc<OrderService>,
+        connections: Arc<AtomicU32>,
     ) -> ApiParts {
         ApiParts {
             settings: self.settings.clone(),
@@ -139,6 +146,8 @@
             directory: Arc::clone(&self.directory),
             tracer: self.tracer.clone(),
             metrics: Arc::clone(&self.metrics),
+            budget: Arc::clone(&self.budget),
+            connections,
         }
     }
 
@@ -183,6 +192,7 @@
             ring: Arc::clone(&self.ring),
             clock: self.clock.clone(),
             prompts: Arc::clone(&self.prompts),
+            quarantine: Arc::clone(&self.quarantine),
             notes,
         }
     }
@@ -200,6 +210,29 @@
         }
     }
 
+    fn engine_owner(&self, notes: &Arc<NoteService>) -> EngineOwner {
+        let limit = Duration::from_millis(self.settings.platform.timeout_ms);
+        let address = self.settings.platform.weights.clone();
+        EngineOwner::new(OwnerParts {
+            node: self.settings.node.id.clone(),
+            clock: self.clock.clone(),
+            directory: Arc::clone(&self.directory),
+            fleet: Arc::clone(&self.fleet),
+            notes: Arc::clone(notes),
+            prompts: Arc::clone(&self.prompts),
+            weights: Arc::new(HttpWeights::new(address, self.clock.clone(), limit)),
+            fencing: FencingSource::new(Arc::clone(&self.table)),
+        })
+    }
+
+    fn limit_feed(&self, notes: &Arc<NoteService>) -> LimitFeed {
+        LimitFeed {
+            clock: self.clock.clone(),
+            notes: Arc::clone(notes),
+            prompts: Arc::clone(&self.prompts),
+        }
+    }
+
     fn watch(&self) -> EngineWatch {
         EngineWatch::new(
             self.clock.clone(),
@@ -309,6 +342,10 @@
         let orders = base.start_orders(&kernel, &notes);
         register(&kernel, &base, &notes, &orders)?;
         start_background(&kernel, &base, &members);
+        let owner = base.engine_owner(&notes);
+        kernel.start("engines", |token| owner.run(token));
+        let limits = base.limit_feed(&notes);
+        kernel.start("limits", |token| limits.run(token));
         let peer_handler = base.peer_handler(Arc::clone(&notes));
         let peer_server = PeerServer::new(sockets.listener, peer_handler);
         kernel.start("peers", |token| peer_server.run(token));
@@ -316,6 +353,7 @@
             Arc::clone(&members),
             Arc::clone(&notes),
             Arc::clone(&orders),
+            entry.server.connections(),
         );
         let handler = api_handler(Arc::new(parts));
         let server = entry.server.with_handler(handler);
@@ -386,7 +424,7 @@
 async fn bind_entry(base: &DaemonBase) -> Result<BoundEntry, NodeError> {
     let address = &base.settings.addresses.callers;
     let fault = |error: std::io::Error| NodeError::bind(address, &error);
-    let budget = BodyBudget::new(base.settings.limits.held_body_bytes);
+    let budget = Arc::clone(&base.budget);
     let limits = entry_limits(&base.settings);
     let server = EntryServer::bind(address, limits, budget, base.clock.clone())
         .await
