Break an engine's stream in every way; keep attempts and failures over a wait

A scripted engine ends without an end event, leaves a gap, repeats, mixes in another attempt, names too many tokens, gives up, sends what is no JSON, or refuses: the caller gets its own whole answer each time, and a stream that can't be completed ends in an error event and without an end mark. Found by it: a prompt whose only engine kept failing was tried 16 times in 4 s and more, since the wait for a model handed it to the scheduler as a new arrival, which reset its attempts, its failures and its charge against limits. Ruled out: the scheduler's retry budget, which held. It now comes back with what it had, and not after four failures. An answer whose end names other than the tokens that came is not taken as whole. Handing tokens on stands once for attempts and hops.

--- a/components/membership/src/address.rs
+++ b/components/membership/src/address.rs
@@ -76,7 +76,8 @@
 }
 
 /// One node of an answer.
-#[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
 pub struct NamedAddress {
     /// The node.
     pub node: NodeId,
@@ -85,7 +86,8 @@
 }
 
 /// The nodes to use, best first.
-#[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
 pub struct AddressAnswer {
     /// The node to use and its alternatives; empty when no node serves.
     pub addresses: Vec<NamedAddress>,
--- a/components/membership/src/member.rs
+++ b/components/membership/src/member.rs
@@ -6,18 +6,8 @@
 use types::{IncarnationNumber, NodeId, NoteVersion, RegionId, ZoneId};
 
 /// State of a member. Within one incarnation a later state replaces an earlier.
-#[derive(
-    Clone,
-    Copy,
-    Debug,
-    Eq,
-    Hash,
-    Ord,
-    PartialEq,
-    PartialOrd,
-    Deserialize,
-    Serialize
-)]
+#[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+#[derive(Deserialize, Serialize)]
 #[serde(rename_all = "lowercase")]
 pub enum MemberState {
     /// Answers probes and takes work.
@@ -44,7 +34,8 @@
 }
 
 /// Where a member listens.
-#[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
 pub struct MemberAddresses {
     /// UDP, for membership messages.
     pub datagram: SocketAddr,
@@ -55,7 +46,8 @@
 }
 
 /// One member as nodes tell each other.
-#[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
 pub struct MemberRecord {
     /// The node.
     pub node: NodeId,
--- a/components/membership/src/message.rs
+++ b/components/membership/src/message.rs
@@ -12,18 +12,8 @@
 pub const DATAGRAM_OVERHEAD_BYTES: usize = 72;
 
 /// What a topic's bodies are about.
-#[derive(
-    Clone,
-    Copy,
-    Debug,
-    Eq,
-    Hash,
-    Ord,
-    PartialEq,
-    PartialOrd,
-    Deserialize,
-    Serialize
-)]
+#[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+#[derive(Deserialize, Serialize)]
 #[serde(rename_all = "snake_case")]
 pub enum GossipTopic {
     /// Load of the engines a node owns.
@@ -57,7 +47,8 @@
 }
 
 /// The newest body of one topic from one node.
-#[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
 pub struct TopicRecord {
     /// Topic.
     pub topic: GossipTopic,
@@ -72,7 +63,8 @@
 }
 
 /// What a message asks or answers.
-#[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
 pub enum MessageKind {
     /// Asks for `Ack` with the same number.
     Ping {
@@ -113,7 +105,8 @@
 }
 
 /// One message between two members.
-#[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
 pub struct PeerMessage {
     /// What it asks or answers.
     pub kind: MessageKind,
--- a/components/membership/src/upstream.rs
+++ b/components/membership/src/upstream.rs
@@ -59,7 +59,8 @@
 }
 
 /// What one call, or one node's calls, showed of an upstream.
-#[derive(Clone, Copy, Debug, Eq, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
 #[serde(rename_all = "lowercase")]
 pub enum CallEvidence {
     /// It answered, whatever the answer was.
@@ -71,7 +72,8 @@
 }
 
 /// Evidence about one life of an upstream, as nodes tell each other.
-#[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
 pub struct UpstreamEvidence {
     /// The upstream.
     pub upstream: UpstreamId,
--- a/components/node/src/prompts/attempt.rs
+++ b/components/node/src/prompts/attempt.rs
@@ -8,13 +8,13 @@
 use kernel::CancellationToken;
 use membership::CallEvidence;
 use routing::SchedulerEvent;
-use smol::channel::Sender;
 use telemetry::{HopKind, HopSpan};
 use types::{AttemptId, EngineId, IncarnationNumber, RequestId, TokenCount};
 use upstream::{EngineCall, EngineEvent};
 
 use super::{
     PromptService, PromptUpdate,
+    delivery::TokenOutcome,
     gang::GangHold,
     open::{OpenPrompt, PromptWork},
 };
@@ -63,6 +63,7 @@
             prompt.token = CancellationToken::new();
             prompt.work = PromptWork::Attempt(attempt);
             prompt.engine = Some(first.clone());
+            prompt.attempts = prompt.attempts.max(attempt);
             let span = self.tracer.start(
                 "engine",
                 HopKind::Client,
@@ -209,11 +210,7 @@
                 return Ok(end);
             }
         }
-        Err(UpstreamError::Malformed {
-            step: "stream".to_owned(),
-            peer: engine.clone(),
-            cause: "the stream ended without an end event".to_owned(),
-        })
+        Err(self.malformed("the stream ended without an end event".to_owned()))
     }
 
     async fn take(&self, event: EngineEvent) -> Result<Option<AttemptEnd>, UpstreamError> {
@@ -235,20 +232,24 @@
                 Ok((!delivered).then_some(AttemptEnd::Dropped))
             }
             EngineEvent::Finished { attempt, tokens } if attempt == self.attempt => {
-                Ok(Some(AttemptEnd::Finished(tokens)))
+                self.finished(tokens)
             }
             EngineEvent::Failed { attempt, cause } if attempt == self.attempt => {
-                Err(UpstreamError::Malformed {
-                    step: "generate".to_owned(),
-                    peer: self.engines[0].clone(),
-                    cause,
-                })
+                Err(self.malformed(cause))
             }
             // Another attempt's late event: not this caller's answer.
             _ => Ok(None),
         }
     }
 
+    /// An end that names more or fewer tokens than came is not taken as whole.
+    fn finished(&self, tokens: TokenCount) -> Result<Option<AttemptEnd>, UpstreamError> {
+        if self.service.is_whole(&self.request, tokens) {
+            return Ok(Some(AttemptEnd::Finished(tokens)));
+        }
+        Err(self.malformed(format!("the answer ended at {tokens} tokens, others came")))
+    }
+
     async fn started(&self, prompt_tokens: TokenCount, cached_tokens: TokenCount) {
         self.service.handle(SchedulerEvent::Started {
             request: self.request.clone(),
@@ -271,54 +272,36 @@
 
     /// Hands a token on; `false` when the prompt is not this attempt's.
     async fn deliver(&self, index: TokenCount, text: String) -> Result<bool, UpstreamError> {
-        let Some((updates, expected)) = self.next_place() else {
-            return Ok(false);
-        };
-        if index < expected {
-            return Ok(true);
-        }
-        if index > expected {
-            return Err(UpstreamError::Malformed {
-                step: "stream".to_owned(),
-                peer: self.engines[0].clone(),
-                cause: format!("token {index} came where {expected} was due"),
-            });
-        }
-        if updates
-            .send(PromptUpdate::Token { index, text })
-            .await
-            .is_err()
-        {
-            return Ok(false);
+        let service = &self.service;
+        let work = self.work();
+        let outcome = service.deliver(&self.request, &work, index, text).await;
+        match outcome {
+            TokenOutcome::Delivered { first } => {
+                if first {
+                    service.handle(SchedulerEvent::FirstToken {
+                        request: self.request.clone(),
+                        attempt: self.attempt,
+                    });
+                }
+                Ok(true)
+            }
+            TokenOutcome::Repeated => Ok(true),
+            TokenOutcome::Gone => Ok(false),
+            TokenOutcome::Gap { due } => {
+                Err(self.malformed(format!("token {index} came where {due} was due")))
+            }
         }
-        self.count_delivered(index);
-        Ok(true)
     }
 
-    fn next_place(&self) -> Option<(Sender<PromptUpdate>, TokenCount)> {
-        self.service.with_open(|open| {
-            let prompt = open.get(&self.request)?;
-            let current = prompt.work == PromptWork::Attempt(self.attempt);
-            current.then(|| (prompt.updates.clone(), prompt.delivered))
-        })
+    fn work(&self) -> PromptWork {
+        PromptWork::Attempt(self.attempt)
     }
 
-    fn count_delivered(&self, index: TokenCount) {
-        let first = self.service.with_open(|open| {
-            let prompt = open.get_mut(&self.request)?;
-            prompt.delivered = index + 1;
-            let first = !prompt.first_token_seen;
-            prompt.first_token_seen = true;
-            first.then(|| prompt.job.clone())
-        });
-        self.service.metrics.tokens.inc();
-        self.service.review_trial(&self.request, index + 1);
-        if let Some(job) = first {
-            self.service.count_first_token(&job);
-            self.service.handle(SchedulerEvent::FirstToken {
-                request: self.request.clone(),
-                attempt: self.attempt,
-            });
+    fn malformed(&self, cause: String) -> UpstreamError {
+        UpstreamError::Malformed {
+            step: "stream".to_owned(),
+            peer: self.engines[0].clone(),
+            cause,
         }
     }
 
@@ -337,7 +320,7 @@
             AttemptEnd::Dropped => self.span.fail("dropped"),
             AttemptEnd::NoMemory(engine) => {
                 self.span.fail("no memory for the group");
-                self.release_work();
+                self.service.release_work(&self.request, &self.work());
                 self.service.handle(SchedulerEvent::GangRefused {
                     request,
                     attempt,
@@ -363,7 +346,8 @@
             self.doubt_engine();
             self.note_death().await;
         }
-        let delivered = self.release_work();
+        self.service.count_failure(&self.request);
+        let delivered = self.service.release_work(&self.request, &self.work());
         let failure = SchedulerEvent::Failed {
             request: self.request.clone(),
             attempt: self.attempt,
@@ -373,17 +357,14 @@
         self.service.admit(&self.request, failure);
     }
 
-    /// Takes the engine from the scheduler until its next report, so that a
-    /// retry does not go where the attempt just failed.
+    /// Counts the failure against the engine; the scheduler sends nothing there
+    /// until its next report.
     fn doubt_engine(&self) {
         let engine = &self.engines[0];
         if let Some(known) = self.service.directory.engine(engine) {
             let directory = &self.service.directory;
             directory.called(engine, known.incarnation, CallEvidence::Failed);
         }
-        self.service.handle(SchedulerEvent::EngineGone {
-            engine: engine.clone(),
-        });
     }
 
     /// Finds out whether the engine's life ended, and holds it against the
@@ -415,19 +396,6 @@
             self.service.peers.tell_deaths(records, TELL_LIMIT).await;
         }
     }
-
-    /// Takes the prompt off this attempt; returns the tokens delivered.
-    fn release_work(&self) -> TokenCount {
-        self.service.with_open(|open| {
-            let Some(prompt) = open.get_mut(&self.request) else {
-                return 0;
-            };
-            if prompt.work == PromptWork::Attempt(self.attempt) {
-                prompt.work = PromptWork::Queued;
-            }
-            prompt.delivered
-        })
-    }
 }
 
 fn estimate_total(call: &EngineCall) -> TokenCount {
--- a/components/node/src/prompts/forward.rs
+++ b/components/node/src/prompts/forward.rs
@@ -10,6 +10,7 @@
 
 use super::{
     PromptService, PromptUpdate,
+    delivery::TokenOutcome,
     open::{OpenPrompt, PromptWork},
 };
 use crate::peers::{ForwardedPrompt, PeerReply, PromptExchange};
@@ -130,7 +131,13 @@
                         return Ok(ForwardEnd::Dropped);
                     }
                 }
-                PeerReply::Finished { tokens, .. } => return Ok(ForwardEnd::Finished(tokens)),
+                PeerReply::Finished { tokens, .. } => {
+                    if self.service.is_whole(&self.request, tokens) {
+                        return Ok(ForwardEnd::Finished(tokens));
+                    }
+                    let cause = format!("the answer ended at {tokens} tokens, others came");
+                    return Err(self.malformed(cause));
+                }
                 PeerReply::Refused {
                     reason,
                     retry_after,
@@ -159,40 +166,23 @@
     }
 
     async fn deliver(&self, index: TokenCount, text: String) -> Result<bool, FrameError> {
-        let expected = self
-            .service
-            .with_open(|open| open.get(&self.request).map(|prompt| prompt.delivered));
-        let Some(expected) = expected else {
-            return Ok(false);
-        };
-        if index < expected {
-            return Ok(true);
-        }
-        if index > expected {
-            return Err(FrameError::Malformed {
-                step: "stream".to_owned(),
-                peer: self.node.clone(),
-                cause: format!("token {index} came where {expected} was due"),
-            });
-        }
-        if !self.hand_on(PromptUpdate::Token { index, text }).await {
-            return Ok(false);
+        let service = &self.service;
+        let work = self.work();
+        let outcome = service.deliver(&self.request, &work, index, text).await;
+        match outcome {
+            TokenOutcome::Delivered { .. } | TokenOutcome::Repeated => Ok(true),
+            TokenOutcome::Gone => Ok(false),
+            TokenOutcome::Gap { due } => {
+                Err(self.malformed(format!("token {index} came where {due} was due")))
+            }
         }
-        self.count_delivered(index);
-        Ok(true)
     }
 
-    fn count_delivered(&self, index: TokenCount) {
-        let first = self.service.with_open(|open| {
-            let prompt = open.get_mut(&self.request)?;
-            prompt.delivered = index + 1;
-            let first = !prompt.first_token_seen;
-            prompt.first_token_seen = true;
-            first.then(|| prompt.job.clone())
-        });
-        self.service.metrics.tokens.inc();
-        if let Some(job) = first {
-            self.service.count_first_token(&job);
+    fn malformed(&self, cause: String) -> FrameError {
+        FrameError::Malformed {
+            step: "stream".to_owned(),
+            peer: self.node.clone(),
+            cause,
         }
     }
 
@@ -218,7 +208,7 @@
                 retry_after,
             } => {
                 self.span.fail(super::refusal_code(reason));
-                self.release_work();
+                self.service.release_work(&self.request, &self.work());
                 let refusal = SchedulerEvent::ForwardRefused {
                     request: request.clone(),
                     node,
@@ -239,24 +229,12 @@
             self.request,
             self.node
         );
-        let delivered = self.release_work();
+        self.service.count_failure(&self.request);
+        let delivered = self.service.release_work(&self.request, &self.work());
         self.service.handle(SchedulerEvent::ForwardFailed {
             request: self.request.clone(),
             node: self.node.clone(),
             delivered,
         });
     }
-
-    /// Takes the prompt off this hop; returns the tokens delivered.
-    fn release_work(&self) -> TokenCount {
-        self.service.with_open(|open| {
-            let Some(prompt) = open.get_mut(&self.request) else {
-                return 0;
-            };
-            if prompt.work == self.work() {
-                prompt.work = PromptWork::Queued;
-            }
-            prompt.delivered
-        })
-    }
 }
--- a/components/node/src/prompts/mod.rs
+++ b/components/node/src/prompts/mod.rs
@@ -1,6 +1,7 @@
 //! The prompt service: drives the scheduler and carries out its actions.
 
 mod attempt;
+mod delivery;
 mod forward;
 mod gang;
 mod open;
--- a/components/node/src/prompts/open.rs
+++ b/components/node/src/prompts/open.rs
@@ -3,7 +3,7 @@
 use std::{sync::Arc, time::Duration};
 
 use kernel::CancellationToken;
-use routing::RefusalReason;
+use routing::{RefusalReason, SchedulerEvent};
 use smol::channel::{Receiver, Sender};
 use types::{AttemptId, EngineId, NodeId, PromptJob, RequestId, TokenCount};
 
@@ -87,6 +87,10 @@
     pub(super) token: CancellationToken,
     /// Whether the first token has been counted.
     pub(super) first_token_seen: bool,
+    /// Attempts started on this node's engines.
+    pub(super) attempts: AttemptId,
+    /// Attempts and hops that failed.
+    pub(super) failures: u32,
     /// Engine that the attempt under way calls.
     pub(super) engine: Option<EngineId>,
 }
@@ -97,6 +101,16 @@
         matches!(self.work, PromptWork::Attempt(_)) && self.engine.as_ref() == Some(engine)
     }
 
+    /// The event by which it comes back to the scheduler after a wait.
+    pub(super) fn returning(&self) -> SchedulerEvent {
+        SchedulerEvent::Returned {
+            job: self.job.clone(),
+            attempts: self.attempts,
+            failures: self.failures,
+            delivered: self.delivered,
+        }
+    }
+
     /// What the quarantine needs to know of it.
     pub(super) fn lost(&self) -> LostPrompt {
         LostPrompt {
--- a/components/node/src/prompts/patience.rs
+++ b/components/node/src/prompts/patience.rs
@@ -9,13 +9,15 @@
     time::{Duration, Instant},
 };
 
-use routing::{NodeSummary, SchedulerEvent};
+use routing::NodeSummary;
 use types::{ModelId, ModelVersion, PromptJob};
 
 use super::{PromptService, open::PromptWork};
 
 /// How long after a model was last known to be ready prompts still wait.
 const PATIENCE: Duration = Duration::from_secs(5);
+/// A prompt that failed as often has used up its retries.
+const FAILURE_LIMIT: u32 = 4;
 const RETRY_PAUSE: Duration = Duration::from_millis(100);
 
 /// When each model was last known to be ready somewhere.
@@ -56,24 +58,26 @@
     /// its model; `false` when waiting has no use.
     pub(super) fn wait_for_model(self: &Arc<Self>, request: &str) -> bool {
         let now = self.clock.now();
-        let job = self.with_open(|open| {
+        let event = self.with_open(|open| {
             let prompt = open.get_mut(request)?;
             let waits = !prompt.forwarded_here
+                && prompt.failures < FAILURE_LIMIT
                 && prompt.job.deadline > now + RETRY_PAUSE
                 && self.ready.may_return(now, &prompt.job);
             waits.then(|| {
                 prompt.work = PromptWork::Queued;
-                prompt.job.clone()
+                prompt.returning()
             })
         });
-        let Some(job) = job else {
+        let Some(event) = event else {
             return false;
         };
+        let request = request.to_owned();
         let service = Arc::clone(self);
         smol::spawn(async move {
             service.clock.sleep(RETRY_PAUSE).await;
-            if service.with_open(|open| open.contains_key(&job.request)) {
-                service.handle(SchedulerEvent::Arrived { job, via: None });
+            if service.with_open(|open| open.contains_key(&request)) {
+                service.handle(event);
             }
         })
         .detach();
--- a/components/node/src/prompts/service.rs
+++ b/components/node/src/prompts/service.rs
@@ -125,6 +125,8 @@
             work: PromptWork::Queued,
             token: CancellationToken::new(),
             first_token_seen: submission.resume_at > 0,
+            attempts: 0,
+            failures: 0,
             engine: None,
         };
         self.with_open(|open| open.insert(request.clone(), prompt));
--- a/components/notes/src/chain.rs
+++ b/components/notes/src/chain.rs
@@ -17,7 +17,8 @@
 }
 
 /// An accepted note.
-#[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
 #[serde(deny_unknown_fields)]
 pub struct AcceptedNote {
     /// Its version.
@@ -44,7 +45,8 @@
 }
 
 /// The newest accepted note.
-#[derive(Clone, Debug, Default, Eq, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
 #[serde(deny_unknown_fields)]
 pub struct ChainHead {
     /// Its version; 0 before the first.
@@ -54,7 +56,8 @@
 }
 
 /// The state in force under the newest note of a chain.
-#[derive(Clone, Debug, Default, Eq, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
 #[serde(deny_unknown_fields)]
 pub struct ChainState {
     /// Id of the newest note.
@@ -138,14 +141,16 @@
 }
 
 /// Asks a node for the notes after `after`.
-#[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
 pub struct NotesRequest {
     /// Version the asker has; 0 for none.
     pub after: NoteVersion,
 }
 
 /// What a node has.
-#[derive(Clone, Debug, Default, Eq, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
 pub struct NotesReply {
     /// Whether the node serves; if not, the rest is empty.
     pub serves: bool,
--- a/components/notes/src/parse.rs
+++ b/components/notes/src/parse.rs
@@ -34,14 +34,16 @@
     }
 }
 
-#[derive(Default, Deserialize)]
+#[derive(Default)]
+#[derive(Deserialize)]
 #[serde(default)]
 struct DocumentKeys {
     added: SectionKeys,
     changed: SectionKeys,
 }
 
-#[derive(Default, Deserialize)]
+#[derive(Default)]
+#[derive(Deserialize)]
 #[serde(default)]
 struct SectionKeys {
     organisations: KeyList,
--- a/components/orders/src/name.rs
+++ b/components/orders/src/name.rs
@@ -9,17 +9,8 @@
 const KEY_ESCAPES: &AsciiSet = &NON_ALPHANUMERIC.remove(b'-').remove(b'_').remove(b'.');
 
 /// Names one order: another organisation's same key is another order.
-#[derive(
-    Clone,
-    Debug,
-    Eq,
-    Hash,
-    Ord,
-    PartialEq,
-    PartialOrd,
-    Deserialize,
-    Serialize
-)]
+#[derive(Clone, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+#[derive(Deserialize, Serialize)]
 pub struct OrderName {
     /// Whose order it is.
     pub organisation: OrganisationId,
--- a/components/orders/src/outcome.rs
+++ b/components/orders/src/outcome.rs
@@ -12,7 +12,8 @@
 const REFUSAL_RETRY_AFTER: Duration = Duration::from_secs(2);
 
 /// Why an order was refused without being run.
-#[derive(Clone, Copy, Debug, Eq, Hash, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
+#[derive(Deserialize, Serialize)]
 #[serde(rename_all = "snake_case", tag = "code")]
 pub enum RefusalCause {
     /// The table service could not record the order.
@@ -41,7 +42,8 @@
 }
 
 /// What a refusal speaks of.
-#[derive(Clone, Copy, Debug, Eq, Hash, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
+#[derive(Deserialize, Serialize)]
 #[serde(rename_all = "lowercase")]
 pub enum RefusalScope {
     /// No request with this key had been sent to the service.
@@ -52,7 +54,8 @@
 }
 
 /// Why nobody knows whether an order ran.
-#[derive(Clone, Copy, Debug, Eq, Hash, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
+#[derive(Deserialize, Serialize)]
 #[serde(rename_all = "snake_case", tag = "code")]
 pub enum DoubtCause {
     /// The order was sent and no answer came.
@@ -69,7 +72,8 @@
 }
 
 /// The answer to an order.
-#[derive(Clone, Debug, Eq, Hash, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Debug, Eq, Hash, PartialEq)]
+#[derive(Deserialize, Serialize)]
 #[serde(rename_all = "snake_case", tag = "outcome")]
 pub enum OrderOutcome {
     /// The service answered; the same answer is given to every resend.
@@ -186,7 +190,8 @@
 }
 
 /// The answer to a question for an order's state.
-#[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
 #[serde(rename_all = "snake_case", tag = "state")]
 pub enum StateAnswer {
     /// The order is recorded.
--- a/components/orders/src/row.rs
+++ b/components/orders/src/row.rs
@@ -15,7 +15,8 @@
 pub const MAX_RECORDED_BODY_BYTES: usize = 65_536;
 
 /// Whether an order may be sent again when an earlier send is unknown.
-#[derive(Clone, Copy, Debug, Eq, Hash, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
+#[derive(Deserialize, Serialize)]
 #[serde(rename_all = "lowercase")]
 pub enum ResendRule {
     /// Never: the service runs what it gets.
@@ -47,7 +48,8 @@
 }
 
 /// What the service answered, as the row keeps it.
-#[derive(Clone, Debug, Eq, Hash, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Debug, Eq, Hash, PartialEq)]
+#[derive(Deserialize, Serialize)]
 pub struct RecordedAnswer {
     /// HTTP status.
     pub status: u16,
@@ -76,7 +78,8 @@
 }
 
 /// How an attempt ended, as far as is known.
-#[derive(Clone, Debug, Eq, Hash, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Debug, Eq, Hash, PartialEq)]
+#[derive(Deserialize, Serialize)]
 #[serde(rename_all = "snake_case", tag = "verdict")]
 pub enum OrderVerdict {
     /// The service answered.
@@ -97,7 +100,8 @@
 }
 
 /// Where an order stands.
-#[derive(Clone, Debug, Eq, Hash, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Debug, Eq, Hash, PartialEq)]
+#[derive(Deserialize, Serialize)]
 #[serde(rename_all = "snake_case", tag = "phase")]
 pub enum OrderPhase {
     /// An attempt has the order and has sent nothing.
@@ -109,7 +113,8 @@
 }
 
 /// One order's row.
-#[derive(Clone, Debug, Eq, Hash, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Debug, Eq, Hash, PartialEq)]
+#[derive(Deserialize, Serialize)]
 pub struct OrderRow {
     /// Digest of path, media type and body.
     pub digest: String,
--- a/components/orders/src/settle.rs
+++ b/components/orders/src/settle.rs
@@ -10,7 +10,8 @@
 };
 
 /// What an attempt knows and its row may not say yet.
-#[derive(Clone, Debug, Eq, Hash, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Debug, Eq, Hash, PartialEq)]
+#[derive(Deserialize, Serialize)]
 pub struct OwedSettlement {
     /// The attempt.
     pub tag: AttemptTag,
@@ -128,7 +129,8 @@
 }
 
 /// Why an order can't be settled by hand.
-#[derive(Clone, Copy, Debug, Eq, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
 #[serde(rename_all = "snake_case")]
 pub enum HandRefusal {
     /// There is no such order.
--- a/components/platform/src/fakes/faults.rs
+++ b/components/platform/src/fakes/faults.rs
@@ -13,7 +13,8 @@
 const RATE_WINDOW: Duration = Duration::from_secs(1);
 
 /// How an edge fails while it is down.
-#[derive(Clone, Copy, Debug, Default, Eq, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
 #[serde(rename_all = "lowercase")]
 pub enum OutageKind {
     /// It is up.
@@ -28,7 +29,8 @@
 }
 
 /// Faults and limits of one edge. Counters count down as calls use them up.
-#[derive(Clone, Debug, Default, Eq, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
 #[serde(default, deny_unknown_fields)]
 pub struct EdgeFaults {
     /// Whether it is down, and how.
--- a/components/platform/src/http/wire.rs
+++ b/components/platform/src/http/wire.rs
@@ -6,7 +6,8 @@
 use crate::{ReadMode, RowWrite, TableRow};
 
 /// Body of `POST /table/read`.
-#[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
 pub struct ReadCall {
     /// Table of the row.
     pub table: String,
@@ -17,14 +18,16 @@
 }
 
 /// Answer to `POST /table/read`.
-#[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
 pub struct ReadAnswer {
     /// The row, if there is one.
     pub row: Option<TableRow>,
 }
 
 /// Body of `POST /table/scan`.
-#[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
 pub struct ScanCall {
     /// Table of the rows.
     pub table: String,
@@ -39,28 +42,32 @@
 }
 
 /// Answer to `POST /table/scan`.
-#[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
 pub struct ScanAnswer {
     /// The rows, in key order.
     pub rows: Vec<TableRow>,
 }
 
 /// Body of `POST /table/transact`.
-#[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
 pub struct TransactCall {
     /// The writes; all take effect or none.
     pub writes: Vec<RowWrite>,
 }
 
 /// Answer to `POST /table/transact` with status 200.
-#[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
 pub struct TransactAnswer {
     /// New versions in the order of the writes; 0 for a deleted row.
     pub versions: Vec<RowVersion>,
 }
 
 /// Answer to `POST /table/transact` with status 409.
-#[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
 pub struct ConflictAnswer {
     /// Key of the first row that differed.
     pub key: String,
@@ -69,7 +76,8 @@
 }
 
 /// Body of `POST /weights/slot`.
-#[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
 pub struct SlotCall {
     /// Model to load.
     pub model: ModelId,
@@ -78,7 +86,8 @@
 }
 
 /// Body of `POST /hosts/leaving` and `POST /hosts/deregister`.
-#[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
 pub struct HostDeparture {
     /// The host.
     pub id: UpstreamId,
--- a/components/routing/src/arrival.rs
+++ b/components/routing/src/arrival.rs
@@ -5,7 +5,7 @@
 use admission::{
     DeadlineGate, GateVerdict, LengthClass, PoolIndex, QueuedJob, WaitEstimate, job_cost,
 };
-use types::{NodeId, PlanKind, PromptJob};
+use types::{AttemptId, NodeId, PlanKind, PromptJob, TokenCount};
 
 use crate::{
     NodeScheduler, RefusalReason, SchedulerAction,
@@ -40,7 +40,51 @@
     }
 }
 
+/// How far a prompt had got before it waited.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct JobProgress {
+    pub(crate) attempts: AttemptId,
+    pub(crate) failures: u32,
+    pub(crate) delivered: TokenCount,
+}
+
 impl NodeScheduler {
+    /// Takes a prompt that waited for its model to be ready.
+    pub(crate) fn come_back(
+        &mut self,
+        now: Instant,
+        job: PromptJob,
+        progress: JobProgress,
+        actions: &mut Vec<SchedulerAction>,
+    ) {
+        if self.knows(&job.request) {
+            return;
+        }
+        let request = job.request.clone();
+        match self.reconsider(now, job, progress) {
+            Ok(action) => actions.extend(action),
+            Err(rejection) => {
+                actions.push(refusal(request, rejection.reason, rejection.retry_after));
+            }
+        }
+        self.make_room(now, actions);
+    }
+
+    fn reconsider(
+        &mut self,
+        now: Instant,
+        job: PromptJob,
+        progress: JobProgress,
+    ) -> Result<Option<SchedulerAction>, Rejection> {
+        let pool = self.pools.intern(PoolKey::of(&job));
+        let class = self.class_of(now, &job)?;
+        let mut queued = self.queued_job(now, job, pool, class);
+        queued.attempt = progress.attempts + 1;
+        queued.failures = progress.failures;
+        queued.resume_at = progress.delivered;
+        self.settle(now, queued, Some(Vec::new()))
+    }
+
     pub(crate) fn arrive(
         &mut self,
         now: Instant,
--- a/components/routing/src/message.rs
+++ b/components/routing/src/message.rs
@@ -11,7 +11,8 @@
 
 /// What a node tells of one engine it owns, for groups of engines that no
 /// node owns whole.
-#[derive(Clone, Debug, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Deserialize, Serialize)]
 pub struct EngineDigest {
     /// The engine.
     pub engine: EngineId,
@@ -26,7 +27,8 @@
 }
 
 /// An engine that a node wants for a group; its owner lets it run empty.
-#[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
 pub struct EngineClaim {
     /// The engine.
     pub engine: EngineId,
@@ -119,6 +121,18 @@
         /// The node that forwarded it.
         via: Option<NodeId>,
     },
+    /// A prompt that was refused as `ModelNotReady` and waited comes back. It
+    /// keeps its attempts and failures, and is not counted against limits again.
+    Returned {
+        /// The prompt.
+        job: PromptJob,
+        /// Attempts that were started.
+        attempts: AttemptId,
+        /// Attempts and hops that failed.
+        failures: u32,
+        /// Answer tokens the caller has already.
+        delivered: TokenCount,
+    },
     /// An engine this node owns reported.
     Reported(EngineReport),
     /// An engine is not this node's any more, is leaving, or died; its
--- a/components/routing/src/scheduler.rs
+++ b/components/routing/src/scheduler.rs
@@ -10,9 +10,16 @@
 use types::{EngineId, EngineReport, NodeId, OrganisationId, RequestId, ZoneId};
 
 use crate::{
-    RefusalReason, SchedulerAction, SchedulerEvent, SchedulerSettings, arrival::Rejection,
-    claims::GangPlanner, forwarding::ForwardedJob, load::LoadMeter, peers::PeerTable,
-    pool::PoolTable, retry::RetryBudget, roles::RolePlanner, suspects::SuspectSet,
+    RefusalReason, SchedulerAction, SchedulerEvent, SchedulerSettings,
+    arrival::{JobProgress, Rejection},
+    claims::GangPlanner,
+    forwarding::ForwardedJob,
+    load::LoadMeter,
+    peers::PeerTable,
+    pool::PoolTable,
+    retry::RetryBudget,
+    roles::RolePlanner,
+    suspects::SuspectSet,
     view::EngineView,
 };
 
@@ -136,6 +143,19 @@
     fn apply(&mut self, now: Instant, event: SchedulerEvent, actions: &mut Vec<SchedulerAction>) {
         match event {
             SchedulerEvent::Arrived { job, via } => self.arrive(now, job, via.as_ref(), actions),
+            SchedulerEvent::Returned {
+                job,
+                attempts,
+                failures,
+                delivered,
+            } => {
+                let progress = JobProgress {
+                    attempts,
+                    failures,
+                    delivered,
+                };
+                self.come_back(now, job, progress, actions);
+            }
             SchedulerEvent::Reported(report) => self.take_report(now, report),
             SchedulerEvent::EngineGone { engine } => {
                 self.engines.remove(&engine);
--- a/components/upstream/src/http/wire.rs
+++ b/components/upstream/src/http/wire.rs
@@ -6,7 +6,8 @@
 use types::{AttemptId, FencingNumber, RequestId};
 
 /// Body of `POST /engine/cancel` and `POST /engine/release`.
-#[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
 pub struct AttemptCall {
     /// The request.
     pub request: RequestId,
@@ -15,7 +16,8 @@
 }
 
 /// Body of `POST /engine/export`.
-#[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
 pub struct ExportCall {
     /// The request.
     pub request: RequestId,
@@ -26,14 +28,16 @@
 }
 
 /// Answer of an engine with status 409: the order's number is too old.
-#[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
 pub struct FencedAnswer {
     /// Highest number the engine took.
     pub newest: FencingNumber,
 }
 
 /// Answer of an engine that did not and will not run a call.
-#[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
 pub struct RefusedAnswer {
     /// What the engine says.
     pub cause: String,
--- a/examples/path_figures.rs
+++ b/examples/path_figures.rs
@@ -28,7 +28,8 @@
 const CALLERS: [usize; 3] = [1, 8, 32];
 
 /// Latencies and rate of one way, in microseconds and requests a second.
-#[derive(Debug, Serialize)]
+#[derive(Debug)]
+#[derive(Serialize)]
 struct PathFigures {
     p50_us: u64,
     p99_us: u64,
@@ -36,7 +37,8 @@
 }
 
 /// One load, sent both ways.
-#[derive(Debug, Serialize)]
+#[derive(Debug)]
+#[derive(Serialize)]
 struct PathComparison {
     prompt_bytes: usize,
     callers: usize,
