--- a/tests/outages.rs
+++ b/tests/outages.rs
@@ -168,14 +168,45 @@
     assert_eq!(submits(&fleet), before);
 }
 
-/// Attempts that the first engine has taken.
-fn submits(fleet: &TestFleet) -> u64 {
-    let address = fleet.engine_addresses[0].clone();
+#[test]
+fn memory_held_on_several_engines_comes_back_when_their_node_dies() {
+    let mut fleet = TestFleet::start(2, 4);
+    let dying = fleet.nodes.remove(0);
+    let address = dying.callers.clone();
+    // Needs more memory than two engines have.
+    let long = "ash ".repeat(1_000_000);
+    let sending =
+        std::thread::spawn(move || smol::block_on(complete(&address, common::MODEL, &long, 64)));
+    poll("three engines hold memory", || {
+        (0..4).filter(|engine| kv_used(&fleet, *engine) > 0).count() >= 3
+    });
+
+    dying.process.signal(Signal::KILL);
+
+    assert!(sending.join().unwrap().is_err());
+    poll("all memory is free again", || {
+        (0..4).all(|engine| kv_used(&fleet, engine) == 0)
+    });
+    serves_prompts(&fleet);
+}
+
+/// What a stand-in engine says of itself.
+fn engine_state(fleet: &TestFleet, engine: usize) -> Value {
+    let address = fleet.engine_addresses[engine].clone();
     let caller = HttpCaller::new(address, ClockSource::System, CALL_LIMIT);
     let request = caller
         .request("state", http_types::Method::Get, "/control/state")
         .unwrap();
     let answer = smol::block_on(caller.call("state", request)).unwrap();
-    let state: Value = answer.json().unwrap();
-    state["submits"].as_u64().unwrap()
+    answer.json().unwrap()
+}
+
+/// Attempts that the first engine has taken.
+fn submits(fleet: &TestFleet) -> u64 {
+    engine_state(fleet, 0)["submits"].as_u64().unwrap()
+}
+
+/// Memory in use, in tokens, without what is only cached.
+fn kv_used(fleet: &TestFleet, engine: usize) -> u64 {
+    engine_state(fleet, engine)["kv_used"].as_u64().unwrap()
 }
--- a/tests/processes.rs
+++ b/tests/processes.rs
@@ -39,6 +39,20 @@
     smol::block_on(finish(running));
 }
 
+#[test]
+fn a_paused_engine_is_given_up_and_its_answers_come_from_others() {
+    let fleet = TestFleet::start(2, 3);
+    let running = start_answers(&fleet, 6);
+    poll("engines are at work", || open_prompts(&fleet) > 0);
+    fleet.engines[0].signal(Signal::STOP);
+
+    smol::block_on(finish(running));
+
+    fleet.engines[0].signal(Signal::CONT);
+    let prompts = start_answers(&fleet, 4);
+    smol::block_on(finish(prompts));
+}
+
 #[test]
 fn a_node_that_dies_leaves_the_answers_and_the_others_serve() {
     let mut fleet = TestFleet::start(3, 3);
