--- a/components/node/src/daemon.rs
+++ b/components/node/src/daemon.rs
@@ -1,46 +1,28 @@
 //! Composing the services of a node, and stopping them.
 
-use std::{
-    net::SocketAddr,
-    sync::{Arc, Mutex, atomic::AtomicU32},
-    time::Duration,
-};
+mod base;
+
+use std::{net::SocketAddr, sync::Arc, time::Duration};
 
-use entry::{BodyBudget, EntryLimits, EntryServer};
+use entry::{EntryLimits, EntryServer};
 use kernel::{CancellationToken, ClockSource, ServiceKernel};
-use membership::{AddressPlanner, AddressSettings, DrainSettings, MemberSettings};
-use notes::AdopterSettings;
-use platform::{
-    HostList, HttpHosts, HttpObjects, HttpTable, HttpWeights, ObjectStore, TableService,
-};
-use routing::SchedulerSettings;
+use membership::DrainSettings;
 use settings::NodeSettings;
-use telemetry::{HopTracer, NodeMetrics};
 use types::NoteVersion;
-use wire::{KeyRing, SealKey};
 
+use self::base::DaemonBase;
 use crate::{
     NodeError,
-    api::{ApiParts, KeyIndex, api_handler},
-    directory::UpstreamDirectory,
-    drain::{DrainFlag, DrainService},
-    engines::{EngineOwner, FencingSource, OwnerParts},
-    fleet::FleetView,
-    limits::LimitFeed,
-    links::MemberLinks,
-    members::{MemberConfig, MemberService},
-    notes::{NOTE_SERVICE, NotePeer, NoteService, NoteStore},
-    orders::{OrderService, OrderSettings, ServicePeer, ServiceResolver, ServiceTarget},
-    peers::{PeerClient, PeerHandler, PeerServer},
-    prompts::{PromptParts, PromptService},
-    quarantine::QuarantineService,
-    sockets::{PeerSockets, member_identity},
-    watch::EngineWatch,
+    api::api_handler,
+    drain::DrainService,
+    members::MemberService,
+    notes::{NOTE_SERVICE, NoteService},
+    orders::OrderService,
+    peers::PeerServer,
+    sockets::PeerSockets,
 };
 
-const SPAN_CAPACITY: usize = 20_000;
 const TICK_PAUSE: Duration = Duration::from_millis(20);
-const LIST_PAUSE: Duration = Duration::from_secs(2);
 const STOP_LIMIT: Duration = Duration::from_secs(5);
 
 /// A running node.
@@ -54,273 +36,6 @@
     drain_settings: DrainSettings,
 }
 
-/// What every service is built from.
-struct DaemonBase {
-    settings: NodeSettings,
-    clock: ClockSource,
-    ring: Arc<KeyRing>,
-    metrics: Arc<NodeMetrics>,
-    budget: Arc<BodyBudget>,
-    tracer: HopTracer,
-    directory: Arc<UpstreamDirectory>,
-    fleet: Arc<FleetView>,
-    draining: Arc<DrainFlag>,
-    orders_token: CancellationToken,
-    peers: Arc<PeerClient>,
-    quarantine: Arc<QuarantineService>,
-    prompts: Arc<PromptService>,
-    hosts: Arc<dyn HostList>,
-    table: Arc<dyn TableService>,
-    objects: Arc<dyn ObjectStore>,
-}
-
-impl DaemonBase {
-    fn new(settings: NodeSettings, clock: ClockSource) -> Self {
-        let limit = Duration::from_millis(settings.platform.timeout_ms);
-        let table: Arc<dyn TableService> = Arc::new(HttpTable::new(
-            settings.platform.table.clone(),
-            clock.clone(),
-            limit,
-        ));
-        let objects = HttpObjects::new(settings.platform.objects.clone(), clock.clone(), limit);
-        let hosts = HttpHosts::new(settings.platform.hosts.clone(), clock.clone(), limit);
-        let ring = Arc::new(key_ring(&settings));
-        let metrics = Arc::new(NodeMetrics::default());
-        let tracer = HopTracer::new(&settings.node.id, SPAN_CAPACITY);
-        let directory = UpstreamDirectory::new(clock.clone());
-        let peers = PeerClient::new(settings.node.id.clone(), Arc::clone(&ring), clock.clone());
-        let quarantine = QuarantineService::new(clock.clone());
-        let prompts = PromptService::new(PromptParts {
-            node: settings.node.id.clone(),
-            zone: settings.node.zone.clone(),
-            clock: clock.clone(),
-            directory: Arc::clone(&directory),
-            peers: Arc::clone(&peers),
-            quarantine: Arc::clone(&quarantine),
-            tracer: tracer.clone(),
-            metrics: Arc::clone(&metrics),
-            settings: SchedulerSettings {
-                seed: rand::random(),
-                ..SchedulerSettings::default()
-            },
-        });
-        Self {
-            fleet: FleetView::new(&settings.node.id, &settings.node.zone),
-            draining: Arc::default(),
-            orders_token: CancellationToken::new(),
-            budget: BodyBudget::new(settings.limits.held_body_bytes),
-            hosts: Arc::new(hosts),
-            table,
-            objects: Arc::new(objects),
-            settings,
-            clock,
-            ring,
-            metrics,
-            tracer,
-            directory,
-            peers,
-            quarantine,
-            prompts,
-        }
-    }
-
-    fn api_parts(
-        &self,
-        members: Arc<MemberService>,
-        notes: Arc<NoteService>,
-        orders: Arc<OrderService>,
-        connections: Arc<AtomicU32>,
-    ) -> ApiParts {
-        ApiParts {
-            settings: self.settings.clone(),
-            clock: self.clock.clone(),
-            notes,
-            keys: KeyIndex::default(),
-            quarantine: Arc::clone(&self.quarantine),
-            prompts: Arc::clone(&self.prompts),
-            orders,
-            members,
-            draining: Arc::clone(&self.draining),
-            addresses: Mutex::new(self.address_planner()),
-            fleet: Arc::clone(&self.fleet),
-            directory: Arc::clone(&self.directory),
-            tracer: self.tracer.clone(),
-            metrics: Arc::clone(&self.metrics),
-            budget: Arc::clone(&self.budget),
-            connections,
-        }
-    }
-
-    fn address_planner(&self) -> AddressPlanner {
-        let settings = AddressSettings {
-            lifetime: Duration::from_millis(self.settings.timeouts.address_lifetime_ms),
-            seed: rand::random(),
-            ..AddressSettings::default()
-        };
-        AddressPlanner::new(self.clock.now(), settings)
-    }
-
-    fn drain_service(
-        &self,
-        members: Arc<MemberService>,
-        orders: Arc<OrderService>,
-    ) -> DrainService {
-        DrainService {
-            clock: self.clock.clone(),
-            members,
-            fleet: Arc::clone(&self.fleet),
-            directory: Arc::clone(&self.directory),
-            prompts: Arc::clone(&self.prompts),
-            orders,
-            orders_token: self.orders_token.clone(),
-            flag: Arc::clone(&self.draining),
-        }
-    }
-
-    fn drain_settings(&self) -> DrainSettings {
-        let timeouts = &self.settings.timeouts;
-        DrainSettings {
-            answer_lifetime: Duration::from_millis(timeouts.address_lifetime_ms),
-            hard_limit: Duration::from_millis(timeouts.drain_ms),
-            ..DrainSettings::default()
-        }
-    }
-
-    fn peer_handler(&self, notes: Arc<NoteService>) -> PeerHandler {
-        PeerHandler {
-            own: self.settings.node.id.clone(),
-            ring: Arc::clone(&self.ring),
-            clock: self.clock.clone(),
-            prompts: Arc::clone(&self.prompts),
-            quarantine: Arc::clone(&self.quarantine),
-            notes,
-        }
-    }
-
-    fn links(&self, members: Arc<MemberService>) -> MemberLinks {
-        MemberLinks {
-            clock: self.clock.clone(),
-            members,
-            fleet: Arc::clone(&self.fleet),
-            peers: Arc::clone(&self.peers),
-            directory: Arc::clone(&self.directory),
-            quarantine: Arc::clone(&self.quarantine),
-            prompts: Arc::clone(&self.prompts),
-            metrics: Arc::clone(&self.metrics),
-        }
-    }
-
-    fn engine_owner(&self, notes: &Arc<NoteService>) -> EngineOwner {
-        let limit = Duration::from_millis(self.settings.platform.timeout_ms);
-        let address = self.settings.platform.weights.clone();
-        EngineOwner::new(OwnerParts {
-            node: self.settings.node.id.clone(),
-            clock: self.clock.clone(),
-            directory: Arc::clone(&self.directory),
-            fleet: Arc::clone(&self.fleet),
-            notes: Arc::clone(notes),
-            prompts: Arc::clone(&self.prompts),
-            weights: Arc::new(HttpWeights::new(address, self.clock.clone(), limit)),
-            fencing: FencingSource::new(Arc::clone(&self.table)),
-        })
-    }
-
-    fn limit_feed(&self, notes: &Arc<NoteService>) -> LimitFeed {
-        LimitFeed {
-            clock: self.clock.clone(),
-            notes: Arc::clone(notes),
-            prompts: Arc::clone(&self.prompts),
-        }
-    }
-
-    fn watch(&self) -> EngineWatch {
-        EngineWatch::new(
-            self.clock.clone(),
-            Arc::clone(&self.directory),
-            Arc::clone(&self.fleet),
-            Arc::clone(&self.prompts),
-        )
-    }
-
-    fn start_notes(
-        &self,
-        kernel: &ServiceKernel,
-        members: &Arc<MemberService>,
-    ) -> Arc<NoteService> {
-        let store = NoteStore::new(Arc::clone(&self.table), Arc::clone(&self.objects));
-        NoteService::start(
-            kernel,
-            AdopterSettings::default(),
-            store,
-            Arc::clone(members),
-            Arc::clone(&self.peers) as Arc<dyn NotePeer>,
-        )
-    }
-
-    fn start_orders(&self, kernel: &ServiceKernel, notes: &Arc<NoteService>) -> Arc<OrderService> {
-        let mut settings = OrderSettings::new(self.settings.node.id.clone());
-        settings.store_limit = Duration::from_millis(self.settings.platform.timeout_ms);
-        let orders = OrderService::new(
-            settings,
-            Arc::clone(&self.table),
-            self.service_resolver(notes),
-            self.clock.clone(),
-            self.orders_token.clone(),
-        );
-        let running = Arc::clone(&orders);
-        kernel.start("orders", |token| running.run(token));
-        orders
-    }
-
-    /// Finds a service by the note in force and the upstreams known now.
-    fn service_resolver(&self, notes: &Arc<NoteService>) -> ServiceResolver {
-        let notes = Arc::clone(notes);
-        let directory = Arc::clone(&self.directory);
-        let zone = self.settings.node.zone.clone();
-        Arc::new(move |name| {
-            let state = notes.current();
-            let entry = state.services.get(name)?;
-            let processes = directory.services(&name.to_owned(), &zone);
-            Some(ServiceTarget {
-                guarantee: entry.guarantee,
-                timeout: Duration::from_millis(entry.timeout_ms),
-                peers: processes
-                    .into_iter()
-                    .map(|process| ServicePeer {
-                        id: process.id,
-                        client: process.client,
-                    })
-                    .collect(),
-            })
-        })
-    }
-
-    fn start_members(
-        &self,
-        kernel: &ServiceKernel,
-        sockets: &PeerSockets,
-        callers: SocketAddr,
-    ) -> Arc<MemberService> {
-        let seeds = self.settings.seeds.iter();
-        let config = MemberConfig {
-            identity: member_identity(&self.settings, sockets.address, callers),
-            ring: (*self.ring).clone(),
-            seeds: seeds.filter_map(|seed| seed.parse().ok()).collect(),
-            settings: MemberSettings {
-                seed: rand::random(),
-                ..MemberSettings::default()
-            },
-            list_period: LIST_PAUSE,
-        };
-        MemberService::start(
-            kernel,
-            sockets.datagrams.clone(),
-            config,
-            Arc::clone(&self.hosts),
-        )
-    }
-}
-
 impl NodeDaemon {
     /// Starts every service of a node; `token` cuts them all at once.
     ///
@@ -476,17 +191,3 @@
         write_time: Duration::from_millis(timeouts.write_ms),
     }
 }
-
-/// The settings have been checked: there is at least one key, in hexadecimal.
-fn key_ring(settings: &NodeSettings) -> KeyRing {
-    let mut keys: Vec<SealKey> = settings
-        .cluster_keys
-        .iter()
-        .map(|key| SealKey {
-            id: key.id,
-            secret: hex::decode(&key.secret).unwrap_or_default(),
-        })
-        .collect();
-    let signing = keys.remove(0);
-    KeyRing::new(signing, keys)
-}
