--- a/components/node/src/daemon/base.rs
+++ b/components/node/src/daemon/base.rs
@@ -13,7 +13,6 @@
 use platform::{
     HostList, HttpHosts, HttpObjects, HttpTable, HttpWeights, ObjectStore, TableService,
 };
-use routing::SchedulerSettings;
 use settings::NodeSettings;
 use telemetry::{HopTracer, NodeMetrics};
 use wire::{KeyRing, SealKey};
@@ -24,6 +23,7 @@
     drain::{DrainFlag, DrainService},
     engines::{EngineOwner, FencingSource, OwnerParts},
     fleet::FleetView,
+    knobs::scheduler_settings,
     limits::LimitFeed,
     links::MemberLinks,
     members::{MemberConfig, MemberService},
@@ -84,10 +84,7 @@
             quarantine: Arc::clone(&quarantine),
             tracer: tracer.clone(),
             metrics: Arc::clone(&metrics),
-            settings: SchedulerSettings {
-                seed: rand::random(),
-                ..SchedulerSettings::default()
-            },
+            settings: scheduler_settings(&settings.scheduling, rand::random()),
         });
         Self {
             fleet: FleetView::new(&settings.node.id, &settings.node.zone),
--- a/components/node/src/lib.rs
+++ b/components/node/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod engines;
 mod failure;
 pub mod fleet;
+pub mod knobs;
 pub mod limits;
 pub mod links;
 pub mod members;
--- a/components/settings/src/lib.rs
+++ b/components/settings/src/lib.rs
@@ -7,6 +7,7 @@
 mod document;
 mod node;
 mod places;
+mod scheduling;
 
 pub use check::FaultList;
 pub use document::{ParsedDocument, parse_document};
@@ -15,3 +16,4 @@
     TimeoutSettings, UpstreamSettings, load_node_settings, parse_node_settings,
 };
 pub use places::PlaceIndex;
+pub use scheduling::{QueueSettings, SchedulingSettings};
--- a/components/settings/src/node.rs
+++ b/components/settings/src/node.rs
@@ -6,7 +6,7 @@
 use serde::{Deserialize, Serialize};
 use types::{NodeId, RegionId, UpstreamId, ZoneId};
 
-use crate::{FaultList, ParsedDocument, parse_document};
+use crate::{FaultList, ParsedDocument, SchedulingSettings, parse_document};
 
 /// Who the node is.
 #[derive(Clone, Debug, Eq, PartialEq)]
@@ -148,7 +148,7 @@
 }
 
 /// The settings document of a node.
-#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Clone, Debug, PartialEq)]
 #[derive(Deserialize, Serialize)]
 #[serde(deny_unknown_fields)]
 pub struct NodeSettings {
@@ -171,6 +171,9 @@
     /// Time limits.
     #[serde(default)]
     pub timeouts: TimeoutSettings,
+    /// Knobs of routing and admission.
+    #[serde(default)]
+    pub scheduling: SchedulingSettings,
     /// What upstreams check.
     #[serde(default)]
     pub upstreams: UpstreamSettings,
@@ -212,6 +215,7 @@
     check_keys(&mut list, settings);
     check_limits(&mut list, settings);
     check_timeouts(&mut list, settings);
+    settings.scheduling.check(&mut list);
     list.into_faults()
 }
 
--- a/components/settings/tests/faults.rs
+++ b/components/settings/tests/faults.rs
@@ -62,6 +62,17 @@
     insta::assert_snapshot!(fault_lines(&text));
 }
 
+#[test]
+fn knobs_out_of_their_ranges_are_faults() {
+    let text = valid().replace(
+        r#""operator_key_digests""#,
+        r#""scheduling": {"trial_floor": 2, "wait_margin": 0.5, "attempt_limit": 0,
+          "queue": {"requests": 0}}, "operator_key_digests""#,
+    );
+
+    insta::assert_snapshot!(fault_lines(&text));
+}
+
 #[test]
 fn a_doubled_field_is_a_fault() {
     let text = valid().replace(
--- a/src/cmd/local/fleet.rs
+++ b/src/cmd/local/fleet.rs
@@ -7,7 +7,7 @@
 use node::NodeDaemon;
 use settings::{
     AddressSettings, ClusterKey, HostIdentity, LimitSettings, NodeSettings, PlatformSettings,
-    TimeoutSettings, UpstreamSettings,
+    SchedulingSettings, TimeoutSettings, UpstreamSettings,
 };
 use standins::{
     EngineServer, EngineSettings, HostListing, PlatformServer, ServiceServer, ServiceSettings,
@@ -235,6 +235,7 @@
             drain_ms: DRAIN_MS,
             ..TimeoutSettings::default()
         },
+        scheduling: SchedulingSettings::default(),
         upstreams: UpstreamSettings::default(),
     }
 }
--- a/tests/docs.rs
+++ b/tests/docs.rs
@@ -69,12 +69,13 @@
     let value = serde_json::to_value(&settings).unwrap();
     for row in page("docs/configuration.md").lines() {
         let cells: Vec<&str> = row.split('|').map(str::trim).collect();
-        let Some(default) = cells.get(2).filter(|cell| cell.parse::<u64>().is_ok()) else {
+        let Some(default) = cells.get(2).filter(|cell| cell.parse::<f64>().is_ok()) else {
             continue;
         };
         let pointer = format!("/{}", cells[1].trim_matches('`').replace('.', "/"));
-        let known = value.pointer(&pointer).unwrap().to_string();
-        assert_eq!(known, **default, "{pointer}");
+        let known = value.pointer(&pointer).unwrap().as_f64().unwrap();
+        let told: f64 = default.parse().unwrap();
+        assert!((known - told).abs() < f64::EPSILON, "{pointer}");
     }
 }
 
