--- a/components/node/src/daemon/base.rs
+++ b/components/node/src/daemon/base.rs
@@ -204,6 +204,7 @@
             prompts: Arc::clone(&self.prompts),
             weights: Arc::new(HttpWeights::new(address, self.clock.clone(), limit)),
             fencing: FencingSource::new(Arc::clone(&self.table)),
+            unfenced: self.settings.upstreams.fencing_ignored.clone(),
         })
     }
 
--- a/components/node/src/engines/owner.rs
+++ b/components/node/src/engines/owner.rs
@@ -25,6 +25,9 @@
 const REVIEW_PAUSE: Duration = Duration::from_millis(500);
 /// An order is sent again when the engine does not show it after this time.
 const REORDER_PAUSE: Duration = Duration::from_secs(3);
+/// The same for engines that ignore fencing numbers: an older owner's order may
+/// have come behind.
+const UNFENCED_REORDER_PAUSE: Duration = Duration::from_secs(1);
 const STORE_PAUSE: Duration = Duration::from_secs(1);
 
 /// What the engine service works with.
@@ -45,6 +48,8 @@
     pub weights: Arc<dyn WeightStore>,
     /// Fencing numbers.
     pub fencing: FencingSource,
+    /// Engines that ignore them.
+    pub unfenced: Vec<EngineId>,
 }
 
 /// Keeps the owned engines at their desired state.
@@ -187,10 +192,15 @@
         let Some(entry) = self.owned.get_mut(&engine.id) else {
             return;
         };
+        let pause = if self.parts.unfenced.contains(&engine.id) {
+            UNFENCED_REORDER_PAUSE
+        } else {
+            REORDER_PAUSE
+        };
         let same = |order: &EngineOrder| order.models == models && order.role == role;
         if let Some((sent, order)) = &entry.last_order
             && same(order)
-            && now.saturating_duration_since(*sent) < REORDER_PAUSE
+            && now.saturating_duration_since(*sent) < pause
         {
             return;
         }
--- a/components/settings/src/node.rs
+++ b/components/settings/src/node.rs
@@ -141,10 +141,9 @@
 #[derive(Deserialize, Serialize)]
 #[serde(deny_unknown_fields, default)]
 pub struct UpstreamSettings {
-    /// Engines that ignore fencing numbers.
+    /// Engines that ignore fencing numbers; an order that another owner may
+    /// have overwritten is looked for more often.
     pub fencing_ignored: Vec<UpstreamId>,
-    /// Upstreams that check nobody's identity and may be reached all the same.
-    pub unchecked_identity: Vec<UpstreamId>,
 }
 
 /// The settings document of a node.
--- a/tests/processes.rs
+++ b/tests/processes.rs
@@ -135,6 +135,34 @@
     await_answer(&fleet, "2");
 }
 
+#[test]
+fn an_organisations_limit_holds_over_all_nodes() {
+    let fleet = TestFleet::start(2, 3);
+    let mut organisation =
+        serde_json::to_value(local::first_note()).unwrap()["added"]["organisations"]["lakeshore"]
+            .take();
+    organisation["limits"]["requests_per_second"] = 2.into();
+    fleet.publish(&serde_json::json!({"changed": {"organisations": {"lakeshore": organisation}}}));
+    poll("the limit refuses", || {
+        let answer = smol::block_on(common::complete(
+            &fleet.nodes[0].callers,
+            common::MODEL,
+            PROMPT,
+            1,
+        ));
+        answer.is_err_and(|cause| cause.contains("organisation_limit"))
+    });
+
+    // Both nodes refuse, though neither sees what the other lets in.
+    for node in &fleet.nodes {
+        let answers: Vec<_> = (0..60)
+            .map(|_| smol::block_on(common::complete(&node.callers, common::MODEL, PROMPT, 1)))
+            .collect();
+        let refused = answers.iter().filter(|answer| answer.is_err()).count();
+        assert!(refused > 0, "60 requests passed a limit of 2 a second");
+    }
+}
+
 #[test]
 fn a_prompt_that_crashes_engines_costs_two_of_them() {
     let fleet = TestFleet::start(3, 6);
