--- a/components/node/src/api/status.rs
+++ b/components/node/src/api/status.rs
@@ -1,6 +1,6 @@
 //! What operators see of a node and its fleet.
 
-use membership::{MemberState, UpstreamState};
+use membership::{MemberRecord, MemberState, UpstreamState};
 use serde::{Deserialize, Serialize};
 use types::{EngineId, IncarnationNumber, NodeId, NoteVersion, ZoneId};
 
@@ -70,19 +70,29 @@
                 .views
                 .iter()
                 .map(|view| &view.record)
-                .map(|record| MemberStatus {
-                    node: record.node.clone(),
-                    zone: record.zone.clone(),
-                    state: member_state(record.state).to_owned(),
-                    note_version: record.note_version,
-                    callers: record.addresses.callers.to_string(),
-                })
+                .map(|record| member_status(parts, record))
                 .collect(),
             engines: engine_statuses(parts),
         }
     }
 }
 
+fn member_status(parts: &ApiParts, record: &MemberRecord) -> MemberStatus {
+    // Of itself a node knows more than membership has told yet.
+    let note_version = if record.node == parts.settings.node.id {
+        parts.notes.current().version
+    } else {
+        record.note_version
+    };
+    MemberStatus {
+        node: record.node.clone(),
+        zone: record.zone.clone(),
+        state: member_state(record.state).to_owned(),
+        note_version,
+        callers: record.addresses.callers.to_string(),
+    }
+}
+
 fn engine_statuses(parts: &ApiParts) -> Vec<EngineStatus> {
     parts
         .directory
--- a/src/cmd/client.rs
+++ b/src/cmd/client.rs
@@ -95,7 +95,7 @@
         let mut request = self
             .caller
             .request(step, method, path)
-            .map_err(|error| self.fault(step, error, REACH_ADVICE))?;
+            .map_err(|error| LaunchError::Failed(format!("{error}; {REACH_ADVICE}")))?;
         if let Some(key) = &self.key {
             let value = format!("Bearer {key}");
             self.caller
@@ -119,7 +119,7 @@
             .caller
             .call(step, request)
             .await
-            .map_err(|error| self.fault(step, error, REACH_ADVICE))?;
+            .map_err(|error| LaunchError::Failed(format!("{error}; {REACH_ADVICE}")))?;
         if answer.status() != 200 {
             return Err(self.refusal(step, &answer));
         }
