--- a/components/node/src/daemon/base.rs
+++ b/components/node/src/daemon/base.rs
@@ -39,7 +39,7 @@
     watch::EngineWatch,
 };
 
-const SPAN_CAPACITY: usize = 20_000;
+const SPAN_CAPACITY: usize = 10_000;
 const LIST_PAUSE: Duration = Duration::from_secs(2);
 
 /// What every service is built from.
