Let one reader and one publisher serve every topic of membership

Three loops that decoded a topic's bodies and three that encoded them stood side by side in the links; two of the publishers dropped an encoding failure without a word, which is now logged for all. The log events of topics are topic_not_read, topic_not_sent and topic_not_encoded with the topic's name.

--- a/components/node/src/links.rs
+++ b/components/node/src/links.rs
@@ -9,6 +9,7 @@
 use engines::DeathRecord;
 use kernel::{CancellationToken, ClockSource};
 use membership::{GossipTopic, MemberSnapshot, UpstreamEvidence};
+use serde::{Serialize, de::DeserializeOwned};
 use telemetry::NodeMetrics;
 use types::NodeId;
 
@@ -94,34 +95,14 @@
 
     async fn publish_summary(&self) {
         let summary = self.prompts.summary();
-        let body = match postcard::to_stdvec(&summary) {
-            Ok(body) => body,
-            Err(error) => {
-                log::error!("event=summary_not_encoded cause=\"{error}\"");
-                return;
-            }
-        };
-        if let Err(fault) = self.members.publish(GossipTopic::NodeSummary, body).await {
-            log::warn!("event=summary_not_sent cause=\"{fault}\"");
-        }
+        self.publish(GossipTopic::NodeSummary, &summary).await;
     }
 
     /// Hands other nodes' summaries to the scheduler until `token` is
     /// cancelled.
     pub async fn run_reader(self, token: CancellationToken) {
-        let summaries = self.members.subscribe(GossipTopic::NodeSummary);
-        let reading = async {
-            while let Ok(record) = summaries.recv().await {
-                match postcard::from_bytes(&record.body) {
-                    Ok(summary) => self.prompts.take_summary(summary),
-                    Err(error) => log::warn!(
-                        "event=summary_not_read node={} cause=\"{error}\"",
-                        record.origin
-                    ),
-                }
-            }
-        };
-        smol::future::or(reading, token.cancelled()).await;
+        let take = |_, summary| self.prompts.take_summary(summary);
+        self.read(GossipTopic::NodeSummary, take, token).await;
     }
 
     /// Tells other nodes what calls of this one showed of upstreams, the
@@ -136,37 +117,20 @@
                 if newest.len() > EVIDENCE_LIMIT {
                     newest.pop_front();
                 }
-                self.publish_evidence(&newest).await;
+                self.publish(GossipTopic::EngineEvidence, &newest).await;
             }
         };
         smol::future::or(publishing, token.cancelled()).await;
     }
 
-    async fn publish_evidence(&self, newest: &VecDeque<UpstreamEvidence>) {
-        let Ok(body) = postcard::to_stdvec(newest) else {
-            return;
-        };
-        let topic = GossipTopic::EngineEvidence;
-        if let Err(fault) = self.members.publish(topic, body).await {
-            log::warn!("event=evidence_not_sent cause=\"{fault}\"");
-        }
-    }
-
     /// Takes what other nodes tell of upstreams until `token` is cancelled.
     pub async fn run_evidence_reader(self, token: CancellationToken) {
-        let evidence = self.members.subscribe(GossipTopic::EngineEvidence);
-        let reading = async {
-            while let Ok(record) = evidence.recv().await {
-                let Ok(list) = postcard::from_bytes::<Vec<UpstreamEvidence>>(&record.body) else {
-                    log::warn!("event=evidence_not_read node={}", record.origin);
-                    continue;
-                };
-                for evidence in list {
-                    self.directory.told(record.origin.clone(), evidence);
-                }
+        let take = |origin: NodeId, list: Vec<UpstreamEvidence>| {
+            for evidence in list {
+                self.directory.told(origin.clone(), evidence);
             }
         };
-        smol::future::or(reading, token.cancelled()).await;
+        self.read(GossipTopic::EngineEvidence, take, token).await;
     }
 
     /// Tells other nodes of engines that died under prompts, until `token` is
@@ -175,13 +139,8 @@
         let news = self.quarantine.news();
         let publishing = async {
             while news.recv().await.is_ok() {
-                let Ok(body) = postcard::to_stdvec(&self.quarantine.evidence()) else {
-                    continue;
-                };
-                let topic = GossipTopic::CrashEvidence;
-                if let Err(fault) = self.members.publish(topic, body).await {
-                    log::warn!("event=deaths_not_sent cause=\"{fault}\"");
-                }
+                let evidence = self.quarantine.evidence();
+                self.publish(GossipTopic::CrashEvidence, &evidence).await;
             }
         };
         smol::future::or(publishing, token.cancelled()).await;
@@ -189,13 +148,39 @@
 
     /// Takes what other nodes tell of deaths until `token` is cancelled.
     pub async fn run_death_reader(self, token: CancellationToken) {
-        let evidence = self.members.subscribe(GossipTopic::CrashEvidence);
+        let take = |_, records: Vec<DeathRecord>| self.quarantine.told(&records);
+        self.read(GossipTopic::CrashEvidence, take, token).await;
+    }
+
+    /// Sets this node's body of a topic.
+    async fn publish<T: Serialize>(&self, topic: GossipTopic, body: &T) {
+        let body = match postcard::to_stdvec(body) {
+            Ok(body) => body,
+            Err(error) => {
+                log::error!("event=topic_not_encoded topic={topic:?} cause=\"{error}\"");
+                return;
+            }
+        };
+        if let Err(fault) = self.members.publish(topic, body).await {
+            log::warn!("event=topic_not_sent topic={topic:?} cause=\"{fault}\"");
+        }
+    }
+
+    /// Hands on other nodes' bodies of a topic, with their origin, until
+    /// `token` is cancelled.
+    async fn read<T: DeserializeOwned>(
+        &self,
+        topic: GossipTopic,
+        take: impl Fn(NodeId, T),
+        token: CancellationToken,
+    ) {
+        let bodies = self.members.subscribe(topic);
         let reading = async {
-            while let Ok(record) = evidence.recv().await {
-                match postcard::from_bytes::<Vec<DeathRecord>>(&record.body) {
-                    Ok(records) => self.quarantine.told(&records),
+            while let Ok(record) = bodies.recv().await {
+                match postcard::from_bytes(&record.body) {
+                    Ok(body) => take(record.origin, body),
                     Err(error) => log::warn!(
-                        "event=deaths_not_read node={} cause=\"{error}\"",
+                        "event=topic_not_read topic={topic:?} node={} cause=\"{error}\"",
                         record.origin
                     ),
                 }
--- a/components/node/src/peers/server.rs
+++ b/components/node/src/peers/server.rs
@@ -1,6 +1,6 @@
 //! The called side.
 
-use std::{io, net::SocketAddr, sync::Arc, time::Duration};
+use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 use futures_lite::AsyncReadExt;
 use kernel::{CancellationToken, ClockSource};
@@ -52,14 +52,6 @@
         }
     }
 
-    /// The address it listens on.
-    ///
-    /// # Errors
-    /// The system's error.
-    pub fn local_address(&self) -> io::Result<SocketAddr> {
-        self.listener.local_addr()
-    }
-
     /// Serves until `token` is cancelled; exchanges under way go on.
     pub async fn run(self, token: CancellationToken) {
         loop {
--- a/components/node/src/prompts/service.rs
+++ b/components/node/src/prompts/service.rs
@@ -295,12 +295,12 @@
         }
     }
 
-    /// Ends a prompt that is in quarantine.
-    pub(super) fn refuse_quarantined(self: &Arc<Self>, request: &RequestId, left: Duration) {
-        self.refuse(request, RefusalReason::Quarantined, left);
-    }
-
-    fn refuse(self: &Arc<Self>, request: &RequestId, reason: RefusalReason, retry_after: Duration) {
+    pub(super) fn refuse(
+        self: &Arc<Self>,
+        request: &RequestId,
+        reason: RefusalReason,
+        retry_after: Duration,
+    ) {
         let Some(prompt) = self.remove(request) else {
             return;
         };
--- a/components/node/src/prompts/trial.rs
+++ b/components/node/src/prompts/trial.rs
@@ -10,7 +10,7 @@
 };
 
 use engines::CrashVerdict;
-use routing::SchedulerEvent;
+use routing::{RefusalReason, SchedulerEvent};
 use types::{RequestId, TokenCount};
 
 use super::PromptService;
@@ -110,7 +110,7 @@
                 }
             }
             CrashVerdict::Quarantined { left } => {
-                self.refuse_quarantined(request, left);
+                self.refuse(request, RefusalReason::Quarantined, left);
                 self.handle(SchedulerEvent::Cancelled {
                     request: request.clone(),
                 });
--- a/components/settings/src/node.rs
+++ b/components/settings/src/node.rs
@@ -1,6 +1,6 @@
 //! The settings of a node.
 
-use std::{fmt, fs, time::Duration};
+use std::{fmt, fs};
 
 use errors::SettingsError;
 use serde::{Deserialize, Serialize};
@@ -128,14 +128,6 @@
     }
 }
 
-impl TimeoutSettings {
-    /// A value of this group as a duration.
-    #[must_use]
-    pub fn duration(milliseconds: u64) -> Duration {
-        Duration::from_millis(milliseconds)
-    }
-}
-
 /// What upstreams check and what they don't.
 #[derive(Clone, Debug, Default, Eq, PartialEq)]
 #[derive(Deserialize, Serialize)]
