--- a/components/node/examples/orders_figures.rs
+++ b/components/node/examples/orders_figures.rs
@@ -18,7 +18,7 @@
 use node::orders::{OrderRequest, OrderService, OrderSettings, ServicePeer, ServiceTarget};
 use notes::ServiceGuarantee;
 use orders::{OrderName, OrderOutcome};
-use platform::fakes::{MemoryTable, OutageKind};
+use stores::fakes::{MemoryTable, OutageKind};
 use upstream::{OrderCall, PlainService, ServiceAnswer};
 
 const STORE_DELAY_MS: u64 = 5;
--- a/components/node/src/daemon/base.rs
+++ b/components/node/src/daemon/base.rs
@@ -10,7 +10,7 @@
 use kernel::{CancellationToken, ClockSource, ServiceKernel};
 use membership::{AddressPlanner, AddressSettings, DrainSettings, MemberSettings};
 use notes::AdopterSettings;
-use platform::{
+use stores::{
     HostList, HttpHosts, HttpObjects, HttpTable, HttpWeights, ObjectStore, TableService,
 };
 use settings::NodeSettings;
--- a/components/node/src/directory.rs
+++ b/components/node/src/directory.rs
@@ -13,7 +13,7 @@
     CallEvidence, ListedUpstream, UpstreamChange, UpstreamEvent, UpstreamEvidence,
     UpstreamSettings, UpstreamState, UpstreamTable,
 };
-use platform::{HostEntry, HostKind, HostList, HostState};
+use stores::{HostEntry, HostKind, HostList, HostState};
 use smol::channel::{Receiver, Sender, bounded};
 use types::{EngineId, EngineReport, IncarnationNumber, NodeId, ServiceName, UpstreamId, ZoneId};
 use upstream::{HttpEngine, HttpService, ModelEngine, PlainService};
--- a/components/node/src/engines/fencing.rs
+++ b/components/node/src/engines/fencing.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 
 use errors::PlatformError;
-use platform::{ReadMode, RowExpectation, RowWrite, TableRow, TableService};
+use stores::{ReadMode, RowExpectation, RowWrite, TableRow, TableService};
 use sha2::{Digest, Sha256};
 use types::{EngineId, FencingNumber};
 
--- a/components/node/src/engines/owner.rs
+++ b/components/node/src/engines/owner.rs
@@ -11,7 +11,7 @@
 use kernel::{CancellationToken, ClockSource};
 use membership::UpstreamState;
 use notes::FleetState;
-use platform::WeightStore;
+use stores::WeightStore;
 use types::{EngineId, EngineOrder, EngineReport, FencingNumber, LoadedModel, NodeId};
 
 use super::FencingSource;
--- a/components/node/src/members.rs
+++ b/components/node/src/members.rs
@@ -14,7 +14,7 @@
     BODY_LIMIT_BYTES, GossipTopic, MemberEvent, MemberIdentity, MemberSettings, MemberSnapshot,
     TopicRecord,
 };
-use platform::{HostEntry, HostKind, HostList};
+use stores::{HostEntry, HostKind, HostList};
 use smol::{channel::Receiver, net::UdpSocket};
 use types::{NodeId, NoteVersion};
 use wire::KeyRing;
--- a/components/node/src/notes/store.rs
+++ b/components/node/src/notes/store.rs
@@ -4,7 +4,7 @@
 
 use errors::PlatformError;
 use notes::{AcceptedNote, ChainHead, ChainState, NoteId, NotesReply};
-use platform::{ObjectStore, ReadMode, RowExpectation, RowWrite, TableService};
+use stores::{ObjectStore, ReadMode, RowExpectation, RowWrite, TableService};
 use serde::{Deserialize, Serialize, de::DeserializeOwned};
 use types::{NoteVersion, RowVersion};
 
--- a/components/node/src/orders/ledger.rs
+++ b/components/node/src/orders/ledger.rs
@@ -11,7 +11,7 @@
 use errors::PlatformError;
 use kernel::ClockSource;
 use orders::{CircuitBreaker, FoundRow};
-use platform::{ReadMode, RowWrite, TableRow, TableService};
+use stores::{ReadMode, RowWrite, TableRow, TableService};
 use types::RowVersion;
 
 /// Table of the orders' rows, by organisation, service and key.
--- a/components/node/src/orders/service.rs
+++ b/components/node/src/orders/service.rs
@@ -13,7 +13,7 @@
 use orders::{
     DoubtCause, OrderName, OrderOutcome, RefusalCause, RefusalScope, StateAnswer, question_step,
 };
-use platform::TableService;
+use stores::TableService;
 use smol::channel::bounded;
 
 use super::{
--- a/components/node/src/orders/sweep.rs
+++ b/components/node/src/orders/sweep.rs
@@ -8,7 +8,7 @@
 
 use errors::PlatformError;
 use orders::{PurgeStep, RETENTION, RowCondition, SWEEP_AGE, purge_step, sweep_step};
-use platform::{RowExpectation, RowWrite, TableRow};
+use stores::{RowExpectation, RowWrite, TableRow};
 use serde::{Deserialize, Serialize};
 
 use super::{
--- a/components/node/src/orders/writer.rs
+++ b/components/node/src/orders/writer.rs
@@ -8,7 +8,7 @@
 
 use errors::PlatformError;
 use orders::{OrderWrite, RowCondition};
-use platform::{RowExpectation, RowWrite};
+use stores::{RowExpectation, RowWrite};
 use smol::channel::{Sender, bounded};
 use types::RowVersion;
 
--- a/components/node/tests/members.rs
+++ b/components/node/tests/members.rs
@@ -11,7 +11,7 @@
 use kernel::{CancellationToken, ClockSource, PausedClock, ServiceKernel};
 use membership::{GossipTopic, MemberAddresses, MemberIdentity, MemberSettings, MemberState};
 use node::members::{MemberConfig, MemberService, TopicFault};
-use platform::{HostEntry, HostKind, HostList, HostState};
+use stores::{HostEntry, HostKind, HostList, HostState};
 use smol::{Timer, net::UdpSocket};
 use wire::{KeyRing, SealKey};
 
--- a/components/node/tests/notes.rs
+++ b/components/node/tests/notes.rs
@@ -10,7 +10,7 @@
     AdopterEvent, AdopterSettings, ChainState, NoteAdopter, NoteDocument, NoteId, NoteSource,
     note_id, parse_document,
 };
-use platform::{ObjectStore, TableService};
+use stores::{ObjectStore, TableService};
 use rand::{RngExt, SeedableRng, rngs::StdRng};
 use smol::LocalExecutor;
 use support::FakePlatform;
--- a/components/node/tests/notes_service.rs
+++ b/components/node/tests/notes_service.rs
@@ -17,7 +17,7 @@
     notes::{NotePeer, NotePeerFault, NoteService, NoteStore, PublishOptions, PublishOutcome},
 };
 use notes::{AdopterSettings, NoteDocument, NotesReply, NotesRequest, VersionGate, parse_document};
-use platform::{HostEntry, HostList, ObjectStore, TableService};
+use stores::{HostEntry, HostList, ObjectStore, TableService};
 use smol::{Timer, net::UdpSocket};
 use support::FakePlatform;
 use types::NodeId;
--- a/components/node/tests/orders/http.rs
+++ b/components/node/tests/orders/http.rs
@@ -11,7 +11,7 @@
 use node::orders::{OrderRequest, OrderService, OrderSettings, ServicePeer, ServiceTarget};
 use notes::ServiceGuarantee;
 use orders::{OrderName, OrderOutcome, RefusalScope, StateAnswer};
-use platform::{HttpTable, fakes::EdgeFaults};
+use stores::{HttpTable, fakes::EdgeFaults};
 use rand::{RngExt, SeedableRng, rngs::StdRng};
 use smol::Task;
 use standins::{PlatformServer, PlatformSettings, ServiceServer, ServiceSettings};
--- a/components/node/tests/orders/service.rs
+++ b/components/node/tests/orders/service.rs
@@ -18,7 +18,7 @@
 use orders::{
     HandRefusal, OrderName, OrderOutcome, OrderVerdict, RETENTION, RefusalCause, StateAnswer,
 };
-use platform::{ReadMode, TableService};
+use stores::{ReadMode, TableService};
 use smol::Task;
 use upstream::{HttpService, PlainService};
 
--- a/components/node/tests/orders/support.rs
+++ b/components/node/tests/orders/support.rs
@@ -13,7 +13,7 @@
 use async_trait::async_trait;
 use errors::{PlatformError, SendPhase, UpstreamError};
 use kernel::{ClockSource, PausedClock};
-use platform::{ReadMode, RowWrite, TableRow, TableService, fakes::MemoryTable};
+use stores::{ReadMode, RowWrite, TableRow, TableService, fakes::MemoryTable};
 use rand::{RngExt, SeedableRng, rngs::StdRng};
 use smol::Task;
 use types::RowVersion;
--- a/components/node/tests/support/mod.rs
+++ b/components/node/tests/support/mod.rs
@@ -7,7 +7,7 @@
 
 use async_trait::async_trait;
 use errors::PlatformError;
-use platform::{ObjectStore, ReadMode, RowExpectation, RowWrite, TableRow, TableService};
+use stores::{ObjectStore, ReadMode, RowExpectation, RowWrite, TableRow, TableService};
 use rand::{RngExt, SeedableRng, rngs::StdRng};
 use types::RowVersion;
 
--- a/components/standins/examples/call_cost.rs
+++ b/components/standins/examples/call_cost.rs
@@ -7,7 +7,7 @@
 use futures_lite::StreamExt;
 use hdrhistogram::Histogram;
 use kernel::{CancellationToken, ClockSource};
-use platform::{HostList, HttpHosts, HttpTable, ReadMode, RowExpectation, RowWrite, TableService};
+use stores::{HostList, HttpHosts, HttpTable, ReadMode, RowExpectation, RowWrite, TableService};
 use smol::block_on;
 use standins::{
     EngineServer, EngineSettings, PlatformServer, PlatformSettings, ServiceServer, ServiceSettings,
--- a/components/standins/src/engine/control.rs
+++ b/components/standins/src/engine/control.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use http_types::{Method, Request, StatusCode};
-use platform::fakes::EdgeFaults;
+use stores::fakes::EdgeFaults;
 use serde::{Deserialize, Serialize};
 use types::{IncarnationNumber, TokenCount};
 
--- a/components/standins/src/engine/server.rs
+++ b/components/standins/src/engine/server.rs
@@ -10,7 +10,7 @@
 use futures_lite::{StreamExt, stream::unfold};
 use http_types::{Method, Request, Response, StatusCode};
 use kernel::{CancellationToken, ClockSource};
-use platform::{HostEntry, HostKind, HostState};
+use stores::{HostEntry, HostKind, HostState};
 use smol::{future, net::TcpListener};
 use types::{EngineOrder, RequestId};
 use upstream::{
--- a/components/standins/src/engine/settings.rs
+++ b/components/standins/src/engine/settings.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use model::engine_profile;
-use platform::fakes::EdgeFaults;
+use stores::fakes::EdgeFaults;
 use serde::{Deserialize, Serialize};
 use types::{
     EngineId, EngineProfile, EngineRole, IncarnationNumber, LoadedModel, TokenCount, ZoneId,
--- a/components/standins/src/engine/standin.rs
+++ b/components/standins/src/engine/standin.rs
@@ -8,7 +8,7 @@
 use errors::{SendPhase, UpstreamError};
 use kernel::{CancellationToken, ClockSource};
 use model::ModelError;
-use platform::fakes::{CallKind, FaultSwitch};
+use stores::fakes::{CallKind, FaultSwitch};
 use smol::channel::{Receiver, Sender, bounded};
 use types::{AttemptId, EngineReport, IncarnationNumber, RequestId, TokenCount};
 use upstream::KvExport;
--- a/components/standins/src/faults.rs
+++ b/components/standins/src/faults.rs
@@ -1,7 +1,7 @@
 //! Calls of upstream stand-ins under switched faults.
 
 use errors::{PlatformError, SendPhase, UpstreamError};
-use platform::fakes::{CallKind, FaultSwitch};
+use stores::fakes::{CallKind, FaultSwitch};
 
 pub(crate) const STATUS_UNAVAILABLE: u16 = 503;
 
--- a/components/standins/src/platform.rs
+++ b/components/standins/src/platform.rs
@@ -5,7 +5,7 @@
 
 use http_types::{Method, Request, Response, StatusCode};
 use kernel::{CancellationToken, ClockSource};
-use platform::{
+use stores::{
     HostDeparture, HostEntry, HostList, ObjectStore, ReadAnswer, ReadCall, ScanAnswer, ScanCall,
     SlotCall, TableService, TransactAnswer, TransactCall, WeightStore,
     fakes::{
--- a/components/standins/src/registration.rs
+++ b/components/standins/src/registration.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use kernel::ClockSource;
-use platform::{HostEntry, HostRegistrar};
+use stores::{HostEntry, HostRegistrar};
 use serde::{Deserialize, Serialize};
 
 const CALL_LIMIT: Duration = Duration::from_secs(2);
--- a/components/standins/src/reply.rs
+++ b/components/standins/src/reply.rs
@@ -4,7 +4,7 @@
 
 use errors::{PlatformError, UpstreamError};
 use http_types::{Request, Response, Status, StatusCode};
-use platform::ConflictAnswer;
+use stores::ConflictAnswer;
 use serde::{Serialize, de::DeserializeOwned};
 use upstream::{FencedAnswer, RefusedAnswer};
 
--- a/components/standins/src/service/server.rs
+++ b/components/standins/src/service/server.rs
@@ -5,7 +5,7 @@
 use errors::UpstreamError;
 use http_types::{Method, Request, Response, StatusCode};
 use kernel::{CancellationToken, ClockSource};
-use platform::{HostEntry, HostKind, HostState, fakes::EdgeFaults};
+use stores::{HostEntry, HostKind, HostState, fakes::EdgeFaults};
 use serde::{Deserialize, Serialize};
 use smol::net::TcpListener;
 use types::{IncarnationNumber, ServiceName, UpstreamId, ZoneId};
--- a/components/standins/src/service/standin.rs
+++ b/components/standins/src/service/standin.rs
@@ -9,7 +9,7 @@
 use async_trait::async_trait;
 use errors::UpstreamError;
 use kernel::ClockSource;
-use platform::fakes::{CallKind, FaultSwitch};
+use stores::fakes::{CallKind, FaultSwitch};
 use serde::{Deserialize, Serialize};
 use types::FencingNumber;
 use upstream::{OrderCall, PlainService, ServiceAnswer};
--- a/components/standins/tests/contract/engine_faults.rs
+++ b/components/standins/tests/contract/engine_faults.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use kernel::{CancellationToken, ClockSource};
-use platform::{HostList, HostState, HttpHosts, fakes::EdgeFaults};
+use stores::{HostList, HostState, HttpHosts, fakes::EdgeFaults};
 use smol::{block_on, future};
 use standins::{EngineSettings, HostListing, PlatformSettings, StandinEngine};
 use types::{EngineOrder, EngineRole};
--- a/components/standins/tests/contract/fixture.rs
+++ b/components/standins/tests/contract/fixture.rs
@@ -4,7 +4,7 @@
 
 use errors::{PlatformError, UpstreamError};
 use kernel::{CancellationToken, ClockSource};
-use platform::fakes::{EdgeFaults, OutageKind};
+use stores::fakes::{EdgeFaults, OutageKind};
 use smol::{Task, Timer, net::TcpListener};
 use standins::{
     EngineServer, EngineSettings, PlatformServer, PlatformSettings, ServiceServer, ServiceSettings,
--- a/components/standins/tests/contract/hosts.rs
+++ b/components/standins/tests/contract/hosts.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use kernel::{ClockSource, PausedClock};
-use platform::{
+use stores::{
     HostDeparture, HostEntry, HostKind, HostList, HostRegistrar, HostState, HttpHosts,
     fakes::{EdgeFaults, MemoryHosts, OutageKind},
 };
--- a/components/standins/tests/contract/objects.rs
+++ b/components/standins/tests/contract/objects.rs
@@ -1,7 +1,7 @@
 //! The object store.
 
 use kernel::ClockSource;
-use platform::{
+use stores::{
     HttpObjects, ObjectStore,
     fakes::{EdgeFaults, MemoryObjects},
 };
--- a/components/standins/tests/contract/service.rs
+++ b/components/standins/tests/contract/service.rs
@@ -4,7 +4,7 @@
 
 use errors::UpstreamError;
 use kernel::ClockSource;
-use platform::fakes::EdgeFaults;
+use stores::fakes::EdgeFaults;
 use smol::block_on;
 use standins::{ServiceSettings, StandinService};
 use upstream::{HttpService, OrderCall, PlainService};
--- a/components/standins/tests/contract/weights.rs
+++ b/components/standins/tests/contract/weights.rs
@@ -4,7 +4,7 @@
 
 use errors::PlatformError;
 use kernel::{ClockSource, PausedClock};
-use platform::{
+use stores::{
     HttpWeights, WeightStore,
     fakes::{EdgeFaults, MemoryWeights, OutageKind, WeightRate},
 };
--- a/tests/order_histories.rs
+++ b/tests/order_histories.rs
@@ -15,7 +15,7 @@
 };
 use http_types::Method;
 use kernel::ClockSource;
-use platform::fakes::{EdgeFaults, OutageKind};
+use stores::fakes::{EdgeFaults, OutageKind};
 use rand::{RngExt, SeedableRng, rngs::StdRng};
 use serde_json::Value;
 use smol::Task;
--- a/tests/standin_process.rs
+++ b/tests/standin_process.rs
@@ -11,7 +11,7 @@
 use errors::PlatformError;
 use http_types::Method;
 use kernel::ClockSource;
-use platform::{
+use stores::{
     HostList, HostState, HttpHosts, HttpTable, ReadMode, TableService,
     fakes::{EdgeFaults, OutageKind},
 };
--- a/tests/streams.rs
+++ b/tests/streams.rs
@@ -13,7 +13,7 @@
 };
 use http_types::{Method, Response, StatusCode};
 use kernel::{CancellationToken, ClockSource};
-use platform::{HostEntry, HostKind, HostRegistrar, HostState};
+use stores::{HostEntry, HostKind, HostRegistrar, HostState};
 use serde_json::{Value, json};
 use transport::HttpCaller;
 use types::{EngineReport, EngineRole, LoadedModel};
