--- /dev/null
+++ b/components/dispatch/src/budget.rs
@@ -0,0 +1,84 @@
+//! Bounds how often a node sends a request to a further upstream.
+//!
+//! The bound holds for all nodes together: each takes its share of the
+//! allowance by the largest number of nodes it knew lately, so that nodes that
+//! can't hear each other don't all take the whole.
+
+use std::{
+    collections::{HashMap, VecDeque},
+    time::{Duration, Instant},
+};
+
+use types::ServiceName;
+
+/// Part of the bound that a node uses, so that windows that straddle a change
+/// of membership stay below it.
+const USED_SHARE: f64 = 0.75;
+
+/// Repeats and first sends of one node, by service.
+#[derive(Debug)]
+pub struct RetryBudget {
+    window: Duration,
+    ratio: f64,
+    allowance: f64,
+    services: HashMap<ServiceName, ServiceSends>,
+}
+
+#[derive(Debug, Default)]
+struct ServiceSends {
+    firsts: VecDeque<Instant>,
+    repeats: VecDeque<Instant>,
+}
+
+impl RetryBudget {
+    /// A budget of `ratio` times the first sends plus `allowance` repeats in
+    /// any `window`, for all nodes together.
+    #[must_use]
+    pub fn new(window: Duration, ratio: f64, allowance: f64) -> Self {
+        Self {
+            window,
+            ratio,
+            allowance,
+            services: HashMap::new(),
+        }
+    }
+
+    /// Notes a request for `service`.
+    pub fn note_request(&mut self, now: Instant, service: &str) {
+        let window = self.window;
+        let sends = self.services.entry(service.to_owned()).or_default();
+        sends.firsts.push_back(now);
+        sends.expire(now, window);
+    }
+
+    /// Takes one repeat, if the share of one of `nodes` nodes allows it.
+    pub fn take_repeat(&mut self, now: Instant, service: &str, nodes: usize) -> bool {
+        let window = self.window;
+        let sends = self.services.entry(service.to_owned()).or_default();
+        sends.expire(now, window);
+        let share = self.allowance / count(nodes.max(1));
+        let bound = USED_SHARE * (self.ratio * count(sends.firsts.len()) + share);
+        if count(sends.repeats.len()) + 1.0 > bound {
+            return false;
+        }
+        sends.repeats.push_back(now);
+        true
+    }
+}
+
+impl ServiceSends {
+    fn expire(&mut self, now: Instant, window: Duration) {
+        for times in [&mut self.firsts, &mut self.repeats] {
+            while times
+                .front()
+                .is_some_and(|sent| now.duration_since(*sent) > window)
+            {
+                times.pop_front();
+            }
+        }
+    }
+}
+
+fn count(number: usize) -> f64 {
+    f64::from(u32::try_from(number).unwrap_or(u32::MAX))
+}
--- /dev/null
+++ b/components/dispatch/src/engine.rs
@@ -0,0 +1,50 @@
+//! What a prompt costs a model engine.
+
+use std::time::Duration;
+
+use types::TokenCount;
+
+use crate::EngineSpec;
+
+/// Tokens of a prompt and of the longest answer to it.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct PromptSize {
+    /// Tokens to read.
+    pub prompt: TokenCount,
+    /// Tokens to write at most.
+    pub answer: TokenCount,
+}
+
+impl PromptSize {
+    /// Memory that the request takes at its end, in tokens.
+    #[must_use]
+    pub fn memory(self) -> TokenCount {
+        self.prompt.saturating_add(self.answer)
+    }
+}
+
+impl EngineSpec {
+    /// Time of a pass with `writers` writers that hold `context` tokens.
+    #[must_use]
+    pub fn pass_time(&self, writers: u32, context: TokenCount) -> Duration {
+        let step = self.step.as_secs_f64() * 1e3
+            + self.writer_ms * f64::from(writers)
+            + self.context_ms * thousands(context);
+        Duration::from_secs_f64(step * f64::from(self.stride) / 1e3)
+    }
+}
+
+/// Time that one of `parts` engines takes to read its part of a prompt.
+#[must_use]
+pub fn read_time(spec: &EngineSpec, prompt: TokenCount, parts: usize) -> Duration {
+    let parts = f64::from(u32::try_from(parts.max(1)).unwrap_or(u32::MAX));
+    let tokens = thousands(prompt);
+    let million_pairs = tokens * tokens / 2.0;
+    let plain = tokens * 1e3 / spec.read_per_ms.max(f64::MIN_POSITIVE);
+    let whole = plain + million_pairs * spec.pairs_ms;
+    Duration::from_secs_f64(whole / parts / 1e3)
+}
+
+fn thousands(tokens: TokenCount) -> f64 {
+    f64::from(u32::try_from(tokens).unwrap_or(u32::MAX)) / 1e3
+}
--- /dev/null
+++ b/components/dispatch/src/feed.rs
@@ -0,0 +1,82 @@
+//! What a node believes of one watched table, how old that is, and who said
+//! it.
+//!
+//! A freeze, a cut, an outage of the store and a restart are the same here:
+//! the belief has an age, and what depends on it asks for that age.
+
+use std::time::{Duration, Instant};
+
+/// Who told the newest version.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum FeedSource {
+    /// The store itself.
+    Store,
+    /// Another node.
+    Peer,
+}
+
+/// Version and age of one watched table.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct FeedBelief {
+    version: Option<u64>,
+    confirmed: Option<Instant>,
+    store_answered: Option<Instant>,
+    store_failing_since: Option<Instant>,
+    store_back: Option<Instant>,
+}
+
+/// Time after an outage of the store within which missing entries may return.
+const RETURN_TIME: Duration = Duration::from_millis(2200);
+
+impl FeedBelief {
+    /// The version in force.
+    #[must_use]
+    pub fn version(&self) -> Option<u64> {
+        self.version
+    }
+
+    /// Notes that all changes up to `version` are known at `now`; returns
+    /// whether anything older was known.
+    pub fn confirm(&mut self, now: Instant, version: u64, source: FeedSource) -> bool {
+        if source == FeedSource::Store {
+            if self.store_failing_since.take().is_some() {
+                self.store_back = Some(now);
+            }
+            self.store_answered = Some(now);
+        }
+        let newer = self.version.is_none_or(|known| known < version);
+        if newer {
+            self.version = Some(version);
+        }
+        if newer || self.version == Some(version) {
+            self.confirmed = Some(now);
+        }
+        newer
+    }
+
+    /// Notes that the store did not answer.
+    pub fn note_failure(&mut self, now: Instant) {
+        self.store_failing_since.get_or_insert(now);
+    }
+
+    /// Time since everything was known; `None` when nothing ever was.
+    #[must_use]
+    pub fn age(&self, now: Instant) -> Option<Duration> {
+        Some(now.saturating_duration_since(self.confirmed?))
+    }
+
+    /// Whether the store did not answer the last call.
+    #[must_use]
+    pub fn failing(&self) -> bool {
+        self.store_failing_since.is_some()
+    }
+
+    /// Whether entries may be missing only because the store was away.
+    #[must_use]
+    pub fn recovering(&self, now: Instant) -> bool {
+        self.failing()
+            || self
+                .store_back
+                .is_some_and(|back| now.duration_since(back) < RETURN_TIME)
+    }
+}
--- a/components/dispatch/src/lib.rs
+++ b/components/dispatch/src/lib.rs
@@ -1,1 +1,29 @@
+//! Decisions about forwarded requests: which route and upstream serve one,
+//! when it is tried again, and what a node may believe.
+//!
+//! Everything here is pure: state, time and an event in, a decision out.
 
+mod budget;
+mod desired;
+mod engine;
+mod feed;
+mod load;
+mod placement;
+mod quarantine;
+mod roster;
+mod routes;
+mod upstreams;
+
+pub use budget::RetryBudget;
+pub use desired::{
+    CallKind, DesiredState, EngineSpec, ForwardRoute, OrganisationEntry, RequestLimits,
+    ServiceSpec, ServiceWeight,
+};
+pub use engine::{PromptSize, read_time};
+pub use feed::{FeedBelief, FeedSource};
+pub use load::{EngineLoad, FlightId, FlightPart, FlightPlan, LoadBook, PeerLoad, ReadNotice};
+pub use placement::{Placement, PlacementRefusal, place_call, place_prompt};
+pub use quarantine::{CrashFingerprint, QuarantineList};
+pub use roster::{NodeRoster, RosterEntry};
+pub use routes::{RouteMatch, RouteTable};
+pub use upstreams::{UpstreamEntry, UpstreamState, UpstreamTable, UpstreamView};
--- /dev/null
+++ b/components/dispatch/src/load.rs
@@ -0,0 +1,201 @@
+//! What engines have to do, as far as this node knows: its own requests
+//! exactly, those of other nodes from their last notice.
+
+use std::{
+    collections::HashMap,
+    time::{Duration, Instant},
+};
+
+use serde::{Deserialize, Serialize};
+use types::{NodeId, TokenCount, UpstreamId};
+
+/// Age at which another node's summary counts no more.
+const SUMMARY_LIFETIME: Duration = Duration::from_millis(1500);
+
+/// Names one request that this node has at an upstream.
+pub type FlightId = u64;
+
+/// Work of one engine.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct EngineLoad {
+    /// Time that prompts still need to be read.
+    pub reading: Duration,
+    /// Requests whose callers accept only short pauses.
+    pub tight: u32,
+    /// Other requests.
+    pub loose: u32,
+    /// Memory of running requests, in tokens.
+    pub memory: TokenCount,
+}
+
+impl EngineLoad {
+    /// Requests that take a place.
+    #[must_use]
+    pub fn running(&self) -> u32 {
+        self.tight + self.loose
+    }
+}
+
+/// A node's own requests at one engine, as other nodes are told.
+#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
+pub struct PeerLoad {
+    /// The engine.
+    pub engine: UpstreamId,
+    /// Requests whose callers accept only short pauses.
+    pub tight: u32,
+    /// Other requests.
+    pub loose: u32,
+    /// Memory of these requests, in tokens.
+    pub memory: TokenCount,
+}
+
+/// A prompt that starts to be read, as other nodes are told.
+#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
+pub struct ReadNotice {
+    /// Engines that read a part each.
+    pub engines: Vec<UpstreamId>,
+    /// Time of a part.
+    pub part: Duration,
+}
+
+/// A request's work at one engine.
+#[derive(Clone, Debug)]
+pub struct FlightPart {
+    /// The engine.
+    pub engine: UpstreamId,
+    /// Memory that the request takes there, in tokens.
+    pub memory: TokenCount,
+}
+
+/// A request at an upstream.
+#[derive(Clone, Debug)]
+pub struct FlightPlan {
+    /// The upstream that answers, then those that hold memory for it.
+    pub parts: Vec<FlightPart>,
+    /// Whether the caller accepts only short pauses.
+    pub tight: bool,
+}
+
+/// Own and others' work at all engines.
+#[derive(Debug, Default)]
+pub struct LoadBook {
+    flights: HashMap<FlightId, FlightPlan>,
+    next: FlightId,
+    own: HashMap<UpstreamId, EngineLoad>,
+    reading_until: HashMap<UpstreamId, Instant>,
+    peers: HashMap<NodeId, PeerSummary>,
+}
+
+#[derive(Debug)]
+struct PeerSummary {
+    heard: Instant,
+    loads: HashMap<UpstreamId, PeerLoad>,
+}
+
+impl LoadBook {
+    /// Notes a request that goes to its upstream.
+    pub fn start(&mut self, plan: FlightPlan) -> FlightId {
+        for (index, part) in plan.parts.iter().enumerate() {
+            let load = self.own.entry(part.engine.clone()).or_default();
+            load.memory += part.memory;
+            if index == 0 && plan.tight {
+                load.tight += 1;
+            } else if index == 0 {
+                load.loose += 1;
+            }
+        }
+        self.next += 1;
+        self.flights.insert(self.next, plan);
+        self.next
+    }
+
+    /// Notes the end of a request, however it ended.
+    pub fn end(&mut self, flight: FlightId) {
+        let Some(plan) = self.flights.remove(&flight) else {
+            return;
+        };
+        for (index, part) in plan.parts.iter().enumerate() {
+            let Some(load) = self.own.get_mut(&part.engine) else {
+                continue;
+            };
+            load.memory = load.memory.saturating_sub(part.memory);
+            if index == 0 && plan.tight {
+                load.tight = load.tight.saturating_sub(1);
+            } else if index == 0 {
+                load.loose = load.loose.saturating_sub(1);
+            }
+            if *load == EngineLoad::default() {
+                self.own.remove(&part.engine);
+            }
+        }
+    }
+
+    /// Notes prompts that engines start to read, of this or another node.
+    pub fn note_reading(&mut self, now: Instant, notice: &ReadNotice) {
+        for engine in &notice.engines {
+            let until = self.reading_until.entry(engine.clone()).or_insert(now);
+            *until = (*until).max(now) + notice.part;
+        }
+    }
+
+    /// Takes over another node's summary.
+    pub fn note_peer(&mut self, now: Instant, node: &str, loads: Vec<PeerLoad>) {
+        let loads = loads
+            .into_iter()
+            .map(|load| (load.engine.clone(), load))
+            .collect();
+        let summary = PeerSummary { heard: now, loads };
+        self.peers.insert(node.to_owned(), summary);
+    }
+
+    /// Forgets another node.
+    pub fn forget_peer(&mut self, node: &str) {
+        self.peers.remove(node);
+    }
+
+    /// Forgets an engine that is gone.
+    pub fn forget_engine(&mut self, engine: &str) {
+        self.reading_until.remove(engine);
+    }
+
+    /// All known work of `engine`.
+    #[must_use]
+    pub fn load(&self, now: Instant, engine: &str) -> EngineLoad {
+        let mut load = self.own.get(engine).copied().unwrap_or_default();
+        if let Some(until) = self.reading_until.get(engine) {
+            load.reading = until.saturating_duration_since(now);
+        }
+        let fresh = self
+            .peers
+            .values()
+            .filter(|peer| now.duration_since(peer.heard) <= SUMMARY_LIFETIME);
+        for other in fresh.filter_map(|peer| peer.loads.get(engine)) {
+            load.tight += other.tight;
+            load.loose += other.loose;
+            load.memory += other.memory;
+        }
+        load
+    }
+
+    /// What other nodes are told of this node's requests.
+    #[must_use]
+    pub fn summary(&self) -> Vec<PeerLoad> {
+        self.own
+            .iter()
+            .map(|(engine, load)| PeerLoad {
+                engine: engine.clone(),
+                tight: load.tight,
+                loose: load.loose,
+                memory: load.memory,
+            })
+            .collect()
+    }
+
+    /// Own requests that run or wait at upstreams.
+    #[must_use]
+    pub fn flights(&self) -> usize {
+        self.flights.len()
+    }
+}
--- /dev/null
+++ b/components/dispatch/src/placement.rs
@@ -0,0 +1,304 @@
+//! Picks the upstream of a request, and the engines that read a long prompt
+//! together.
+//!
+//! Requests whose callers accept only short pauses are packed onto as few
+//! engines as can write for them; the rest of the engines read long prompts.
+//! The border follows the number of such requests at each decision. Parts of a
+//! long prompt also go to engines with such writers, as long as the pass that
+//! reads them stays within the pause.
+
+use std::{
+    cmp::Reverse,
+    time::{Duration, Instant},
+};
+
+use rand::{Rng, RngExt};
+use types::{TokenCount, UpstreamId};
+
+use crate::{EngineLoad, EngineSpec, LoadBook, PromptSize, UpstreamView, read_time};
+
+/// Most engines that read one prompt: the first and sixteen helpers.
+const READERS_MAX: usize = 17;
+/// Time of a part below which a further reader saves nothing: the time of a
+/// few steps, so that the hop and the wait for a pass outweigh it.
+const PART_MIN: Duration = Duration::from_millis(18);
+/// Share of an engine's places that writers with short pauses fill before the
+/// next engine is opened for them.
+const PACKED_SHARE: f64 = 0.6;
+/// Share of a pause that a pass may take, so that delays on the way fit too.
+const PASS_SHARE: f64 = 0.75;
+/// Share of memory that placements count on; answers are shorter than their
+/// limit, and reports of other nodes lag.
+const MEMORY_SHARE: f64 = 0.95;
+
+/// Where a request goes.
+#[derive(Clone, Debug)]
+pub struct Placement {
+    /// The upstream that answers.
+    pub first: UpstreamId,
+    /// Further engines that read a part each.
+    pub helpers: Vec<UpstreamId>,
+    /// Memory on several engines, in the order in which it is filled: empty
+    /// when the first engine holds everything.
+    pub shares: Vec<(UpstreamId, TokenCount)>,
+    /// Time to read a part.
+    pub part: Duration,
+    /// Time until every part is read, as far as known.
+    pub read: Duration,
+    /// Whether no pause of another request suffers.
+    pub harmless: bool,
+}
+
+impl Placement {
+    /// A request that one upstream serves.
+    #[must_use]
+    pub fn alone(first: UpstreamId) -> Self {
+        Self {
+            first,
+            helpers: Vec::new(),
+            shares: Vec::new(),
+            part: Duration::ZERO,
+            read: Duration::ZERO,
+            harmless: true,
+        }
+    }
+}
+
+/// Why no upstream takes a request now.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum PlacementRefusal {
+    /// No upstream of the service is known to take work.
+    NoUpstream,
+    /// Every upstream is full.
+    Full,
+    /// All engines together can't hold the prompt.
+    TooLarge,
+}
+
+/// A request to place.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct PromptAsk {
+    pub(crate) size: PromptSize,
+    pub(crate) tight_gap: Duration,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Candidate<'a> {
+    view: &'a UpstreamView,
+    load: EngineLoad,
+}
+
+/// Picks the least busy upstream of a plain service.
+///
+/// # Errors
+///
+/// Says why none can be picked.
+pub fn place_call(
+    now: Instant,
+    upstreams: &[&UpstreamView],
+    loads: &LoadBook,
+    rng: &mut impl Rng,
+) -> Result<UpstreamId, PlacementRefusal> {
+    let least = upstreams.iter().min_by_key(|view| {
+        let running = loads.load(now, &view.entry.id).running();
+        let busy = 1000 * running / view.entry.places.max(1);
+        let failing = whole(view.failure_share() * 10.0);
+        (failing, busy, rng.random::<u32>())
+    });
+    let view = least.ok_or(PlacementRefusal::NoUpstream)?;
+    Ok(view.entry.id.clone())
+}
+
+/// Picks the engines of a prompt of `size` whose caller accepts pauses of
+/// `gap`; `tight_gap` is the shortest pause that callers of the service accept.
+///
+/// # Errors
+///
+/// Says why none can be picked.
+pub fn place_prompt(
+    now: Instant,
+    spec: &EngineSpec,
+    size: PromptSize,
+    gap: Duration,
+    tight_gap: Duration,
+    upstreams: &[&UpstreamView],
+    loads: &LoadBook,
+    rng: &mut impl Rng,
+) -> Result<Placement, PlacementRefusal> {
+    let ask = PromptAsk {
+        size,
+        tight_gap,
+    };
+    let mut candidates: Vec<Candidate<'_>> = upstreams
+        .iter()
+        .map(|view| Candidate {
+            view,
+            load: loads.load(now, &view.entry.id),
+        })
+        .collect();
+    if candidates.is_empty() {
+        return Err(PlacementRefusal::NoUpstream);
+    }
+    let tight = gap <= tight_gap;
+    let first = if tight {
+        pick_writer(spec, &ask, &candidates, rng)
+    } else {
+        pick_reader(spec, &ask, &candidates, rng)
+    };
+    let Some(first) = first else {
+        return refuse_or_share(spec, &ask, &candidates);
+    };
+    let first = candidates.swap_remove(first);
+    Ok(with_helpers(spec, &ask, first, candidates, rng))
+}
+
+/// Time that reading may add to a pass of this engine.
+fn reading_allowance(spec: &EngineSpec, ask: &PromptAsk, load: &EngineLoad) -> Duration {
+    let pass = spec.pass_time(load.running() + 1, load.memory);
+    let gap = if load.tight > 0 {
+        ask.tight_gap
+    } else if load.loose > 0 {
+        ask.tight_gap * 3
+    } else {
+        return Duration::MAX;
+    };
+    gap.mul_f64(PASS_SHARE).saturating_sub(pass)
+}
+
+fn has_room(spec: &EngineSpec, ask: &PromptAsk, load: &EngineLoad) -> bool {
+    let usable = whole(float(spec.memory) * MEMORY_SHARE);
+    load.running() < spec.places && load.memory + ask.size.memory() <= usable
+}
+
+/// An engine among those that are open for short pauses.
+fn pick_writer(
+    spec: &EngineSpec,
+    ask: &PromptAsk,
+    candidates: &[Candidate<'_>],
+    rng: &mut impl Rng,
+) -> Option<usize> {
+    let writers: u32 = candidates.iter().map(|one| one.load.tight).sum();
+    let target = f64::from(spec.places) * PACKED_SHARE;
+    let open = whole((f64::from(writers + 1) / target).ceil());
+    let open = usize::try_from(open).unwrap_or(usize::MAX);
+    let own = read_time(spec, ask.size.prompt, 1).min(PART_MIN * 2);
+    let fits = |one: &Candidate<'_>| {
+        has_room(spec, ask, &one.load)
+            && one.load.reading + own <= reading_allowance(spec, ask, &one.load)
+    };
+    let best = |range: &[Candidate<'_>], rng: &mut _| {
+        let fitting = range.iter().enumerate().filter(|(_, one)| fits(one));
+        fitting
+            .min_by_key(|(_, one)| (one.load.running(), one.load.reading, tie(rng)))
+            .map(|(index, _)| index)
+    };
+    let open = open.min(candidates.len());
+    best(&candidates[..open], rng)
+        .or_else(|| best(candidates, rng))
+        .or_else(|| {
+            let roomy = candidates.iter().enumerate();
+            roomy
+                .filter(|(_, one)| has_room(spec, ask, &one.load))
+                .min_by_key(|(_, one)| (one.load.reading, one.load.running()))
+                .map(|(index, _)| index)
+        })
+}
+
+/// An engine that has no writers with short pauses, if there is one.
+fn pick_reader(
+    spec: &EngineSpec,
+    ask: &PromptAsk,
+    candidates: &[Candidate<'_>],
+    rng: &mut impl Rng,
+) -> Option<usize> {
+    let roomy = candidates.iter().enumerate();
+    roomy
+        .filter(|(_, one)| has_room(spec, ask, &one.load))
+        .min_by_key(|(index, one)| {
+            let load = &one.load;
+            (load.tight, load.loose, load.reading, tie(rng), Reverse(*index))
+        })
+        .map(|(index, _)| index)
+}
+
+fn with_helpers(
+    spec: &EngineSpec,
+    ask: &PromptAsk,
+    first: Candidate<'_>,
+    mut others: Vec<Candidate<'_>>,
+    rng: &mut impl Rng,
+) -> Placement {
+    let whole_read = read_time(spec, ask.size.prompt, 1);
+    let wanted = whole(whole_read.as_secs_f64() / PART_MIN.as_secs_f64());
+    let wanted = usize::try_from(wanted).unwrap_or(usize::MAX);
+    let most = wanted.clamp(1, READERS_MAX).min(others.len() + 1);
+    others.sort_by_cached_key(|one| (one.load.reading, one.load.tight, tie(rng)));
+    let mut best: Option<(Duration, Vec<usize>)> = None;
+    for readers in (1..=most).rev() {
+        let part = read_time(spec, ask.size.prompt, readers);
+        let fitting: Vec<usize> = others
+            .iter()
+            .enumerate()
+            .filter(|(_, one)| one.load.reading + part <= reading_allowance(spec, ask, &one.load))
+            .map(|(index, _)| index)
+            .take(readers - 1)
+            .collect();
+        if fitting.len() + 1 < readers {
+            continue;
+        }
+        let slowest = fitting
+            .iter()
+            .map(|index| others[*index].load.reading)
+            .fold(first.load.reading, Duration::max);
+        let read = slowest + part;
+        if best.as_ref().is_none_or(|(time, _)| read < *time) {
+            best = Some((read, fitting));
+        }
+    }
+    let (read, helpers) = best.unwrap_or((first.load.reading + whole_read, Vec::new()));
+    let part = read_time(spec, ask.size.prompt, helpers.len() + 1);
+    let harmless = first.load.reading + part <= reading_allowance(spec, ask, &first.load);
+    let helpers = helpers
+        .into_iter()
+        .map(|index| others[index].view.entry.id.clone())
+        .collect();
+    Placement {
+        first: first.view.entry.id.clone(),
+        helpers,
+        shares: Vec::new(),
+        part,
+        read,
+        harmless,
+    }
+}
+
+/// Memory on several engines for a prompt that no engine holds alone.
+fn refuse_or_share(
+    spec: &EngineSpec,
+    ask: &PromptAsk,
+    candidates: &[Candidate<'_>],
+) -> Result<Placement, PlacementRefusal> {
+    let total = u64::try_from(candidates.len()).unwrap_or(u64::MAX);
+    let usable = whole(float(spec.memory) * MEMORY_SHARE);
+    if ask.size.memory() > usable.saturating_mul(total) {
+        return Err(PlacementRefusal::TooLarge);
+    }
+    Err(PlacementRefusal::Full)
+}
+
+fn tie(rng: &mut impl Rng) -> u8 {
+    rng.random()
+}
+
+fn float(number: u64) -> f64 {
+    f64::from(u32::try_from(number).unwrap_or(u32::MAX))
+}
+
+#[expect(
+    clippy::cast_possible_truncation,
+    clippy::cast_sign_loss,
+    reason = "the conversion saturates, as wanted"
+)]
+fn whole(number: f64) -> u64 {
+    number as u64
+}
--- /dev/null
+++ b/components/dispatch/src/roster.rs
@@ -0,0 +1,161 @@
+//! The other nodes: who lives, and which addresses callers are given.
+
+use std::{
+    collections::BTreeMap,
+    net::SocketAddr,
+    time::{Duration, Instant},
+};
+
+use serde::{Deserialize, Serialize};
+use types::{NodeId, ZoneId};
+
+/// Silence after which a node is left out of address answers.
+const SILENCE_MAX: Duration = Duration::from_millis(1600);
+/// Silence after which a node is forgotten.
+const FORGET_TIME: Duration = Duration::from_secs(40);
+/// Addresses of an answer, as callers accept.
+const ADDRESSES_MAX: usize = 64;
+/// Time for which the largest size of the fleet is remembered.
+const SIZE_MEMORY: Duration = Duration::from_secs(30);
+
+/// What a node says of itself.
+#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
+pub struct RosterEntry {
+    /// Unique among nodes.
+    pub node: NodeId,
+    /// Availability zone it runs in.
+    pub zone: ZoneId,
+    /// Where it takes callers' requests.
+    pub callers: SocketAddr,
+    /// Where it takes datagrams and calls of other nodes.
+    pub peers: SocketAddr,
+    /// Orders its lives; a higher number is newer.
+    pub life: u64,
+    /// Whether callers may be sent to it.
+    pub ready: bool,
+}
+
+#[derive(Debug)]
+struct RosterMember {
+    entry: RosterEntry,
+    heard: Option<Instant>,
+    listed: Instant,
+}
+
+/// All nodes that this one knows of, without itself.
+#[derive(Debug, Default)]
+pub struct NodeRoster {
+    members: BTreeMap<NodeId, RosterMember>,
+    sizes: Vec<(Instant, usize)>,
+}
+
+impl NodeRoster {
+    /// Takes over what a node said itself.
+    pub fn note_heard(&mut self, now: Instant, entry: RosterEntry) {
+        if let Some(member) = self.members.get_mut(&entry.node) {
+            if entry.life >= member.entry.life {
+                member.entry = entry;
+                member.heard = Some(now);
+                member.listed = now;
+            }
+        } else {
+            self.insert(now, entry, Some(now));
+        }
+    }
+
+    /// Takes over what a third party says of a node.
+    pub fn note_listed(&mut self, now: Instant, entry: RosterEntry) {
+        match self.members.get_mut(&entry.node) {
+            Some(member) if entry.life > member.entry.life => {
+                member.entry = entry;
+                member.listed = now;
+            }
+            Some(_) => {}
+            None => self.insert(now, entry, None),
+        }
+    }
+
+    /// Forgets a node that said it leaves.
+    pub fn note_left(&mut self, node: &str, life: u64) {
+        if self
+            .members
+            .get(node)
+            .is_some_and(|member| member.entry.life <= life)
+        {
+            self.members.remove(node);
+        }
+    }
+
+    /// Forgets nodes that have been silent for long; returns them.
+    pub fn expire(&mut self, now: Instant) -> Vec<RosterEntry> {
+        let silent = |member: &RosterMember| {
+            let last = member.heard.unwrap_or(member.listed);
+            now.duration_since(last.max(member.listed)) > FORGET_TIME
+        };
+        let mut gone = Vec::new();
+        self.members.retain(|_, member| {
+            let silent = silent(member);
+            if silent {
+                gone.push(member.entry.clone());
+            }
+            !silent
+        });
+        gone
+    }
+
+    /// Whether `node` was heard of late.
+    #[must_use]
+    pub fn alive(&self, now: Instant, node: &str) -> bool {
+        self.members.get(node).is_some_and(|member| member.alive(now))
+    }
+
+    /// All known nodes, dead ones too.
+    pub fn members(&self) -> impl Iterator<Item = &RosterEntry> {
+        self.members.values().map(|member| &member.entry)
+    }
+
+    /// Nodes that were heard of late.
+    pub fn live(&self, now: Instant) -> impl Iterator<Item = &RosterEntry> {
+        self.members
+            .values()
+            .filter(move |member| member.alive(now))
+            .map(|member| &member.entry)
+    }
+
+    /// Addresses for a caller: `own` when this node takes callers, and all
+    /// live nodes that do.
+    #[must_use]
+    pub fn addresses(&self, now: Instant, own: Option<SocketAddr>) -> Vec<SocketAddr> {
+        let others = self.live(now).filter(|entry| entry.ready);
+        own.into_iter()
+            .chain(others.map(|entry| entry.callers))
+            .take(ADDRESSES_MAX)
+            .collect()
+    }
+
+    /// The largest number of nodes known lately, this one included.
+    pub fn size(&mut self, now: Instant) -> usize {
+        let size = self.live(now).count() + 1;
+        self.sizes
+            .retain(|(seen, old)| now.duration_since(*seen) < SIZE_MEMORY && *old > size);
+        self.sizes.push((now, size));
+        self.sizes.iter().map(|(_, size)| *size).max().unwrap_or(1)
+    }
+
+    fn insert(&mut self, now: Instant, entry: RosterEntry, heard: Option<Instant>) {
+        let member = RosterMember {
+            heard,
+            listed: now,
+            entry,
+        };
+        self.members.insert(member.entry.node.clone(), member);
+    }
+}
+
+impl RosterMember {
+    fn alive(&self, now: Instant) -> bool {
+        self.heard
+            .is_some_and(|heard| now.duration_since(heard) <= SILENCE_MAX)
+    }
+}
--- /dev/null
+++ b/components/dispatch/src/routes.rs
@@ -0,0 +1,106 @@
+//! Finds the route of a request and the organisation of a key.
+
+use std::{
+    collections::HashMap,
+    hash::{BuildHasher, RandomState},
+    sync::Arc,
+};
+
+use crate::{DesiredState, ForwardRoute, OrganisationEntry};
+
+/// A desired state, indexed by host and prefix, and by key.
+#[derive(Debug, Default)]
+pub struct RouteTable {
+    state: DesiredState,
+    hosts: HashMap<String, HashMap<String, usize>>,
+    keys: HashMap<String, usize>,
+}
+
+/// What the desired state says of a request.
+#[derive(Clone, Copy, Debug)]
+pub enum RouteMatch<'a> {
+    /// No route serves host and path.
+    NoRoute,
+    /// The route needs a key that is in force.
+    NoKey,
+    /// The route and, where a key was given, its organisation.
+    Found(&'a Arc<ForwardRoute>, Option<&'a OrganisationEntry>),
+}
+
+impl RouteTable {
+    /// Indexes `state`.
+    #[must_use]
+    pub fn new(state: DesiredState) -> Self {
+        let mut hosts: HashMap<String, HashMap<String, usize>> = HashMap::new();
+        for (index, route) in state.routes.iter().enumerate() {
+            let host = route.host.to_ascii_lowercase();
+            hosts
+                .entry(host)
+                .or_default()
+                .insert(route.prefix.clone(), index);
+        }
+        let mut keys = HashMap::new();
+        for (index, organisation) in state.organisations.iter().flatten().enumerate() {
+            for key in &organisation.keys {
+                keys.insert(key.clone(), index);
+            }
+        }
+        Self { state, hosts, keys }
+    }
+
+    /// The state behind the index.
+    #[must_use]
+    pub fn state(&self) -> &DesiredState {
+        &self.state
+    }
+
+    /// The route of `path` at `host`, and the organisation that holds `key`.
+    #[must_use]
+    pub fn find(&self, host: &str, path: &str, key: Option<&str>) -> RouteMatch<'_> {
+        let Some(route) = self.route(host, path) else {
+            return RouteMatch::NoRoute;
+        };
+        let Some(organisations) = &self.state.organisations else {
+            return RouteMatch::Found(route, None);
+        };
+        let holder = key
+            .and_then(|key| self.keys.get(key))
+            .and_then(|index| organisations.get(*index));
+        match holder {
+            None if !route.anonymous => RouteMatch::NoKey,
+            holder => RouteMatch::Found(route, holder),
+        }
+    }
+
+    fn route(&self, host: &str, path: &str) -> Option<&Arc<ForwardRoute>> {
+        let name = host.rsplit_once(':').map_or(host, |(name, _)| name);
+        let prefixes = self.hosts.get(&name.to_ascii_lowercase())?;
+        let ends = path.char_indices().filter(|(_, one)| *one == '/');
+        let index = ends
+            .map(|(end, _)| &path[..=end])
+            .filter_map(|prefix| prefixes.get(prefix))
+            .next_back()?;
+        self.state.routes.get(*index)
+    }
+}
+
+impl ForwardRoute {
+    /// The service for the attempt named `attempt`, in proportion to the
+    /// weights.
+    #[must_use]
+    pub fn service_for(&self, attempt: &str, hasher: &RandomState) -> Option<&str> {
+        let total: u64 = self.split.iter().map(|one| u64::from(one.weight)).sum();
+        if total == 0 {
+            return self.split.first().map(|one| one.service.as_str());
+        }
+        let mut point = hasher.hash_one(attempt) % total;
+        for one in &self.split {
+            let weight = u64::from(one.weight);
+            if point < weight {
+                return Some(&one.service);
+            }
+            point -= weight;
+        }
+        None
+    }
+}
--- /dev/null
+++ b/components/dispatch/src/upstreams.rs
@@ -0,0 +1,215 @@
+//! What a node believes of each upstream: its own entry, and what calls show.
+
+use std::{
+    collections::HashMap,
+    net::SocketAddr,
+    time::{Duration, Instant},
+};
+
+use types::{ServiceName, UpstreamId, ZoneId};
+
+/// Time an upstream is left out after its first failure in a row.
+const EJECT_BASE: Duration = Duration::from_millis(400);
+/// Longest time an upstream is left out for failures.
+const EJECT_MAX: Duration = Duration::from_secs(8);
+/// Weight of the newest outcome in the failure average.
+const OUTCOME_WEIGHT: f64 = 0.2;
+/// Time for which a lapsed entry counts once the directory is back: entries of
+/// live upstreams return within about two seconds.
+const LAPSE_GRACE: Duration = Duration::from_millis(2200);
+
+/// What an upstream or the directory says of it.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct UpstreamEntry {
+    /// Names one life of the upstream, mostly.
+    pub id: UpstreamId,
+    /// Service it belongs to.
+    pub service: ServiceName,
+    /// Where it takes requests.
+    pub address: SocketAddr,
+    /// Availability zone it runs in.
+    pub zone: ZoneId,
+    /// Requests it runs at once.
+    pub places: u32,
+    /// Whether it takes new work.
+    pub state: UpstreamState,
+    /// Start of its process, in Unix milliseconds, where it says so.
+    pub started_ms: Option<u64>,
+}
+
+/// Whether an upstream takes new work.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum UpstreamState {
+    /// It takes new work.
+    Ready,
+    /// It finishes what it has and leaves.
+    Draining,
+}
+
+/// An entry with the evidence of calls to it.
+#[derive(Clone, Debug)]
+pub struct UpstreamView {
+    /// The newest entry.
+    pub entry: UpstreamEntry,
+    /// Failures in a row.
+    failures: u32,
+    /// Moving share of calls that failed, 0 to 1.
+    failure_share: f64,
+    /// Until when it is left out.
+    ejected_until: Option<Instant>,
+    /// Until when a lapsed entry still counts.
+    lapses_at: Option<Instant>,
+}
+
+/// All upstreams that the directory lists.
+#[derive(Debug, Default)]
+pub struct UpstreamTable {
+    views: HashMap<UpstreamId, UpstreamView>,
+}
+
+impl UpstreamView {
+    fn new(entry: UpstreamEntry) -> Self {
+        Self {
+            entry,
+            failures: 0,
+            failure_share: 0.0,
+            ejected_until: None,
+            lapses_at: None,
+        }
+    }
+
+    /// Whether failures keep it out at `now`.
+    #[must_use]
+    pub fn ejected(&self, now: Instant) -> bool {
+        self.ejected_until.is_some_and(|until| now < until)
+    }
+
+    /// Moving share of calls that failed, 0 to 1.
+    #[must_use]
+    pub fn failure_share(&self) -> f64 {
+        self.failure_share
+    }
+}
+
+impl UpstreamTable {
+    /// Takes over a new or changed entry.
+    pub fn upsert(&mut self, entry: UpstreamEntry) {
+        match self.views.get_mut(&entry.id) {
+            Some(view) if view.entry.started_ms == entry.started_ms => {
+                view.entry = entry;
+                view.lapses_at = None;
+            }
+            // A new life under the old id has none of the old one's record.
+            _ => {
+                self.views
+                    .insert(entry.id.clone(), UpstreamView::new(entry));
+            }
+        }
+    }
+
+    /// Forgets an upstream whose entry is gone; `lapsed` when entries may have
+    /// run out only because the directory was away.
+    pub fn remove(&mut self, now: Instant, id: &str, lapsed: bool) {
+        if !lapsed {
+            self.views.remove(id);
+        } else if let Some(view) = self.views.get_mut(id) {
+            view.lapses_at.get_or_insert(now + LAPSE_GRACE);
+        }
+    }
+
+    /// Replaces everything by a whole listing; `lapsed` as in
+    /// [`remove`](Self::remove).
+    pub fn replace(&mut self, now: Instant, entries: Vec<UpstreamEntry>, lapsed: bool) {
+        let listed: Vec<UpstreamId> = entries.iter().map(|entry| entry.id.clone()).collect();
+        let absent: Vec<UpstreamId> = self
+            .views
+            .keys()
+            .filter(|id| !listed.contains(id))
+            .cloned()
+            .collect();
+        for id in absent {
+            self.remove(now, &id, lapsed);
+        }
+        for entry in entries {
+            self.upsert(entry);
+        }
+    }
+
+    /// Drops lapsed entries that did not come back; returns their ids.
+    pub fn expire(&mut self, now: Instant) -> Vec<UpstreamId> {
+        let due = |view: &UpstreamView| view.lapses_at.is_some_and(|at| at <= now);
+        let gone: Vec<UpstreamId> = self
+            .views
+            .iter()
+            .filter(|(_, view)| due(view))
+            .map(|(id, _)| id.clone())
+            .collect();
+        for id in &gone {
+            self.views.remove(id);
+        }
+        gone
+    }
+
+    /// One upstream.
+    #[must_use]
+    pub fn get(&self, id: &str) -> Option<&UpstreamView> {
+        self.views.get(id)
+    }
+
+    /// How many upstreams are listed.
+    #[must_use]
+    pub fn len(&self) -> usize {
+        self.views.len()
+    }
+
+    /// Whether none is listed.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.views.is_empty()
+    }
+
+    /// Upstreams of `service` that may get new work, without those in
+    /// `excluded`. Ejected ones are left out while others remain.
+    #[must_use]
+    pub fn usable(
+        &self,
+        now: Instant,
+        service: &str,
+        excluded: &[UpstreamId],
+    ) -> Vec<&UpstreamView> {
+        let mut ready: Vec<&UpstreamView> = self
+            .views
+            .values()
+            .filter(|view| view.entry.service == service)
+            .filter(|view| view.entry.state == UpstreamState::Ready)
+            .filter(|view| !excluded.contains(&view.entry.id))
+            .collect();
+        ready.sort_by(|one, other| one.entry.id.cmp(&other.entry.id));
+        let healthy: Vec<&UpstreamView> = ready
+            .iter()
+            .copied()
+            .filter(|view| !view.ejected(now))
+            .collect();
+        if healthy.is_empty() { ready } else { healthy }
+    }
+
+    /// Notes a call that the upstream served.
+    pub fn note_success(&mut self, id: &str) {
+        if let Some(view) = self.views.get_mut(id) {
+            view.failures = 0;
+            view.ejected_until = None;
+            view.failure_share *= 1.0 - OUTCOME_WEIGHT;
+        }
+    }
+
+    /// Notes a call that failed; the upstream is left out for a while that
+    /// doubles with each failure in a row.
+    pub fn note_failure(&mut self, now: Instant, id: &str) {
+        if let Some(view) = self.views.get_mut(id) {
+            let doubled = EJECT_BASE * 2u32.saturating_pow(view.failures.min(8));
+            view.failures = view.failures.saturating_add(1);
+            view.failure_share += OUTCOME_WEIGHT * (1.0 - view.failure_share);
+            view.ejected_until = Some(now + doubled.min(EJECT_MAX));
+        }
+    }
+}
--- /dev/null
+++ b/components/gateway/src/answer.rs
@@ -0,0 +1,116 @@
+//! Answers to callers: the gateway's own, and bodies that are passed on.
+
+use std::{
+    convert::Infallible,
+    io,
+    pin::Pin,
+    task::{Context, Poll},
+    time::Duration,
+};
+
+use bytes::Bytes;
+use futures_lite::Stream;
+use http::{HeaderValue, Response, StatusCode, header};
+use http_body_util::Full;
+use hyper::body::{Body, Frame, SizeHint};
+
+type FrameStream = Pin<Box<dyn Stream<Item = io::Result<Bytes>>>>;
+
+/// Body of an answer to a caller.
+pub(crate) enum AnswerBody {
+    /// All bytes are here.
+    Whole(Full<Bytes>),
+    /// Bytes arrive from an upstream; an error cuts the connection.
+    Passed(FrameStream),
+}
+
+/// Why the gateway answers by itself.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum OwnAnswer {
+    /// The request did not run; the caller may come back after a time.
+    Refused(Duration),
+    /// No route serves the request.
+    NoRoute,
+    /// The key is not in force.
+    NoKey,
+    /// The request can't be read.
+    Unreadable,
+    /// The body is longer than allowed.
+    TooLarge,
+    /// The request may have run; its outcome is unknown.
+    Unknown,
+    /// Time ran out after the request was sent.
+    Overdue,
+}
+
+impl OwnAnswer {
+    pub(crate) fn status(self) -> StatusCode {
+        match self {
+            Self::Refused(_) => StatusCode::SERVICE_UNAVAILABLE,
+            Self::NoRoute => StatusCode::NOT_FOUND,
+            Self::NoKey => StatusCode::UNAUTHORIZED,
+            Self::Unreadable => StatusCode::BAD_REQUEST,
+            Self::TooLarge => StatusCode::PAYLOAD_TOO_LARGE,
+            Self::Unknown => StatusCode::BAD_GATEWAY,
+            Self::Overdue => StatusCode::GATEWAY_TIMEOUT,
+        }
+    }
+
+    pub(crate) fn into_response(self) -> Response<AnswerBody> {
+        let mut response = Response::new(AnswerBody::from(Bytes::new()));
+        *response.status_mut() = self.status();
+        if let Self::Refused(after) = self {
+            let text = format!("{:.2}", after.as_secs_f64());
+            if let Ok(value) = HeaderValue::from_str(&text) {
+                response.headers_mut().insert(header::RETRY_AFTER, value);
+            }
+        }
+        response
+    }
+}
+
+impl AnswerBody {
+    pub(crate) fn passed(stream: impl Stream<Item = io::Result<Bytes>> + 'static) -> Self {
+        Self::Passed(Box::pin(stream))
+    }
+}
+
+impl From<Bytes> for AnswerBody {
+    fn from(bytes: Bytes) -> Self {
+        Self::Whole(Full::new(bytes))
+    }
+}
+
+impl Body for AnswerBody {
+    type Data = Bytes;
+    type Error = io::Error;
+
+    fn poll_frame(
+        self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, io::Error>>> {
+        match self.get_mut() {
+            Self::Whole(full) => Pin::new(full)
+                .poll_frame(context)
+                .map_err(|never: Infallible| match never {}),
+            Self::Passed(stream) => stream
+                .as_mut()
+                .poll_next(context)
+                .map(|item| item.map(|bytes| bytes.map(Frame::data))),
+        }
+    }
+
+    fn is_end_stream(&self) -> bool {
+        match self {
+            Self::Whole(full) => full.is_end_stream(),
+            Self::Passed(_) => false,
+        }
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        match self {
+            Self::Whole(full) => full.size_hint(),
+            Self::Passed(_) => SizeHint::default(),
+        }
+    }
+}
--- /dev/null
+++ b/components/gateway/src/listen.rs
@@ -0,0 +1,192 @@
+//! Accepts connections of callers, of the platform and of other nodes.
+
+use std::{
+    convert::Infallible,
+    io,
+    net::{SocketAddr, TcpListener, TcpStream},
+    pin::pin,
+    rc::Rc,
+    time::Duration,
+};
+
+use bytes::Bytes;
+use futures_lite::future::{or, poll_fn};
+use http::{Request, Response, StatusCode, header};
+use hyper::{body::Incoming, server::conn::http1::Builder, service::service_fn};
+use smol::Async;
+use smol_hyper::rt::{FuturesIo, SmolTimer};
+
+use crate::{answer::AnswerBody, forward::forward, peers::answer_peer, state::Gateway};
+
+/// Smallest read buffer that the HTTP library accepts.
+const BUFFER_MIN: usize = 8 << 10;
+/// Connections that wait to be accepted, as the system allows by default.
+const BACKLOG_PAUSE: Duration = Duration::from_millis(20);
+/// Time beyond the callers' idle limit before a connection is closed, so that
+/// a request that is on its way meets an open one.
+const IDLE_MARGIN: Duration = Duration::from_secs(2);
+/// Part of the time to stop after which no connection is accepted and idle
+/// ones are closed: address answers have run out by then.
+const CLOSING_SHARE: f64 = 0.72;
+
+/// What a listener serves.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum ListenRole {
+    /// Callers' requests.
+    Callers,
+    /// The platform's question whether the node takes callers.
+    Readiness,
+    /// Callers that ask for addresses.
+    Directory,
+    /// Other nodes.
+    Peers,
+    /// Readers of metrics.
+    Metrics,
+}
+
+/// Accepts connections on `address` until the gateway ends.
+pub(crate) async fn listen(
+    gateway: Rc<Gateway>,
+    address: SocketAddr,
+    role: ListenRole,
+) -> io::Result<()> {
+    let listener = Async::<TcpListener>::bind(address)?;
+    loop {
+        match listener.accept().await {
+            Ok((socket, _)) => {
+                if role == ListenRole::Callers && closing(&gateway) {
+                    return Ok(());
+                }
+                let served = serve(Rc::clone(&gateway), socket, role);
+                gateway.executor.spawn(served).detach();
+            }
+            Err(error) => {
+                log::warn!("event=accept_failed address={address} error=\"{error}\"");
+                gateway.clock.sleep(BACKLOG_PAUSE).await;
+            }
+        }
+    }
+}
+
+/// Whether the node stops and address answers that name it have run out.
+pub(crate) fn closing(gateway: &Gateway) -> bool {
+    gateway.leaving.get().is_some_and(|since| {
+        let passed = gateway.now().saturating_duration_since(since);
+        passed >= gateway.settings.grace.mul_f64(CLOSING_SHARE)
+    })
+}
+
+async fn serve(gateway: Rc<Gateway>, socket: Async<TcpStream>, role: ListenRole) {
+    if let Err(error) = socket.get_ref().set_nodelay(true) {
+        log::debug!("event=option_failed error=\"{error}\"");
+    }
+    let limits = gateway.routes.borrow().state().limits;
+    let answering = Rc::clone(&gateway);
+    let service = service_fn(move |request| {
+        let gateway = Rc::clone(&answering);
+        async move { Ok::<_, Infallible>(answer(gateway, request, role).await) }
+    });
+    let connection = Builder::new()
+        .timer(SmolTimer::new())
+        .header_read_timeout(limits.idle_time + IDLE_MARGIN)
+        .max_buf_size(limits.head_bytes.max(BUFFER_MIN))
+        .auto_date_header(false)
+        .serve_connection(FuturesIo::new(socket), service);
+    let mut connection = pin!(connection);
+    let _open = (role == ListenRole::Callers).then(|| OpenCaller::new(&gateway));
+    let ended = or(
+        async { Some(poll_fn(|context| connection.as_mut().poll(context)).await) },
+        async {
+            wait_for_closing(&gateway).await;
+            None
+        },
+    )
+    .await;
+    let result = if let Some(result) = ended {
+        result
+    } else {
+        connection.as_mut().graceful_shutdown();
+        connection.await
+    };
+    if let Err(error) = result {
+        log::debug!("event=caller_connection_ended role={role:?} error=\"{error}\"");
+    }
+}
+
+async fn wait_for_closing(gateway: &Gateway) {
+    gateway.stopping.recv().await.ok();
+}
+
+async fn answer(
+    gateway: Rc<Gateway>,
+    request: Request<Incoming>,
+    role: ListenRole,
+) -> Response<AnswerBody> {
+    match role {
+        ListenRole::Callers => forward(gateway, request).await,
+        ListenRole::Readiness => answer_readiness(&gateway, &request),
+        ListenRole::Directory => answer_addresses(&gateway, &request),
+        ListenRole::Peers => answer_peer(&gateway, &request),
+        ListenRole::Metrics => answer_metrics(&gateway),
+    }
+}
+
+fn answer_readiness(gateway: &Gateway, request: &Request<Incoming>) -> Response<AnswerBody> {
+    let status = if !gateway.dialect.asks_readiness(request.uri()) {
+        StatusCode::NOT_FOUND
+    } else if gateway.ready() {
+        StatusCode::OK
+    } else {
+        StatusCode::SERVICE_UNAVAILABLE
+    };
+    empty(status)
+}
+
+fn answer_addresses(gateway: &Gateway, request: &Request<Incoming>) -> Response<AnswerBody> {
+    if !gateway.dialect.asks_addresses(request.uri()) {
+        return empty(StatusCode::NOT_FOUND);
+    }
+    let own = gateway.ready().then_some(gateway.settings.callers);
+    let addresses = gateway.roster.borrow().addresses(gateway.now(), own);
+    if addresses.is_empty() {
+        return empty(StatusCode::SERVICE_UNAVAILABLE);
+    }
+    let lifetime = gateway.settings.address_lifetime;
+    let body = gateway.dialect.address_answer(&addresses, lifetime);
+    let mut response = Response::new(AnswerBody::from(body));
+    let json = http::HeaderValue::from_static("application/json");
+    response.headers_mut().insert(header::CONTENT_TYPE, json);
+    response
+}
+
+fn answer_metrics(gateway: &Gateway) -> Response<AnswerBody> {
+    let text = gateway.metrics.encode();
+    Response::new(AnswerBody::from(Bytes::from(text)))
+}
+
+fn empty(status: StatusCode) -> Response<AnswerBody> {
+    let mut response = Response::new(AnswerBody::from(Bytes::new()));
+    *response.status_mut() = status;
+    response
+}
+
+/// Counts a caller's connection while it is open.
+struct OpenCaller {
+    gateway: Rc<Gateway>,
+}
+
+impl OpenCaller {
+    fn new(gateway: &Rc<Gateway>) -> Self {
+        gateway.callers.set(gateway.callers.get() + 1);
+        Self {
+            gateway: Rc::clone(gateway),
+        }
+    }
+}
+
+impl Drop for OpenCaller {
+    fn drop(&mut self) {
+        let open = self.gateway.callers.get();
+        self.gateway.callers.set(open.saturating_sub(1));
+    }
+}
--- /dev/null
+++ b/components/gateway/src/metrics.rs
@@ -0,0 +1,77 @@
+//! Counters and histograms of a gateway, in the `OpenMetrics` format.
+
+use std::time::Duration;
+
+use prometheus_client::{
+    encoding::{EncodeLabelSet, text::encode},
+    metrics::{
+        counter::Counter,
+        family::Family,
+        histogram::{Histogram, exponential_buckets},
+    },
+    registry::Registry,
+};
+
+/// Labels of a finished request.
+#[derive(Clone, Debug, Eq, Hash, PartialEq)]
+#[derive(EncodeLabelSet)]
+pub(crate) struct OutcomeLabels {
+    /// Service that the route names; empty when there was none.
+    pub(crate) service: String,
+    /// HTTP status that the caller got.
+    pub(crate) status: u16,
+    /// `upstream` or `gateway`: who made the answer.
+    pub(crate) source: String,
+}
+
+/// Every metric of a gateway.
+#[derive(Debug)]
+pub(crate) struct GatewayMetrics {
+    registry: Registry,
+    /// Requests answered.
+    pub(crate) requests: Family<OutcomeLabels, Counter>,
+    /// Seconds from a request's head to its answer's.
+    pub(crate) answer_seconds: Histogram,
+    /// Sends to a further upstream.
+    pub(crate) retries: Counter,
+}
+
+impl GatewayMetrics {
+    pub(crate) fn new() -> Self {
+        let mut registry = Registry::with_prefix("gentiantally_gateway");
+        let requests = Family::<OutcomeLabels, Counter>::default();
+        let answer_seconds = Histogram::new(exponential_buckets(0.004, 2.0, 13));
+        let retries = Counter::default();
+        registry.register("requests", "Requests answered", requests.clone());
+        registry.register(
+            "answer_seconds",
+            "Time from a request's head to its answer's",
+            answer_seconds.clone(),
+        );
+        registry.register("retries", "Sends to a further upstream", retries.clone());
+        Self {
+            registry,
+            requests,
+            answer_seconds,
+            retries,
+        }
+    }
+
+    pub(crate) fn note_answer(&self, service: &str, status: u16, own: bool, time: Duration) {
+        let labels = OutcomeLabels {
+            service: service.to_owned(),
+            status,
+            source: if own { "gateway" } else { "upstream" }.to_owned(),
+        };
+        self.requests.get_or_create(&labels).inc();
+        self.answer_seconds.observe(time.as_secs_f64());
+    }
+
+    pub(crate) fn encode(&self) -> String {
+        let mut text = String::new();
+        if let Err(error) = encode(&mut text, &self.registry) {
+            log::error!("event=metrics_unencodable error=\"{error}\"");
+        }
+        text
+    }
+}
--- /dev/null
+++ b/components/gateway/src/peers.rs
@@ -0,0 +1,227 @@
+//! What nodes tell each other: that they live, what they have at engines, and
+//! the desired state while the store turns one of them away.
+
+use std::{
+    net::{SocketAddr, UdpSocket},
+    rc::Rc,
+    time::Duration,
+};
+
+use bytes::Bytes;
+use dispatch::{CrashFingerprint, FeedSource, PeerLoad, ReadNotice, RosterEntry};
+use http::{Method, Request, Response, StatusCode};
+use hyper::body::Incoming;
+use serde::{Deserialize, Serialize};
+use smol::{Async, channel::Receiver};
+use types::{NodeId, UpstreamId};
+
+use crate::{
+    PlainCall, answer::AnswerBody, client::PlainCaller, state::Gateway, sync::take_desired,
+};
+
+/// Pause between two summaries to all nodes of a small fleet.
+const SUMMARY_PAUSE: Duration = Duration::from_millis(300);
+/// Datagrams that a node sends a second at most for its summaries, whatever
+/// the size of the fleet.
+const SUMMARIES_PER_SECOND: u32 = 60;
+/// Longest pause between two summaries, below the silence that takes a node
+/// out of address answers.
+const SUMMARY_PAUSE_MAX: Duration = Duration::from_millis(700);
+/// Largest datagram: one that fits a usual packet.
+const DATAGRAM_MAX: usize = 1400;
+/// Time for another node to hand out the desired state.
+const FETCH_TIME: Duration = Duration::from_millis(800);
+/// Path of a node's copy of the desired state, among nodes.
+const DESIRED_PATH: &str = "/peers/desired";
+
+/// One datagram between nodes.
+#[derive(Clone, Debug)]
+#[derive(Deserialize, Serialize)]
+pub(crate) enum PeerNews {
+    /// The sender lives.
+    Summary(PeerSummary),
+    /// Engines start to read a prompt.
+    Reading(ReadNotice),
+    /// A request broke an upstream off.
+    Crash(CrashFingerprint, UpstreamId),
+    /// The sender leaves.
+    Left(NodeId, u64),
+}
+
+/// What a node says of itself at regular times.
+#[derive(Clone, Debug)]
+#[derive(Deserialize, Serialize)]
+pub(crate) struct PeerSummary {
+    pub(crate) entry: RosterEntry,
+    /// Version of the desired state in force there.
+    pub(crate) desired: Option<u64>,
+    pub(crate) loads: Vec<PeerLoad>,
+}
+
+/// The row of a node whose desired state is passed on.
+#[derive(Debug)]
+#[derive(Deserialize, Serialize)]
+struct DesiredRow {
+    key: String,
+    value: Vec<u8>,
+}
+
+/// Sends what other tasks have to tell.
+pub(crate) async fn send_news(
+    gateway: Rc<Gateway>,
+    socket: Rc<Async<UdpSocket>>,
+    news: Receiver<PeerNews>,
+) {
+    while let Ok(news) = news.recv().await {
+        broadcast(&gateway, &socket, &news).await;
+    }
+}
+
+/// Sends this node's summary at regular times.
+pub(crate) async fn send_summaries(gateway: Rc<Gateway>, socket: Rc<Async<UdpSocket>>) {
+    loop {
+        let size = broadcast(&gateway, &socket, &own_summary(&gateway)).await;
+        let spread = Duration::from_secs(1) * size / SUMMARIES_PER_SECOND;
+        let pause = spread.clamp(SUMMARY_PAUSE, SUMMARY_PAUSE_MAX);
+        gateway.clock.sleep(pause).await;
+    }
+}
+
+fn own_summary(gateway: &Gateway) -> PeerNews {
+    PeerNews::Summary(PeerSummary {
+        entry: gateway.own_entry(),
+        desired: gateway.desired.borrow().version(),
+        loads: gateway.loads.borrow().summary(),
+    })
+}
+
+/// Sends to every known node; returns how many there are.
+async fn broadcast(gateway: &Gateway, socket: &Async<UdpSocket>, news: &PeerNews) -> u32 {
+    let mut targets: Vec<SocketAddr> = gateway
+        .roster
+        .borrow()
+        .members()
+        .map(|entry| entry.peers)
+        .collect();
+    let own = gateway.settings.peers;
+    for seed in &gateway.settings.seeds {
+        if *seed != own && !targets.contains(seed) {
+            targets.push(*seed);
+        }
+    }
+    let size = u32::try_from(targets.len()).unwrap_or(u32::MAX);
+    let Ok(bytes) = postcard::to_stdvec(news) else {
+        log::error!("event=news_unencodable");
+        return size;
+    };
+    if bytes.len() > DATAGRAM_MAX {
+        log::warn!("event=news_too_long bytes={}", bytes.len());
+    }
+    for target in targets {
+        if let Err(error) = socket.send_to(&bytes, target).await {
+            log::debug!("event=datagram_failed peer={target} error=\"{error}\"");
+        }
+    }
+    size
+}
+
+/// Takes in other nodes' datagrams.
+pub(crate) async fn receive_news(gateway: Rc<Gateway>, socket: Rc<Async<UdpSocket>>) {
+    let mut buffer = vec![0; 4 * DATAGRAM_MAX];
+    loop {
+        let received = socket.recv_from(&mut buffer).await;
+        let (size, from) = match received {
+            Ok(received) => received,
+            Err(error) => {
+                log::debug!("event=datagram_receive_failed error=\"{error}\"");
+                continue;
+            }
+        };
+        match postcard::from_bytes::<PeerNews>(&buffer[..size]) {
+            Ok(news) => take_news(&gateway, news),
+            Err(error) => log::warn!("event=datagram_unreadable peer={from} error=\"{error}\""),
+        }
+    }
+}
+
+fn take_news(gateway: &Rc<Gateway>, news: PeerNews) {
+    let now = gateway.now();
+    match news {
+        PeerNews::Summary(summary) => take_summary(gateway, summary),
+        PeerNews::Reading(notice) => gateway.loads.borrow_mut().note_reading(now, &notice),
+        PeerNews::Crash(fingerprint, upstream) => {
+            let mut quarantine = gateway.quarantine.borrow_mut();
+            quarantine.note_crash(now, fingerprint, &upstream);
+        }
+        PeerNews::Left(node, life) => {
+            log::info!("event=node_left node={node}");
+            gateway.roster.borrow_mut().note_left(&node, life);
+            gateway.loads.borrow_mut().forget_peer(&node);
+        }
+    }
+}
+
+fn take_summary(gateway: &Rc<Gateway>, summary: PeerSummary) {
+    if summary.entry.node == gateway.settings.node {
+        return;
+    }
+    let now = gateway.now();
+    let known = gateway.desired.borrow().version();
+    let peer = summary.entry.peers;
+    let node = summary.entry.node.clone();
+    gateway.roster.borrow_mut().note_heard(now, summary.entry);
+    let mut loads = gateway.loads.borrow_mut();
+    loads.note_peer(now, &node, summary.loads);
+    drop(loads);
+    let behind = summary.desired > known;
+    // The store's own feed is quicker while it works.
+    if behind && (known.is_none() || gateway.desired.borrow().failing()) {
+        let fetch = fetch_desired(Rc::clone(gateway), peer);
+        gateway.executor.spawn(fetch).detach();
+    }
+}
+
+async fn fetch_desired(gateway: Rc<Gateway>, peer: SocketAddr) {
+    let mut caller = PlainCaller::new(Rc::clone(&gateway.executor), peer);
+    let call = PlainCall {
+        method: Method::GET,
+        target: DESIRED_PATH.to_owned(),
+        body: Bytes::new(),
+    };
+    let answer = gateway.clock.timeout(FETCH_TIME, caller.call(call)).await;
+    let body = match answer {
+        Some(Ok((StatusCode::OK, body))) => body,
+        other => {
+            log::warn!("event=peer_fetch_failed peer={peer} answer={other:?}");
+            return;
+        }
+    };
+    match postcard::from_bytes::<DesiredRow>(&body) {
+        Ok(row) => take_desired(&gateway, &row.key, &row.value.into(), FeedSource::Peer),
+        Err(error) => log::warn!("event=peer_row_unreadable peer={peer} error=\"{error}\""),
+    }
+}
+
+/// Answers other nodes' calls.
+pub(crate) fn answer_peer(
+    gateway: &Gateway,
+    request: &Request<Incoming>,
+) -> Response<AnswerBody> {
+    let row = gateway.desired_row.borrow();
+    let found = row
+        .as_ref()
+        .filter(|_| request.uri().path() == DESIRED_PATH);
+    let encoded = found.and_then(|(key, value)| {
+        let row = DesiredRow {
+            key: key.clone(),
+            value: value.to_vec(),
+        };
+        postcard::to_stdvec(&row).ok()
+    });
+    let mut response = Response::new(AnswerBody::from(Bytes::new()));
+    match encoded {
+        Some(bytes) => *response.body_mut() = AnswerBody::from(Bytes::from(bytes)),
+        None => *response.status_mut() = StatusCode::NOT_FOUND,
+    }
+    response
+}
--- /dev/null
+++ b/components/gateway/src/relay.rs
@@ -0,0 +1,241 @@
+//! Passes answers on as they arrive, and goes on with a broken stream
+//! elsewhere.
+
+use std::{
+    io,
+    rc::Rc,
+    time::{Duration, Instant},
+};
+
+use bytes::Bytes;
+use futures_lite::stream;
+use http::{Response, response::Parts};
+use http_body_util::BodyExt;
+use hyper::body::Incoming;
+use types::UpstreamId;
+
+use crate::{
+    AnswerHead, EventCursor,
+    answer::AnswerBody,
+    attempt::{Leg, SendOutcome, clean_headers, may_resume, place_again, stream_silence},
+    client::ClientConnection,
+    forward::ForwardJob,
+    state::Gateway,
+};
+
+/// Time for the head of the answer that a stream goes on with.
+const RESUME_TIME: Duration = Duration::from_millis(900);
+
+/// A stream of events on its way to a caller.
+pub(crate) struct StreamRelay {
+    gateway: Rc<Gateway>,
+    job: Rc<ForwardJob>,
+    cursor: EventCursor,
+    parts: Option<Parts>,
+    body: Incoming,
+    leg: Leg,
+    connection: ClientConnection,
+    tried: Vec<UpstreamId>,
+    sends: u32,
+    ended: bool,
+}
+
+impl StreamRelay {
+    pub(crate) fn new(
+        gateway: &Rc<Gateway>,
+        job: &Rc<ForwardJob>,
+        leg: Leg,
+        connection: ClientConnection,
+        response: Response<Incoming>,
+        _head: &AnswerHead,
+    ) -> Self {
+        let (mut parts, body) = response.into_parts();
+        clean_headers(&mut parts.headers);
+        // Another upstream may end the stream, so its length isn't known.
+        parts.headers.remove(http::header::CONTENT_LENGTH);
+        let last = job.call.resume_after.as_deref();
+        Self {
+            cursor: EventCursor::new(last.and_then(|id| id.parse().ok())),
+            gateway: Rc::clone(gateway),
+            job: Rc::clone(job),
+            parts: Some(parts),
+            body,
+            tried: vec![leg.upstream.clone()],
+            leg,
+            connection: connection,
+            sends: 1,
+            ended: false,
+        }
+    }
+
+    /// Waits for the first event, since until then the request may still be
+    /// sent elsewhere as a whole, and answers with the stream.
+    pub(crate) async fn into_outcome(mut self) -> SendOutcome {
+        let first = match self.next_events().await {
+            Ok(first) => first,
+            Err(error) => {
+                log::debug!("event=no_first_event error=\"{error}\"");
+                return SendOutcome::Lost;
+            }
+        };
+        self.leg.note_success(&self.gateway);
+        let Some(parts) = self.parts.take() else {
+            return SendOutcome::Lost;
+        };
+        let Some(first) = first else {
+            return SendOutcome::Answered(Response::from_parts(parts, AnswerBody::from(Bytes::new())));
+        };
+        let rest = stream::unfold(self, |mut relay| async move {
+            if relay.ended {
+                return None;
+            }
+            match relay.next_or_resume().await {
+                Ok(Some(events)) => Some((Ok(events), relay)),
+                Ok(None) => None,
+                Err(error) => {
+                    relay.ended = true;
+                    Some((Err(error), relay))
+                }
+            }
+        });
+        let events = stream::StreamExt::chain(stream::once(Ok(first)), rest);
+        SendOutcome::Answered(Response::from_parts(parts, AnswerBody::passed(events)))
+    }
+
+    async fn next_or_resume(&mut self) -> io::Result<Option<Bytes>> {
+        loop {
+            let error = match self.next_events().await {
+                Ok(events) => return Ok(events),
+                Err(error) => error,
+            };
+            log::warn!(
+                "event=stream_broken request={} upstream={} last_event={:?} error=\"{error}\"",
+                self.job.call.attempt,
+                self.leg.upstream,
+                self.cursor.last(),
+            );
+            self.resume().await?;
+        }
+    }
+
+    /// The next whole events; `None` at the stream's end.
+    async fn next_events(&mut self) -> io::Result<Option<Bytes>> {
+        let silence = stream_silence(&self.job);
+        loop {
+            let left = self.time_left();
+            let frame = self.gateway.clock.timeout(silence.min(left), self.body.frame());
+            let frame = match frame.await {
+                Some(Some(Ok(frame))) => frame,
+                Some(Some(Err(error))) => {
+                    self.leg.note_crash(&self.gateway, &self.job, "stream cut");
+                    return Err(io::Error::other(error));
+                }
+                Some(None) if self.cursor.at_border() => return Ok(None),
+                Some(None) => return Err(io::ErrorKind::UnexpectedEof.into()),
+                None => {
+                    self.leg.note_failure(&self.gateway, &self.job, "stream silent");
+                    return Err(io::ErrorKind::TimedOut.into());
+                }
+            };
+            let Ok(data) = frame.into_data() else {
+                continue;
+            };
+            let events = self
+                .cursor
+                .push(&data)
+                .map_err(|fault| io::Error::other(format!("{fault:?}")))?;
+            if !events.is_empty() {
+                return Ok(Some(events));
+            }
+        }
+    }
+
+    /// Has another upstream go on after the last whole event.
+    async fn resume(&mut self) -> io::Result<()> {
+        loop {
+            if !may_resume(&self.gateway, &self.job, self.sends) {
+                return Err(io::Error::other("the stream can't be resumed"));
+            }
+            self.sends += 1;
+            if self.resume_once().await {
+                return Ok(());
+            }
+        }
+    }
+
+    async fn resume_once(&mut self) -> bool {
+        let Some(placed) = place_again(&self.gateway, &self.job, &self.tried) else {
+            return false;
+        };
+        self.tried.push(placed.first.clone());
+        let Some(leg) = Leg::start(&self.gateway, &self.job, &placed) else {
+            return false;
+        };
+        let last = self.cursor.last().map(|id| id.to_string());
+        let Ok(request) = leg.request(&self.gateway, &self.job, last.as_deref()) else {
+            return false;
+        };
+        let mut connection = match leg.connect(&self.gateway, &self.job).await {
+            Ok(connection) => connection,
+            Err(error) => {
+                leg.note_failure(&self.gateway, &self.job, &error.to_string());
+                return false;
+            }
+        };
+        let limit = (RESUME_TIME + placed.read * 2).min(self.time_left());
+        let answer = self.gateway.clock.timeout(limit, connection.send(request));
+        let Some(Ok(response)) = answer.await else {
+            leg.note_failure(&self.gateway, &self.job, "no answer to resume");
+            return false;
+        };
+        let head = self
+            .gateway
+            .dialect
+            .read_answer(response.status(), response.headers());
+        let own = head.attempt.is_none_or(|one| one == self.job.call.attempt);
+        if !response.status().is_success() || !head.signed || !own {
+            leg.note_shed(&self.gateway);
+            return false;
+        }
+        log::info!(
+            "event=stream_resumed request={} upstream={} last_event={last:?}",
+            self.job.call.attempt,
+            leg.upstream,
+        );
+        self.cursor.resume();
+        self.body = response.into_body();
+        self.leg = leg;
+        self.connection = connection;
+        true
+    }
+
+    fn time_left(&self) -> Duration {
+        self.job
+            .deadline
+            .saturating_duration_since(self.gateway.now())
+    }
+}
+
+/// Passes on a long plain answer until `deadline`.
+pub(crate) fn relay_plain(
+    gateway: Rc<Gateway>,
+    body: Incoming,
+    leg: Leg,
+    connection: ClientConnection,
+    deadline: Instant,
+) -> AnswerBody {
+    let state = Some((gateway, body, leg, connection));
+    AnswerBody::passed(stream::unfold(state, move |state| async move {
+        let (gateway, mut body, leg, connection) = state?;
+        let left = deadline.saturating_duration_since(gateway.now());
+        match gateway.clock.timeout(left, body.frame()).await {
+            Some(Some(Ok(frame))) => {
+                let data = frame.into_data().unwrap_or_default();
+                Some((Ok(data), Some((gateway, body, leg, connection))))
+            }
+            Some(None) => None,
+            Some(Some(Err(error))) => Some((Err(io::Error::other(error)), None)),
+            None => Some((Err(io::ErrorKind::TimedOut.into()), None)),
+        }
+    }))
+}
--- a/components/telemetry/src/lib.rs
+++ b/components/telemetry/src/lib.rs
@@ -4,10 +4,12 @@
 //! are served in the `OpenMetrics` format. Spans, one for each hop of a
 //! request, stay in a bounded store that operators can query.
 
+mod bounded;
 mod logs;
 mod metrics;
 mod spans;
 
+pub use bounded::init_bounded_logs;
 pub use logs::init_logs;
 pub use metrics::{
     LengthLabels, NodeMetrics, OutcomeLabels, PeerLabels, RouteLabels, length_bucket,
