Bound lapsed entries by the store's return; tell other nodes who leaves

Nodes now also tell each other of leaving upstreams, ordered by the directory's version. A request is quarantined after three crashes, and an answer from the upstream shows that only a connection had broken.

--- a/components/dispatch/src/feed.rs
+++ b/components/dispatch/src/feed.rs
@@ -71,12 +71,11 @@
         self.store_failing_since.is_some()
     }
 
-    /// Whether entries may be missing only because the store was away.
+    /// Until when entries may be missing only because the store was away;
+    /// `None` when a missing entry is gone.
     #[must_use]
-    pub fn recovering(&self, now: Instant) -> bool {
-        self.failing()
-            || self
-                .store_back
-                .is_some_and(|back| now.duration_since(back) < RETURN_TIME)
+    pub fn lapses_until(&self, now: Instant) -> Option<Instant> {
+        let until = self.store_back? + RETURN_TIME;
+        (now < until).then_some(until)
     }
 }
--- a/components/dispatch/src/quarantine.rs
+++ b/components/dispatch/src/quarantine.rs
@@ -8,7 +8,10 @@
 use types::UpstreamId;
 
 /// Upstreams that a request may crash before it is refused.
-const CRASHES_MAX: usize = 2;
+const CRASHES_MAX: usize = 3;
+/// Time within which an upstream that crashed can't be back, so that an answer
+/// from it shows that it did not crash.
+const RESTART_MIN: Duration = Duration::from_millis(1500);
 /// Time for which a request that crashed upstreams is refused.
 const QUARANTINE_TIME: Duration = Duration::from_secs(60);
 
@@ -18,7 +21,7 @@
 /// Requests and the upstreams they are suspected to have crashed.
 #[derive(Debug, Default)]
 pub struct QuarantineList {
-    suspects: HashMap<CrashFingerprint, (Instant, Vec<UpstreamId>)>,
+    suspects: HashMap<CrashFingerprint, (Instant, Vec<(Instant, UpstreamId)>)>,
 }
 
 impl QuarantineList {
@@ -34,13 +37,22 @@
             .retain(|_, (last, _)| now.duration_since(*last) < QUARANTINE_TIME);
         let (last, upstreams) = self.suspects.entry(fingerprint).or_insert((now, Vec::new()));
         *last = now;
-        if upstreams.iter().any(|one| one == upstream) {
+        if upstreams.iter().any(|(_, one)| one == upstream) {
             return false;
         }
-        upstreams.push(upstream.to_owned());
+        upstreams.push((now, upstream.to_owned()));
         true
     }
 
+    /// Notes an answer of `upstream`: only a connection to it had broken.
+    pub fn absolve(&mut self, now: Instant, upstream: &str) {
+        for (_, upstreams) in self.suspects.values_mut() {
+            upstreams.retain(|(crashed, one)| {
+                one != upstream || now.duration_since(*crashed) > RESTART_MIN
+            });
+        }
+    }
+
     /// Whether the request has crashed too many upstreams to be sent again.
     #[must_use]
     pub fn holds(&self, now: Instant, fingerprint: CrashFingerprint) -> bool {
--- a/components/dispatch/src/upstreams.rs
+++ b/components/dispatch/src/upstreams.rs
@@ -14,9 +14,6 @@
 const EJECT_MAX: Duration = Duration::from_secs(8);
 /// Weight of the newest outcome in the failure average.
 const OUTCOME_WEIGHT: f64 = 0.2;
-/// Time for which a lapsed entry counts once the directory is back: entries of
-/// live upstreams return within about two seconds.
-const LAPSE_GRACE: Duration = Duration::from_millis(2200);
 
 /// What an upstream or the directory says of it.
 #[derive(Clone, Debug, Eq, PartialEq)]
@@ -35,6 +32,8 @@
     pub state: UpstreamState,
     /// Start of its process, in Unix milliseconds, where it says so.
     pub started_ms: Option<u64>,
+    /// Version of the directory that the entry was written in.
+    pub version: u64,
 }
 
 /// Whether an upstream takes new work.
@@ -92,9 +91,10 @@
 }
 
 impl UpstreamTable {
-    /// Takes over a new or changed entry.
+    /// Takes over a new or changed entry, unless a newer one is known.
     pub fn upsert(&mut self, entry: UpstreamEntry) {
         match self.views.get_mut(&entry.id) {
+            Some(view) if view.entry.version > entry.version => {}
             Some(view) if view.entry.started_ms == entry.started_ms => {
                 view.entry = entry;
                 view.lapses_at = None;
@@ -107,19 +107,34 @@
         }
     }
 
-    /// Forgets an upstream whose entry is gone; `lapsed` when entries may have
-    /// run out only because the directory was away.
-    pub fn remove(&mut self, now: Instant, id: &str, lapsed: bool) {
-        if !lapsed {
-            self.views.remove(id);
-        } else if let Some(view) = self.views.get_mut(id) {
-            view.lapses_at.get_or_insert(now + LAPSE_GRACE);
+    /// Forgets an upstream whose entry is gone; until `lapse` it still counts,
+    /// where its entry may have run out only because the directory was away.
+    pub fn remove(&mut self, id: &str, lapse: Option<Instant>) {
+        match (lapse, self.views.get_mut(id)) {
+            (Some(until), Some(view)) => view.lapses_at = Some(until),
+            _ => {
+                self.views.remove(id);
+            }
         }
     }
 
-    /// Replaces everything by a whole listing; `lapsed` as in
+    /// Takes over from another node that an upstream leaves, as of `version`
+    /// of the directory; returns whether that is news.
+    pub fn note_leaving(&mut self, id: &str, version: u64) -> bool {
+        let Some(view) = self.views.get_mut(id) else {
+            return false;
+        };
+        if view.entry.version >= version || view.entry.state == UpstreamState::Draining {
+            return false;
+        }
+        view.entry.state = UpstreamState::Draining;
+        view.entry.version = version;
+        true
+    }
+
+    /// Replaces everything by a whole listing; `lapse` as in
     /// [`remove`](Self::remove).
-    pub fn replace(&mut self, now: Instant, entries: Vec<UpstreamEntry>, lapsed: bool) {
+    pub fn replace(&mut self, entries: Vec<UpstreamEntry>, lapse: Option<Instant>) {
         let listed: Vec<UpstreamId> = entries.iter().map(|entry| entry.id.clone()).collect();
         let absent: Vec<UpstreamId> = self
             .views
@@ -128,7 +143,7 @@
             .cloned()
             .collect();
         for id in absent {
-            self.remove(now, &id, lapsed);
+            self.remove(&id, lapse);
         }
         for entry in entries {
             self.upsert(entry);
@@ -156,6 +171,13 @@
         self.views.get(id)
     }
 
+    /// The upstream at `address`.
+    #[must_use]
+    pub fn at(&self, address: SocketAddr) -> Option<&UpstreamView> {
+        let mut views = self.views.values();
+        views.find(|view| view.entry.address == address)
+    }
+
     /// How many upstreams are listed.
     #[must_use]
     pub fn len(&self) -> usize {
--- a/components/gateway/src/attempt.rs
+++ b/components/gateway/src/attempt.rs
@@ -325,7 +325,7 @@
             status.as_u16(),
             head.at_fault.as_deref().unwrap_or("-"),
         );
-        leg.note_shed(gateway);
+        leg.note_at_fault(gateway, head.at_fault.as_deref());
         return SendOutcome::NotRun;
     }
     if status.is_success() && (!head.signed || head.encoded) {
@@ -522,7 +522,18 @@
     }
 
     pub(crate) fn note_success(&self, gateway: &Gateway) {
+        let now = gateway.now();
         gateway.upstreams.borrow_mut().note_success(&self.upstream);
+        gateway.quarantine.borrow_mut().absolve(now, &self.upstream);
+    }
+
+    /// Leaves out the upstream that an answer names, or else the one asked.
+    fn note_at_fault(&self, gateway: &Gateway, at_fault: Option<&str>) {
+        let address = at_fault.and_then(|text| text.parse().ok());
+        let mut upstreams = gateway.upstreams.borrow_mut();
+        let named = address.and_then(|address| upstreams.at(address));
+        let id = named.map_or_else(|| self.upstream.clone(), |view| view.entry.id.clone());
+        upstreams.note_failure(gateway.now(), &id);
     }
 
     /// A full upstream is left out for a moment.
--- a/components/gateway/src/daemon.rs
+++ b/components/gateway/src/daemon.rs
@@ -30,7 +30,7 @@
 /// Pause between two looks at what has grown old.
 const SWEEP_PAUSE: Duration = Duration::from_secs(1);
 /// Part of the time to stop that is left for the last answers to get out.
-const END_SHARE: f64 = 0.95;
+const END_SHARE: f64 = 0.92;
 /// Pause between two looks at whether everything has ended.
 const STOP_PAUSE: Duration = Duration::from_millis(50);
 
--- a/components/gateway/src/edge.rs
+++ b/components/gateway/src/edge.rs
@@ -57,7 +57,12 @@
     /// # Errors
     ///
     /// Says what can't be read.
-    fn read_upstream(&self, key: &str, value: &[u8]) -> Result<UpstreamEntry, String>;
+    fn read_upstream(
+        &self,
+        key: &str,
+        version: u64,
+        value: &[u8],
+    ) -> Result<UpstreamEntry, String>;
 
     /// An order to an engine.
     fn engine_call(&self, call: &EngineCall<'_>) -> PlainCall;
@@ -112,6 +117,8 @@
     pub key: String,
     /// Its value; `None` when the row is gone.
     pub value: Option<Bytes>,
+    /// Version that it was written or removed in.
+    pub version: u64,
 }
 
 /// What the head of a caller's request says.
--- a/components/gateway/src/forward.rs
+++ b/components/gateway/src/forward.rs
@@ -66,6 +66,10 @@
     let (response, own) = run_attempts(&gateway, job).await;
     let took = gateway.now().saturating_duration_since(arrived);
     let status = response.status().as_u16();
+    log::info!(
+        "event=answered request={attempt} service={service} status={status} own={own} age_ms={}",
+        took.as_millis()
+    );
     gateway.metrics.note_answer(&service, status, own, took);
     response
 }
--- a/components/gateway/src/peers.rs
+++ b/components/gateway/src/peers.rs
@@ -44,6 +44,8 @@
     Reading(ReadNotice),
     /// A request broke an upstream off.
     Crash(CrashFingerprint, UpstreamId),
+    /// An upstream leaves, as of a version of the directory.
+    Leaving(UpstreamId, u64),
     /// The sender leaves.
     Left(NodeId, u64),
 }
@@ -153,6 +155,11 @@
             let mut quarantine = gateway.quarantine.borrow_mut();
             quarantine.note_crash(now, fingerprint, &upstream);
         }
+        PeerNews::Leaving(upstream, version) => {
+            if gateway.upstreams.borrow_mut().note_leaving(&upstream, version) {
+                log::info!("event=upstream_leaving upstream={upstream} source=peer");
+            }
+        }
         PeerNews::Left(node, life) => {
             log::info!("event=node_left node={node}");
             gateway.roster.borrow_mut().note_left(&node, life);
--- a/components/gateway/src/sync.rs
+++ b/components/gateway/src/sync.rs
@@ -4,10 +4,13 @@
 use std::{rc::Rc, time::Duration};
 
 use bytes::Bytes;
-use dispatch::{DesiredState, FeedSource, RosterEntry, RouteTable};
+use dispatch::{
+    DesiredState, FeedSource, RosterEntry, RouteTable, UpstreamState, UpstreamTable,
+};
 
 use crate::{
-    FeedAnswer, PlainCall, TableChange, WatchedTable, client::PlainCaller, state::Gateway,
+    FeedAnswer, PlainCall, TableChange, WatchedTable, client::PlainCaller, peers::PeerNews,
+    state::Gateway,
 };
 
 /// Longest wait of a feed for a change of the desired state. Short, because a
@@ -218,35 +221,52 @@
     let now = gateway.now();
     let mut belief = gateway.listing.borrow_mut();
     belief.confirm(now, version, FeedSource::Store);
-    let lapsed = belief.recovering(now);
+    let lapse = belief.lapses_until(now);
     let mut upstreams = gateway.upstreams.borrow_mut();
     let mut listed = Vec::new();
     for change in changes {
         let entry = change
             .value
             .as_ref()
-            .map(|value| gateway.dialect.read_upstream(&change.key, value));
+            .map(|value| gateway.dialect.read_upstream(&change.key, change.version, value));
         match entry {
             Some(Ok(entry)) if whole => listed.push(entry),
-            Some(Ok(entry)) => upstreams.upsert(entry),
+            Some(Ok(entry)) => {
+                if entry.state == UpstreamState::Draining && lapse.is_none() {
+                    tell_leaving(gateway, &upstreams, &entry.id, entry.version);
+                }
+                upstreams.upsert(entry);
+            }
             Some(Err(error)) => {
                 log::warn!("event=entry_unreadable upstream={} error=\"{error}\"", change.key);
-                upstreams.remove(now, &change.key, false);
+                upstreams.remove(&change.key, None);
             }
             None => {
+                let lapsed = lapse.is_some();
                 log::info!("event=upstream_gone upstream={} lapsed={lapsed}", change.key);
-                upstreams.remove(now, &change.key, lapsed);
+                if !lapsed {
+                    tell_leaving(gateway, &upstreams, &change.key, change.version);
+                }
+                upstreams.remove(&change.key, lapse);
             }
         }
     }
     if whole {
-        upstreams.replace(now, listed, lapsed);
+        upstreams.replace(listed, lapse);
     }
     for id in upstreams.expire(now) {
         gateway.loads.borrow_mut().forget_engine(&id);
     }
 }
 
+/// Tells all nodes that an upstream leaves; some may not reach the store.
+fn tell_leaving(gateway: &Gateway, upstreams: &UpstreamTable, id: &str, version: u64) {
+    let known = upstreams.get(id).map(|view| view.entry.state);
+    if known == Some(UpstreamState::Ready) {
+        gateway.tell(PeerNews::Leaving(id.to_owned(), version));
+    }
+}
+
 fn apply_nodes(gateway: &Gateway, changes: Vec<TableChange>) {
     let now = gateway.now();
     let mut roster = gateway.roster.borrow_mut();
