--- a/components/dispatch/src/load.rs
+++ b/components/dispatch/src/load.rs
@@ -54,10 +54,12 @@
 #[derive(Clone, Debug, Eq, PartialEq)]
 #[derive(Deserialize, Serialize)]
 pub struct ReadNotice {
-    /// Engines that read a part each.
+    /// Engines that read a part each; the first one writes the answer.
     pub engines: Vec<UpstreamId>,
     /// Time of a part.
     pub part: Duration,
+    /// Memory that the request takes at the first engine, in tokens.
+    pub memory: TokenCount,
 }
 
 /// A request's work at one engine.
@@ -140,6 +142,24 @@
         }
     }
 
+    /// Notes a long prompt of another node, until its next summary has it.
+    pub fn note_peer_reading(&mut self, now: Instant, node: &str, notice: &ReadNotice) {
+        self.note_reading(now, notice);
+        let Some(peer) = self.peers.get_mut(node) else {
+            return;
+        };
+        if let Some(first) = notice.engines.first() {
+            let load = peer.loads.entry(first.clone()).or_insert_with(|| PeerLoad {
+                engine: first.clone(),
+                tight: 0,
+                loose: 0,
+                memory: 0,
+            });
+            load.loose += 1;
+            load.memory += notice.memory;
+        }
+    }
+
     /// Takes over another node's summary.
     pub fn note_peer(&mut self, now: Instant, node: &str, loads: Vec<PeerLoad>) {
         let loads = loads
--- a/components/dispatch/src/placement.rs
+++ b/components/dispatch/src/placement.rs
@@ -102,7 +102,7 @@
     let least = upstreams.iter().min_by_key(|view| {
         let running = loads.load(now, &view.entry.id).running();
         let busy = 1000 * running / view.entry.places.max(1);
-        let failing = whole(view.failure_share() * 10.0);
+        let failing = whole(view.failure_share(now) * 10.0);
         (failing, busy, rng.random::<u32>())
     });
     let view = least.ok_or(PlacementRefusal::NoUpstream)?;
--- a/components/dispatch/src/upstreams.rs
+++ b/components/dispatch/src/upstreams.rs
@@ -14,6 +14,10 @@
 const EJECT_MAX: Duration = Duration::from_secs(8);
 /// Weight of the newest outcome in the failure average.
 const OUTCOME_WEIGHT: f64 = 0.2;
+/// Time in which the failure average halves without calls.
+const FADE_TIME: Duration = Duration::from_secs(4);
+/// Failure average above which an upstream is left out while others are below.
+const FAILING_SHARE: f64 = 0.25;
 
 /// What an upstream or the directory says of it.
 #[derive(Clone, Debug, Eq, PartialEq)]
@@ -52,8 +56,9 @@
     pub entry: UpstreamEntry,
     /// Failures in a row.
     failures: u32,
-    /// Moving share of calls that failed, 0 to 1.
+    /// Moving share of calls that failed, 0 to 1, as of `share_at`.
     failure_share: f64,
+    share_at: Option<Instant>,
     /// Until when it is left out.
     ejected_until: Option<Instant>,
     /// Until when a lapsed entry still counts.
@@ -72,6 +77,7 @@
             entry,
             failures: 0,
             failure_share: 0.0,
+            share_at: None,
             ejected_until: None,
             lapses_at: None,
         }
@@ -83,10 +89,21 @@
         self.ejected_until.is_some_and(|until| now < until)
     }
 
-    /// Moving share of calls that failed, 0 to 1.
+    /// Moving share of calls that failed, 0 to 1; it fades, so that the
+    /// upstream is tried again.
     #[must_use]
-    pub fn failure_share(&self) -> f64 {
-        self.failure_share
+    pub fn failure_share(&self, now: Instant) -> f64 {
+        let Some(at) = self.share_at else {
+            return 0.0;
+        };
+        let age = now.saturating_duration_since(at).as_secs_f64();
+        self.failure_share * 0.5f64.powf(age / FADE_TIME.as_secs_f64())
+    }
+
+    fn note_outcome(&mut self, now: Instant, failed: f64) {
+        let share = self.failure_share(now);
+        self.failure_share = share + OUTCOME_WEIGHT * (failed - share);
+        self.share_at = Some(now);
     }
 }
 
@@ -210,17 +227,23 @@
         let healthy: Vec<&UpstreamView> = ready
             .iter()
             .copied()
-            .filter(|view| !view.ejected(now))
+            .filter(|view| !view.ejected(now) && view.failure_share(now) < FAILING_SHARE)
             .collect();
-        if healthy.is_empty() { ready } else { healthy }
+        // Where most fail, the cause is not theirs, and all of them count.
+        if healthy.len() * 2 < ready.len() {
+            ready.retain(|view| !view.ejected(now) || healthy.is_empty());
+            ready
+        } else {
+            healthy
+        }
     }
 
     /// Notes a call that the upstream served.
-    pub fn note_success(&mut self, id: &str) {
+    pub fn note_success(&mut self, now: Instant, id: &str) {
         if let Some(view) = self.views.get_mut(id) {
             view.failures = 0;
             view.ejected_until = None;
-            view.failure_share *= 1.0 - OUTCOME_WEIGHT;
+            view.note_outcome(now, 0.0);
         }
     }
 
@@ -230,7 +253,7 @@
         if let Some(view) = self.views.get_mut(id) {
             let doubled = EJECT_BASE * 2u32.saturating_pow(view.failures.min(8));
             view.failures = view.failures.saturating_add(1);
-            view.failure_share += OUTCOME_WEIGHT * (1.0 - view.failure_share);
+            view.note_outcome(now, 1.0);
             view.ejected_until = Some(now + doubled.min(EJECT_MAX));
         }
     }
--- a/components/gateway/src/attempt.rs
+++ b/components/gateway/src/attempt.rs
@@ -11,7 +11,7 @@
 use http::{HeaderMap, Request, Response, StatusCode, Uri, header};
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
-use types::UpstreamId;
+use types::{TokenCount, UpstreamId};
 
 use crate::{
     AnswerHead, ForwardHead,
@@ -31,9 +31,12 @@
 /// Longest answer of a plain service that is read whole before it is passed
 /// on, so that a broken one can still be replaced.
 const WHOLE_ANSWER_MAX: usize = 64 << 10;
-/// Silence after which a repeatable request is sent elsewhere, beside the
-/// time that it should take.
-const SILENCE_MARGIN: Duration = Duration::from_millis(250);
+/// Silence after which a plain repeatable request is sent elsewhere, beside
+/// twice its goal: a wait of some requests at the upstream.
+const CALL_MARGIN: Duration = Duration::from_millis(100);
+/// Silence after which a prompt is sent elsewhere, beside its goal: less than
+/// the two seconds after which callers leave, and enough for some passes.
+const PROMPT_MARGIN: Duration = Duration::from_millis(1000);
 /// Bounds of when a refused caller should come back.
 const RETURN_MIN: Duration = Duration::from_millis(150);
 /// Pause between two looks for a place that harms nobody.
@@ -296,12 +299,12 @@
     if !more {
         return left;
     }
-    let usual = if job.route.kind == CallKind::Idempotent {
-        job.route.latency_goal * 2
+    let limit = if job.route.kind == CallKind::Idempotent {
+        job.route.latency_goal * 2 + CALL_MARGIN
     } else {
-        job.route.latency_goal + read * 2
+        job.route.latency_goal + read * 2 + PROMPT_MARGIN
     };
-    (usual + SILENCE_MARGIN).min(left)
+    limit.min(left)
 }
 
 async fn take_answer(
@@ -460,7 +463,7 @@
         };
         let flight = gateway.loads.borrow_mut().start(plan);
         if !placed.part.is_zero() {
-            note_reading(gateway, placed);
+            note_reading(gateway, placed, memory);
         }
         Some(Self {
             upstream: placed.first.clone(),
@@ -523,7 +526,7 @@
 
     pub(crate) fn note_success(&self, gateway: &Gateway) {
         let now = gateway.now();
-        gateway.upstreams.borrow_mut().note_success(&self.upstream);
+        gateway.upstreams.borrow_mut().note_success(now, &self.upstream);
         gateway.quarantine.borrow_mut().absolve(now, &self.upstream);
     }
 
@@ -588,17 +591,19 @@
 }
 
 /// Tells all nodes which engines start to read, when it is much.
-fn note_reading(gateway: &Gateway, placed: &Placement) {
-    let mut engines = placed.helpers.clone();
-    engines.push(placed.first.clone());
+fn note_reading(gateway: &Gateway, placed: &Placement, memory: TokenCount) {
+    let mut engines = vec![placed.first.clone()];
+    engines.extend(placed.helpers.iter().cloned());
     let notice = ReadNotice {
         engines,
         part: placed.part,
+        memory,
     };
     let now = gateway.now();
     gateway.loads.borrow_mut().note_reading(now, &notice);
     if !placed.helpers.is_empty() {
-        gateway.tell(PeerNews::Reading(notice));
+        let node = gateway.settings.node.clone();
+        gateway.tell(PeerNews::Reading(node, notice));
     }
 }
 
--- a/components/gateway/src/peers.rs
+++ b/components/gateway/src/peers.rs
@@ -40,8 +40,8 @@
 pub(crate) enum PeerNews {
     /// The sender lives.
     Summary(PeerSummary),
-    /// Engines start to read a prompt.
-    Reading(ReadNotice),
+    /// Engines start to read a prompt of the sender.
+    Reading(NodeId, ReadNotice),
     /// A request broke an upstream off.
     Crash(CrashFingerprint, UpstreamId),
     /// An upstream leaves, as of a version of the directory.
@@ -150,7 +150,10 @@
     let now = gateway.now();
     match news {
         PeerNews::Summary(summary) => take_summary(gateway, summary),
-        PeerNews::Reading(notice) => gateway.loads.borrow_mut().note_reading(now, &notice),
+        PeerNews::Reading(node, notice) => {
+            let mut loads = gateway.loads.borrow_mut();
+            loads.note_peer_reading(now, &node, &notice);
+        }
         PeerNews::Crash(fingerprint, upstream) => {
             let mut quarantine = gateway.quarantine.borrow_mut();
             quarantine.note_crash(now, fingerprint, &upstream);
