Set memory aside on several engines, and bound the backlog of long prompts

A prompt's time grows with the square of its length, its worth with the length. Long prompts wait while the reading known to be under way would make them late, and the longest ones are read apart on idle engines.

--- a/components/dispatch/src/load.rs
+++ b/components/dispatch/src/load.rs
@@ -12,6 +12,10 @@
 /// Age at which another node's summary counts no more.
 const SUMMARY_LIFETIME: Duration = Duration::from_millis(1500);
 
+/// Time beyond the reading of the last part after which an answer has surely
+/// begun: a pass that was under way.
+const READ_MARGIN: Duration = Duration::from_millis(60);
+
 /// Names one request that this node has at an upstream.
 pub type FlightId = u64;
 
@@ -26,6 +30,9 @@
     pub loose: u32,
     /// Memory of running requests, in tokens.
     pub memory: TokenCount,
+    /// Whether a prompt that this engine answers waits to be read: parts that
+    /// it reads for others would go first.
+    pub waits_for_own: bool,
 }
 
 impl EngineLoad {
@@ -87,6 +94,7 @@
     next: FlightId,
     own: HashMap<UpstreamId, EngineLoad>,
     reading_until: HashMap<UpstreamId, Instant>,
+    own_read_until: HashMap<UpstreamId, Instant>,
     peers: HashMap<NodeId, PeerSummary>,
 }
 
@@ -140,6 +148,18 @@
             let until = self.reading_until.entry(engine.clone()).or_insert(now);
             *until = (*until).max(now) + notice.part;
         }
+        // The answer starts with the last part, wherever that is read.
+        let parts = notice.engines.iter();
+        let last = parts.filter_map(|engine| self.reading_until.get(engine)).max();
+        if let (Some(first), Some(last)) = (notice.engines.first(), last) {
+            let until = self.own_read_until.entry(first.clone()).or_insert(now);
+            *until = (*until).max(*last + READ_MARGIN);
+        }
+    }
+
+    /// Notes that the first part of an answer came from `engine`.
+    pub fn note_answering(&mut self, engine: &str) {
+        self.own_read_until.remove(engine);
     }
 
     /// Notes a long prompt of another node, until its next summary has it.
@@ -178,6 +198,7 @@
     /// Forgets an engine that is gone.
     pub fn forget_engine(&mut self, engine: &str) {
         self.reading_until.remove(engine);
+        self.own_read_until.remove(engine);
     }
 
     /// All known work of `engine`.
@@ -187,6 +208,8 @@
         if let Some(until) = self.reading_until.get(engine) {
             load.reading = until.saturating_duration_since(now);
         }
+        let own_read = self.own_read_until.get(engine);
+        load.waits_for_own = own_read.is_some_and(|until| *until > now);
         let fresh = self
             .peers
             .values()
--- a/components/dispatch/src/placement.rs
+++ b/components/dispatch/src/placement.rs
@@ -31,6 +31,12 @@
 /// limit, and reports of other nodes lag.
 const MEMORY_SHARE: f64 = 0.95;
 
+/// Share of a prompt's goal that all known reading, spread over all engines,
+/// may take before further long prompts wait.
+const BACKLOG_SHARE: f64 = 0.35;
+/// Share of the goal within which a prompt that is read apart must be read.
+const GOAL_SHARE: f64 = 0.8;
+
 /// Where a request goes.
 #[derive(Clone, Debug)]
 pub struct Placement {
@@ -38,8 +44,8 @@
     pub first: UpstreamId,
     /// Further engines that read a part each.
     pub helpers: Vec<UpstreamId>,
-    /// Memory on several engines, in the order in which it is filled: empty
-    /// when the first engine holds everything.
+    /// Further engines that read a part and hold memory, in the order in
+    /// which it is filled; the first engine holds the rest.
     pub shares: Vec<(UpstreamId, TokenCount)>,
     /// Time to read a part.
     pub part: Duration,
@@ -80,11 +86,14 @@
 pub(crate) struct PromptAsk {
     pub(crate) size: PromptSize,
     pub(crate) tight_gap: Duration,
+    pub(crate) goal: Duration,
 }
 
 #[derive(Clone, Copy, Debug)]
 struct Candidate<'a> {
     view: &'a UpstreamView,
+    /// Position by id, which all nodes agree on.
+    rank: usize,
     load: EngineLoad,
 }
 
@@ -119,6 +128,7 @@
     now: Instant,
     spec: &EngineSpec,
     size: PromptSize,
+    goal: Duration,
     gap: Duration,
     tight_gap: Duration,
     upstreams: &[&UpstreamView],
@@ -128,11 +138,14 @@
     let ask = PromptAsk {
         size,
         tight_gap,
+        goal,
     };
     let mut candidates: Vec<Candidate<'_>> = upstreams
         .iter()
-        .map(|view| Candidate {
+        .enumerate()
+        .map(|(rank, view)| Candidate {
             view,
+            rank,
             load: loads.load(now, &view.entry.id),
         })
         .collect();
@@ -140,18 +153,57 @@
         return Err(PlacementRefusal::NoUpstream);
     }
     let tight = gap <= tight_gap;
+    if !tight {
+        match admit_reading(spec, &ask, &candidates) {
+            ReadingAdmission::Whole => {}
+            ReadingAdmission::Apart => return read_apart(spec, &ask, candidates, rng),
+            ReadingAdmission::Later => return Err(PlacementRefusal::Full),
+        }
+    }
     let first = if tight {
         pick_writer(spec, &ask, &candidates, rng)
     } else {
         pick_reader(spec, &ask, &candidates, rng)
     };
     let Some(first) = first else {
-        return refuse_or_share(spec, &ask, &candidates);
+        return Err(PlacementRefusal::Full);
     };
     let first = candidates.swap_remove(first);
     Ok(with_helpers(spec, &ask, first, candidates, rng))
 }
 
+/// How a long prompt may be read now.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum ReadingAdmission {
+    /// By as many engines as help.
+    Whole,
+    /// By some engines that have nothing else to do.
+    Apart,
+    /// Not while so much waits to be read.
+    Later,
+}
+
+/// The time that a prompt takes grows with the square of its length, its
+/// worth only with the length: so the longest ones wait for quiet engines, and
+/// no prompt is added to a backlog that would make all of them late.
+fn admit_reading(
+    spec: &EngineSpec,
+    ask: &PromptAsk,
+    candidates: &[Candidate<'_>],
+) -> ReadingAdmission {
+    let engines = u32::try_from(candidates.len()).unwrap_or(u32::MAX).max(1);
+    let waiting: Duration = candidates.iter().map(|one| one.load.reading).sum();
+    let own = read_time(spec, ask.size.prompt, 1);
+    let bound = ask.goal.mul_f64(BACKLOG_SHARE);
+    if own / engines > bound || ask.size.memory() > usable_memory(spec) {
+        ReadingAdmission::Apart
+    } else if (waiting + own) / engines > bound {
+        ReadingAdmission::Later
+    } else {
+        ReadingAdmission::Whole
+    }
+}
+
 /// Time that reading may add to a pass of this engine.
 fn reading_allowance(spec: &EngineSpec, ask: &PromptAsk, load: &EngineLoad) -> Duration {
     let pass = spec.pass_time(load.running() + 1, load.memory);
@@ -166,8 +218,7 @@
 }
 
 fn has_room(spec: &EngineSpec, ask: &PromptAsk, load: &EngineLoad) -> bool {
-    let usable = whole(float(spec.memory) * MEMORY_SHARE);
-    load.running() < spec.places && load.memory + ask.size.memory() <= usable
+    load.running() < spec.places && load.memory + ask.size.memory() <= usable_memory(spec)
 }
 
 /// An engine among those that are open for short pauses.
@@ -216,7 +267,8 @@
         .filter(|(_, one)| has_room(spec, ask, &one.load))
         .min_by_key(|(index, one)| {
             let load = &one.load;
-            (load.tight, load.loose, load.reading, tie(rng), Reverse(*index))
+            let writers = load.tight;
+            (writers, load.loose, load.reading, load.waits_for_own, tie(rng), Reverse(*index))
         })
         .map(|(index, _)| index)
 }
@@ -272,18 +324,54 @@
     }
 }
 
-/// Memory on several engines for a prompt that no engine holds alone.
-fn refuse_or_share(
+/// Engines without other work for a prompt that would hold up all the others:
+/// as many as its goal and its memory need, and at most half of all.
+fn read_apart(
     spec: &EngineSpec,
     ask: &PromptAsk,
-    candidates: &[Candidate<'_>],
+    mut candidates: Vec<Candidate<'_>>,
+    rng: &mut impl Rng,
 ) -> Result<Placement, PlacementRefusal> {
-    let total = u64::try_from(candidates.len()).unwrap_or(u64::MAX);
-    let usable = whole(float(spec.memory) * MEMORY_SHARE);
-    if ask.size.memory() > usable.saturating_mul(total) {
+    let usable = usable_memory(spec);
+    let most = candidates.len().div_ceil(2).min(READERS_MAX);
+    let most_tokens = usable.saturating_mul(u64::try_from(most).unwrap_or(u64::MAX));
+    if ask.size.memory() > most_tokens {
         return Err(PlacementRefusal::TooLarge);
     }
-    Err(PlacementRefusal::Full)
+    let for_memory = ask.size.memory().div_ceil(usable.max(1));
+    let whole_read = read_time(spec, ask.size.prompt, 1);
+    let for_goal = whole((whole_read.as_secs_f64() / ask.goal.as_secs_f64() / GOAL_SHARE).ceil());
+    let readers = usize::try_from(for_memory.max(for_goal)).unwrap_or(usize::MAX);
+    let readers = readers.clamp(1, most);
+    candidates.retain(|one| one.load.running() == 0 && one.load.reading.is_zero());
+    candidates.sort_by_cached_key(|one| (Reverse(one.rank), tie(rng)));
+    if candidates.len() < readers {
+        return Err(PlacementRefusal::Full);
+    }
+    let share = ask.size.memory().div_ceil(u64::try_from(readers).unwrap_or(u64::MAX));
+    let ids = candidates[..readers].iter();
+    let mut ids = ids.map(|one| one.view.entry.id.clone());
+    let first = ids.next().ok_or(PlacementRefusal::NoUpstream)?;
+    let others: Vec<UpstreamId> = ids.collect();
+    let part = read_time(spec, ask.size.prompt, readers);
+    let (helpers, shares) = if for_memory > 1 {
+        let shares = others.into_iter().map(|id| (id, share)).collect();
+        (Vec::new(), shares)
+    } else {
+        (others, Vec::new())
+    };
+    Ok(Placement {
+        first,
+        helpers,
+        shares,
+        part,
+        read: part,
+        harmless: true,
+    })
+}
+
+fn usable_memory(spec: &EngineSpec) -> TokenCount {
+    whole(float(spec.memory) * MEMORY_SHARE)
 }
 
 fn tie(rng: &mut impl Rng) -> u8 {
--- a/components/gateway/src/attempt.rs
+++ b/components/gateway/src/attempt.rs
@@ -21,6 +21,7 @@
     peers::PeerNews,
     relay::{StreamRelay, relay_plain},
     state::{FlightGuard, Gateway},
+    tickets::TicketSet,
 };
 
 /// Time for a connection to an upstream to open.
@@ -64,6 +65,8 @@
 pub(crate) enum SendOutcome {
     /// The caller gets this answer.
     Answered(Response<AnswerBody>),
+    /// The memory for it was not free; another place may have it.
+    NotPlaced,
     /// The request did not reach the upstream.
     Unsent,
     /// The upstream states that it did not run the request.
@@ -104,10 +107,12 @@
         }
         let upstream = placed.first.clone();
         let sent = send_once(gateway, &job, placed, &mut record).await;
-        record.tried.push(upstream);
+        if !matches!(sent, SendOutcome::NotPlaced) {
+            record.tried.push(upstream);
+        }
         match sent {
             SendOutcome::Answered(response) => return (response, false),
-            SendOutcome::Unsent | SendOutcome::NotRun => {}
+            SendOutcome::NotPlaced | SendOutcome::Unsent | SendOutcome::NotRun => {}
             SendOutcome::Lost => record.may_have_run = true,
             SendOutcome::Failed(parts, body) => {
                 record.may_have_run = true;
@@ -216,7 +221,8 @@
         (Some(engine), Some(size)) => {
             let gap = job.route.event_gap.unwrap_or(job.route.latency_goal);
             let tight = tight_gap(gateway, &job.service).unwrap_or(gap);
-            place_prompt(now, engine, size, gap, tight, &usable, &loads, &mut *rng)
+            let goal = job.route.latency_goal;
+            place_prompt(now, engine, size, goal, gap, tight, &usable, &loads, &mut *rng)
         }
         _ => place_call(now, &usable, &loads, &mut *rng).map(Placement::alone),
     }
@@ -240,9 +246,14 @@
     placed: Placement,
     record: &mut AttemptRecord,
 ) -> SendOutcome {
-    let Some(leg) = Leg::start(gateway, job, &placed) else {
+    let Some(mut leg) = Leg::start(gateway, job, &placed) else {
         return SendOutcome::Unsent;
     };
+    if let Err(refused) = leg.reserve(gateway, job, &placed.shares).await {
+        log::info!("event=not_reserved request={} upstream={refused}", job.call.attempt);
+        gateway.clock.sleep(PLACE_PAUSE).await;
+        return SendOutcome::NotPlaced;
+    }
     log::info!(
         "event=sent request={} upstream={} service={} helpers={} read_ms={} load_age=now age_ms={}",
         job.call.attempt,
@@ -436,6 +447,8 @@
     pub(crate) upstream: UpstreamId,
     pub(crate) address: SocketAddr,
     helpers: Vec<(SocketAddr, Option<String>)>,
+    /// Given back when the request has ended.
+    tickets: Option<TicketSet>,
     _flight: FlightGuard,
 }
 
@@ -453,12 +466,19 @@
             .iter()
             .filter_map(|id| Some((upstreams.get(id)?.entry.address, None)))
             .collect();
+        let held: TokenCount = placed.shares.iter().map(|(_, tokens)| tokens).sum();
         let memory = job.call.size.map_or(0, PromptSize::memory);
+        let memory = memory.saturating_sub(held);
+        let mut parts = vec![FlightPart {
+            engine: placed.first.clone(),
+            memory,
+        }];
+        parts.extend(placed.shares.iter().map(|(engine, tokens)| FlightPart {
+            engine: engine.clone(),
+            memory: *tokens,
+        }));
         let plan = FlightPlan {
-            parts: vec![FlightPart {
-                engine: placed.first.clone(),
-                memory,
-            }],
+            parts,
             tight: is_tight(gateway, job),
         };
         let flight = gateway.loads.borrow_mut().start(plan);
@@ -469,10 +489,29 @@
             upstream: placed.first.clone(),
             address,
             helpers,
+            tickets: None,
             _flight: FlightGuard::new(gateway, flight),
         })
     }
 
+    /// Sets memory aside on the engines of `shares`, all or nothing.
+    pub(crate) async fn reserve(
+        &mut self,
+        gateway: &Rc<Gateway>,
+        job: &ForwardJob,
+        shares: &[(UpstreamId, TokenCount)],
+    ) -> Result<(), UpstreamId> {
+        if shares.is_empty() {
+            return Ok(());
+        }
+        let tickets = TicketSet::reserve(gateway, &job.call.attempt, shares).await?;
+        let mut holders = tickets.holders();
+        holders.append(&mut self.helpers);
+        self.helpers = holders;
+        self.tickets = Some(tickets);
+        Ok(())
+    }
+
     /// Takes a kept connection where the request may be repeated, else opens
     /// one: what is sent on a kept one may meet its end.
     pub(crate) async fn connect(
@@ -527,6 +566,7 @@
     pub(crate) fn note_success(&self, gateway: &Gateway) {
         let now = gateway.now();
         gateway.upstreams.borrow_mut().note_success(now, &self.upstream);
+        gateway.loads.borrow_mut().note_answering(&self.upstream);
         gateway.quarantine.borrow_mut().absolve(now, &self.upstream);
     }
 
@@ -593,6 +633,7 @@
 /// Tells all nodes which engines start to read, when it is much.
 fn note_reading(gateway: &Gateway, placed: &Placement, memory: TokenCount) {
     let mut engines = vec![placed.first.clone()];
+    engines.extend(placed.shares.iter().map(|(engine, _)| engine.clone()));
     engines.extend(placed.helpers.iter().cloned());
     let notice = ReadNotice {
         engines,
@@ -601,7 +642,7 @@
     };
     let now = gateway.now();
     gateway.loads.borrow_mut().note_reading(now, &notice);
-    if !placed.helpers.is_empty() {
+    if !placed.helpers.is_empty() || !placed.shares.is_empty() {
         let node = gateway.settings.node.clone();
         gateway.tell(PeerNews::Reading(node, notice));
     }
--- a/components/gateway/src/lib.rs
+++ b/components/gateway/src/lib.rs
@@ -18,6 +18,7 @@
 mod settings;
 mod state;
 mod sync;
+mod tickets;
 
 pub use daemon::run_gateway;
 pub use edge::{
--- a/components/gateway/src/relay.rs
+++ b/components/gateway/src/relay.rs
@@ -168,9 +168,13 @@
             return false;
         };
         self.tried.push(placed.first.clone());
-        let Some(leg) = Leg::start(&self.gateway, &self.job, &placed) else {
+        let Some(mut leg) = Leg::start(&self.gateway, &self.job, &placed) else {
             return false;
         };
+        let reserved = leg.reserve(&self.gateway, &self.job, &placed.shares).await;
+        if reserved.is_err() {
+            return false;
+        }
         let last = self.cursor.last().map(|id| id.to_string());
         let Ok(request) = leg.request(&self.gateway, &self.job, last.as_deref()) else {
             return false;
