--- a/components/dispatch/src/load.rs
+++ b/components/dispatch/src/load.rs
@@ -150,7 +150,9 @@
         }
         // The answer starts with the last part, wherever that is read.
         let parts = notice.engines.iter();
-        let last = parts.filter_map(|engine| self.reading_until.get(engine)).max();
+        let last = parts
+            .filter_map(|engine| self.reading_until.get(engine))
+            .max();
         if let (Some(first), Some(last)) = (notice.engines.first(), last) {
             let until = self.own_read_until.entry(first.clone()).or_insert(now);
             *until = (*until).max(*last + READ_MARGIN);
--- a/components/dispatch/src/placement.rs
+++ b/components/dispatch/src/placement.rs
@@ -31,9 +31,12 @@
 /// limit, and reports of other nodes lag.
 const MEMORY_SHARE: f64 = 0.95;
 
-/// Share of a prompt's goal that all known reading, spread over all engines,
-/// may take before further long prompts wait.
-const BACKLOG_SHARE: f64 = 0.35;
+/// Share of the longest goal that all known reading, spread over all engines,
+/// may take before further long prompts wait. Short ones of these fit in where
+/// the longest don't, so that most callers are served first.
+const BACKLOG_SHARE: f64 = 0.1;
+/// The same against a prompt's own goal.
+const OWN_BACKLOG_SHARE: f64 = 0.3;
 /// Share of the goal within which a prompt that is read apart must be read.
 const GOAL_SHARE: f64 = 0.8;
 
@@ -83,10 +86,30 @@
 
 /// A request to place.
 #[derive(Clone, Copy, Debug)]
-pub(crate) struct PromptAsk {
-    pub(crate) size: PromptSize,
-    pub(crate) tight_gap: Duration,
-    pub(crate) goal: Duration,
+struct PromptAsk {
+    size: PromptSize,
+    goals: PromptGoals,
+}
+
+/// What the caller of a prompt, and those of other prompts, expect.
+#[derive(Clone, Copy, Debug)]
+pub struct PromptGoals {
+    /// Time until the first event.
+    pub first_event: Duration,
+    /// Longest pause between events.
+    pub gap: Duration,
+    /// Shortest pause that a route of the service allows.
+    pub tightest_gap: Duration,
+    /// Longest time until the first event that a route of the service allows.
+    pub longest_first: Duration,
+}
+
+impl PromptGoals {
+    /// Whether the caller accepts only the shortest pauses.
+    #[must_use]
+    pub fn tight(&self) -> bool {
+        self.gap <= self.tightest_gap
+    }
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -118,8 +141,7 @@
     Ok(view.entry.id.clone())
 }
 
-/// Picks the engines of a prompt of `size` whose caller accepts pauses of
-/// `gap`; `tight_gap` is the shortest pause that callers of the service accept.
+/// Picks the engines of a prompt of `size`.
 ///
 /// # Errors
 ///
@@ -128,18 +150,12 @@
     now: Instant,
     spec: &EngineSpec,
     size: PromptSize,
-    goal: Duration,
-    gap: Duration,
-    tight_gap: Duration,
+    goals: PromptGoals,
     upstreams: &[&UpstreamView],
     loads: &LoadBook,
     rng: &mut impl Rng,
 ) -> Result<Placement, PlacementRefusal> {
-    let ask = PromptAsk {
-        size,
-        tight_gap,
-        goal,
-    };
+    let ask = PromptAsk { size, goals };
     let mut candidates: Vec<Candidate<'_>> = upstreams
         .iter()
         .enumerate()
@@ -152,7 +168,7 @@
     if candidates.is_empty() {
         return Err(PlacementRefusal::NoUpstream);
     }
-    let tight = gap <= tight_gap;
+    let tight = goals.tight();
     if !tight {
         match admit_reading(spec, &ask, &candidates) {
             ReadingAdmission::Whole => {}
@@ -194,8 +210,9 @@
     let engines = u32::try_from(candidates.len()).unwrap_or(u32::MAX).max(1);
     let waiting: Duration = candidates.iter().map(|one| one.load.reading).sum();
     let own = read_time(spec, ask.size.prompt, 1);
-    let bound = ask.goal.mul_f64(BACKLOG_SHARE);
-    if own / engines > bound || ask.size.memory() > usable_memory(spec) {
+    let all = ask.goals.longest_first.mul_f64(BACKLOG_SHARE);
+    let bound = all.min(ask.goals.first_event.mul_f64(OWN_BACKLOG_SHARE));
+    if own / engines > all || ask.size.memory() > usable_memory(spec) {
         ReadingAdmission::Apart
     } else if (waiting + own) / engines > bound {
         ReadingAdmission::Later
@@ -208,9 +225,9 @@
 fn reading_allowance(spec: &EngineSpec, ask: &PromptAsk, load: &EngineLoad) -> Duration {
     let pass = spec.pass_time(load.running() + 1, load.memory);
     let gap = if load.tight > 0 {
-        ask.tight_gap
+        ask.goals.tightest_gap
     } else if load.loose > 0 {
-        ask.tight_gap * 3
+        ask.goals.tightest_gap * 3
     } else {
         return Duration::MAX;
     };
@@ -268,7 +285,14 @@
         .min_by_key(|(index, one)| {
             let load = &one.load;
             let writers = load.tight;
-            (writers, load.loose, load.reading, load.waits_for_own, tie(rng), Reverse(*index))
+            (
+                writers,
+                load.loose,
+                load.reading,
+                load.waits_for_own,
+                tie(rng),
+                Reverse(*index),
+            )
         })
         .map(|(index, _)| index)
 }
@@ -340,7 +364,8 @@
     }
     let for_memory = ask.size.memory().div_ceil(usable.max(1));
     let whole_read = read_time(spec, ask.size.prompt, 1);
-    let for_goal = whole((whole_read.as_secs_f64() / ask.goal.as_secs_f64() / GOAL_SHARE).ceil());
+    let for_goal =
+        whole((whole_read.as_secs_f64() / ask.goals.first_event.as_secs_f64() / GOAL_SHARE).ceil());
     let readers = usize::try_from(for_memory.max(for_goal)).unwrap_or(usize::MAX);
     let readers = readers.clamp(1, most);
     candidates.retain(|one| one.load.running() == 0 && one.load.reading.is_zero());
@@ -348,7 +373,10 @@
     if candidates.len() < readers {
         return Err(PlacementRefusal::Full);
     }
-    let share = ask.size.memory().div_ceil(u64::try_from(readers).unwrap_or(u64::MAX));
+    let share = ask
+        .size
+        .memory()
+        .div_ceil(u64::try_from(readers).unwrap_or(u64::MAX));
     let ids = candidates[..readers].iter();
     let mut ids = ids.map(|one| one.view.entry.id.clone());
     let first = ids.next().ok_or(PlacementRefusal::NoUpstream)?;
--- a/components/dispatch/src/quarantine.rs
+++ b/components/dispatch/src/quarantine.rs
@@ -35,7 +35,10 @@
     ) -> bool {
         self.suspects
             .retain(|_, (last, _)| now.duration_since(*last) < QUARANTINE_TIME);
-        let (last, upstreams) = self.suspects.entry(fingerprint).or_insert((now, Vec::new()));
+        let (last, upstreams) = self
+            .suspects
+            .entry(fingerprint)
+            .or_insert((now, Vec::new()));
         *last = now;
         if upstreams.iter().any(|(_, one)| one == upstream) {
             return false;
--- a/components/dispatch/src/roster.rs
+++ b/components/dispatch/src/roster.rs
@@ -107,7 +107,9 @@
     /// Whether `node` was heard of late.
     #[must_use]
     pub fn alive(&self, now: Instant, node: &str) -> bool {
-        self.members.get(node).is_some_and(|member| member.alive(now))
+        self.members
+            .get(node)
+            .is_some_and(|member| member.alive(now))
     }
 
     /// All known nodes, dead ones too.
--- a/components/gateway/src/attempt.rs
+++ b/components/gateway/src/attempt.rs
@@ -5,7 +5,7 @@
 
 use bytes::Bytes;
 use dispatch::{
-    CallKind, FlightPart, FlightPlan, Placement, PlacementRefusal, PromptSize,
+    CallKind, FlightPart, FlightPlan, Placement, PlacementRefusal, PromptGoals, PromptSize,
     ReadNotice, place_call, place_prompt,
 };
 use http::{HeaderMap, Request, Response, StatusCode, Uri, header};
@@ -43,7 +43,7 @@
 /// Pause between two looks for a place that harms nobody.
 const PLACE_PAUSE: Duration = Duration::from_millis(25);
 /// Share of the latency goal for which a prompt may wait for a better place.
-const PLACE_SHARE: f64 = 0.35;
+const PLACE_SHARE: f64 = 1.5;
 /// Time within the silence of a stream after which another upstream goes on:
 /// callers leave after two seconds.
 const STREAM_SILENCE_MIN: Duration = Duration::from_millis(1300);
@@ -83,14 +83,15 @@
     job: ForwardJob,
 ) -> (Response<AnswerBody>, bool) {
     let now = gateway.now();
-    gateway
-        .budget
-        .borrow_mut()
-        .note_request(now, &job.service);
+    gateway.budget.borrow_mut().note_request(now, &job.service);
     let job = Rc::new(job);
     let mut record = AttemptRecord::default();
     let reason = loop {
-        if gateway.quarantine.borrow().holds(gateway.now(), job.fingerprint) {
+        if gateway
+            .quarantine
+            .borrow()
+            .holds(gateway.now(), job.fingerprint)
+        {
             break "quarantined";
         }
         if record.sends > 0 && !may_repeat(gateway, &job, &record) {
@@ -219,24 +220,31 @@
     let mut rng = gateway.rng.borrow_mut();
     match (spec.and_then(|spec| spec.engine.as_ref()), job.call.size) {
         (Some(engine), Some(size)) => {
-            let gap = job.route.event_gap.unwrap_or(job.route.latency_goal);
-            let tight = tight_gap(gateway, &job.service).unwrap_or(gap);
-            let goal = job.route.latency_goal;
-            place_prompt(now, engine, size, goal, gap, tight, &usable, &loads, &mut *rng)
+            let goals = goals_of(gateway, job);
+            place_prompt(now, engine, size, goals, &usable, &loads, &mut *rng)
         }
         _ => place_call(now, &usable, &loads, &mut *rng).map(Placement::alone),
     }
 }
 
-/// Shortest pause that callers of a service accept.
-fn tight_gap(gateway: &Gateway, service: &str) -> Option<Duration> {
+/// What callers of the request's route, and of others of its service, expect.
+fn goals_of(gateway: &Gateway, job: &ForwardJob) -> PromptGoals {
+    let gap = job.route.event_gap.unwrap_or(job.route.latency_goal);
+    let mut goals = PromptGoals {
+        first_event: job.route.latency_goal,
+        gap,
+        tightest_gap: gap,
+        longest_first: job.route.latency_goal,
+    };
     let routes = gateway.routes.borrow();
-    let serving = routes
-        .state()
-        .routes
-        .iter()
-        .filter(|route| route.split.iter().any(|one| one.service == service));
-    serving.filter_map(|route| route.event_gap).min()
+    for route in &routes.state().routes {
+        let serves = route.split.iter().any(|one| one.service == job.service);
+        if let (true, Some(gap)) = (serves, route.event_gap) {
+            goals.tightest_gap = goals.tightest_gap.min(gap);
+            goals.longest_first = goals.longest_first.max(route.latency_goal);
+        }
+    }
+    goals
 }
 
 /// Sends the request to the upstream of `placed`.
@@ -250,7 +258,10 @@
         return SendOutcome::Unsent;
     };
     if let Err(refused) = leg.reserve(gateway, job, &placed.shares).await {
-        log::info!("event=not_reserved request={} upstream={refused}", job.call.attempt);
+        log::info!(
+            "event=not_reserved request={} upstream={refused}",
+            job.call.attempt
+        );
         gateway.clock.sleep(PLACE_PAUSE).await;
         return SendOutcome::NotPlaced;
     }
@@ -261,7 +272,10 @@
         job.service,
         leg.helpers.len(),
         placed.read.as_millis(),
-        gateway.now().saturating_duration_since(job.arrived).as_millis(),
+        gateway
+            .now()
+            .saturating_duration_since(job.arrived)
+            .as_millis(),
     );
     let mut connection = match leg.connect(gateway, job).await {
         Ok(connection) => connection,
@@ -274,7 +288,10 @@
     let request = match leg.request(gateway, job, None) {
         Ok(request) => request,
         Err(error) => {
-            log::error!("event=unsendable request={} error=\"{error}\"", job.call.attempt);
+            log::error!(
+                "event=unsendable request={} error=\"{error}\"",
+                job.call.attempt
+            );
             return SendOutcome::Unsent;
         }
     };
@@ -327,7 +344,11 @@
 ) -> SendOutcome {
     let status = response.status();
     let head = gateway.dialect.read_answer(status, response.headers());
-    if head.attempt.as_ref().is_some_and(|one| *one != job.call.attempt) {
+    if head
+        .attempt
+        .as_ref()
+        .is_some_and(|one| *one != job.call.attempt)
+    {
         leg.note_failure(gateway, job, "answer of another request");
         return SendOutcome::Lost;
     }
@@ -479,7 +500,7 @@
         }));
         let plan = FlightPlan {
             parts,
-            tight: is_tight(gateway, job),
+            tight: goals_of(gateway, job).tight(),
         };
         let flight = gateway.loads.borrow_mut().start(plan);
         if !placed.part.is_zero() {
@@ -541,7 +562,11 @@
         job: &ForwardJob,
         resume_after: Option<&str>,
     ) -> http::Result<Request<Full<Bytes>>> {
-        let target = job.head.uri.path_and_query().map_or("/", |target| target.as_str());
+        let target = job
+            .head
+            .uri
+            .path_and_query()
+            .map_or("/", |target| target.as_str());
         let mut request = Request::builder()
             .method(job.head.method.clone())
             .uri(target.parse::<Uri>()?)
@@ -565,7 +590,10 @@
 
     pub(crate) fn note_success(&self, gateway: &Gateway) {
         let now = gateway.now();
-        gateway.upstreams.borrow_mut().note_success(now, &self.upstream);
+        gateway
+            .upstreams
+            .borrow_mut()
+            .note_success(now, &self.upstream);
         gateway.loads.borrow_mut().note_answering(&self.upstream);
         gateway.quarantine.borrow_mut().absolve(now, &self.upstream);
     }
@@ -593,7 +621,10 @@
             "event=upstream_failed request={} upstream={} reason=\"{reason}\" age_ms={}",
             job.call.attempt,
             self.upstream,
-            gateway.now().saturating_duration_since(job.arrived).as_millis(),
+            gateway
+                .now()
+                .saturating_duration_since(job.arrived)
+                .as_millis(),
         );
         self.note_shed(gateway);
     }
@@ -624,12 +655,6 @@
     }
 }
 
-fn is_tight(gateway: &Gateway, job: &ForwardJob) -> bool {
-    job.route
-        .event_gap
-        .is_some_and(|gap| tight_gap(gateway, &job.service).is_some_and(|tight| gap <= tight))
-}
-
 /// Tells all nodes which engines start to read, when it is much.
 fn note_reading(gateway: &Gateway, placed: &Placement, memory: TokenCount) {
     let mut engines = vec![placed.first.clone()];
--- a/components/gateway/src/client.rs
+++ b/components/gateway/src/client.rs
@@ -169,9 +169,12 @@
             .header(header::CONTENT_TYPE, "application/json")
             .body(Full::new(call.body))
             .map_err(io::Error::other)?;
-        let response = connection.send(request).await.map_err(|fault| match fault {
-            ExchangeFault::Unsent(text) | ExchangeFault::Sent(text) => io::Error::other(text),
-        })?;
+        let response = connection
+            .send(request)
+            .await
+            .map_err(|fault| match fault {
+                ExchangeFault::Unsent(text) | ExchangeFault::Sent(text) => io::Error::other(text),
+            })?;
         let status = response.status();
         let body = Limited::new(response.into_body(), ANSWER_MAX)
             .collect()
--- a/components/gateway/src/daemon.rs
+++ b/components/gateway/src/daemon.rs
@@ -54,7 +54,9 @@
     let (stop, stopping) = channel::bounded(1);
     let life = SystemTime::now()
         .duration_since(UNIX_EPOCH)
-        .map_or(0, |since| u64::try_from(since.as_millis()).unwrap_or(u64::MAX));
+        .map_or(0, |since| {
+            u64::try_from(since.as_millis()).unwrap_or(u64::MAX)
+        });
     log::info!(
         "event=started node={} zone={} callers={} store={}",
         settings.node,
@@ -118,7 +120,9 @@
         let listening = listen(Rc::clone(gateway), address, role);
         let task = async move {
             if let Err(error) = listening.await {
-                log::error!("event=listen_failed role={role:?} address={address} error=\"{error}\"");
+                log::error!(
+                    "event=listen_failed role={role:?} address={address} error=\"{error}\""
+                );
             }
         };
         gateway.executor.spawn(task).detach();
--- a/components/gateway/src/edge.rs
+++ b/components/gateway/src/edge.rs
@@ -57,12 +57,8 @@
     /// # Errors
     ///
     /// Says what can't be read.
-    fn read_upstream(
-        &self,
-        key: &str,
-        version: u64,
-        value: &[u8],
-    ) -> Result<UpstreamEntry, String>;
+    fn read_upstream(&self, key: &str, version: u64, value: &[u8])
+    -> Result<UpstreamEntry, String>;
 
     /// An order to an engine.
     fn engine_call(&self, call: &EngineCall<'_>) -> PlainCall;
--- a/components/gateway/src/peers.rs
+++ b/components/gateway/src/peers.rs
@@ -159,7 +159,11 @@
             quarantine.note_crash(now, fingerprint, &upstream);
         }
         PeerNews::Leaving(upstream, version) => {
-            if gateway.upstreams.borrow_mut().note_leaving(&upstream, version) {
+            if gateway
+                .upstreams
+                .borrow_mut()
+                .note_leaving(&upstream, version)
+            {
                 log::info!("event=upstream_leaving upstream={upstream} source=peer");
             }
         }
@@ -213,10 +217,7 @@
 }
 
 /// Answers other nodes' calls.
-pub(crate) fn answer_peer(
-    gateway: &Gateway,
-    request: &Request<Incoming>,
-) -> Response<AnswerBody> {
+pub(crate) fn answer_peer(gateway: &Gateway, request: &Request<Incoming>) -> Response<AnswerBody> {
     let row = gateway.desired_row.borrow();
     let found = row
         .as_ref()
--- a/components/gateway/src/relay.rs
+++ b/components/gateway/src/relay.rs
@@ -62,7 +62,7 @@
             body,
             tried: vec![leg.upstream.clone()],
             leg,
-            connection: connection,
+            connection,
             sends: 1,
             ended: false,
         }
@@ -83,7 +83,10 @@
             return SendOutcome::Lost;
         };
         let Some(first) = first else {
-            return SendOutcome::Answered(Response::from_parts(parts, AnswerBody::from(Bytes::new())));
+            return SendOutcome::Answered(Response::from_parts(
+                parts,
+                AnswerBody::from(Bytes::new()),
+            ));
         };
         let rest = stream::unfold(self, |mut relay| async move {
             if relay.ended {
@@ -123,7 +126,10 @@
         let silence = stream_silence(&self.job);
         loop {
             let left = self.time_left();
-            let frame = self.gateway.clock.timeout(silence.min(left), self.body.frame());
+            let frame = self
+                .gateway
+                .clock
+                .timeout(silence.min(left), self.body.frame());
             let frame = match frame.await {
                 Some(Some(Ok(frame))) => frame,
                 Some(Some(Err(error))) => {
@@ -133,7 +139,8 @@
                 Some(None) if self.cursor.at_border() => return Ok(None),
                 Some(None) => return Err(io::ErrorKind::UnexpectedEof.into()),
                 None => {
-                    self.leg.note_failure(&self.gateway, &self.job, "stream silent");
+                    self.leg
+                        .note_failure(&self.gateway, &self.job, "stream silent");
                     return Err(io::ErrorKind::TimedOut.into());
                 }
             };
--- a/components/gateway/src/sync.rs
+++ b/components/gateway/src/sync.rs
@@ -4,9 +4,7 @@
 use std::{rc::Rc, time::Duration};
 
 use bytes::Bytes;
-use dispatch::{
-    DesiredState, FeedSource, RosterEntry, RouteTable, UpstreamState, UpstreamTable,
-};
+use dispatch::{DesiredState, FeedSource, RosterEntry, RouteTable, UpstreamState, UpstreamTable};
 
 use crate::{
     FeedAnswer, PlainCall, TableChange, WatchedTable, client::PlainCaller, peers::PeerNews,
@@ -225,10 +223,11 @@
     let mut upstreams = gateway.upstreams.borrow_mut();
     let mut listed = Vec::new();
     for change in changes {
-        let entry = change
-            .value
-            .as_ref()
-            .map(|value| gateway.dialect.read_upstream(&change.key, change.version, value));
+        let entry = change.value.as_ref().map(|value| {
+            gateway
+                .dialect
+                .read_upstream(&change.key, change.version, value)
+        });
         match entry {
             Some(Ok(entry)) if whole => listed.push(entry),
             Some(Ok(entry)) => {
@@ -238,12 +237,18 @@
                 upstreams.upsert(entry);
             }
             Some(Err(error)) => {
-                log::warn!("event=entry_unreadable upstream={} error=\"{error}\"", change.key);
+                log::warn!(
+                    "event=entry_unreadable upstream={} error=\"{error}\"",
+                    change.key
+                );
                 upstreams.remove(&change.key, None);
             }
             None => {
                 let lapsed = lapse.is_some();
-                log::info!("event=upstream_gone upstream={} lapsed={lapsed}", change.key);
+                log::info!(
+                    "event=upstream_gone upstream={} lapsed={lapsed}",
+                    change.key
+                );
                 if !lapsed {
                     tell_leaving(gateway, &upstreams, &change.key, change.version);
                 }
@@ -278,7 +283,10 @@
             Ok(entry) if entry.node == gateway.settings.node => {}
             Ok(entry) => roster.note_listed(now, entry),
             Err(error) => {
-                log::warn!("event=node_row_unreadable node={} error=\"{error}\"", change.key);
+                log::warn!(
+                    "event=node_row_unreadable node={} error=\"{error}\"",
+                    change.key
+                );
             }
         }
     }
--- a/components/node/src/daemon/base.rs
+++ b/components/node/src/daemon/base.rs
@@ -10,10 +10,8 @@
 use kernel::{CancellationToken, ClockSource, ServiceKernel};
 use membership::{AddressPlanner, AddressSettings, DrainSettings, MemberSettings};
 use notes::AdopterSettings;
-use stores::{
-    HostList, HttpHosts, HttpObjects, HttpTable, HttpWeights, ObjectStore, TableService,
-};
 use settings::NodeSettings;
+use stores::{HostList, HttpHosts, HttpObjects, HttpTable, HttpWeights, ObjectStore, TableService};
 use telemetry::{HopTracer, NodeMetrics};
 use wire::{KeyRing, SealKey};
 
--- a/components/node/src/directory.rs
+++ b/components/node/src/directory.rs
@@ -13,8 +13,8 @@
     CallEvidence, ListedUpstream, UpstreamChange, UpstreamEvent, UpstreamEvidence,
     UpstreamSettings, UpstreamState, UpstreamTable,
 };
-use stores::{HostEntry, HostKind, HostList, HostState};
 use smol::channel::{Receiver, Sender, bounded};
+use stores::{HostEntry, HostKind, HostList, HostState};
 use types::{EngineId, EngineReport, IncarnationNumber, NodeId, ServiceName, UpstreamId, ZoneId};
 use upstream::{HttpEngine, HttpService, ModelEngine, PlainService};
 
--- a/components/node/src/engines/fencing.rs
+++ b/components/node/src/engines/fencing.rs
@@ -3,8 +3,8 @@
 use std::sync::Arc;
 
 use errors::PlatformError;
-use stores::{ReadMode, RowExpectation, RowWrite, TableRow, TableService};
 use sha2::{Digest, Sha256};
+use stores::{ReadMode, RowExpectation, RowWrite, TableRow, TableService};
 use types::{EngineId, FencingNumber};
 
 const TABLE: &str = "fencing";
--- a/components/node/src/members.rs
+++ b/components/node/src/members.rs
@@ -14,8 +14,8 @@
     BODY_LIMIT_BYTES, GossipTopic, MemberEvent, MemberIdentity, MemberSettings, MemberSnapshot,
     TopicRecord,
 };
-use stores::{HostEntry, HostKind, HostList};
 use smol::{channel::Receiver, net::UdpSocket};
+use stores::{HostEntry, HostKind, HostList};
 use types::{NodeId, NoteVersion};
 use wire::KeyRing;
 
--- a/components/node/src/notes/store.rs
+++ b/components/node/src/notes/store.rs
@@ -4,8 +4,8 @@
 
 use errors::PlatformError;
 use notes::{AcceptedNote, ChainHead, ChainState, NoteId, NotesReply};
-use stores::{ObjectStore, ReadMode, RowExpectation, RowWrite, TableService};
 use serde::{Deserialize, Serialize, de::DeserializeOwned};
+use stores::{ObjectStore, ReadMode, RowExpectation, RowWrite, TableService};
 use types::{NoteVersion, RowVersion};
 
 /// Versions between two snapshots of the whole state.
--- a/components/node/src/orders/service.rs
+++ b/components/node/src/orders/service.rs
@@ -13,8 +13,8 @@
 use orders::{
     DoubtCause, OrderName, OrderOutcome, RefusalCause, RefusalScope, StateAnswer, question_step,
 };
-use stores::TableService;
 use smol::channel::bounded;
+use stores::TableService;
 
 use super::{
     clock::WallClock,
--- a/components/node/src/orders/sweep.rs
+++ b/components/node/src/orders/sweep.rs
@@ -8,8 +8,8 @@
 
 use errors::PlatformError;
 use orders::{PurgeStep, RETENTION, RowCondition, SWEEP_AGE, purge_step, sweep_step};
-use stores::{RowExpectation, RowWrite, TableRow};
 use serde::{Deserialize, Serialize};
+use stores::{RowExpectation, RowWrite, TableRow};
 
 use super::{
     ledger::{CLAIMS_TABLE, CURSORS_TABLE, ORDERS_TABLE},
--- a/components/node/src/orders/writer.rs
+++ b/components/node/src/orders/writer.rs
@@ -8,8 +8,8 @@
 
 use errors::PlatformError;
 use orders::{OrderWrite, RowCondition};
-use stores::{RowExpectation, RowWrite};
 use smol::channel::{Sender, bounded};
+use stores::{RowExpectation, RowWrite};
 use types::RowVersion;
 
 use super::{
--- a/components/node/tests/members.rs
+++ b/components/node/tests/members.rs
@@ -11,8 +11,8 @@
 use kernel::{CancellationToken, ClockSource, PausedClock, ServiceKernel};
 use membership::{GossipTopic, MemberAddresses, MemberIdentity, MemberSettings, MemberState};
 use node::members::{MemberConfig, MemberService, TopicFault};
-use stores::{HostEntry, HostKind, HostList, HostState};
 use smol::{Timer, net::UdpSocket};
+use stores::{HostEntry, HostKind, HostList, HostState};
 use wire::{KeyRing, SealKey};
 
 /// Steps of the paused clock that a test waits at most.
--- a/components/node/tests/notes.rs
+++ b/components/node/tests/notes.rs
@@ -10,9 +10,9 @@
     AdopterEvent, AdopterSettings, ChainState, NoteAdopter, NoteDocument, NoteId, NoteSource,
     note_id, parse_document,
 };
-use stores::{ObjectStore, TableService};
 use rand::{RngExt, SeedableRng, rngs::StdRng};
 use smol::LocalExecutor;
+use stores::{ObjectStore, TableService};
 use support::FakePlatform;
 
 fn store(platform: &Arc<FakePlatform>) -> NoteStore {
--- a/components/node/tests/notes_service.rs
+++ b/components/node/tests/notes_service.rs
@@ -17,8 +17,8 @@
     notes::{NotePeer, NotePeerFault, NoteService, NoteStore, PublishOptions, PublishOutcome},
 };
 use notes::{AdopterSettings, NoteDocument, NotesReply, NotesRequest, VersionGate, parse_document};
-use stores::{HostEntry, HostList, ObjectStore, TableService};
 use smol::{Timer, net::UdpSocket};
+use stores::{HostEntry, HostList, ObjectStore, TableService};
 use support::FakePlatform;
 use types::NodeId;
 use wire::{KeyRing, SealKey};
--- a/components/node/tests/orders/http.rs
+++ b/components/node/tests/orders/http.rs
@@ -11,10 +11,10 @@
 use node::orders::{OrderRequest, OrderService, OrderSettings, ServicePeer, ServiceTarget};
 use notes::ServiceGuarantee;
 use orders::{OrderName, OrderOutcome, RefusalScope, StateAnswer};
-use stores::{HttpTable, fakes::EdgeFaults};
 use rand::{RngExt, SeedableRng, rngs::StdRng};
 use smol::Task;
 use standins::{PlatformServer, PlatformSettings, ServiceServer, ServiceSettings};
+use stores::{HttpTable, fakes::EdgeFaults};
 use upstream::HttpService;
 
 const HISTORIES: u64 = 200;
--- a/components/node/tests/orders/service.rs
+++ b/components/node/tests/orders/service.rs
@@ -18,8 +18,8 @@
 use orders::{
     HandRefusal, OrderName, OrderOutcome, OrderVerdict, RETENTION, RefusalCause, StateAnswer,
 };
-use stores::{ReadMode, TableService};
 use smol::Task;
+use stores::{ReadMode, TableService};
 use upstream::{HttpService, PlainService};
 
 struct Fixture {
--- a/components/node/tests/orders/support.rs
+++ b/components/node/tests/orders/support.rs
@@ -13,9 +13,9 @@
 use async_trait::async_trait;
 use errors::{PlatformError, SendPhase, UpstreamError};
 use kernel::{ClockSource, PausedClock};
-use stores::{ReadMode, RowWrite, TableRow, TableService, fakes::MemoryTable};
 use rand::{RngExt, SeedableRng, rngs::StdRng};
 use smol::Task;
+use stores::{ReadMode, RowWrite, TableRow, TableService, fakes::MemoryTable};
 use types::RowVersion;
 use upstream::{OrderCall, PlainService, ServiceAnswer};
 
--- a/components/node/tests/support/mod.rs
+++ b/components/node/tests/support/mod.rs
@@ -7,8 +7,8 @@
 
 use async_trait::async_trait;
 use errors::PlatformError;
-use stores::{ObjectStore, ReadMode, RowExpectation, RowWrite, TableRow, TableService};
 use rand::{RngExt, SeedableRng, rngs::StdRng};
+use stores::{ObjectStore, ReadMode, RowExpectation, RowWrite, TableRow, TableService};
 use types::RowVersion;
 
 struct FakeState {
--- a/components/standins/examples/call_cost.rs
+++ b/components/standins/examples/call_cost.rs
@@ -7,11 +7,11 @@
 use futures_lite::StreamExt;
 use hdrhistogram::Histogram;
 use kernel::{CancellationToken, ClockSource};
-use stores::{HostList, HttpHosts, HttpTable, ReadMode, RowExpectation, RowWrite, TableService};
 use smol::block_on;
 use standins::{
     EngineServer, EngineSettings, PlatformServer, PlatformSettings, ServiceServer, ServiceSettings,
 };
+use stores::{HostList, HttpHosts, HttpTable, ReadMode, RowExpectation, RowWrite, TableService};
 use types::LoadedModel;
 use upstream::{EngineCall, HttpEngine, HttpService, ModelEngine, OrderCall, PlainService};
 
--- a/components/standins/src/engine/control.rs
+++ b/components/standins/src/engine/control.rs
@@ -3,8 +3,8 @@
 use std::time::Duration;
 
 use http_types::{Method, Request, StatusCode};
-use stores::fakes::EdgeFaults;
 use serde::{Deserialize, Serialize};
+use stores::fakes::EdgeFaults;
 use types::{IncarnationNumber, TokenCount};
 
 use crate::{
--- a/components/standins/src/engine/server.rs
+++ b/components/standins/src/engine/server.rs
@@ -10,8 +10,8 @@
 use futures_lite::{StreamExt, stream::unfold};
 use http_types::{Method, Request, Response, StatusCode};
 use kernel::{CancellationToken, ClockSource};
-use stores::{HostEntry, HostKind, HostState};
 use smol::{future, net::TcpListener};
+use stores::{HostEntry, HostKind, HostState};
 use types::{EngineOrder, RequestId};
 use upstream::{
     AttemptCall, EngineCall, EngineEvent, ExportCall, KvImport, KvReservation, ModelEngine,
--- a/components/standins/src/engine/settings.rs
+++ b/components/standins/src/engine/settings.rs
@@ -3,8 +3,8 @@
 use std::time::Duration;
 
 use model::engine_profile;
-use stores::fakes::EdgeFaults;
 use serde::{Deserialize, Serialize};
+use stores::fakes::EdgeFaults;
 use types::{
     EngineId, EngineProfile, EngineRole, IncarnationNumber, LoadedModel, TokenCount, ZoneId,
 };
--- a/components/standins/src/engine/standin.rs
+++ b/components/standins/src/engine/standin.rs
@@ -8,8 +8,8 @@
 use errors::{SendPhase, UpstreamError};
 use kernel::{CancellationToken, ClockSource};
 use model::ModelError;
-use stores::fakes::{CallKind, FaultSwitch};
 use smol::channel::{Receiver, Sender, bounded};
+use stores::fakes::{CallKind, FaultSwitch};
 use types::{AttemptId, EngineReport, IncarnationNumber, RequestId, TokenCount};
 use upstream::KvExport;
 
--- a/components/standins/src/platform.rs
+++ b/components/standins/src/platform.rs
@@ -5,6 +5,8 @@
 
 use http_types::{Method, Request, Response, StatusCode};
 use kernel::{CancellationToken, ClockSource};
+use serde::{Deserialize, Serialize};
+use smol::net::TcpListener;
 use stores::{
     HostDeparture, HostEntry, HostList, ObjectStore, ReadAnswer, ReadCall, ScanAnswer, ScanCall,
     SlotCall, TableService, TransactAnswer, TransactCall, WeightStore,
@@ -12,8 +14,6 @@
         EdgeFaults, FaultSwitch, MemoryHosts, MemoryObjects, MemoryTable, MemoryWeights, WeightRate,
     },
 };
-use serde::{Deserialize, Serialize};
-use smol::net::TcpListener;
 
 use crate::{
     reply::{Reply, empty, json, platform_reply, read_json, unknown_path},
--- a/components/standins/src/registration.rs
+++ b/components/standins/src/registration.rs
@@ -3,8 +3,8 @@
 use std::time::Duration;
 
 use kernel::ClockSource;
-use stores::{HostEntry, HostRegistrar};
 use serde::{Deserialize, Serialize};
+use stores::{HostEntry, HostRegistrar};
 
 const CALL_LIMIT: Duration = Duration::from_secs(2);
 
--- a/components/standins/src/reply.rs
+++ b/components/standins/src/reply.rs
@@ -4,8 +4,8 @@
 
 use errors::{PlatformError, UpstreamError};
 use http_types::{Request, Response, Status, StatusCode};
-use stores::ConflictAnswer;
 use serde::{Serialize, de::DeserializeOwned};
+use stores::ConflictAnswer;
 use upstream::{FencedAnswer, RefusedAnswer};
 
 /// What an endpoint returns: an answer, or an error to cut the connection.
--- a/components/standins/src/service/server.rs
+++ b/components/standins/src/service/server.rs
@@ -5,9 +5,9 @@
 use errors::UpstreamError;
 use http_types::{Method, Request, Response, StatusCode};
 use kernel::{CancellationToken, ClockSource};
-use stores::{HostEntry, HostKind, HostState, fakes::EdgeFaults};
 use serde::{Deserialize, Serialize};
 use smol::net::TcpListener;
+use stores::{HostEntry, HostKind, HostState, fakes::EdgeFaults};
 use types::{IncarnationNumber, ServiceName, UpstreamId, ZoneId};
 use upstream::{
     DEADLINE_HEADER, FENCING_HEADER, FENCING_NEWEST_HEADER, IDEMPOTENCY_HEADER, NOT_RUN_HEADER,
--- a/components/standins/src/service/standin.rs
+++ b/components/standins/src/service/standin.rs
@@ -9,8 +9,8 @@
 use async_trait::async_trait;
 use errors::UpstreamError;
 use kernel::ClockSource;
-use stores::fakes::{CallKind, FaultSwitch};
 use serde::{Deserialize, Serialize};
+use stores::fakes::{CallKind, FaultSwitch};
 use types::FencingNumber;
 use upstream::{OrderCall, PlainService, ServiceAnswer};
 
--- a/components/standins/tests/contract/engine_faults.rs
+++ b/components/standins/tests/contract/engine_faults.rs
@@ -3,9 +3,9 @@
 use std::time::Duration;
 
 use kernel::{CancellationToken, ClockSource};
-use stores::{HostList, HostState, HttpHosts, fakes::EdgeFaults};
 use smol::{block_on, future};
 use standins::{EngineSettings, HostListing, PlatformSettings, StandinEngine};
+use stores::{HostList, HostState, HttpHosts, fakes::EdgeFaults};
 use types::{EngineOrder, EngineRole};
 use upstream::{EngineCall, HttpEngine, KvReservation, ModelEngine, SequenceMember};
 
--- a/components/standins/tests/contract/fixture.rs
+++ b/components/standins/tests/contract/fixture.rs
@@ -4,11 +4,11 @@
 
 use errors::{PlatformError, UpstreamError};
 use kernel::{CancellationToken, ClockSource};
-use stores::fakes::{EdgeFaults, OutageKind};
 use smol::{Task, Timer, net::TcpListener};
 use standins::{
     EngineServer, EngineSettings, PlatformServer, PlatformSettings, ServiceServer, ServiceSettings,
 };
+use stores::fakes::{EdgeFaults, OutageKind};
 use types::LoadedModel;
 
 /// Longer than any call of a test takes.
--- a/components/standins/tests/contract/hosts.rs
+++ b/components/standins/tests/contract/hosts.rs
@@ -3,12 +3,12 @@
 use std::time::Duration;
 
 use kernel::{ClockSource, PausedClock};
+use smol::block_on;
+use standins::PlatformSettings;
 use stores::{
     HostDeparture, HostEntry, HostKind, HostList, HostRegistrar, HostState, HttpHosts,
     fakes::{EdgeFaults, MemoryHosts, OutageKind},
 };
-use smol::block_on;
-use standins::PlatformSettings;
 
 use crate::fixture::{CALL_LIMIT, CallOutcome, platform, platform_outcome};
 
--- a/components/standins/tests/contract/objects.rs
+++ b/components/standins/tests/contract/objects.rs
@@ -1,12 +1,12 @@
 //! The object store.
 
 use kernel::ClockSource;
+use smol::block_on;
+use standins::PlatformSettings;
 use stores::{
     HttpObjects, ObjectStore,
     fakes::{EdgeFaults, MemoryObjects},
 };
-use smol::block_on;
-use standins::PlatformSettings;
 
 use crate::fixture::{CALL_LIMIT, platform, platform_outcome, write_faults};
 
--- a/components/standins/tests/contract/service.rs
+++ b/components/standins/tests/contract/service.rs
@@ -4,9 +4,9 @@
 
 use errors::UpstreamError;
 use kernel::ClockSource;
-use stores::fakes::EdgeFaults;
 use smol::block_on;
 use standins::{ServiceSettings, StandinService};
+use stores::fakes::EdgeFaults;
 use upstream::{HttpService, OrderCall, PlainService};
 
 use crate::fixture::{
--- a/components/standins/tests/contract/table.rs
+++ b/components/standins/tests/contract/table.rs
@@ -4,12 +4,12 @@
 
 use errors::PlatformError;
 use kernel::{ClockSource, PausedClock};
+use smol::{block_on, future};
+use standins::PlatformSettings;
 use stores::{
     HttpTable, ReadMode, RowExpectation, RowWrite, TableService,
     fakes::{EdgeFaults, MemoryTable, OutageKind},
 };
-use smol::{block_on, future};
-use standins::PlatformSettings;
 
 use crate::fixture::{
     CALL_LIMIT, CallOutcome, SHORT_LIMIT, closed_address, platform, platform_outcome, until,
--- a/components/standins/tests/contract/weights.rs
+++ b/components/standins/tests/contract/weights.rs
@@ -4,12 +4,12 @@
 
 use errors::PlatformError;
 use kernel::{ClockSource, PausedClock};
+use smol::block_on;
+use standins::PlatformSettings;
 use stores::{
     HttpWeights, WeightStore,
     fakes::{EdgeFaults, MemoryWeights, OutageKind, WeightRate},
 };
-use smol::block_on;
-use standins::PlatformSettings;
 
 use crate::fixture::{CALL_LIMIT, CallOutcome, platform, platform_outcome};
 
--- a/components/telemetry/src/bounded.rs
+++ b/components/telemetry/src/bounded.rs
@@ -96,7 +96,12 @@
         // Nobody is left to be told when standard output is gone.
         output.write_all(taken.text.as_bytes()).ok();
         if taken.dropped > 0 {
-            writeln!(output, "level=WARN event=log_lines_dropped count={}", taken.dropped).ok();
+            writeln!(
+                output,
+                "level=WARN event=log_lines_dropped count={}",
+                taken.dropped
+            )
+            .ok();
         }
         output.flush().ok();
     }
--- a/tests/order_histories.rs
+++ b/tests/order_histories.rs
@@ -15,10 +15,10 @@
 };
 use http_types::Method;
 use kernel::ClockSource;
-use stores::fakes::{EdgeFaults, OutageKind};
 use rand::{RngExt, SeedableRng, rngs::StdRng};
 use serde_json::Value;
 use smol::Task;
+use stores::fakes::{EdgeFaults, OutageKind};
 use transport::{CallFault, HttpAnswer, HttpCaller};
 
 const HISTORIES: u64 = 200;
--- a/tests/standin_process.rs
+++ b/tests/standin_process.rs
@@ -11,12 +11,12 @@
 use errors::PlatformError;
 use http_types::Method;
 use kernel::ClockSource;
+use serde_json::{Value, json};
+use smol::{Timer, block_on};
 use stores::{
     HostList, HostState, HttpHosts, HttpTable, ReadMode, TableService,
     fakes::{EdgeFaults, OutageKind},
 };
-use serde_json::{Value, json};
-use smol::{Timer, block_on};
 use transport::HttpCaller;
 
 const PROGRAM: &str = env!("CARGO_BIN_EXE_gentiantally-standin");
--- a/tests/streams.rs
+++ b/tests/streams.rs
@@ -13,8 +13,8 @@
 };
 use http_types::{Method, Response, StatusCode};
 use kernel::{CancellationToken, ClockSource};
-use stores::{HostEntry, HostKind, HostRegistrar, HostState};
 use serde_json::{Value, json};
+use stores::{HostEntry, HostKind, HostRegistrar, HostState};
 use transport::HttpCaller;
 use types::{EngineReport, EngineRole, LoadedModel};
 use upstream::{CacheBatch, EngineCall, EngineEvent};
