Tell callers of the longest prompts to come back, send others after their wait

Now one that needs idle engines is refused after an eighth of its goal, and any other goes to its engines when its wait is over.

--- a/components/dispatch/src/lib.rs
+++ b/components/dispatch/src/lib.rs
@@ -22,7 +22,9 @@
 pub use engine::{PromptSize, read_time};
 pub use feed::{FeedBelief, FeedSource};
 pub use load::{EngineLoad, FlightId, FlightPart, FlightPlan, LoadBook, PeerLoad, ReadNotice};
-pub use placement::{Placement, PlacementRefusal, PromptGoals, place_call, place_prompt};
+pub use placement::{
+    PlacePatience, Placement, PlacementRefusal, PromptGoals, place_call, place_prompt,
+};
 pub use quarantine::{CrashFingerprint, QuarantineList};
 pub use roster::{NodeRoster, RosterEntry};
 pub use routes::{RouteMatch, RouteTable};
--- a/components/dispatch/src/placement.rs
+++ b/components/dispatch/src/placement.rs
@@ -78,8 +78,10 @@
 pub enum PlacementRefusal {
     /// No upstream of the service is known to take work.
     NoUpstream,
-    /// Every upstream is full.
+    /// Every upstream is full, or has too much to read for now.
     Full,
+    /// The prompt would hold up all others, and too few engines are idle.
+    NeedsQuiet,
     /// All engines together can't hold the prompt.
     TooLarge,
 }
@@ -91,6 +93,15 @@
     goals: PromptGoals,
 }
 
+/// Whether a prompt may still wait for engines with less to read.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum PlacePatience {
+    /// It waits, so that all prompts end sooner on the whole.
+    Waits,
+    /// It has waited long enough.
+    Over,
+}
+
 /// What the caller of a prompt, and those of other prompts, expect.
 #[derive(Clone, Copy, Debug)]
 pub struct PromptGoals {
@@ -151,6 +162,7 @@
     spec: &EngineSpec,
     size: PromptSize,
     goals: PromptGoals,
+    patience: PlacePatience,
     upstreams: &[&UpstreamView],
     loads: &LoadBook,
     rng: &mut impl Rng,
@@ -173,7 +185,10 @@
         match admit_reading(spec, &ask, &candidates) {
             ReadingAdmission::Whole => {}
             ReadingAdmission::Apart => return read_apart(spec, &ask, candidates, rng),
-            ReadingAdmission::Later => return Err(PlacementRefusal::Full),
+            ReadingAdmission::Later if patience == PlacePatience::Waits => {
+                return Err(PlacementRefusal::Full);
+            }
+            ReadingAdmission::Later => {}
         }
     }
     let first = if tight {
@@ -371,7 +386,7 @@
     candidates.retain(|one| one.load.running() == 0 && one.load.reading.is_zero());
     candidates.sort_by_cached_key(|one| (Reverse(one.rank), tie(rng)));
     if candidates.len() < readers {
-        return Err(PlacementRefusal::Full);
+        return Err(PlacementRefusal::NeedsQuiet);
     }
     let share = ask
         .size
--- a/components/dispatch/src/quarantine.rs
+++ b/components/dispatch/src/quarantine.rs
@@ -13,7 +13,7 @@
 /// from it shows that it did not crash.
 const RESTART_MIN: Duration = Duration::from_millis(1500);
 /// Time for which a request that crashed upstreams is refused.
-const QUARANTINE_TIME: Duration = Duration::from_secs(60);
+const QUARANTINE_TIME: Duration = Duration::from_mins(1);
 
 /// Hash over path, organisation and body: the same for every attempt.
 pub type CrashFingerprint = u64;
--- a/components/gateway/src/attempt.rs
+++ b/components/gateway/src/attempt.rs
@@ -5,8 +5,8 @@
 
 use bytes::Bytes;
 use dispatch::{
-    CallKind, FlightPart, FlightPlan, Placement, PlacementRefusal, PromptGoals, PromptSize,
-    ReadNotice, place_call, place_prompt,
+    CallKind, FlightPart, FlightPlan, PlacePatience, Placement, PlacementRefusal, PromptGoals,
+    PromptSize, ReadNotice, place_call, place_prompt,
 };
 use http::{HeaderMap, Request, Response, StatusCode, Uri, header};
 use http_body_util::{BodyExt, Full, Limited};
@@ -37,13 +37,21 @@
 const CALL_MARGIN: Duration = Duration::from_millis(100);
 /// Silence after which a prompt is sent elsewhere, beside its goal: less than
 /// the two seconds after which callers leave, and enough for some passes.
-const PROMPT_MARGIN: Duration = Duration::from_millis(1000);
+const PROMPT_MARGIN: Duration = Duration::from_secs(1);
 /// Bounds of when a refused caller should come back.
 const RETURN_MIN: Duration = Duration::from_millis(150);
 /// Pause between two looks for a place that harms nobody.
 const PLACE_PAUSE: Duration = Duration::from_millis(25);
-/// Share of the latency goal for which a prompt may wait for a better place.
+/// Share of the latency goal for which a prompt may wait for a better place:
+/// late answers still count for their callers.
 const PLACE_SHARE: f64 = 1.5;
+/// The same as a share of the time that the caller gives.
+const PLACE_DEADLINE_SHARE: f64 = 0.4;
+/// Share of the goal for which a prompt that needs idle engines waits before
+/// its caller is told to come back: longer waits seldom find them.
+const QUIET_SHARE: f64 = 0.125;
+/// When such a caller should come back, as a share of the time it has left.
+const QUIET_RETURN: f64 = 0.33;
 /// Time within the silence of a stream after which another upstream goes on:
 /// callers leave after two seconds.
 const STREAM_SILENCE_MIN: Duration = Duration::from_millis(1300);
@@ -101,6 +109,7 @@
             Ok(placed) => placed,
             Err(PlacementRefusal::NoUpstream) => break "no_upstream",
             Err(PlacementRefusal::Full) => break "full",
+            Err(PlacementRefusal::NeedsQuiet) => break "needs_quiet",
             Err(PlacementRefusal::TooLarge) => break "too_large",
         };
         if gateway.now() + ANSWER_MARGIN >= job.deadline {
@@ -145,7 +154,11 @@
         return (Response::from_parts(parts, AnswerBody::from(body)), false);
     }
     let answer = if !record.may_have_run {
-        OwnAnswer::Refused(RETURN_MIN)
+        let left = job.deadline.saturating_duration_since(now);
+        OwnAnswer::Refused(match reason {
+            "needs_quiet" => left.mul_f64(QUIET_RETURN).max(RETURN_MIN),
+            _ => RETURN_MIN,
+        })
     } else if now + ANSWER_MARGIN >= job.deadline {
         OwnAnswer::Overdue
     } else {
@@ -191,14 +204,24 @@
     job: &ForwardJob,
     record: &AttemptRecord,
 ) -> Result<Placement, PlacementRefusal> {
+    let whole = job.deadline.saturating_duration_since(job.arrived);
     let patience = job.route.latency_goal.mul_f64(PLACE_SHARE);
+    let patience = patience.min(whole.mul_f64(PLACE_DEADLINE_SHARE));
+    let quiet_patience = job.route.latency_goal.mul_f64(QUIET_SHARE);
     loop {
-        let placed = place(gateway, job, &record.tried);
         let waited = gateway.now().saturating_duration_since(job.arrived);
         let late = waited >= patience;
-        match placed {
+        let patience = if late {
+            PlacePatience::Over
+        } else {
+            PlacePatience::Waits
+        };
+        match place(gateway, job, &record.tried, patience) {
             Ok(placed) if placed.harmless || late => return Ok(placed),
-            Ok(_) | Err(PlacementRefusal::Full) if !late => {
+            Err(PlacementRefusal::NeedsQuiet) if waited >= quiet_patience => {
+                return Err(PlacementRefusal::NeedsQuiet);
+            }
+            Ok(_) | Err(PlacementRefusal::Full | PlacementRefusal::NeedsQuiet) if !late => {
                 gateway.clock.sleep(PLACE_PAUSE).await;
             }
             other => return other,
@@ -210,6 +233,7 @@
     gateway: &Gateway,
     job: &ForwardJob,
     tried: &[UpstreamId],
+    patience: PlacePatience,
 ) -> Result<Placement, PlacementRefusal> {
     let now = gateway.now();
     let routes = gateway.routes.borrow();
@@ -221,7 +245,9 @@
     match (spec.and_then(|spec| spec.engine.as_ref()), job.call.size) {
         (Some(engine), Some(size)) => {
             let goals = goals_of(gateway, job);
-            place_prompt(now, engine, size, goals, &usable, &loads, &mut *rng)
+            place_prompt(
+                now, engine, size, goals, patience, &usable, &loads, &mut *rng,
+            )
         }
         _ => place_call(now, &usable, &loads, &mut *rng).map(Placement::alone),
     }
@@ -679,7 +705,7 @@
     job: &ForwardJob,
     tried: &[UpstreamId],
 ) -> Option<Placement> {
-    place(gateway, job, tried).ok()
+    place(gateway, job, tried, PlacePatience::Over).ok()
 }
 
 /// Longest silence of a stream that is waited out.
--- a/components/gateway/src/forward.rs
+++ b/components/gateway/src/forward.rs
@@ -25,7 +25,7 @@
 /// that the store's answer takes.
 const UNINFORMED_RETRY: Duration = Duration::from_millis(300);
 /// Time a caller waits who does not say how long.
-const DEFAULT_PATIENCE: Duration = Duration::from_secs(60);
+const DEFAULT_PATIENCE: Duration = Duration::from_mins(1);
 
 /// A request with everything that decides about it.
 #[derive(Debug)]
--- a/components/gateway/src/tickets.rs
+++ b/components/gateway/src/tickets.rs
@@ -16,7 +16,7 @@
 /// after the request, also when this node died right after a renewal.
 const HOLD_TIME: Duration = Duration::from_millis(3200);
 /// Pause between two renewals: two may be lost.
-const RENEW_PAUSE: Duration = Duration::from_millis(1000);
+const RENEW_PAUSE: Duration = Duration::from_secs(1);
 /// Time for an engine's answer to an order.
 const ORDER_TIME: Duration = Duration::from_millis(400);
 /// Attempts to release a reservation before it is left to lapse.
@@ -26,7 +26,7 @@
 pub(crate) struct TicketSet {
     gateway: Rc<Gateway>,
     tickets: Vec<EngineTicket>,
-    _renewal: Option<Task<()>>,
+    renewal: Option<Task<()>>,
 }
 
 #[derive(Clone, Debug)]
@@ -52,7 +52,7 @@
         let mut set = Self {
             gateway: Rc::clone(gateway),
             tickets: Vec::new(),
-            _renewal: None,
+            renewal: None,
         };
         for (engine, tokens) in shares {
             let upstreams = gateway.upstreams.borrow();
@@ -87,7 +87,7 @@
             return Err(engine);
         }
         let renewal = renew(Rc::clone(gateway), set.tickets.clone());
-        set._renewal = Some(gateway.executor.spawn(renewal));
+        set.renewal = Some(gateway.executor.spawn(renewal));
         Ok(set)
     }
 
