--- /dev/null
+++ b/components/dispatch/tests/routes.rs
@@ -0,0 +1,96 @@
+//! Routes by host and longest prefix, organisations by key.
+
+use std::{hash::RandomState, sync::Arc, time::Duration};
+
+use dispatch::{
+    CallKind, DesiredState, ForwardRoute, OrganisationEntry, RouteMatch, RouteTable, ServiceWeight,
+};
+
+fn route(name: &str, host: &str, prefix: &str, anonymous: bool) -> Arc<ForwardRoute> {
+    Arc::new(ForwardRoute {
+        name: name.to_owned(),
+        host: host.to_owned(),
+        prefix: prefix.to_owned(),
+        kind: CallKind::Idempotent,
+        time_limit: Duration::from_secs(1),
+        latency_goal: Duration::from_millis(100),
+        event_gap: None,
+        rank: 1,
+        split: vec![
+            ServiceWeight {
+                service: "most".to_owned(),
+                weight: 9,
+            },
+            ServiceWeight {
+                service: "few".to_owned(),
+                weight: 1,
+            },
+        ],
+        max_upstreams: 2,
+        anonymous,
+    })
+}
+
+fn table() -> RouteTable {
+    RouteTable::new(DesiredState {
+        version: 3,
+        routes: vec![
+            route("wide", "ash.example", "/a/", false),
+            route("narrow", "ash.example", "/a/b/", false),
+            route("open", "ash.example", "/open/", true),
+        ],
+        organisations: Some(vec![OrganisationEntry {
+            id: "duluth".to_owned(),
+            keys: vec!["key-1".to_owned()],
+            rank: None,
+        }]),
+        ..DesiredState::default()
+    })
+}
+
+fn found(table: &RouteTable, host: &str, path: &str, key: Option<&str>) -> String {
+    match table.find(host, path, key) {
+        RouteMatch::NoRoute => "no route".to_owned(),
+        RouteMatch::NoKey => "no key".to_owned(),
+        RouteMatch::Found(route, holder) => {
+            format!("{} {}", route.name, holder.map_or("-", |one| &one.id))
+        }
+    }
+}
+
+#[test]
+fn the_longest_prefix_of_the_host_wins() {
+    let table = table();
+    for (host, path, key, expected) in [
+        ("ash.example", "/a/x", Some("key-1"), "wide duluth"),
+        ("ash.example", "/a/b/x", Some("key-1"), "narrow duluth"),
+        ("ASH.example:80", "/a/b/", Some("key-1"), "narrow duluth"),
+        ("ash.example", "/a/bc/x", Some("key-1"), "wide duluth"),
+        ("ash.example", "/a", Some("key-1"), "no route"),
+        ("other.example", "/a/x", Some("key-1"), "no route"),
+        ("ash.example", "/a/x", None, "no key"),
+        ("ash.example", "/a/x", Some("key-2"), "no key"),
+        ("ash.example", "/open/x", None, "open -"),
+        ("ash.example", "/open/x", Some("key-1"), "open duluth"),
+    ] {
+        assert_eq!(
+            found(&table, host, path, key),
+            expected,
+            "{host}{path} {key:?}"
+        );
+    }
+}
+
+#[test]
+fn a_split_follows_its_weights_and_keeps_an_attempt_where_it_was() {
+    let route = route("split", "ash.example", "/", true);
+    let hasher = RandomState::new();
+    let few = (0..4000)
+        .filter(|number| route.service_for(&number.to_string(), &hasher) == Some("few"))
+        .count();
+    assert!((200..800).contains(&few), "{few} of 4000 went to a tenth");
+    assert_eq!(
+        route.service_for("attempt", &hasher),
+        route.service_for("attempt", &hasher)
+    );
+}
--- /dev/null
+++ b/components/dispatch/tests/swinging_mix.rs
@@ -0,0 +1,273 @@
+//! The load that swings every few seconds between long prompts and short
+//! ones: where each goes while the other is about.
+
+use std::{
+    collections::BTreeSet,
+    time::{Duration, Instant},
+};
+
+use dispatch::{
+    EngineSpec, FlightPart, FlightPlan, LoadBook, PeerLoad, PlacePatience, Placement,
+    PlacementRefusal, PromptGoals, PromptSize, ReadNotice, UpstreamEntry, UpstreamState,
+    UpstreamTable, place_prompt, read_time,
+};
+use rand::{SeedableRng, rngs::SmallRng};
+
+const ENGINES: u32 = 14;
+const SHORT: PromptSize = PromptSize {
+    prompt: 5_000,
+    answer: 1_600,
+};
+
+fn spec() -> EngineSpec {
+    EngineSpec {
+        places: 16,
+        memory: 450_000,
+        stride: 46,
+        step: Duration::from_micros(925),
+        writer_ms: 0.004_83,
+        context_ms: 0.002_54,
+        read_per_ms: 256.0,
+        pairs_ms: 0.0917,
+    }
+}
+
+struct Fleet {
+    now: Instant,
+    table: UpstreamTable,
+    loads: LoadBook,
+    rng: SmallRng,
+}
+
+impl Fleet {
+    fn new() -> Self {
+        let mut table = UpstreamTable::default();
+        for number in 0..ENGINES {
+            table.upsert(UpstreamEntry {
+                id: format!("engine-{number:02}"),
+                service: "models".to_owned(),
+                address: ([10, 0, 0, 1], u16::try_from(number).unwrap()).into(),
+                zone: "duluth".to_owned(),
+                places: 16,
+                state: UpstreamState::Ready,
+                started_ms: None,
+                version: 1,
+            });
+        }
+        Self {
+            now: Instant::now(),
+            table,
+            loads: LoadBook::default(),
+            rng: SmallRng::seed_from_u64(7),
+        }
+    }
+
+    fn place(
+        &mut self,
+        size: PromptSize,
+        goals: PromptGoals,
+        patience: PlacePatience,
+    ) -> Result<Placement, PlacementRefusal> {
+        let usable = self.table.usable(self.now, "models", &[]);
+        let (now, loads, rng) = (self.now, &self.loads, &mut self.rng);
+        place_prompt(now, &spec(), size, goals, patience, &usable, loads, rng)
+    }
+
+    fn start(&mut self, size: PromptSize, goals: PromptGoals) -> Placement {
+        let placed = self.place(size, goals, PlacePatience::Over).unwrap();
+        self.loads.start(FlightPlan {
+            parts: vec![FlightPart {
+                engine: placed.first.clone(),
+                memory: size.memory(),
+            }],
+            tight: goals.tight(),
+        });
+        let mut engines = vec![placed.first.clone()];
+        engines.extend(placed.helpers.iter().cloned());
+        let notice = ReadNotice {
+            engines,
+            part: placed.part,
+            memory: size.memory(),
+        };
+        self.loads.note_reading(self.now, &notice);
+        placed
+    }
+}
+
+fn short_goals() -> PromptGoals {
+    PromptGoals {
+        first_event: Duration::from_millis(300),
+        gap: Duration::from_millis(200),
+        tightest_gap: Duration::from_millis(200),
+        longest_first: Duration::from_secs(3),
+    }
+}
+
+fn long_goals() -> PromptGoals {
+    PromptGoals {
+        first_event: Duration::from_secs(3),
+        gap: Duration::from_millis(800),
+        ..short_goals()
+    }
+}
+
+fn long(prompt: u64) -> PromptSize {
+    PromptSize {
+        prompt,
+        answer: 800,
+    }
+}
+
+#[test]
+fn short_prompts_share_few_engines_while_there_are_few() {
+    let mut fleet = Fleet::new();
+    let mut used = BTreeSet::new();
+    for _ in 0..18 {
+        used.insert(fleet.start(SHORT, short_goals()).first);
+        fleet.now += Duration::from_millis(80);
+    }
+    assert!(used.len() <= 3, "{used:?}");
+}
+
+#[test]
+fn short_prompts_get_all_engines_when_there_are_many() {
+    let mut fleet = Fleet::new();
+    let mut used = BTreeSet::new();
+    for _ in 0..150 {
+        used.insert(fleet.start(SHORT, short_goals()).first);
+        fleet.now += Duration::from_millis(13);
+    }
+    assert_eq!(used.len(), 14);
+    let busiest = used.iter().map(|id| fleet.loads.load(fleet.now, id).tight);
+    assert!(busiest.max() <= Some(13));
+}
+
+#[test]
+fn a_long_prompt_is_read_by_many_and_within_its_goal() {
+    let mut fleet = Fleet::new();
+    let placed = fleet.start(long(210_000), long_goals());
+    assert!(placed.helpers.len() >= 9, "{placed:?}");
+    assert!(placed.read < Duration::from_millis(400), "{placed:?}");
+}
+
+#[test]
+fn parts_of_a_long_prompt_keep_the_pauses_of_short_ones() {
+    let mut fleet = Fleet::new();
+    for _ in 0..18 {
+        fleet.start(SHORT, short_goals());
+        fleet.now += Duration::from_millis(80);
+    }
+    let placed = fleet.start(long(210_000), long_goals());
+    let mut readers = placed.helpers.clone();
+    readers.push(placed.first.clone());
+    for id in readers {
+        let load = fleet.loads.load(fleet.now, &id);
+        if load.tight > 0 {
+            let pass = spec().pass_time(load.running(), load.memory) + load.reading;
+            assert!(pass <= Duration::from_millis(200), "{id}: {pass:?}");
+        }
+    }
+}
+
+#[test]
+fn long_prompts_wait_while_much_is_being_read() {
+    let mut fleet = Fleet::new();
+    let mut admitted = 0;
+    let refused = loop {
+        match fleet.place(long(210_000), long_goals(), PlacePatience::Waits) {
+            Ok(_) => {
+                fleet.start(long(210_000), long_goals());
+                admitted += 1;
+            }
+            Err(refused) => break refused,
+        }
+    };
+    assert_eq!(refused, PlacementRefusal::Full);
+    assert!((1..=3).contains(&admitted), "{admitted}");
+    // A prompt of a twentieth of the work still fits in.
+    assert!(
+        fleet
+            .place(long(40_000), long_goals(), PlacePatience::Waits)
+            .is_ok()
+    );
+    // One that has waited goes all the same.
+    assert!(
+        fleet
+            .place(long(210_000), long_goals(), PlacePatience::Over)
+            .is_ok()
+    );
+    fleet.now += Duration::from_secs(1);
+    assert!(
+        fleet
+            .place(long(210_000), long_goals(), PlacePatience::Waits)
+            .is_ok()
+    );
+}
+
+#[test]
+fn the_longest_prompts_are_read_on_idle_engines_only() {
+    let mut fleet = Fleet::new();
+    let giant = long(700_000);
+    let placed = fleet
+        .place(giant, long_goals(), PlacePatience::Waits)
+        .unwrap();
+    assert!(placed.shares.len() < 7, "half of the engines stay free");
+    let held: u64 = placed.shares.iter().map(|(_, tokens)| tokens).sum();
+    assert!(giant.memory() - held <= spec().memory);
+    assert!(
+        placed
+            .shares
+            .iter()
+            .all(|(_, tokens)| *tokens <= spec().memory)
+    );
+
+    for _ in 0..100 {
+        fleet.start(SHORT, short_goals());
+        fleet.now += Duration::from_millis(13);
+    }
+    let refused = fleet.place(giant, long_goals(), PlacePatience::Over);
+    assert_eq!(refused.unwrap_err(), PlacementRefusal::NeedsQuiet);
+}
+
+#[test]
+fn a_prompt_that_no_group_can_hold_is_refused_for_good() {
+    let mut fleet = Fleet::new();
+    let refused = fleet.place(long(4_000_000), long_goals(), PlacePatience::Waits);
+    assert_eq!(refused.unwrap_err(), PlacementRefusal::TooLarge);
+}
+
+#[test]
+fn a_long_prompt_of_another_node_counts_before_its_next_summary() {
+    let mut fleet = Fleet::new();
+    fleet.loads.note_peer(fleet.now, "other", Vec::new());
+    let notice = ReadNotice {
+        engines: vec!["engine-13".to_owned(), "engine-12".to_owned()],
+        part: Duration::from_millis(300),
+        memory: 300_000,
+    };
+    fleet.loads.note_peer_reading(fleet.now, "other", &notice);
+    let load = fleet.loads.load(fleet.now, "engine-13");
+    assert_eq!((load.loose, load.memory), (1, 300_000));
+    assert_eq!(load.reading, Duration::from_millis(300));
+    assert!(load.waits_for_own);
+
+    let summary = vec![PeerLoad {
+        engine: "engine-13".to_owned(),
+        tight: 0,
+        loose: 1,
+        memory: 300_000,
+    }];
+    fleet.loads.note_peer(fleet.now, "other", summary);
+    assert_eq!(fleet.loads.load(fleet.now, "engine-13").loose, 1);
+    let later = fleet.now + Duration::from_secs(2);
+    assert_eq!(fleet.loads.load(later, "engine-13").running(), 0);
+}
+
+#[test]
+fn reading_costs_what_engines_publish() {
+    // 210,000 tokens: 0.82 s for the tokens and 2.02 s for their pairs.
+    let whole = read_time(&spec(), 210_000, 1);
+    assert!((2.83..2.85).contains(&whole.as_secs_f64()), "{whole:?}");
+    let part = read_time(&spec(), 210_000, 16);
+    assert!((0.176..0.179).contains(&part.as_secs_f64()), "{part:?}");
+}
