Wait out a stream's silence where no other upstream may go on

A silent stream was cut after 1.3 s also where it may not be resumed or the budget of repeats was used up.

--- a/components/dispatch/src/budget.rs
+++ b/components/dispatch/src/budget.rs
@@ -51,16 +51,22 @@
         sends.expire(now, window);
     }
 
-    /// Takes one repeat, if the share of one of `nodes` nodes allows it.
-    pub fn take_repeat(&mut self, now: Instant, service: &str, nodes: usize) -> bool {
+    /// Whether the share of one of `nodes` nodes allows a repeat.
+    pub fn allows_repeat(&mut self, now: Instant, service: &str, nodes: usize) -> bool {
         let window = self.window;
         let sends = self.services.entry(service.to_owned()).or_default();
         sends.expire(now, window);
         let share = self.allowance / count(nodes.max(1));
         let bound = USED_SHARE * (self.ratio * count(sends.firsts.len()) + share);
-        if count(sends.repeats.len()) + 1.0 > bound {
+        count(sends.repeats.len()) + 1.0 <= bound
+    }
+
+    /// Takes one repeat, if it is allowed.
+    pub fn take_repeat(&mut self, now: Instant, service: &str, nodes: usize) -> bool {
+        if !self.allows_repeat(now, service, nodes) {
             return false;
         }
+        let sends = self.services.entry(service.to_owned()).or_default();
         sends.repeats.push_back(now);
         true
     }
--- a/components/gateway/src/attempt.rs
+++ b/components/gateway/src/attempt.rs
@@ -337,7 +337,7 @@
             return SendOutcome::Lost;
         }
     };
-    take_answer(gateway, job, leg, connection, response).await
+    take_answer(gateway, job, leg, connection, response, record.sends).await
 }
 
 /// How long the head of the answer may take.
@@ -349,8 +349,7 @@
 ) -> Duration {
     let left = job.deadline.saturating_duration_since(gateway.now());
     let left = left.saturating_sub(ANSWER_MARGIN);
-    let more = record.sends < job.route.max_upstreams && job.route.kind.repeatable();
-    if !more {
+    if !could_repeat(gateway, job, record.sends) {
         return left;
     }
     let limit = if job.route.kind == CallKind::Idempotent {
@@ -367,6 +366,7 @@
     leg: Leg,
     connection: ClientConnection,
     response: Response<Incoming>,
+    sends: u32,
 ) -> SendOutcome {
     let status = response.status();
     let head = gateway.dialect.read_answer(status, response.headers());
@@ -394,7 +394,7 @@
         return SendOutcome::Lost;
     }
     if status.is_success() && job.route.kind.streams() {
-        let relay = StreamRelay::new(gateway, job, leg, connection, response, &head);
+        let relay = StreamRelay::new(gateway, job, leg, connection, response, sends);
         return relay.into_outcome().await;
     }
     take_plain(gateway, job, leg, connection, response, &head).await
@@ -714,10 +714,21 @@
     (gap * 4).max(STREAM_SILENCE_MIN)
 }
 
-/// Whether a stream that broke off may go on elsewhere.
-pub(crate) fn may_resume(gateway: &Gateway, job: &ForwardJob, sends: u32) -> bool {
-    job.route.kind == CallKind::ResumableStream
+/// Whether a request that was sent `sends` times and may have run could be
+/// sent again: else its upstream's silence is waited out.
+pub(crate) fn could_repeat(gateway: &Gateway, job: &ForwardJob, sends: u32) -> bool {
+    let now = gateway.now();
+    let nodes = gateway.roster.borrow_mut().size(now);
+    job.route.kind.repeatable()
         && sends < job.route.max_upstreams
-        && gateway.now() + ANSWER_MARGIN < job.deadline
-        && take_repeat(gateway, job)
+        && now + ANSWER_MARGIN < job.deadline
+        && gateway
+            .budget
+            .borrow_mut()
+            .allows_repeat(now, &job.service, nodes)
+}
+
+/// Takes the right to go on with a stream elsewhere.
+pub(crate) fn take_resume(gateway: &Gateway, job: &ForwardJob, sends: u32) -> bool {
+    could_repeat(gateway, job, sends) && take_repeat(gateway, job)
 }
--- a/components/gateway/src/relay.rs
+++ b/components/gateway/src/relay.rs
@@ -15,9 +15,11 @@
 use types::UpstreamId;
 
 use crate::{
-    AnswerHead, EventCursor,
+    EventCursor,
     answer::AnswerBody,
-    attempt::{Leg, SendOutcome, clean_headers, may_resume, place_again, stream_silence},
+    attempt::{
+        Leg, SendOutcome, clean_headers, could_repeat, place_again, stream_silence, take_resume,
+    },
     client::ClientConnection,
     forward::ForwardJob,
     state::Gateway,
@@ -47,7 +49,7 @@
         leg: Leg,
         connection: ClientConnection,
         response: Response<Incoming>,
-        _head: &AnswerHead,
+        sends: u32,
     ) -> Self {
         let (mut parts, body) = response.into_parts();
         clean_headers(&mut parts.headers);
@@ -63,7 +65,7 @@
             tried: vec![leg.upstream.clone()],
             leg,
             connection,
-            sends: 1,
+            sends,
             ended: false,
         }
     }
@@ -105,31 +107,41 @@
         SendOutcome::Answered(Response::from_parts(parts, AnswerBody::passed(events)))
     }
 
+    /// The next whole events, from another upstream where this one broke off
+    /// or is silent; silence is waited out where nobody else may go on.
     async fn next_or_resume(&mut self) -> io::Result<Option<Bytes>> {
         loop {
             let error = match self.next_events().await {
                 Ok(events) => return Ok(events),
                 Err(error) => error,
             };
+            let silent = error.kind() == io::ErrorKind::TimedOut;
             log::warn!(
                 "event=stream_broken request={} upstream={} last_event={:?} error=\"{error}\"",
                 self.job.call.attempt,
                 self.leg.upstream,
                 self.cursor.last(),
             );
-            self.resume().await?;
+            if silent && self.time_left().is_zero() {
+                return Err(error);
+            }
+            let resumed = self.resume().await;
+            if !resumed && !silent {
+                return Err(error);
+            }
         }
     }
 
     /// The next whole events; `None` at the stream's end.
     async fn next_events(&mut self) -> io::Result<Option<Bytes>> {
-        let silence = stream_silence(&self.job);
         loop {
             let left = self.time_left();
-            let frame = self
-                .gateway
-                .clock
-                .timeout(silence.min(left), self.body.frame());
+            let limit = if could_repeat(&self.gateway, &self.job, self.sends) {
+                stream_silence(&self.job).min(left)
+            } else {
+                left
+            };
+            let frame = self.gateway.clock.timeout(limit, self.body.frame());
             let frame = match frame.await {
                 Some(Some(Ok(frame))) => frame,
                 Some(Some(Err(error))) => {
@@ -157,17 +169,15 @@
         }
     }
 
-    /// Has another upstream go on after the last whole event.
-    async fn resume(&mut self) -> io::Result<()> {
-        loop {
-            if !may_resume(&self.gateway, &self.job, self.sends) {
-                return Err(io::Error::other("the stream can't be resumed"));
-            }
+    /// Has another upstream go on after the last whole event, if one can.
+    async fn resume(&mut self) -> bool {
+        while take_resume(&self.gateway, &self.job, self.sends) {
             self.sends += 1;
             if self.resume_once().await {
-                return Ok(());
+                return true;
             }
         }
+        false
     }
 
     async fn resume_once(&mut self) -> bool {
