Call a prompt too long only by a fleet that is known and has settled

Now the refusal needs a number of engines that has not changed for three seconds, and one that was not larger in the last five minutes; until then the prompt waits. The old test asked for the refusal at once and now asks for it after the three seconds, and for none before.

--- a/components/routing/src/gang.rs
+++ b/components/routing/src/gang.rs
@@ -36,6 +36,47 @@
 const BACKOFF_MIN: Duration = Duration::from_millis(100);
 const BACKOFF_MAX: Duration = Duration::from_secs(3);
 
+/// Time for which the number of known engines must not have changed before a
+/// prompt is refused for good: some intervals of reports and summaries.
+const SETTLE_TIME: Duration = Duration::from_secs(3);
+/// Time for which a larger fleet is remembered: engines that a cut off node no
+/// longer hears of may still be there.
+const FLEET_MEMORY: Duration = Duration::from_mins(5);
+
+/// How many engines a node knew lately, as far as long prompts made it look.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct KnownFleet {
+    size: usize,
+    since: Instant,
+    largest: usize,
+    largest_at: Instant,
+}
+
+impl KnownFleet {
+    fn new(now: Instant, size: usize) -> Self {
+        Self {
+            size,
+            since: now,
+            largest: size,
+            largest_at: now,
+        }
+    }
+
+    /// Whether `needed` engines are surely more than there are, when `known`
+    /// are known now.
+    fn rules_out(&mut self, now: Instant, known: usize, needed: usize) -> bool {
+        if known != self.size {
+            self.size = known;
+            self.since = now;
+        }
+        if known >= self.largest || now.duration_since(self.largest_at) > FLEET_MEMORY {
+            self.largest = known;
+            self.largest_at = now;
+        }
+        needed > self.largest && now.duration_since(self.since) >= SETTLE_TIME
+    }
+}
+
 /// One engine that could join a group.
 #[derive(Clone, Debug)]
 struct GangCandidate {
@@ -66,10 +107,21 @@
             return Ok(LengthClass::of(job.prompt_tokens));
         }
         let size = self.group_size(needed, capacity);
-        if size > self.engines_known(now, job) {
-            return Err(Rejection::new(RefusalReason::TooLong, Duration::MAX));
+        let known = self.engines_known(now, job);
+        if size <= known {
+            return Ok(LengthClass::Gang);
         }
-        Ok(LengthClass::Gang)
+        let mut fleet = self
+            .known_fleet
+            .get()
+            .unwrap_or(KnownFleet::new(now, known));
+        let sure = fleet.rules_out(now, known, size);
+        self.known_fleet.set(Some(fleet));
+        Err(if sure {
+            Rejection::new(RefusalReason::TooLong, Duration::MAX)
+        } else {
+            Rejection::new(RefusalReason::ModelNotReady, SETTLE_TIME)
+        })
     }
 
     /// Prefill speed of a prompt's group over that of one engine.
--- a/components/routing/src/scheduler.rs
+++ b/components/routing/src/scheduler.rs
@@ -1,6 +1,7 @@
 //! The scheduler of a node.
 
 use std::{
+    cell::Cell,
     collections::{BTreeMap, BTreeSet, HashMap},
     time::{Duration, Instant},
 };
@@ -14,6 +15,7 @@
     arrival::{JobProgress, Rejection},
     claims::GangPlanner,
     forwarding::ForwardedJob,
+    gang::KnownFleet,
     load::LoadMeter,
     peers::PeerTable,
     pool::PoolTable,
@@ -53,6 +55,8 @@
     pub(crate) rng: StdRng,
     pub(crate) sequence: u64,
     start: Option<Instant>,
+    /// What long prompts that fit nowhere were told from.
+    pub(crate) known_fleet: Cell<Option<KnownFleet>>,
 }
 
 /// One prompt that an attempt runs for.
@@ -111,6 +115,7 @@
             rng: StdRng::seed_from_u64(settings.seed),
             sequence: 0,
             start: None,
+            known_fleet: Cell::new(None),
             settings,
         }
     }
--- a/components/routing/tests/faults.rs
+++ b/components/routing/tests/faults.rs
@@ -515,15 +515,41 @@
     assert!(started.contains("r"));
 }
 
-/// Larger than all engines together: said at once.
+/// Larger than all engines together: said once the fleet that is known has not
+/// changed for some reports.
 #[test]
 fn a_prompt_too_long_for_the_fleet_is_refused_as_such() {
     let now = Instant::now();
     let mut scheduler = with_engines(2);
     let actions = support::arrive(&mut scheduler, now, support::job(now, "r", 1_000_000));
+    assert_eq!(refusals(&actions)[0].1, RefusalReason::ModelNotReady);
+    let settled = now + Duration::from_secs(3);
+    let actions = support::arrive(
+        &mut scheduler,
+        settled,
+        support::job(settled, "r", 1_000_000),
+    );
     assert_eq!(refusals(&actions)[0].1, RefusalReason::TooLong);
 }
 
+/// A young node that knows part of the fleet tells nobody to give up.
+#[test]
+fn a_prompt_is_not_called_too_long_while_engines_become_known() {
+    let now = Instant::now();
+    let mut scheduler = with_engines(1);
+    for (second, engines) in [(0, 1), (2, 2), (4, 3), (6, 4)] {
+        let at = now + Duration::from_secs(second);
+        for place in 0..engines {
+            let report = support::report(&format!("e{place:02}"));
+            scheduler.handle(at, SchedulerEvent::Reported(report));
+        }
+        let job = support::job(at, &format!("r{second}"), 1_000_000);
+        for (_, reason, _) in refusals(&support::arrive(&mut scheduler, at, job)) {
+            assert_eq!(reason, RefusalReason::ModelNotReady, "after {second} s");
+        }
+    }
+}
+
 /// Overload: what is admitted fits its deadline, the rest is refused on
 /// arrival with the time to come back; queues stay within their bounds.
 #[test]
