--- a/components/dispatch/src/placement.rs
+++ b/components/dispatch/src/placement.rs
@@ -35,6 +35,9 @@
 /// may take before further long prompts wait. Short ones of these fit in where
 /// the longest don't, so that most callers are served first.
 const BACKLOG_SHARE: f64 = 0.1;
+/// Share of the longest goal for which one prompt may hold up all engines; a
+/// longer one is read apart.
+const APART_SHARE: f64 = 0.07;
 /// The same against a prompt's own goal.
 const OWN_BACKLOG_SHARE: f64 = 0.3;
 /// Share of the goal within which a prompt that is read apart must be read.
@@ -227,7 +230,7 @@
     let own = read_time(spec, ask.size.prompt, 1);
     let all = ask.goals.longest_first.mul_f64(BACKLOG_SHARE);
     let bound = all.min(ask.goals.first_event.mul_f64(OWN_BACKLOG_SHARE));
-    if own / engines > all || ask.size.memory() > usable_memory(spec) {
+    if own / engines > ask.goals.longest_first.mul_f64(APART_SHARE) || ask.size.memory() > usable_memory(spec) {
         ReadingAdmission::Apart
     } else if (waiting + own) / engines > bound {
         ReadingAdmission::Later
--- a/components/gateway/src/relay.rs
+++ b/components/gateway/src/relay.rs
@@ -40,6 +40,21 @@
     tried: Vec<UpstreamId>,
     sends: u32,
     ended: bool,
+    last_event: Instant,
+    longest_gap: Duration,
+}
+
+impl Drop for StreamRelay {
+    fn drop(&mut self) {
+        log::info!(
+            "event=stream_over request={} upstream={} sends={} last_event={:?} longest_gap_ms={}",
+            self.job.call.attempt,
+            self.leg.upstream,
+            self.sends,
+            self.cursor.last(),
+            self.longest_gap.as_millis(),
+        );
+    }
 }
 
 impl StreamRelay {
@@ -67,6 +82,8 @@
             connection,
             sends,
             ended: false,
+            last_event: gateway.now(),
+            longest_gap: Duration::ZERO,
         }
     }
 
@@ -164,11 +181,21 @@
                 .push(&data)
                 .map_err(|fault| io::Error::other(format!("{fault:?}")))?;
             if !events.is_empty() {
+                self.note_events();
                 return Ok(Some(events));
             }
         }
     }
 
+    fn note_events(&mut self) {
+        let now = self.gateway.now();
+        if self.parts.is_none() {
+            let gap = now.saturating_duration_since(self.last_event);
+            self.longest_gap = self.longest_gap.max(gap);
+        }
+        self.last_event = now;
+    }
+
     /// Has another upstream go on after the last whole event, if one can.
     async fn resume(&mut self) -> bool {
         while take_resume(&self.gateway, &self.job, self.sends) {
