--- a/components/dispatch/src/feed.rs
+++ b/components/dispatch/src/feed.rs
@@ -23,8 +23,13 @@
     store_answered: Option<Instant>,
     store_failing_since: Option<Instant>,
     store_back: Option<Instant>,
+    /// When another node that follows the table last knew everything.
+    peer_confirmed: Option<Instant>,
 }
 
+/// Age of another node's knowledge up to which it counts as following: its
+/// feed's wait, its summary's pause, and one summary that was lost.
+const FOLLOWED_TIME: Duration = Duration::from_millis(2200);
 /// Time after an outage of the store within which missing entries may return.
 const RETURN_TIME: Duration = Duration::from_millis(2200);
 
@@ -59,6 +64,26 @@
         self.store_failing_since.get_or_insert(now);
     }
 
+    /// Notes that another node knew everything at `at`, and would have told.
+    pub fn note_follower(&mut self, at: Instant) {
+        self.peer_confirmed = self.peer_confirmed.max(Some(at));
+    }
+
+    /// Whether another node follows the table, so that this one needn't.
+    #[must_use]
+    pub fn followed(&self, now: Instant) -> bool {
+        self.peer_confirmed
+            .is_some_and(|at| now.saturating_duration_since(at) < FOLLOWED_TIME)
+    }
+
+    /// Time since the store itself confirmed; `None` when it never did or
+    /// does not answer.
+    #[must_use]
+    pub fn store_age(&self, now: Instant) -> Option<Duration> {
+        let answered = self.store_answered.filter(|_| !self.failing())?;
+        Some(now.saturating_duration_since(answered))
+    }
+
     /// Time since everything was known; `None` when nothing ever was.
     #[must_use]
     pub fn age(&self, now: Instant) -> Option<Duration> {
--- a/components/dispatch/src/placement.rs
+++ b/components/dispatch/src/placement.rs
@@ -230,7 +230,9 @@
     let own = read_time(spec, ask.size.prompt, 1);
     let all = ask.goals.longest_first.mul_f64(BACKLOG_SHARE);
     let bound = all.min(ask.goals.first_event.mul_f64(OWN_BACKLOG_SHARE));
-    if own / engines > ask.goals.longest_first.mul_f64(APART_SHARE) || ask.size.memory() > usable_memory(spec) {
+    if own / engines > ask.goals.longest_first.mul_f64(APART_SHARE)
+        || ask.size.memory() > usable_memory(spec)
+    {
         ReadingAdmission::Apart
     } else if (waiting + own) / engines > bound {
         ReadingAdmission::Later
--- a/components/dispatch/src/upstreams.rs
+++ b/components/dispatch/src/upstreams.rs
@@ -18,6 +18,11 @@
 const FADE_TIME: Duration = Duration::from_secs(4);
 /// Failure average above which an upstream is left out while others are below.
 const FAILING_SHARE: f64 = 0.25;
+/// Pace above which an upstream is left out while others are below: slower
+/// than a queue of usual length makes it.
+const SLOW_PACE: f64 = 3.0;
+/// Weight of the newest answer in the moving pace.
+const PACE_WEIGHT: f64 = 0.4;
 
 /// What an upstream or the directory says of it.
 #[derive(Clone, Debug, Eq, PartialEq)]
@@ -59,6 +64,10 @@
     /// Moving share of calls that failed, 0 to 1, as of `share_at`.
     failure_share: f64,
     share_at: Option<Instant>,
+    /// Moving ratio of the time to the first event over the time expected,
+    /// as of `pace_at`.
+    pace: f64,
+    pace_at: Option<Instant>,
     /// Until when it is left out.
     ejected_until: Option<Instant>,
     /// Until when a lapsed entry still counts.
@@ -78,6 +87,8 @@
             failures: 0,
             failure_share: 0.0,
             share_at: None,
+            pace: 1.0,
+            pace_at: None,
             ejected_until: None,
             lapses_at: None,
         }
@@ -100,6 +111,21 @@
         self.failure_share * 0.5f64.powf(age / FADE_TIME.as_secs_f64())
     }
 
+    /// How much slower than expected it answers; it fades to 1, so that the
+    /// upstream is tried again.
+    #[must_use]
+    pub fn pace(&self, now: Instant) -> f64 {
+        let Some(at) = self.pace_at else {
+            return 1.0;
+        };
+        let age = now.saturating_duration_since(at).as_secs_f64();
+        1.0 + (self.pace - 1.0) * 0.5f64.powf(age / FADE_TIME.as_secs_f64())
+    }
+
+    fn sound(&self, now: Instant) -> bool {
+        self.failure_share(now) < FAILING_SHARE && self.pace(now) < SLOW_PACE
+    }
+
     fn note_outcome(&mut self, now: Instant, failed: f64) {
         let share = self.failure_share(now);
         self.failure_share = share + OUTCOME_WEIGHT * (failed - share);
@@ -195,6 +221,11 @@
         views.find(|view| view.entry.address == address)
     }
 
+    /// Ids of all listed upstreams.
+    pub fn ids(&self) -> impl Iterator<Item = &UpstreamId> {
+        self.views.keys()
+    }
+
     /// How many upstreams are listed.
     #[must_use]
     pub fn len(&self) -> usize {
@@ -227,7 +258,7 @@
         let healthy: Vec<&UpstreamView> = ready
             .iter()
             .copied()
-            .filter(|view| !view.ejected(now) && view.failure_share(now) < FAILING_SHARE)
+            .filter(|view| !view.ejected(now) && view.sound(now))
             .collect();
         // Where most fail, the cause is not theirs, and all of them count.
         if healthy.len() * 2 < ready.len() {
@@ -247,6 +278,15 @@
         }
     }
 
+    /// Notes an answer that took `ratio` times as long as expected.
+    pub fn note_pace(&mut self, now: Instant, id: &str, ratio: f64) {
+        if let Some(view) = self.views.get_mut(id) {
+            let pace = view.pace(now);
+            view.pace = pace + PACE_WEIGHT * (ratio - pace);
+            view.pace_at = Some(now);
+        }
+    }
+
     /// Notes a call that failed; the upstream is left out for a while that
     /// doubles with each failure in a row.
     pub fn note_failure(&mut self, now: Instant, id: &str) {
--- a/components/dispatch/tests/beliefs.rs
+++ b/components/dispatch/tests/beliefs.rs
@@ -114,6 +114,27 @@
     assert_eq!(usable(&table, now), ["a", "b", "c"]);
 }
 
+#[test]
+fn an_upstream_that_turns_slow_is_left_out_and_tried_again() {
+    let mut now = Instant::now();
+    let mut table = UpstreamTable::default();
+    for id in ["a", "b", "c"] {
+        table.upsert(entry(id, 1, UpstreamState::Ready, 1));
+        table.note_pace(now, id, 1.2);
+    }
+    for _ in 0..3 {
+        now += Duration::from_millis(300);
+        table.note_pace(now, "a", 8.0);
+    }
+    assert_eq!(usable(&table, now), ["b", "c"]);
+    now += Duration::from_secs(20);
+    assert_eq!(usable(&table, now), ["a", "b", "c"]);
+    for id in ["a", "b", "c"] {
+        table.note_pace(now, id, 20.0);
+    }
+    assert_eq!(usable(&table, now), ["a", "b", "c"], "all are slow alike");
+}
+
 #[test]
 fn all_upstreams_count_when_most_of_them_fail() {
     let now = Instant::now();
--- a/components/gateway/src/attempt.rs
+++ b/components/gateway/src/attempt.rs
@@ -1,7 +1,11 @@
 //! Sends a request to one upstream after another until one has served it, or
 //! none may be tried any more.
 
-use std::{net::SocketAddr, rc::Rc, time::Duration};
+use std::{
+    net::SocketAddr,
+    rc::Rc,
+    time::{Duration, Instant},
+};
 
 use bytes::Bytes;
 use dispatch::{
@@ -29,6 +33,8 @@
 /// Time before the deadline at which the final answer is given, so that it
 /// arrives in time.
 const ANSWER_MARGIN: Duration = Duration::from_millis(20);
+/// Time to the first event beside the reading: two passes of a busy engine.
+const FIRST_EVENT_TIME: Duration = Duration::from_millis(150);
 /// Longest answer of a plain service that is read whole before it is passed
 /// on, so that a broken one can still be replaced.
 const WHOLE_ANSWER_MAX: usize = 64 << 10;
@@ -496,6 +502,9 @@
     helpers: Vec<(SocketAddr, Option<String>)>,
     /// Given back when the request has ended.
     tickets: Option<TicketSet>,
+    sent_at: Instant,
+    /// Time to read the prompt, as far as known when it was sent.
+    read: Duration,
     _flight: FlightGuard,
 }
 
@@ -537,6 +546,8 @@
             address,
             helpers,
             tickets: None,
+            sent_at: gateway.now(),
+            read: placed.read,
             _flight: FlightGuard::new(gateway, flight),
         })
     }
@@ -624,6 +635,21 @@
         gateway.quarantine.borrow_mut().absolve(now, &self.upstream);
     }
 
+    /// Notes how the time to the first event compares with what was expected.
+    /// Where others read parts, the delay may be theirs.
+    pub(crate) fn note_first_event(&self, gateway: &Gateway) {
+        self.note_success(gateway);
+        if !self.helpers.is_empty() {
+            return;
+        }
+        let now = gateway.now();
+        let took = now.saturating_duration_since(self.sent_at);
+        let expected = self.read + FIRST_EVENT_TIME;
+        let ratio = took.as_secs_f64() / expected.as_secs_f64();
+        let mut upstreams = gateway.upstreams.borrow_mut();
+        upstreams.note_pace(now, &self.upstream, ratio);
+    }
+
     /// Leaves out the upstream that an answer names, or else the one asked.
     fn note_at_fault(&self, gateway: &Gateway, at_fault: Option<&str>) {
         let address = at_fault.and_then(|text| text.parse().ok());
--- a/components/gateway/src/peers.rs
+++ b/components/gateway/src/peers.rs
@@ -27,6 +27,8 @@
 /// Longest pause between two summaries, below the silence that takes a node
 /// out of address answers.
 const SUMMARY_PAUSE_MAX: Duration = Duration::from_millis(700);
+/// Pauses before news is sent again.
+const NEWS_REPEATS: [Duration; 2] = [Duration::from_millis(150), Duration::from_millis(350)];
 /// Largest datagram: one that fits a usual packet.
 const DATAGRAM_MAX: usize = 1400;
 /// Time for another node to hand out the desired state.
@@ -44,6 +46,8 @@
     Reading(NodeId, ReadNotice),
     /// A request broke an upstream off.
     Crash(CrashFingerprint, UpstreamId),
+    /// The row of a new upstream, with its key and version.
+    Joined(UpstreamId, u64, Vec<u8>),
     /// An upstream leaves, as of a version of the directory.
     Leaving(UpstreamId, u64),
     /// The sender leaves.
@@ -57,6 +61,10 @@
     pub(crate) entry: RosterEntry,
     /// Version of the desired state in force there.
     pub(crate) desired: Option<u64>,
+    /// Milliseconds since the store confirmed the desired state to the sender.
+    pub(crate) desired_age_ms: Option<u32>,
+    /// The same for the listing of upstreams.
+    pub(crate) listing_age_ms: Option<u32>,
     pub(crate) loads: Vec<PeerLoad>,
 }
 
@@ -76,6 +84,18 @@
 ) {
     while let Ok(news) = news.recv().await {
         broadcast(&gateway, &socket, &news).await;
+        if !matches!(news, PeerNews::Reading(..) | PeerNews::Summary(_)) {
+            let repeating = repeat_news(Rc::clone(&gateway), Rc::clone(&socket), news);
+            gateway.executor.spawn(repeating).detach();
+        }
+    }
+}
+
+/// Datagrams are lost now and then, and nothing else brings this news soon.
+async fn repeat_news(gateway: Rc<Gateway>, socket: Rc<Async<UdpSocket>>, news: PeerNews) {
+    for pause in NEWS_REPEATS {
+        gateway.clock.sleep(pause).await;
+        broadcast(&gateway, &socket, &news).await;
     }
 }
 
@@ -90,9 +110,14 @@
 }
 
 fn own_summary(gateway: &Gateway) -> PeerNews {
+    let now = gateway.now();
+    let millis = |age: Duration| u32::try_from(age.as_millis()).unwrap_or(u32::MAX);
+    let desired = gateway.desired.borrow();
     PeerNews::Summary(PeerSummary {
         entry: gateway.own_entry(),
-        desired: gateway.desired.borrow().version(),
+        desired: desired.version(),
+        desired_age_ms: desired.store_age(now).map(millis),
+        listing_age_ms: gateway.listing.borrow().store_age(now).map(millis),
         loads: gateway.loads.borrow().summary(),
     })
 }
@@ -158,6 +183,7 @@
             let mut quarantine = gateway.quarantine.borrow_mut();
             quarantine.note_crash(now, fingerprint, &upstream);
         }
+        PeerNews::Joined(key, version, row) => take_joined(gateway, &key, version, &row),
         PeerNews::Leaving(upstream, version) => {
             if gateway
                 .upstreams
@@ -175,6 +201,16 @@
     }
 }
 
+fn take_joined(gateway: &Gateway, key: &str, version: u64, row: &[u8]) {
+    match gateway.dialect.read_upstream(key, version, row) {
+        Ok(entry) => {
+            log::info!("event=upstream_joined upstream={key} source=peer");
+            gateway.upstreams.borrow_mut().upsert(entry);
+        }
+        Err(error) => log::warn!("event=entry_unreadable upstream={key} error=\"{error}\""),
+    }
+}
+
 fn take_summary(gateway: &Rc<Gateway>, summary: PeerSummary) {
     if summary.entry.node == gateway.settings.node {
         return;
@@ -187,9 +223,14 @@
     let mut loads = gateway.loads.borrow_mut();
     loads.note_peer(now, &node, summary.loads);
     drop(loads);
-    let behind = summary.desired > known;
-    // The store's own feed is quicker while it works.
-    if behind && (known.is_none() || gateway.desired.borrow().failing()) {
+    let at = |age_ms: u32| now.checked_sub(Duration::from_millis(age_ms.into()));
+    if let Some(at) = summary.desired_age_ms.and_then(at) {
+        gateway.desired.borrow_mut().note_follower(at);
+    }
+    if let Some(at) = summary.listing_age_ms.and_then(at) {
+        gateway.listing.borrow_mut().note_follower(at);
+    }
+    if summary.desired > known {
         let fetch = fetch_desired(Rc::clone(gateway), peer);
         gateway.executor.spawn(fetch).detach();
     }
--- a/components/gateway/src/relay.rs
+++ b/components/gateway/src/relay.rs
@@ -97,7 +97,7 @@
                 return SendOutcome::Lost;
             }
         };
-        self.leg.note_success(&self.gateway);
+        self.leg.note_first_event(&self.gateway);
         let Some(parts) = self.parts.take() else {
             return SendOutcome::Lost;
         };
--- a/components/gateway/src/sync.rs
+++ b/components/gateway/src/sync.rs
@@ -4,7 +4,9 @@
 use std::{rc::Rc, time::Duration};
 
 use bytes::Bytes;
-use dispatch::{DesiredState, FeedSource, RosterEntry, RouteTable, UpstreamState, UpstreamTable};
+use dispatch::{
+    DesiredState, FeedSource, RosterEntry, RouteTable, UpstreamEntry, UpstreamState, UpstreamTable,
+};
 
 use crate::{
     FeedAnswer, PlainCall, TableChange, WatchedTable, client::PlainCaller, peers::PeerNews,
@@ -19,8 +21,15 @@
 /// Pause after an answer about upstreams: each of them writes every second or
 /// so, and every change would wake the feed.
 const UPSTREAM_PAUSE: Duration = Duration::from_millis(500);
-/// Pause between two looks at the rows of other nodes.
-const NODES_PAUSE: Duration = Duration::from_secs(5);
+/// Pause between two looks at the rows of other nodes, which mostly make
+/// themselves known by their summaries.
+const NODES_PAUSE: Duration = Duration::from_secs(10);
+/// Nodes that always follow the store and tell the others.
+const FOLLOWERS: usize = 3;
+/// Longest time for which another node looks at the store no more.
+const REST_TIME: Duration = Duration::from_secs(4);
+/// Pause between two looks at whether others still follow.
+const REST_STEP: Duration = Duration::from_millis(250);
 /// Time for the store's answer beside the wait of the call.
 const ANSWER_TIME: Duration = Duration::from_millis(900);
 /// Pauses after calls that failed in a row.
@@ -70,6 +79,39 @@
         if !pause.is_zero() {
             gateway.clock.sleep(pause).await;
         }
+        if version.is_some() {
+            rest_while_followed(&gateway, table).await;
+        }
+    }
+}
+
+/// Waits while enough other nodes follow the table and tell this one, so that
+/// the calls to the store don't grow with the number of nodes.
+async fn rest_while_followed(gateway: &Gateway, table: WatchedTable) {
+    let mut rested = Duration::ZERO;
+    while rested < REST_TIME && !follows(gateway) && followed(gateway, table) {
+        gateway.clock.sleep(REST_STEP).await;
+        rested += REST_STEP;
+    }
+}
+
+/// Whether this node is one of those that always follow the store.
+fn follows(gateway: &Gateway) -> bool {
+    let own = &gateway.settings.node;
+    let roster = gateway.roster.borrow();
+    let live = roster.live(gateway.now());
+    let before = live
+        .filter(|entry| entry.ready && entry.node < *own)
+        .count();
+    before < FOLLOWERS
+}
+
+fn followed(gateway: &Gateway, table: WatchedTable) -> bool {
+    let now = gateway.now();
+    match table {
+        WatchedTable::Desired => gateway.desired.borrow().followed(now),
+        WatchedTable::Upstreams => gateway.listing.borrow().followed(now),
+        WatchedTable::Nodes => false,
     }
 }
 
@@ -233,6 +275,10 @@
             Some(Ok(entry)) => {
                 if entry.state == UpstreamState::Draining && lapse.is_none() {
                     tell_leaving(gateway, &upstreams, &entry.id, entry.version);
+                } else if upstreams.get(&entry.id).is_none() {
+                    let row = change.value.map(|value| value.to_vec());
+                    let row = row.unwrap_or_default();
+                    gateway.tell(PeerNews::Joined(change.key, change.version, row));
                 }
                 upstreams.upsert(entry);
             }
@@ -257,6 +303,9 @@
         }
     }
     if whole {
+        if lapse.is_none() {
+            tell_absent(gateway, &upstreams, &listed, version);
+        }
         upstreams.replace(listed, lapse);
     }
     for id in upstreams.expire(now) {
@@ -264,6 +313,20 @@
     }
 }
 
+/// Tells all nodes of upstreams that left while this node missed changes.
+fn tell_absent(
+    gateway: &Gateway,
+    upstreams: &UpstreamTable,
+    listed: &[UpstreamEntry],
+    version: u64,
+) {
+    for id in upstreams.ids() {
+        if listed.iter().all(|entry| entry.id != *id) {
+            tell_leaving(gateway, upstreams, id, version);
+        }
+    }
+}
+
 /// Tells all nodes that an upstream leaves; some may not reach the store.
 fn tell_leaving(gateway: &Gateway, upstreams: &UpstreamTable, id: &str, version: u64) {
     let known = upstreams.get(id).map(|view| view.entry.state);
