--- a/components/dispatch/src/lib.rs
+++ b/components/dispatch/src/lib.rs
@@ -23,7 +23,7 @@
 pub use feed::{FeedBelief, FeedSource};
 pub use load::{EngineLoad, FlightId, FlightPart, FlightPlan, LoadBook, PeerLoad, ReadNotice};
 pub use placement::{
-    PlacePatience, Placement, PlacementRefusal, PromptGoals, place_call, place_prompt,
+    PlacePatience, Placement, PlacementRefusal, PromptAsk, PromptGoals, place_call, place_prompt,
 };
 pub use quarantine::{CrashFingerprint, QuarantineList};
 pub use roster::{NodeRoster, RosterEntry};
--- a/components/dispatch/src/placement.rs
+++ b/components/dispatch/src/placement.rs
@@ -89,11 +89,15 @@
     TooLarge,
 }
 
-/// A request to place.
+/// A prompt to place.
 #[derive(Clone, Copy, Debug)]
-struct PromptAsk {
-    size: PromptSize,
-    goals: PromptGoals,
+pub struct PromptAsk {
+    /// Its tokens.
+    pub size: PromptSize,
+    /// What its caller expects.
+    pub goals: PromptGoals,
+    /// Whether it may wait.
+    pub patience: PlacePatience,
 }
 
 /// Whether a prompt may still wait for engines with less to read.
@@ -155,7 +159,7 @@
     Ok(view.entry.id.clone())
 }
 
-/// Picks the engines of a prompt of `size`.
+/// Picks the engines of a prompt.
 ///
 /// # Errors
 ///
@@ -163,14 +167,11 @@
 pub fn place_prompt(
     now: Instant,
     spec: &EngineSpec,
-    size: PromptSize,
-    goals: PromptGoals,
-    patience: PlacePatience,
+    ask: &PromptAsk,
     upstreams: &[&UpstreamView],
     loads: &LoadBook,
     rng: &mut impl Rng,
 ) -> Result<Placement, PlacementRefusal> {
-    let ask = PromptAsk { size, goals };
     let mut candidates: Vec<Candidate<'_>> = upstreams
         .iter()
         .enumerate()
@@ -183,27 +184,26 @@
     if candidates.is_empty() {
         return Err(PlacementRefusal::NoUpstream);
     }
-    let tight = goals.tight();
+    let tight = ask.goals.tight();
     if !tight {
-        match admit_reading(spec, &ask, &candidates) {
-            ReadingAdmission::Whole => {}
-            ReadingAdmission::Apart => return read_apart(spec, &ask, candidates, rng),
-            ReadingAdmission::Later if patience == PlacePatience::Waits => {
+        match admit_reading(spec, ask, &candidates) {
+            ReadingAdmission::Apart => return read_apart(spec, ask, candidates, rng),
+            ReadingAdmission::Later if ask.patience == PlacePatience::Waits => {
                 return Err(PlacementRefusal::Full);
             }
-            ReadingAdmission::Later => {}
+            ReadingAdmission::Whole | ReadingAdmission::Later => {}
         }
     }
     let first = if tight {
-        pick_writer(spec, &ask, &candidates, rng)
+        pick_writer(spec, ask, &candidates, rng)
     } else {
-        pick_reader(spec, &ask, &candidates, rng)
+        pick_reader(spec, ask, &candidates, rng)
     };
     let Some(first) = first else {
         return Err(PlacementRefusal::Full);
     };
     let first = candidates.swap_remove(first);
-    Ok(with_helpers(spec, &ask, first, candidates, rng))
+    Ok(with_helpers(spec, ask, first, candidates, rng))
 }
 
 /// How a long prompt may be read now.
--- a/components/dispatch/tests/beliefs.rs
+++ b/components/dispatch/tests/beliefs.rs
@@ -242,7 +242,7 @@
     }
     assert_eq!(roster.size(now), 4);
     assert_eq!(roster.size(now + Duration::from_secs(5)), 4);
-    assert_eq!(roster.size(now + Duration::from_secs(60)), 1);
+    assert_eq!(roster.size(now + Duration::from_mins(1)), 1);
 }
 
 proptest! {
--- a/components/dispatch/tests/swinging_mix.rs
+++ b/components/dispatch/tests/swinging_mix.rs
@@ -8,7 +8,7 @@
 
 use dispatch::{
     EngineSpec, FlightPart, FlightPlan, LoadBook, PeerLoad, PlacePatience, Placement,
-    PlacementRefusal, PromptGoals, PromptSize, ReadNotice, UpstreamEntry, UpstreamState,
+    PlacementRefusal, PromptAsk, PromptGoals, PromptSize, ReadNotice, UpstreamEntry, UpstreamState,
     UpstreamTable, place_prompt, read_time,
 };
 use rand::{SeedableRng, rngs::SmallRng};
@@ -70,7 +70,12 @@
     ) -> Result<Placement, PlacementRefusal> {
         let usable = self.table.usable(self.now, "models", &[]);
         let (now, loads, rng) = (self.now, &self.loads, &mut self.rng);
-        place_prompt(now, &spec(), size, goals, patience, &usable, loads, rng)
+        let ask = PromptAsk {
+            size,
+            goals,
+            patience,
+        };
+        place_prompt(now, &spec(), &ask, &usable, loads, rng)
     }
 
     fn start(&mut self, size: PromptSize, goals: PromptGoals) -> Placement {
--- a/components/gateway/src/attempt.rs
+++ b/components/gateway/src/attempt.rs
@@ -9,8 +9,8 @@
 
 use bytes::Bytes;
 use dispatch::{
-    CallKind, FlightPart, FlightPlan, PlacePatience, Placement, PlacementRefusal, PromptGoals,
-    PromptSize, ReadNotice, place_call, place_prompt,
+    CallKind, FlightPart, FlightPlan, PlacePatience, Placement, PlacementRefusal, PromptAsk,
+    PromptGoals, PromptSize, ReadNotice, place_call, place_prompt,
 };
 use http::{HeaderMap, Request, Response, StatusCode, Uri, header};
 use http_body_util::{BodyExt, Full, Limited};
@@ -46,6 +46,9 @@
 const PROMPT_MARGIN: Duration = Duration::from_secs(1);
 /// Bounds of when a refused caller should come back.
 const RETURN_MIN: Duration = Duration::from_millis(150);
+/// Share of an upstream's idle limit for which its connections are kept, so
+/// that none is used while it is being closed.
+const KEEP_ALIVE_SHARE: f64 = 0.6;
 /// Pause between two looks for a place that harms nobody.
 const PLACE_PAUSE: Duration = Duration::from_millis(25);
 /// Share of the latency goal for which a prompt may wait for a better place:
@@ -250,10 +253,12 @@
     let mut rng = gateway.rng.borrow_mut();
     match (spec.and_then(|spec| spec.engine.as_ref()), job.call.size) {
         (Some(engine), Some(size)) => {
-            let goals = goals_of(gateway, job);
-            place_prompt(
-                now, engine, size, goals, patience, &usable, &loads, &mut *rng,
-            )
+            let ask = PromptAsk {
+                size,
+                goals: goals_of(gateway, job),
+                patience,
+            };
+            place_prompt(now, engine, &ask, &usable, &loads, &mut *rng)
         }
         _ => place_call(now, &usable, &loads, &mut *rng).map(Placement::alone),
     }
@@ -441,7 +446,7 @@
             return SendOutcome::Lost;
         }
     };
-    leg.keep(gateway, connection, head.keep_alive);
+    keep_connection(gateway, connection, head.keep_alive);
     if parts.status.is_server_error() {
         if keeps_promise(parts.status) {
             return SendOutcome::Lost;
@@ -693,18 +698,15 @@
             gateway.tell(PeerNews::Crash(job.fingerprint, self.upstream.clone()));
         }
     }
+}
 
-    /// Keeps the connection for later requests.
-    pub(crate) fn keep(
-        &self,
-        gateway: &Gateway,
-        connection: ClientConnection,
-        keep_alive: Option<Duration>,
-    ) {
-        let idle = keep_alive.map_or(IDLE_TIME, |time| time.mul_f64(0.6).min(IDLE_TIME));
-        let now = gateway.now();
-        gateway.pool.borrow_mut().give(now, connection, idle);
-    }
+/// Keeps a connection for later requests.
+fn keep_connection(gateway: &Gateway, connection: ClientConnection, keep_alive: Option<Duration>) {
+    let idle = keep_alive.map_or(IDLE_TIME, |time| {
+        time.mul_f64(KEEP_ALIVE_SHARE).min(IDLE_TIME)
+    });
+    let now = gateway.now();
+    gateway.pool.borrow_mut().give(now, connection, idle);
 }
 
 /// Tells all nodes which engines start to read, when it is much.
--- a/components/gateway/src/daemon.rs
+++ b/components/gateway/src/daemon.rs
@@ -2,7 +2,7 @@
 
 use std::{
     io,
-    net::UdpSocket,
+    net::{TcpListener, UdpSocket},
     rc::Rc,
     time::{Duration, SystemTime, UNIX_EPOCH},
 };
@@ -75,7 +75,7 @@
     ));
     let mut signals = Signals::new([Signal::Term, Signal::Hup])?;
     let socket = Rc::new(Async::<UdpSocket>::bind(gateway.settings.peers)?);
-    spawn_listeners(&gateway);
+    spawn_listeners(&gateway)?;
     for table in [
         WatchedTable::Desired,
         WatchedTable::Upstreams,
@@ -104,7 +104,9 @@
     Ok(())
 }
 
-fn spawn_listeners(gateway: &Rc<Gateway>) {
+/// Binds all addresses before anything is served, so that a node that lacks
+/// one fails as a whole.
+fn spawn_listeners(gateway: &Rc<Gateway>) -> io::Result<()> {
     let settings = &gateway.settings;
     let listeners = [
         (Some(settings.callers), ListenRole::Callers),
@@ -113,20 +115,24 @@
         (Some(settings.peers), ListenRole::Peers),
         (settings.metrics, ListenRole::Metrics),
     ];
+    let mut bound = Vec::new();
     for (address, role) in listeners {
         let Some(address) = address else {
             continue;
         };
-        let listening = listen(Rc::clone(gateway), address, role);
-        let task = async move {
-            if let Err(error) = listening.await {
-                log::error!(
-                    "event=listen_failed role={role:?} address={address} error=\"{error}\""
-                );
-            }
-        };
-        gateway.executor.spawn(task).detach();
+        let listener = Async::<TcpListener>::bind(address).map_err(|error| {
+            io::Error::new(
+                error.kind(),
+                format!("listen as {role:?} on {address}: {error}"),
+            )
+        })?;
+        bound.push((listener, role));
+    }
+    for (listener, role) in bound {
+        let listening = listen(Rc::clone(gateway), listener, role);
+        gateway.executor.spawn(listening).detach();
     }
+    Ok(())
 }
 
 /// Enters this node into the store, so that others find it.
--- a/components/gateway/src/listen.rs
+++ b/components/gateway/src/listen.rs
@@ -2,8 +2,7 @@
 
 use std::{
     convert::Infallible,
-    io,
-    net::{SocketAddr, TcpListener, TcpStream},
+    net::{TcpListener, TcpStream},
     pin::pin,
     rc::Rc,
     time::Duration,
@@ -44,24 +43,19 @@
     Metrics,
 }
 
-/// Accepts connections on `address` until the gateway ends.
-pub(crate) async fn listen(
-    gateway: Rc<Gateway>,
-    address: SocketAddr,
-    role: ListenRole,
-) -> io::Result<()> {
-    let listener = Async::<TcpListener>::bind(address)?;
+/// Accepts connections until the gateway ends.
+pub(crate) async fn listen(gateway: Rc<Gateway>, listener: Async<TcpListener>, role: ListenRole) {
     loop {
         match listener.accept().await {
             Ok((socket, _)) => {
                 if role == ListenRole::Callers && closing(&gateway) {
-                    return Ok(());
+                    return;
                 }
                 let served = serve(Rc::clone(&gateway), socket, role);
                 gateway.executor.spawn(served).detach();
             }
             Err(error) => {
-                log::warn!("event=accept_failed address={address} error=\"{error}\"");
+                log::warn!("event=accept_failed role={role:?} error=\"{error}\"");
                 gateway.clock.sleep(BACKLOG_PAUSE).await;
             }
         }
