--- a/components/gateway/src/attempt.rs
+++ b/components/gateway/src/attempt.rs
@@ -1,40 +1,29 @@
 //! Sends a request to one upstream after another until one has served it, or
 //! none may be tried any more.
 
-use std::{
-    net::SocketAddr,
-    rc::Rc,
-    time::{Duration, Instant},
-};
+use std::{rc::Rc, time::Duration};
 
 use bytes::Bytes;
-use dispatch::{
-    CallKind, FlightPart, FlightPlan, PlacePatience, Placement, PlacementRefusal, PromptAsk,
-    PromptGoals, PromptSize, ReadNotice, place_call, place_prompt,
-};
-use http::{HeaderMap, Request, Response, StatusCode, Uri, header};
-use http_body_util::{BodyExt, Full, Limited};
+use dispatch::{CallKind, Placement, PlacementRefusal};
+use http::{Response, StatusCode, header};
+use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
-use types::{TokenCount, UpstreamId};
+use types::UpstreamId;
 
 use crate::{
-    AnswerHead, ForwardHead,
+    AnswerHead,
     answer::{AnswerBody, OwnAnswer},
-    client::{ClientConnection, ExchangeFault, IDLE_TIME},
+    client::{ClientConnection, ExchangeFault},
     forward::ForwardJob,
-    peers::PeerNews,
+    leg::{Leg, clean_headers, keep_connection},
+    place::{PLACE_PAUSE, find_place},
     relay::{StreamRelay, relay_plain},
-    state::{FlightGuard, Gateway},
-    tickets::TicketSet,
+    state::Gateway,
 };
 
-/// Time for a connection to an upstream to open.
-const CONNECT_TIME: Duration = Duration::from_millis(400);
 /// Time before the deadline at which the final answer is given, so that it
 /// arrives in time.
 const ANSWER_MARGIN: Duration = Duration::from_millis(20);
-/// Time to the first event beside the reading: two passes of a busy engine.
-const FIRST_EVENT_TIME: Duration = Duration::from_millis(150);
 /// Longest answer of a plain service that is read whole before it is passed
 /// on, so that a broken one can still be replaced.
 const WHOLE_ANSWER_MAX: usize = 64 << 10;
@@ -46,19 +35,6 @@
 const PROMPT_MARGIN: Duration = Duration::from_secs(1);
 /// Bounds of when a refused caller should come back.
 const RETURN_MIN: Duration = Duration::from_millis(150);
-/// Share of an upstream's idle limit for which its connections are kept, so
-/// that none is used while it is being closed.
-const KEEP_ALIVE_SHARE: f64 = 0.6;
-/// Pause between two looks for a place that harms nobody.
-const PLACE_PAUSE: Duration = Duration::from_millis(25);
-/// Share of the latency goal for which a prompt may wait for a better place:
-/// late answers still count for their callers.
-const PLACE_SHARE: f64 = 1.5;
-/// The same as a share of the time that the caller gives.
-const PLACE_DEADLINE_SHARE: f64 = 0.4;
-/// Share of the goal for which a prompt that needs idle engines waits before
-/// its caller is told to come back: longer waits seldom find them.
-const QUIET_SHARE: f64 = 0.125;
 /// When such a caller should come back, as a share of the time it has left.
 const QUIET_RETURN: f64 = 0.33;
 /// Time within the silence of a stream after which another upstream goes on:
@@ -114,7 +90,7 @@
         if record.sends > 0 && !may_repeat(gateway, &job, &record) {
             break "not_repeatable";
         }
-        let placed = match find_place(gateway, &job, &record).await {
+        let placed = match find_place(gateway, &job, &record.tried).await {
             Ok(placed) => placed,
             Err(PlacementRefusal::NoUpstream) => break "no_upstream",
             Err(PlacementRefusal::Full) => break "full",
@@ -207,83 +183,6 @@
     taken
 }
 
-/// Waits for a place that harms nobody while the request's goal allows it.
-async fn find_place(
-    gateway: &Rc<Gateway>,
-    job: &ForwardJob,
-    record: &AttemptRecord,
-) -> Result<Placement, PlacementRefusal> {
-    let whole = job.deadline.saturating_duration_since(job.arrived);
-    let patience = job.route.latency_goal.mul_f64(PLACE_SHARE);
-    let patience = patience.min(whole.mul_f64(PLACE_DEADLINE_SHARE));
-    let quiet_patience = job.route.latency_goal.mul_f64(QUIET_SHARE);
-    loop {
-        let waited = gateway.now().saturating_duration_since(job.arrived);
-        let late = waited >= patience;
-        let patience = if late {
-            PlacePatience::Over
-        } else {
-            PlacePatience::Waits
-        };
-        match place(gateway, job, &record.tried, patience) {
-            Ok(placed) if placed.harmless || late => return Ok(placed),
-            Err(PlacementRefusal::NeedsQuiet) if waited >= quiet_patience => {
-                return Err(PlacementRefusal::NeedsQuiet);
-            }
-            Ok(_) | Err(PlacementRefusal::Full | PlacementRefusal::NeedsQuiet) if !late => {
-                gateway.clock.sleep(PLACE_PAUSE).await;
-            }
-            other => return other,
-        }
-    }
-}
-
-fn place(
-    gateway: &Gateway,
-    job: &ForwardJob,
-    tried: &[UpstreamId],
-    patience: PlacePatience,
-) -> Result<Placement, PlacementRefusal> {
-    let now = gateway.now();
-    let routes = gateway.routes.borrow();
-    let spec = routes.state().services.get(&job.service);
-    let upstreams = gateway.upstreams.borrow();
-    let usable = upstreams.usable(now, &job.service, tried);
-    let loads = gateway.loads.borrow();
-    let mut rng = gateway.rng.borrow_mut();
-    match (spec.and_then(|spec| spec.engine.as_ref()), job.call.size) {
-        (Some(engine), Some(size)) => {
-            let ask = PromptAsk {
-                size,
-                goals: goals_of(gateway, job),
-                patience,
-            };
-            place_prompt(now, engine, &ask, &usable, &loads, &mut *rng)
-        }
-        _ => place_call(now, &usable, &loads, &mut *rng).map(Placement::alone),
-    }
-}
-
-/// What callers of the request's route, and of others of its service, expect.
-fn goals_of(gateway: &Gateway, job: &ForwardJob) -> PromptGoals {
-    let gap = job.route.event_gap.unwrap_or(job.route.latency_goal);
-    let mut goals = PromptGoals {
-        first_event: job.route.latency_goal,
-        gap,
-        tightest_gap: gap,
-        longest_first: job.route.latency_goal,
-    };
-    let routes = gateway.routes.borrow();
-    for route in &routes.state().routes {
-        let serves = route.split.iter().any(|one| one.service == job.service);
-        if let (true, Some(gap)) = (serves, route.event_gap) {
-            goals.tightest_gap = goals.tightest_gap.min(gap);
-            goals.longest_first = goals.longest_first.max(route.latency_goal);
-        }
-    }
-    goals
-}
-
 /// Sends the request to the upstream of `placed`.
 async fn send_once(
     gateway: &Rc<Gateway>,
@@ -472,270 +371,6 @@
     )
 }
 
-/// Removes headers that concern one connection only.
-pub(crate) fn clean_headers(headers: &mut HeaderMap) {
-    let named: Vec<String> = headers
-        .get_all(header::CONNECTION)
-        .iter()
-        .filter_map(|value| value.to_str().ok())
-        .flat_map(|value| value.split(','))
-        .map(|name| name.trim().to_ascii_lowercase())
-        .collect();
-    for name in named {
-        if name != "close" && name != "keep-alive" {
-            headers.remove(name);
-        }
-    }
-    for name in [
-        header::CONNECTION.as_str(),
-        "keep-alive",
-        "proxy-connection",
-        header::TE.as_str(),
-        header::TRAILER.as_str(),
-        header::TRANSFER_ENCODING.as_str(),
-        header::UPGRADE.as_str(),
-        header::EXPECT.as_str(),
-    ] {
-        headers.remove(name);
-    }
-}
-
-/// One request at one upstream.
-pub(crate) struct Leg {
-    pub(crate) upstream: UpstreamId,
-    pub(crate) address: SocketAddr,
-    helpers: Vec<(SocketAddr, Option<String>)>,
-    /// Given back when the request has ended.
-    tickets: Option<TicketSet>,
-    sent_at: Instant,
-    /// Time to read the prompt, as far as known when it was sent.
-    read: Duration,
-    _flight: FlightGuard,
-}
-
-impl Leg {
-    /// Notes the work; `None` when the upstream has gone meanwhile.
-    pub(crate) fn start(
-        gateway: &Rc<Gateway>,
-        job: &ForwardJob,
-        placed: &Placement,
-    ) -> Option<Self> {
-        let upstreams = gateway.upstreams.borrow();
-        let address = upstreams.get(&placed.first)?.entry.address;
-        let helpers = placed
-            .helpers
-            .iter()
-            .filter_map(|id| Some((upstreams.get(id)?.entry.address, None)))
-            .collect();
-        let held: TokenCount = placed.shares.iter().map(|(_, tokens)| tokens).sum();
-        let memory = job.call.size.map_or(0, PromptSize::memory);
-        let memory = memory.saturating_sub(held);
-        let mut parts = vec![FlightPart {
-            engine: placed.first.clone(),
-            memory,
-        }];
-        parts.extend(placed.shares.iter().map(|(engine, tokens)| FlightPart {
-            engine: engine.clone(),
-            memory: *tokens,
-        }));
-        let plan = FlightPlan {
-            parts,
-            tight: goals_of(gateway, job).tight(),
-        };
-        let flight = gateway.loads.borrow_mut().start(plan);
-        if !placed.part.is_zero() {
-            note_reading(gateway, placed, memory);
-        }
-        Some(Self {
-            upstream: placed.first.clone(),
-            address,
-            helpers,
-            tickets: None,
-            sent_at: gateway.now(),
-            read: placed.read,
-            _flight: FlightGuard::new(gateway, flight),
-        })
-    }
-
-    /// Sets memory aside on the engines of `shares`, all or nothing.
-    pub(crate) async fn reserve(
-        &mut self,
-        gateway: &Rc<Gateway>,
-        job: &ForwardJob,
-        shares: &[(UpstreamId, TokenCount)],
-    ) -> Result<(), UpstreamId> {
-        if shares.is_empty() {
-            return Ok(());
-        }
-        let tickets = TicketSet::reserve(gateway, &job.call.attempt, shares).await?;
-        let mut holders = tickets.holders();
-        holders.append(&mut self.helpers);
-        self.helpers = holders;
-        self.tickets = Some(tickets);
-        Ok(())
-    }
-
-    /// Takes a kept connection where the request may be repeated, else opens
-    /// one: what is sent on a kept one may meet its end.
-    pub(crate) async fn connect(
-        &self,
-        gateway: &Gateway,
-        job: &ForwardJob,
-    ) -> std::io::Result<ClientConnection> {
-        if job.route.kind == CallKind::Idempotent {
-            let kept = gateway.pool.borrow_mut().take(gateway.now(), self.address);
-            if let Some(kept) = kept {
-                return Ok(kept);
-            }
-        }
-        let left = job.deadline.saturating_duration_since(gateway.now());
-        let opening = ClientConnection::open(&gateway.executor, self.address);
-        gateway
-            .clock
-            .timeout(CONNECT_TIME.min(left), opening)
-            .await
-            .unwrap_or_else(|| Err(std::io::ErrorKind::TimedOut.into()))
-    }
-
-    /// The request as this upstream gets it.
-    pub(crate) fn request(
-        &self,
-        gateway: &Gateway,
-        job: &ForwardJob,
-        resume_after: Option<&str>,
-    ) -> http::Result<Request<Full<Bytes>>> {
-        let target = job
-            .head
-            .uri
-            .path_and_query()
-            .map_or("/", |target| target.as_str());
-        let mut request = Request::builder()
-            .method(job.head.method.clone())
-            .uri(target.parse::<Uri>()?)
-            .body(Full::new(job.body.clone()))?;
-        let headers = request.headers_mut();
-        headers.clone_from(&job.head.headers);
-        clean_headers(headers);
-        headers.remove(header::CONTENT_LENGTH);
-        let left = job.deadline.saturating_duration_since(gateway.now());
-        let forward = ForwardHead {
-            time_left: left,
-            upstream: &self.upstream,
-            organisation: job.organisation.as_ref(),
-            rank: Some(job.rank),
-            resume_after,
-            helpers: &self.helpers,
-        };
-        gateway.dialect.write_forward(headers, &forward);
-        Ok(request)
-    }
-
-    pub(crate) fn note_success(&self, gateway: &Gateway) {
-        let now = gateway.now();
-        gateway
-            .upstreams
-            .borrow_mut()
-            .note_success(now, &self.upstream);
-        gateway.loads.borrow_mut().note_answering(&self.upstream);
-        gateway.quarantine.borrow_mut().absolve(now, &self.upstream);
-    }
-
-    /// Notes how the time to the first event compares with what was expected.
-    /// Where others read parts, the delay may be theirs.
-    pub(crate) fn note_first_event(&self, gateway: &Gateway) {
-        self.note_success(gateway);
-        if !self.helpers.is_empty() {
-            return;
-        }
-        let now = gateway.now();
-        let took = now.saturating_duration_since(self.sent_at);
-        let expected = self.read + FIRST_EVENT_TIME;
-        let ratio = took.as_secs_f64() / expected.as_secs_f64();
-        let mut upstreams = gateway.upstreams.borrow_mut();
-        upstreams.note_pace(now, &self.upstream, ratio);
-    }
-
-    /// Leaves out the upstream that an answer names, or else the one asked.
-    fn note_at_fault(&self, gateway: &Gateway, at_fault: Option<&str>) {
-        let address = at_fault.and_then(|text| text.parse().ok());
-        let mut upstreams = gateway.upstreams.borrow_mut();
-        let named = address.and_then(|address| upstreams.at(address));
-        let id = named.map_or_else(|| self.upstream.clone(), |view| view.entry.id.clone());
-        upstreams.note_failure(gateway.now(), &id);
-    }
-
-    /// A full upstream is left out for a moment.
-    pub(crate) fn note_shed(&self, gateway: &Gateway) {
-        let now = gateway.now();
-        gateway
-            .upstreams
-            .borrow_mut()
-            .note_failure(now, &self.upstream);
-    }
-
-    pub(crate) fn note_failure(&self, gateway: &Gateway, job: &ForwardJob, reason: &str) {
-        log::warn!(
-            "event=upstream_failed request={} upstream={} reason=\"{reason}\" age_ms={}",
-            job.call.attempt,
-            self.upstream,
-            gateway
-                .now()
-                .saturating_duration_since(job.arrived)
-                .as_millis(),
-        );
-        self.note_shed(gateway);
-    }
-
-    /// The upstream broke off while it may have run the request.
-    pub(crate) fn note_crash(&self, gateway: &Gateway, job: &ForwardJob, reason: &str) {
-        self.note_failure(gateway, job, reason);
-        let now = gateway.now();
-        let news = gateway
-            .quarantine
-            .borrow_mut()
-            .note_crash(now, job.fingerprint, &self.upstream);
-        if news {
-            gateway.tell(PeerNews::Crash(job.fingerprint, self.upstream.clone()));
-        }
-    }
-}
-
-/// Keeps a connection for later requests.
-fn keep_connection(gateway: &Gateway, connection: ClientConnection, keep_alive: Option<Duration>) {
-    let idle = keep_alive.map_or(IDLE_TIME, |time| {
-        time.mul_f64(KEEP_ALIVE_SHARE).min(IDLE_TIME)
-    });
-    let now = gateway.now();
-    gateway.pool.borrow_mut().give(now, connection, idle);
-}
-
-/// Tells all nodes which engines start to read, when it is much.
-fn note_reading(gateway: &Gateway, placed: &Placement, memory: TokenCount) {
-    let mut engines = vec![placed.first.clone()];
-    engines.extend(placed.shares.iter().map(|(engine, _)| engine.clone()));
-    engines.extend(placed.helpers.iter().cloned());
-    let notice = ReadNotice {
-        engines,
-        part: placed.part,
-        memory,
-    };
-    let now = gateway.now();
-    gateway.loads.borrow_mut().note_reading(now, &notice);
-    if !placed.helpers.is_empty() || !placed.shares.is_empty() {
-        let node = gateway.settings.node.clone();
-        gateway.tell(PeerNews::Reading(node, notice));
-    }
-}
-
-/// Places the rest of a stream that broke off.
-pub(crate) fn place_again(
-    gateway: &Rc<Gateway>,
-    job: &ForwardJob,
-    tried: &[UpstreamId],
-) -> Option<Placement> {
-    place(gateway, job, tried, PlacePatience::Over).ok()
-}
-
 /// Longest silence of a stream that is waited out.
 pub(crate) fn stream_silence(job: &ForwardJob) -> Duration {
     let gap = job.route.event_gap.unwrap_or(job.route.latency_goal);
--- /dev/null
+++ b/components/gateway/src/place.rs
@@ -0,0 +1,108 @@
+//! Finds the upstream of a request, and waits for a better one where that is
+//! worth it.
+
+use std::{rc::Rc, time::Duration};
+
+use dispatch::{
+    PlacePatience, Placement, PlacementRefusal, PromptAsk, PromptGoals, place_call, place_prompt,
+};
+use types::UpstreamId;
+
+use crate::{forward::ForwardJob, state::Gateway};
+
+/// Pause between two looks for a place that harms nobody.
+pub(crate) const PLACE_PAUSE: Duration = Duration::from_millis(25);
+/// Share of the latency goal for which a prompt may wait for a better place:
+/// late answers still count for their callers.
+const PLACE_SHARE: f64 = 1.5;
+/// The same as a share of the time that the caller gives.
+const PLACE_DEADLINE_SHARE: f64 = 0.4;
+/// Share of the goal for which a prompt that needs idle engines waits before
+/// its caller is told to come back: longer waits seldom find them.
+const QUIET_SHARE: f64 = 0.125;
+
+/// Waits for a place that harms nobody while the request's goal allows it.
+pub(crate) async fn find_place(
+    gateway: &Rc<Gateway>,
+    job: &ForwardJob,
+    tried: &[UpstreamId],
+) -> Result<Placement, PlacementRefusal> {
+    let whole = job.deadline.saturating_duration_since(job.arrived);
+    let patience = job.route.latency_goal.mul_f64(PLACE_SHARE);
+    let patience = patience.min(whole.mul_f64(PLACE_DEADLINE_SHARE));
+    let quiet_patience = job.route.latency_goal.mul_f64(QUIET_SHARE);
+    loop {
+        let waited = gateway.now().saturating_duration_since(job.arrived);
+        let late = waited >= patience;
+        let patience = if late {
+            PlacePatience::Over
+        } else {
+            PlacePatience::Waits
+        };
+        match place(gateway, job, tried, patience) {
+            Ok(placed) if placed.harmless || late => return Ok(placed),
+            Err(PlacementRefusal::NeedsQuiet) if waited >= quiet_patience => {
+                return Err(PlacementRefusal::NeedsQuiet);
+            }
+            Ok(_) | Err(PlacementRefusal::Full | PlacementRefusal::NeedsQuiet) if !late => {
+                gateway.clock.sleep(PLACE_PAUSE).await;
+            }
+            other => return other,
+        }
+    }
+}
+
+/// Places the rest of a stream that broke off.
+pub(crate) fn place_again(
+    gateway: &Rc<Gateway>,
+    job: &ForwardJob,
+    tried: &[UpstreamId],
+) -> Option<Placement> {
+    place(gateway, job, tried, PlacePatience::Over).ok()
+}
+
+fn place(
+    gateway: &Gateway,
+    job: &ForwardJob,
+    tried: &[UpstreamId],
+    patience: PlacePatience,
+) -> Result<Placement, PlacementRefusal> {
+    let now = gateway.now();
+    let routes = gateway.routes.borrow();
+    let spec = routes.state().services.get(&job.service);
+    let upstreams = gateway.upstreams.borrow();
+    let usable = upstreams.usable(now, &job.service, tried);
+    let loads = gateway.loads.borrow();
+    let mut rng = gateway.rng.borrow_mut();
+    match (spec.and_then(|spec| spec.engine.as_ref()), job.call.size) {
+        (Some(engine), Some(size)) => {
+            let ask = PromptAsk {
+                size,
+                goals: goals_of(gateway, job),
+                patience,
+            };
+            place_prompt(now, engine, &ask, &usable, &loads, &mut *rng)
+        }
+        _ => place_call(now, &usable, &loads, &mut *rng).map(Placement::alone),
+    }
+}
+
+/// What callers of the request's route, and of others of its service, expect.
+pub(crate) fn goals_of(gateway: &Gateway, job: &ForwardJob) -> PromptGoals {
+    let gap = job.route.event_gap.unwrap_or(job.route.latency_goal);
+    let mut goals = PromptGoals {
+        first_event: job.route.latency_goal,
+        gap,
+        tightest_gap: gap,
+        longest_first: job.route.latency_goal,
+    };
+    let routes = gateway.routes.borrow();
+    for route in &routes.state().routes {
+        let serves = route.split.iter().any(|one| one.service == job.service);
+        if let (true, Some(gap)) = (serves, route.event_gap) {
+            goals.tightest_gap = goals.tightest_gap.min(gap);
+            goals.longest_first = goals.longest_first.max(route.latency_goal);
+        }
+    }
+    goals
+}
--- a/components/gateway/src/relay.rs
+++ b/components/gateway/src/relay.rs
@@ -17,11 +17,11 @@
 use crate::{
     EventCursor,
     answer::AnswerBody,
-    attempt::{
-        Leg, SendOutcome, clean_headers, could_repeat, place_again, stream_silence, take_resume,
-    },
+    attempt::{SendOutcome, could_repeat, stream_silence, take_resume},
     client::ClientConnection,
     forward::ForwardJob,
+    leg::{Leg, clean_headers},
+    place::place_again,
     state::Gateway,
 };
 
--- a/components/gateway/src/settings.rs
+++ b/components/gateway/src/settings.rs
@@ -1,8 +1,8 @@
 //! Settings of a gateway, in its own terms.
 
-use std::{net::SocketAddr, path::PathBuf, time::Duration};
+use std::{net::SocketAddr, time::Duration};
 
-use types::{NodeId, RegionId, ZoneId};
+use types::{NodeId, ZoneId};
 
 /// Everything a gateway is told at its start.
 #[derive(Clone, Debug)]
@@ -11,8 +11,6 @@
     pub node: NodeId,
     /// Availability zone of the host.
     pub zone: ZoneId,
-    /// Region of the host.
-    pub region: RegionId,
     /// Where callers' requests arrive.
     pub callers: SocketAddr,
     /// Where the platform asks whether the node takes callers.
@@ -41,10 +39,6 @@
     pub revoke: RevokePolicy,
     /// Longest time for which engines set memory aside.
     pub reserve_time: Duration,
-    /// Time within which a change of the desired state must be in force.
-    pub apply_time: Duration,
-    /// The file the settings came from.
-    pub file: PathBuf,
 }
 
 /// What happens to keys while the desired state can't be read.
