--- a/components/gateway/src/listen.rs
+++ b/components/gateway/src/listen.rs
@@ -25,8 +25,9 @@
 /// a request that is on its way meets an open one.
 const IDLE_MARGIN: Duration = Duration::from_secs(2);
 /// Part of the time to stop after which no connection is accepted and idle
-/// ones are closed: address answers have run out by then.
-const CLOSING_SHARE: f64 = 0.72;
+/// ones are closed: address answers have run out by then, and a request that
+/// was just taken has the rest of the time to end.
+const CLOSING_SHARE: f64 = 0.45;
 
 /// What a listener serves.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
