--- a/components/gateway/src/peers.rs
+++ b/components/gateway/src/peers.rs
@@ -230,7 +230,7 @@
     if let Some(at) = summary.listing_age_ms.and_then(at) {
         gateway.listing.borrow_mut().note_follower(at);
     }
-    if summary.desired > known {
+    if summary.desired > known && gateway.begin_fetch(now, FETCH_TIME) {
         let fetch = fetch_desired(Rc::clone(gateway), peer);
         gateway.executor.spawn(fetch).detach();
     }
@@ -244,6 +244,7 @@
         body: Bytes::new(),
     };
     let answer = gateway.clock.timeout(FETCH_TIME, caller.call(call)).await;
+    gateway.end_fetch();
     let body = match answer {
         Some(Ok((StatusCode::OK, body))) => body,
         other => {
--- a/components/gateway/src/state.rs
+++ b/components/gateway/src/state.rs
@@ -4,7 +4,7 @@
     cell::{Cell, RefCell},
     hash::RandomState,
     rc::Rc,
-    time::Instant,
+    time::{Duration, Instant},
 };
 
 use bytes::Bytes;
@@ -43,6 +43,8 @@
     pub(crate) pool: RefCell<ConnectionPool>,
     /// Datagrams for all live nodes, sent by the peers' task.
     pub(crate) outbox: smol::channel::Sender<crate::peers::PeerNews>,
+    /// When the desired state was last asked of another node.
+    fetching: Cell<Option<Instant>>,
     /// When the request to stop came.
     pub(crate) leaving: Cell<Option<Instant>>,
     /// Connections of callers that are open.
@@ -86,6 +88,7 @@
             quarantine: RefCell::default(),
             pool: RefCell::default(),
             outbox,
+            fetching: Cell::new(None),
             leaving: Cell::new(None),
             callers: Cell::new(0),
             stopping,
@@ -112,6 +115,22 @@
         self.leaving.get().is_none() && self.informed() && !self.upstreams.borrow().is_empty()
     }
 
+    /// Whether the desired state may be asked of another node now: one call at
+    /// a time, since every node tells of every new version.
+    pub(crate) fn begin_fetch(&self, now: Instant, limit: Duration) -> bool {
+        let fetching = self.fetching.get();
+        if fetching.is_some_and(|since| now.saturating_duration_since(since) < limit) {
+            return false;
+        }
+        self.fetching.set(Some(now));
+        true
+    }
+
+    /// Allows the next call of [`begin_fetch`](Self::begin_fetch).
+    pub(crate) fn end_fetch(&self) {
+        self.fetching.set(None);
+    }
+
     /// What this node says of itself.
     pub(crate) fn own_entry(&self) -> RosterEntry {
         RosterEntry {
