--- a/components/dispatch/src/load.rs
+++ b/components/dispatch/src/load.rs
@@ -237,10 +237,4 @@
             })
             .collect()
     }
-
-    /// Own requests that run or wait at upstreams.
-    #[must_use]
-    pub fn flights(&self) -> usize {
-        self.flights.len()
-    }
 }
--- a/components/dispatch/src/upstreams.rs
+++ b/components/dispatch/src/upstreams.rs
@@ -226,12 +226,6 @@
         self.views.keys()
     }
 
-    /// How many upstreams are listed.
-    #[must_use]
-    pub fn len(&self) -> usize {
-        self.views.len()
-    }
-
     /// Whether none is listed.
     #[must_use]
     pub fn is_empty(&self) -> bool {
--- a/components/gateway/src/attempt.rs
+++ b/components/gateway/src/attempt.rs
@@ -33,12 +33,13 @@
 /// Silence after which a prompt is sent elsewhere, beside its goal: less than
 /// the two seconds after which callers leave, and enough for some passes.
 const PROMPT_MARGIN: Duration = Duration::from_secs(1);
-/// Bounds of when a refused caller should come back.
+/// When a refused caller should come back at the earliest.
 const RETURN_MIN: Duration = Duration::from_millis(150);
-/// When such a caller should come back, as a share of the time it has left.
+/// When the caller of a prompt that needs idle engines should come back, as a
+/// share of the time it has left.
 const QUIET_RETURN: f64 = 0.33;
-/// Time within the silence of a stream after which another upstream goes on:
-/// callers leave after two seconds.
+/// Shortest silence of a stream after which another upstream goes on: less
+/// than the two seconds after which callers leave.
 const STREAM_SILENCE_MIN: Duration = Duration::from_millis(1300);
 
 /// What is known after the sends so far.
@@ -70,7 +71,7 @@
     Failed(http::response::Parts, Bytes),
 }
 
-/// Whether the gateway itself made the answer stands beside it.
+/// Answers the request; `true` when the gateway made the answer itself.
 pub(crate) async fn run_attempts(
     gateway: &Rc<Gateway>,
     job: ForwardJob,
@@ -139,7 +140,7 @@
         return (Response::from_parts(parts, AnswerBody::from(body)), false);
     }
     let answer = if !record.may_have_run {
-        let left = job.deadline.saturating_duration_since(now);
+        let left = job.time_left(now);
         OwnAnswer::Refused(match reason {
             "needs_quiet" => left.mul_f64(QUIET_RETURN).max(RETURN_MIN),
             _ => RETURN_MIN,
@@ -257,7 +258,7 @@
     read: Duration,
     record: &AttemptRecord,
 ) -> Duration {
-    let left = job.deadline.saturating_duration_since(gateway.now());
+    let left = job.time_left(gateway.now());
     let left = left.saturating_sub(ANSWER_MARGIN);
     if !could_repeat(gateway, job, record.sends) {
         return left;
@@ -331,7 +332,7 @@
         let body = relay_plain(Rc::clone(gateway), body, leg, connection, deadline);
         return SendOutcome::Answered(Response::from_parts(parts, body));
     }
-    let left = job.deadline.saturating_duration_since(gateway.now());
+    let left = job.time_left(gateway.now());
     let left = left.saturating_sub(ANSWER_MARGIN);
     let whole = Limited::new(body, gateway.routes.borrow().state().limits.body_bytes).collect();
     let body = match gateway.clock.timeout(left, whole).await {
--- a/components/gateway/src/forward.rs
+++ b/components/gateway/src/forward.rs
@@ -43,6 +43,13 @@
     pub(crate) deadline: Instant,
 }
 
+impl ForwardJob {
+    /// Time until the request is given up.
+    pub(crate) fn time_left(&self, now: Instant) -> Duration {
+        self.deadline.saturating_duration_since(now)
+    }
+}
+
 /// Answers one request of a caller.
 pub(crate) async fn forward(
     gateway: Rc<Gateway>,
--- a/components/gateway/src/leg.rs
+++ b/components/gateway/src/leg.rs
@@ -118,7 +118,7 @@
                 return Ok(kept);
             }
         }
-        let left = job.deadline.saturating_duration_since(gateway.now());
+        let left = job.time_left(gateway.now());
         let opening = ClientConnection::open(&gateway.executor, self.address);
         gateway
             .clock
@@ -147,7 +147,7 @@
         headers.clone_from(&job.head.headers);
         clean_headers(headers);
         headers.remove(header::CONTENT_LENGTH);
-        let left = job.deadline.saturating_duration_since(gateway.now());
+        let left = job.time_left(gateway.now());
         let forward = ForwardHead {
             time_left: left,
             upstream: &self.upstream,
--- a/components/gateway/src/relay.rs
+++ b/components/gateway/src/relay.rs
@@ -258,9 +258,7 @@
     }
 
     fn time_left(&self) -> Duration {
-        self.job
-            .deadline
-            .saturating_duration_since(self.gateway.now())
+        self.job.time_left(self.gateway.now())
     }
 }
 
