Write the answers to long prompts on few engines

Cause: a pass with a writer takes all its steps, 46 here, before it reads, so an engine with one writer reads little; answers to long prompts were spread over the engines with the fewest writers, which left none that only reads. Prompts expected after 150 to 250 ms began after 400 to 550 ms. Besides, parts for others go before an engine's own prompts: one of 644 ms waited 5 s.

Change: an answer goes to an engine that already writes long prompts' answers, while its pauses allow that; writers' passes count in the expected time; an engine whose own prompt waits reads no parts for others.

--- a/components/dispatch/src/placement.rs
+++ b/components/dispatch/src/placement.rs
@@ -27,6 +27,9 @@
 const PACKED_SHARE: f64 = 0.6;
 /// Share of a pause that a pass may take, so that delays on the way fit too.
 const PASS_SHARE: f64 = 0.75;
+/// Passes of an engine's writers that a part waits for: half of one under way,
+/// and the one that reads it.
+const PASS_LAG: f64 = 1.5;
 /// Share of memory that placements count on; answers are shorter than their
 /// limit, and reports of other nodes lag.
 const MEMORY_SHARE: f64 = 0.95;
@@ -197,7 +200,7 @@
     let first = if tight {
         pick_writer(spec, ask, &candidates, rng)
     } else {
-        pick_reader(spec, ask, &candidates, rng)
+        pick_reader(spec, ask, &candidates)
     };
     let Some(first) = first else {
         return Err(PlacementRefusal::Full);
@@ -292,31 +295,46 @@
         })
 }
 
-/// An engine that has no writers with short pauses, if there is one.
-fn pick_reader(
-    spec: &EngineSpec,
-    ask: &PromptAsk,
-    candidates: &[Candidate<'_>],
-    rng: &mut impl Rng,
-) -> Option<usize> {
+/// An engine for the answer to a long prompt. Answers are written on few
+/// engines, so that the others read without the steps of writers in between.
+fn pick_reader(spec: &EngineSpec, ask: &PromptAsk, candidates: &[Candidate<'_>]) -> Option<usize> {
+    let readers = wanted_readers(spec, ask).min(candidates.len());
+    let part = read_time(spec, ask.size.prompt, readers);
     let roomy = candidates.iter().enumerate();
     roomy
         .filter(|(_, one)| has_room(spec, ask, &one.load))
         .min_by_key(|(index, one)| {
             let load = &one.load;
-            let writers = load.tight;
-            (
-                writers,
-                load.loose,
-                load.reading,
-                load.waits_for_own,
-                tie(rng),
-                Reverse(*index),
-            )
+            let harmful = load.reading + part > reading_allowance(spec, ask, load);
+            let kind = match (load.tight, load.loose) {
+                (0, 1..) => 0,
+                (0, 0) => 1,
+                _ => 2,
+            };
+            (harmful, kind, load.reading, Reverse(*index))
         })
         .map(|(index, _)| index)
 }
 
+/// Engines that may read a prompt before the parts get too short.
+fn wanted_readers(spec: &EngineSpec, ask: &PromptAsk) -> usize {
+    let whole_read = read_time(spec, ask.size.prompt, 1);
+    let wanted = whole(whole_read.as_secs_f64() / PART_MIN.as_secs_f64());
+    usize::try_from(wanted)
+        .unwrap_or(usize::MAX)
+        .clamp(1, READERS_MAX)
+}
+
+/// Time that a part waits at an engine beside the reading before it: writers
+/// there have a pass under way, and one more while it is read.
+fn pass_lag(spec: &EngineSpec, load: &EngineLoad) -> Duration {
+    if load.running() == 0 {
+        return Duration::ZERO;
+    }
+    spec.pass_time(load.running(), load.memory)
+        .mul_f64(PASS_LAG)
+}
+
 fn with_helpers(
     spec: &EngineSpec,
     ask: &PromptAsk,
@@ -325,10 +343,11 @@
     rng: &mut impl Rng,
 ) -> Placement {
     let whole_read = read_time(spec, ask.size.prompt, 1);
-    let wanted = whole(whole_read.as_secs_f64() / PART_MIN.as_secs_f64());
-    let wanted = usize::try_from(wanted).unwrap_or(usize::MAX);
-    let most = wanted.clamp(1, READERS_MAX).min(others.len() + 1);
-    others.sort_by_cached_key(|one| (one.load.reading, one.load.tight, tie(rng)));
+    // Parts go before an engine's own prompts, which would wait without end.
+    others.retain(|one| !one.load.waits_for_own);
+    let most = wanted_readers(spec, ask).min(others.len() + 1);
+    let before = |load: &EngineLoad| load.reading + pass_lag(spec, load);
+    others.sort_by_cached_key(|one| (before(&one.load), tie(rng)));
     let mut best: Option<(Duration, Vec<usize>)> = None;
     for readers in (1..=most).rev() {
         let part = read_time(spec, ask.size.prompt, readers);
@@ -344,14 +363,14 @@
         }
         let slowest = fitting
             .iter()
-            .map(|index| others[*index].load.reading)
-            .fold(first.load.reading, Duration::max);
+            .map(|index| before(&others[*index].load))
+            .fold(before(&first.load), Duration::max);
         let read = slowest + part;
         if best.as_ref().is_none_or(|(time, _)| read < *time) {
             best = Some((read, fitting));
         }
     }
-    let (read, helpers) = best.unwrap_or((first.load.reading + whole_read, Vec::new()));
+    let (read, helpers) = best.unwrap_or((before(&first.load) + whole_read, Vec::new()));
     let part = read_time(spec, ask.size.prompt, helpers.len() + 1);
     let harmless = first.load.reading + part <= reading_allowance(spec, ask, &first.load);
     let helpers = helpers
--- a/components/dispatch/tests/swinging_mix.rs
+++ b/components/dispatch/tests/swinging_mix.rs
@@ -174,6 +174,26 @@
     }
 }
 
+#[test]
+fn answers_to_long_prompts_leave_engines_that_only_read() {
+    let mut fleet = Fleet::new();
+    let mut firsts = BTreeSet::new();
+    for _ in 0..6 {
+        firsts.insert(fleet.start(long(60_000), long_goals()).first);
+        fleet.now += Duration::from_millis(150);
+    }
+    assert!(firsts.len() <= 2, "{firsts:?}");
+}
+
+#[test]
+fn an_engine_whose_own_prompt_waits_reads_no_parts() {
+    let mut fleet = Fleet::new();
+    let first = fleet.start(long(150_000), long_goals());
+    let second = fleet.start(long(250_000), long_goals());
+    assert_ne!(first.first, second.first);
+    assert!(!second.helpers.contains(&first.first), "{second:?}");
+}
+
 #[test]
 fn long_prompts_wait_while_much_is_being_read() {
     let mut fleet = Fleet::new();
