--- a/components/dispatch/tests/swinging_mix.rs
+++ b/components/dispatch/tests/swinging_mix.rs
@@ -188,8 +188,8 @@
 #[test]
 fn an_engine_whose_own_prompt_waits_reads_no_parts() {
     let mut fleet = Fleet::new();
-    let first = fleet.start(long(150_000), long_goals());
-    let second = fleet.start(long(250_000), long_goals());
+    let first = fleet.start(long(210_000), long_goals());
+    let second = fleet.start(long(210_000), long_goals());
     assert_ne!(first.first, second.first);
     assert!(!second.helpers.contains(&first.first), "{second:?}");
 }
