--- a/components/dispatch/tests/swinging_mix.rs
+++ b/components/dispatch/tests/swinging_mix.rs
@@ -188,10 +188,15 @@
 #[test]
 fn an_engine_whose_own_prompt_waits_reads_no_parts() {
     let mut fleet = Fleet::new();
-    let first = fleet.start(long(210_000), long_goals());
-    let second = fleet.start(long(210_000), long_goals());
-    assert_ne!(first.first, second.first);
-    assert!(!second.helpers.contains(&first.first), "{second:?}");
+    let other = ReadNotice {
+        engines: vec!["engine-05".to_owned()],
+        part: Duration::from_millis(5),
+        memory: 1_000,
+    };
+    fleet.loads.note_peer_reading(fleet.now, "node-2", &other);
+    let placed = fleet.start(long(210_000), long_goals());
+    assert_eq!(placed.helpers.len(), 12, "{placed:?}");
+    assert!(!placed.helpers.contains(&other.engines[0]), "{placed:?}");
 }
 
 #[test]
