Read one long prompt after the other; pack short ones closer

Cause: engines read the newest part first. A backlog kept over parts, as before, leaves the oldest ones at its bottom for seconds. A node that read a long prompt alone told nobody, so others queued behind it. And short prompts, packed to 0.6 of the places, left no engine to read in their peak.

Change: parts over 25 ms go only to engines that have surely read the part before; a long prompt that can't be read within 0.4 of its goal waits for engines up to 0.8 of it, then is read late or, if it would hold up all, told to come back. All nodes are told of each long prompt. Short pauses are packed to 0.8. Prompts are counted as unanswered until their first event instead of for an expected time. The log line of a send names tokens, parts and readers.

--- a/components/dispatch/src/load.rs
+++ b/components/dispatch/src/load.rs
@@ -12,9 +12,9 @@
 /// Age at which another node's summary counts no more.
 const SUMMARY_LIFETIME: Duration = Duration::from_millis(1500);
 
-/// Time beyond the reading of the last part after which an answer has surely
-/// begun: a pass that was under way.
-const READ_MARGIN: Duration = Duration::from_millis(60);
+/// Time until an engine starts to read a part: a new connection and a step
+/// that is under way.
+const START_TIME: Duration = Duration::from_millis(15);
 
 /// Names one request that this node has at an upstream.
 pub type FlightId = u64;
@@ -30,9 +30,9 @@
     pub loose: u32,
     /// Memory of running requests, in tokens.
     pub memory: TokenCount,
-    /// Whether a prompt that this engine answers waits to be read: parts that
-    /// it reads for others would go first.
-    pub waits_for_own: bool,
+    /// Long prompts that this engine answers and has not begun to answer:
+    /// parts that it reads for others would go first.
+    pub unanswered: u32,
 }
 
 impl EngineLoad {
@@ -53,6 +53,8 @@
     pub tight: u32,
     /// Other requests.
     pub loose: u32,
+    /// Those of the other requests whose answer has not begun.
+    pub unanswered: u32,
     /// Memory of these requests, in tokens.
     pub memory: TokenCount,
 }
@@ -65,6 +67,8 @@
     pub engines: Vec<UpstreamId>,
     /// Time of a part.
     pub part: Duration,
+    /// Time that a part takes longer where answers are written.
+    pub pass: Duration,
     /// Memory that the request takes at the first engine, in tokens.
     pub memory: TokenCount,
 }
@@ -90,14 +94,19 @@
 /// Own and others' work at all engines.
 #[derive(Debug, Default)]
 pub struct LoadBook {
-    flights: HashMap<FlightId, FlightPlan>,
+    flights: HashMap<FlightId, Flight>,
     next: FlightId,
     own: HashMap<UpstreamId, EngineLoad>,
     reading_until: HashMap<UpstreamId, Instant>,
-    own_read_until: HashMap<UpstreamId, Instant>,
     peers: HashMap<NodeId, PeerSummary>,
 }
 
+#[derive(Debug)]
+struct Flight {
+    plan: FlightPlan,
+    answering: bool,
+}
+
 #[derive(Debug)]
 struct PeerSummary {
     heard: Instant,
@@ -114,16 +123,37 @@
                 load.tight += 1;
             } else if index == 0 {
                 load.loose += 1;
+                load.unanswered += 1;
             }
         }
         self.next += 1;
-        self.flights.insert(self.next, plan);
+        let flight = Flight {
+            plan,
+            answering: false,
+        };
+        self.flights.insert(self.next, flight);
         self.next
     }
 
+    /// Notes the first part of a request's answer.
+    pub fn note_answering(&mut self, flight: FlightId) {
+        let Some(flight) = self.flights.get_mut(&flight) else {
+            return;
+        };
+        if flight.answering || flight.plan.tight {
+            return;
+        }
+        flight.answering = true;
+        let first = flight.plan.parts.first();
+        if let Some(load) = first.and_then(|part| self.own.get_mut(&part.engine)) {
+            load.unanswered = load.unanswered.saturating_sub(1);
+        }
+    }
+
     /// Notes the end of a request, however it ended.
     pub fn end(&mut self, flight: FlightId) {
-        let Some(plan) = self.flights.remove(&flight) else {
+        self.note_answering(flight);
+        let Some(Flight { plan, .. }) = self.flights.remove(&flight) else {
             return;
         };
         for (index, part) in plan.parts.iter().enumerate() {
@@ -145,39 +175,33 @@
     /// Notes prompts that engines start to read, of this or another node.
     pub fn note_reading(&mut self, now: Instant, notice: &ReadNotice) {
         for engine in &notice.engines {
+            let writes = self.load(now, engine).running() > 0;
+            let pass = if writes { notice.pass } else { Duration::ZERO };
             let until = self.reading_until.entry(engine.clone()).or_insert(now);
-            *until = (*until).max(now) + notice.part;
-        }
-        // The answer starts with the last part, wherever that is read.
-        let parts = notice.engines.iter();
-        let last = parts
-            .filter_map(|engine| self.reading_until.get(engine))
-            .max();
-        if let (Some(first), Some(last)) = (notice.engines.first(), last) {
-            let until = self.own_read_until.entry(first.clone()).or_insert(now);
-            *until = (*until).max(*last + READ_MARGIN);
+            *until = (*until).max(now + START_TIME + pass) + notice.part;
         }
     }
 
-    /// Notes that the first part of an answer came from `engine`.
-    pub fn note_answering(&mut self, engine: &str) {
-        self.own_read_until.remove(engine);
-    }
-
     /// Notes a long prompt of another node, until its next summary has it.
     pub fn note_peer_reading(&mut self, now: Instant, node: &str, notice: &ReadNotice) {
         self.note_reading(now, notice);
-        let Some(peer) = self.peers.get_mut(node) else {
-            return;
-        };
+        let peer = self
+            .peers
+            .entry(node.to_owned())
+            .or_insert_with(|| PeerSummary {
+                heard: now,
+                loads: HashMap::new(),
+            });
         if let Some(first) = notice.engines.first() {
             let load = peer.loads.entry(first.clone()).or_insert_with(|| PeerLoad {
                 engine: first.clone(),
                 tight: 0,
                 loose: 0,
+                unanswered: 0,
                 memory: 0,
             });
             load.loose += 1;
+            load.unanswered += 1;
             load.memory += notice.memory;
         }
     }
@@ -200,7 +224,6 @@
     /// Forgets an engine that is gone.
     pub fn forget_engine(&mut self, engine: &str) {
         self.reading_until.remove(engine);
-        self.own_read_until.remove(engine);
     }
 
     /// All known work of `engine`.
@@ -210,8 +233,6 @@
         if let Some(until) = self.reading_until.get(engine) {
             load.reading = until.saturating_duration_since(now);
         }
-        let own_read = self.own_read_until.get(engine);
-        load.waits_for_own = own_read.is_some_and(|until| *until > now);
         let fresh = self
             .peers
             .values()
@@ -219,6 +240,7 @@
         for other in fresh.filter_map(|peer| peer.loads.get(engine)) {
             load.tight += other.tight;
             load.loose += other.loose;
+            load.unanswered += other.unanswered;
             load.memory += other.memory;
         }
         load
@@ -233,6 +255,7 @@
                 engine: engine.clone(),
                 tight: load.tight,
                 loose: load.loose,
+                unanswered: load.unanswered,
                 memory: load.memory,
             })
             .collect()
--- a/components/dispatch/src/placement.rs
+++ b/components/dispatch/src/placement.rs
@@ -2,10 +2,14 @@
 //! together.
 //!
 //! Requests whose callers accept only short pauses are packed onto as few
-//! engines as can write for them; the rest of the engines read long prompts.
-//! The border follows the number of such requests at each decision. Parts of a
-//! long prompt also go to engines with such writers, as long as the pass that
-//! reads them stays within the pause.
+//! engines as can write for them, and so are the answers to long prompts; the
+//! rest of the engines only read. The borders follow the number of requests at
+//! each decision. Parts of a long prompt also go to engines with writers, as
+//! long as the pass that reads them stays within the pause.
+//!
+//! Engines read the newest part first. So the parts of a long prompt go to
+//! engines that have nothing else to read, and the next prompt waits for them;
+//! only small parts go before others.
 
 use std::{
     cmp::Reverse,
@@ -24,7 +28,7 @@
 const PART_MIN: Duration = Duration::from_millis(18);
 /// Share of an engine's places that writers with short pauses fill before the
 /// next engine is opened for them.
-const PACKED_SHARE: f64 = 0.6;
+const PACKED_SHARE: f64 = 0.8;
 /// Share of a pause that a pass may take, so that delays on the way fit too.
 const PASS_SHARE: f64 = 0.75;
 /// Passes of an engine's writers that a part waits for: half of one under way,
@@ -34,15 +38,15 @@
 /// limit, and reports of other nodes lag.
 const MEMORY_SHARE: f64 = 0.95;
 
-/// Share of the longest goal that all known reading, spread over all engines,
-/// may take before further long prompts wait. Short ones of these fit in where
-/// the longest don't, so that most callers are served first.
-const BACKLOG_SHARE: f64 = 0.1;
-/// Share of the longest goal for which one prompt may hold up all engines; a
-/// longer one is read apart.
-const APART_SHARE: f64 = 0.07;
-/// The same against a prompt's own goal.
-const OWN_BACKLOG_SHARE: f64 = 0.3;
+/// Longest part that may be read before the parts of other prompts: about the
+/// shortest part, so that it delays them by no more than a few steps.
+const SMALL_PART: Duration = Duration::from_millis(25);
+/// Share of the goal within which a prompt must be read once it is sent; else
+/// it waits for more engines.
+const READ_SHARE: f64 = 0.4;
+/// Share of the longest goal for which a prompt may hold up all engines though
+/// its answer will be late; a longer one would make others late, too.
+const LATE_SHARE: f64 = 0.05;
 /// Share of the goal within which a prompt that is read apart must be read.
 const GOAL_SHARE: f64 = 0.8;
 
@@ -58,6 +62,8 @@
     pub shares: Vec<(UpstreamId, TokenCount)>,
     /// Time to read a part.
     pub part: Duration,
+    /// Time that a part takes longer where answers are written.
+    pub pass: Duration,
     /// Time until every part is read, as far as known.
     pub read: Duration,
     /// Whether no pause of another request suffers.
@@ -65,6 +71,17 @@
 }
 
 impl Placement {
+    /// Engines that read a part, without the first.
+    #[must_use]
+    pub fn readers_beside_first(&self) -> Vec<&str> {
+        let shares = self.shares.iter().map(|(id, _)| id);
+        self.helpers
+            .iter()
+            .chain(shares)
+            .map(String::as_str)
+            .collect()
+    }
+
     /// A request that one upstream serves.
     #[must_use]
     pub fn alone(first: UpstreamId) -> Self {
@@ -73,6 +90,7 @@
             helpers: Vec::new(),
             shares: Vec::new(),
             part: Duration::ZERO,
+            pass: Duration::ZERO,
             read: Duration::ZERO,
             harmless: true,
         }
@@ -84,7 +102,7 @@
 pub enum PlacementRefusal {
     /// No upstream of the service is known to take work.
     NoUpstream,
-    /// Every upstream is full, or has too much to read for now.
+    /// Every upstream is full, or too few of them can read the prompt now.
     Full,
     /// The prompt would hold up all others, and too few engines are idle.
     NeedsQuiet,
@@ -106,7 +124,7 @@
 /// Whether a prompt may still wait for engines with less to read.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum PlacePatience {
-    /// It waits, so that all prompts end sooner on the whole.
+    /// It waits for engines, so that all prompts end sooner on the whole.
     Waits,
     /// It has waited long enough.
     Over,
@@ -187,61 +205,37 @@
     if candidates.is_empty() {
         return Err(PlacementRefusal::NoUpstream);
     }
-    let tight = ask.goals.tight();
-    if !tight {
-        match admit_reading(spec, ask, &candidates) {
-            ReadingAdmission::Apart => return read_apart(spec, ask, candidates, rng),
-            ReadingAdmission::Later if ask.patience == PlacePatience::Waits => {
-                return Err(PlacementRefusal::Full);
-            }
-            ReadingAdmission::Whole | ReadingAdmission::Later => {}
-        }
+    if ask.goals.tight() {
+        let first = pick_writer(spec, ask, &candidates, rng);
+        let first = first.ok_or(PlacementRefusal::Full)?;
+        let first = candidates.swap_remove(first);
+        return Ok(with_helpers(spec, ask, first, candidates, rng));
     }
-    let first = if tight {
-        pick_writer(spec, ask, &candidates, rng)
-    } else {
-        pick_reader(spec, ask, &candidates)
-    };
-    let Some(first) = first else {
-        return Err(PlacementRefusal::Full);
-    };
+    if ask.size.memory() > usable_memory(spec) {
+        return read_apart(spec, ask, candidates, rng);
+    }
+    let engines = candidates.len();
+    let first = pick_reader(spec, ask, &candidates);
+    let first = first.ok_or(PlacementRefusal::Full)?;
     let first = candidates.swap_remove(first);
-    Ok(with_helpers(spec, ask, first, candidates, rng))
-}
-
-/// How a long prompt may be read now.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-enum ReadingAdmission {
-    /// By as many engines as help.
-    Whole,
-    /// By some engines that have nothing else to do.
-    Apart,
-    /// Not while so much waits to be read.
-    Later,
+    let placed = with_helpers(spec, ask, first, candidates, rng);
+    if placed.read <= ask.goals.first_event.mul_f64(READ_SHARE) {
+        return Ok(placed);
+    }
+    match ask.patience {
+        PlacePatience::Waits => Err(PlacementRefusal::Full),
+        PlacePatience::Over if too_long_for_late(spec, ask, engines) => {
+            Err(PlacementRefusal::NeedsQuiet)
+        }
+        PlacePatience::Over => Ok(placed),
+    }
 }
 
-/// The time that a prompt takes grows with the square of its length, its
-/// worth only with the length: so the longest ones wait for quiet engines, and
-/// no prompt is added to a backlog that would make all of them late.
-fn admit_reading(
-    spec: &EngineSpec,
-    ask: &PromptAsk,
-    candidates: &[Candidate<'_>],
-) -> ReadingAdmission {
-    let engines = u32::try_from(candidates.len()).unwrap_or(u32::MAX).max(1);
-    let waiting: Duration = candidates.iter().map(|one| one.load.reading).sum();
-    let own = read_time(spec, ask.size.prompt, 1);
-    let all = ask.goals.longest_first.mul_f64(BACKLOG_SHARE);
-    let bound = all.min(ask.goals.first_event.mul_f64(OWN_BACKLOG_SHARE));
-    if own / engines > ask.goals.longest_first.mul_f64(APART_SHARE)
-        || ask.size.memory() > usable_memory(spec)
-    {
-        ReadingAdmission::Apart
-    } else if (waiting + own) / engines > bound {
-        ReadingAdmission::Later
-    } else {
-        ReadingAdmission::Whole
-    }
+/// The time that a prompt takes grows with the square of its length, its worth
+/// only with the length: so the longest ones give way when all can't be served.
+fn too_long_for_late(spec: &EngineSpec, ask: &PromptAsk, engines: usize) -> bool {
+    let own = read_time(spec, ask.size.prompt, engines);
+    own > ask.goals.longest_first.mul_f64(LATE_SHARE)
 }
 
 /// Time that reading may add to a pass of this engine.
@@ -344,7 +338,7 @@
 ) -> Placement {
     let whole_read = read_time(spec, ask.size.prompt, 1);
     // Parts go before an engine's own prompts, which would wait without end.
-    others.retain(|one| !one.load.waits_for_own);
+    others.retain(|one| one.load.unanswered == 0);
     let most = wanted_readers(spec, ask).min(others.len() + 1);
     let before = |load: &EngineLoad| load.reading + pass_lag(spec, load);
     others.sort_by_cached_key(|one| (before(&one.load), tie(rng)));
@@ -354,6 +348,7 @@
         let fitting: Vec<usize> = others
             .iter()
             .enumerate()
+            .filter(|(_, one)| one.load.reading.is_zero() || part <= SMALL_PART)
             .filter(|(_, one)| one.load.reading + part <= reading_allowance(spec, ask, &one.load))
             .map(|(index, _)| index)
             .take(readers - 1)
@@ -382,13 +377,14 @@
         helpers,
         shares: Vec::new(),
         part,
+        pass: spec.pass_time(spec.places / 2, 0).mul_f64(PASS_LAG),
         read,
         harmless,
     }
 }
 
-/// Engines without other work for a prompt that would hold up all the others:
-/// as many as its goal and its memory need, and at most half of all.
+/// Engines without other work for a prompt that no engine can hold: as many as
+/// its goal and its memory need, and at most half of all.
 fn read_apart(
     spec: &EngineSpec,
     ask: &PromptAsk,
@@ -432,6 +428,7 @@
         helpers,
         shares,
         part,
+        pass: spec.pass_time(spec.places / 2, 0).mul_f64(PASS_LAG),
         read: part,
         harmless: true,
     })
--- a/components/gateway/src/attempt.rs
+++ b/components/gateway/src/attempt.rs
@@ -203,11 +203,14 @@
         return SendOutcome::NotPlaced;
     }
     log::info!(
-        "event=sent request={} upstream={} service={} helpers={} read_ms={} load_age=now age_ms={}",
+        "event=sent request={} upstream={} service={} tokens={} helpers={} part_ms={} read_ms={} \
+         load_age=now age_ms={}",
         job.call.attempt,
         leg.upstream,
         job.service,
-        leg.helpers.len(),
+        job.call.size.map_or(0, |size| size.prompt),
+        placed.readers_beside_first().join(","),
+        placed.part.as_millis(),
         placed.read.as_millis(),
         gateway
             .now()
--- a/components/gateway/src/leg.rs
+++ b/components/gateway/src/leg.rs
@@ -40,7 +40,7 @@
     sent_at: Instant,
     /// Time to read the prompt, as far as known when it was sent.
     read: Duration,
-    _flight: FlightGuard,
+    flight: FlightGuard,
 }
 
 impl Leg {
@@ -68,13 +68,11 @@
             engine: engine.clone(),
             memory: *tokens,
         }));
-        let plan = FlightPlan {
-            parts,
-            tight: goals_of(gateway, job).tight(),
-        };
+        let tight = goals_of(gateway, job).tight();
+        let plan = FlightPlan { parts, tight };
         let flight = gateway.loads.borrow_mut().start(plan);
         if !placed.part.is_zero() {
-            note_reading(gateway, placed, memory);
+            note_reading(gateway, placed, memory, tight);
         }
         Some(Self {
             upstream: placed.first.clone(),
@@ -83,7 +81,7 @@
             tickets: None,
             sent_at: gateway.now(),
             read: placed.read,
-            _flight: FlightGuard::new(gateway, flight),
+            flight: FlightGuard::new(gateway, flight),
         })
     }
 
@@ -166,7 +164,7 @@
             .upstreams
             .borrow_mut()
             .note_success(now, &self.upstream);
-        gateway.loads.borrow_mut().note_answering(&self.upstream);
+        gateway.loads.borrow_mut().note_answering(self.flight.id());
         gateway.quarantine.borrow_mut().absolve(now, &self.upstream);
     }
 
@@ -230,19 +228,20 @@
     }
 }
 
-/// Tells all nodes which engines start to read, when it is much.
-fn note_reading(gateway: &Gateway, placed: &Placement, memory: TokenCount) {
+/// Notes which engines start to read, and tells all nodes when it is much.
+fn note_reading(gateway: &Gateway, placed: &Placement, memory: TokenCount, tight: bool) {
     let mut engines = vec![placed.first.clone()];
     engines.extend(placed.shares.iter().map(|(engine, _)| engine.clone()));
     engines.extend(placed.helpers.iter().cloned());
     let notice = ReadNotice {
         engines,
         part: placed.part,
+        pass: placed.pass,
         memory,
     };
     let now = gateway.now();
     gateway.loads.borrow_mut().note_reading(now, &notice);
-    if !placed.helpers.is_empty() || !placed.shares.is_empty() {
+    if !tight || !placed.helpers.is_empty() {
         let node = gateway.settings.node.clone();
         gateway.tell(PeerNews::Reading(node, notice));
     }
--- a/components/gateway/src/place.rs
+++ b/components/gateway/src/place.rs
@@ -12,13 +12,13 @@
 
 /// Pause between two looks for a place that harms nobody.
 pub(crate) const PLACE_PAUSE: Duration = Duration::from_millis(25);
-/// Share of the latency goal for which a prompt may wait for a better place:
-/// late answers still count for their callers.
-const PLACE_SHARE: f64 = 1.5;
+/// Share of the latency goal for which a prompt may wait for a better place, so
+/// that it can still be read within the goal.
+const PLACE_SHARE: f64 = 0.8;
 /// The same as a share of the time that the caller gives.
 const PLACE_DEADLINE_SHARE: f64 = 0.4;
-/// Share of the goal for which a prompt that needs idle engines waits before
-/// its caller is told to come back: longer waits seldom find them.
+/// Share of the goal for which a prompt that no engine can hold waits before
+/// its caller is told to come back: longer waits seldom find idle engines.
 const QUIET_SHARE: f64 = 0.125;
 
 /// Waits for a place that harms nobody while the request's goal allows it.
@@ -41,7 +41,7 @@
         };
         match place(gateway, job, tried, patience) {
             Ok(placed) if placed.harmless || late => return Ok(placed),
-            Err(PlacementRefusal::NeedsQuiet) if waited >= quiet_patience => {
+            Err(PlacementRefusal::NeedsQuiet) if late || waited >= quiet_patience => {
                 return Err(PlacementRefusal::NeedsQuiet);
             }
             Ok(_) | Err(PlacementRefusal::Full | PlacementRefusal::NeedsQuiet) if !late => {
--- a/components/gateway/src/state.rs
+++ b/components/gateway/src/state.rs
@@ -165,6 +165,10 @@
             flight,
         }
     }
+
+    pub(crate) fn id(&self) -> FlightId {
+        self.flight
+    }
 }
 
 impl Drop for FlightGuard {
