Write answers to prompts with small parts beside short ones

Cause: reviews took places on the engines of the longest answers and opened more of them.

Change: where the parts are small enough to go before others', the answer is written on the engines of short pauses; their writers count for the border.

--- a/components/dispatch/src/placement.rs
+++ b/components/dispatch/src/placement.rs
@@ -41,9 +41,6 @@
 /// Longest part that may be read before the parts of other prompts: about the
 /// shortest part, so that it delays them by no more than a few steps.
 const SMALL_PART: Duration = Duration::from_millis(25);
-/// Share of the goal within which a prompt must be read once it is sent; else
-/// it waits for more engines.
-const READ_SHARE: f64 = 0.4;
 /// Share of the longest goal for which a prompt may hold up all engines though
 /// its answer will be late; a longer one would make others late, too.
 const LATE_SHARE: f64 = 0.05;
@@ -124,8 +121,11 @@
 /// Whether a prompt may still wait for engines with less to read.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum PlacePatience {
-    /// It waits for engines, so that all prompts end sooner on the whole.
-    Waits,
+    /// It waits for engines that read it soon enough.
+    Waits {
+        /// Longest time in which it must be read.
+        longest_read: Duration,
+    },
     /// It has waited long enough.
     Over,
 }
@@ -215,18 +215,22 @@
         return read_apart(spec, ask, candidates, rng);
     }
     let engines = candidates.len();
-    let first = pick_reader(spec, ask, &candidates);
+    let readers = wanted_readers(spec, ask).min(engines);
+    let first = if read_time(spec, ask.size.prompt, readers) <= SMALL_PART {
+        pick_writer(spec, ask, &candidates, rng)
+    } else {
+        pick_reader(spec, ask, &candidates)
+    };
     let first = first.ok_or(PlacementRefusal::Full)?;
     let first = candidates.swap_remove(first);
     let placed = with_helpers(spec, ask, first, candidates, rng);
-    if placed.read <= ask.goals.first_event.mul_f64(READ_SHARE) {
-        return Ok(placed);
-    }
     match ask.patience {
-        PlacePatience::Waits => Err(PlacementRefusal::Full),
+        PlacePatience::Waits { longest_read } if placed.read <= longest_read => Ok(placed),
+        PlacePatience::Waits { .. } => Err(PlacementRefusal::Full),
         PlacePatience::Over if too_long_for_late(spec, ask, engines) => {
             Err(PlacementRefusal::NeedsQuiet)
         }
+        PlacePatience::Over if placed.read > ask.goals.first_event.mul_f64(0.5) => Err(PlacementRefusal::NeedsQuiet),
         PlacePatience::Over => Ok(placed),
     }
 }
@@ -263,7 +267,8 @@
     candidates: &[Candidate<'_>],
     rng: &mut impl Rng,
 ) -> Option<usize> {
-    let writers: u32 = candidates.iter().map(|one| one.load.tight).sum();
+    let writing = candidates.iter().filter(|one| one.load.tight > 0);
+    let writers: u32 = writing.map(|one| one.load.running()).sum();
     let target = f64::from(spec.places) * PACKED_SHARE;
     let open = whole((f64::from(writers + 1) / target).ceil());
     let open = usize::try_from(open).unwrap_or(usize::MAX);
--- a/components/gateway/src/attempt.rs
+++ b/components/gateway/src/attempt.rs
@@ -127,10 +127,11 @@
 ) -> (Response<AnswerBody>, bool) {
     let now = gateway.now();
     log::info!(
-        "event=given_up request={} service={} reason={reason} tried={} sends={} may_have_run={} \
-         age_ms={}",
+        "event=given_up request={} service={} reason={reason} tokens={} tried={} sends={} \
+         may_have_run={} age_ms={}",
         job.call.attempt,
         job.service,
+        job.call.size.map_or(0, |size| size.prompt),
         record.tried.join(","),
         record.sends,
         record.may_have_run,
--- a/components/gateway/src/place.rs
+++ b/components/gateway/src/place.rs
@@ -37,7 +37,10 @@
         let patience = if late {
             PlacePatience::Over
         } else {
-            PlacePatience::Waits
+            let goal = job.route.latency_goal;
+            let first = if waited < goal.mul_f64(0.25) { 0.4 } else { 0.9 };
+            let longest_read = goal.mul_f64(first).saturating_sub(if first > 0.5 { waited } else {Duration::ZERO});
+            PlacePatience::Waits { longest_read }
         };
         match place(gateway, job, tried, patience) {
             Ok(placed) if placed.harmless || late => return Ok(placed),
