--- a/components/dispatch/src/load.rs
+++ b/components/dispatch/src/load.rs
@@ -2,7 +2,7 @@
 //! exactly, those of other nodes from their last notice.
 
 use std::{
-    collections::HashMap,
+    collections::{BTreeMap, HashMap},
     time::{Duration, Instant},
 };
 
@@ -28,6 +28,8 @@
     pub tight: u32,
     /// Other requests.
     pub loose: u32,
+    /// Shortest pause that the callers of the other requests accept.
+    pub loose_gap: Option<Duration>,
     /// Memory of running requests, in tokens.
     pub memory: TokenCount,
     /// Long prompts that this engine answers and has not begun to answer:
@@ -53,6 +55,8 @@
     pub tight: u32,
     /// Other requests.
     pub loose: u32,
+    /// Shortest pause that the callers of the other requests accept.
+    pub loose_gap: Option<Duration>,
     /// Those of the other requests whose answer has not begun.
     pub unanswered: u32,
     /// Memory of these requests, in tokens.
@@ -71,6 +75,8 @@
     pub pass: Duration,
     /// Memory that the request takes at the first engine, in tokens.
     pub memory: TokenCount,
+    /// Longest pause that its caller accepts.
+    pub gap: Duration,
 }
 
 /// A request's work at one engine.
@@ -89,6 +95,8 @@
     pub parts: Vec<FlightPart>,
     /// Whether the caller accepts only short pauses.
     pub tight: bool,
+    /// Longest pause that the caller accepts.
+    pub gap: Duration,
 }
 
 /// Own and others' work at all engines.
@@ -97,6 +105,8 @@
     flights: HashMap<FlightId, Flight>,
     next: FlightId,
     own: HashMap<UpstreamId, EngineLoad>,
+    /// Pauses of this node's loose requests at each engine, with their number.
+    gaps: HashMap<UpstreamId, BTreeMap<Duration, u32>>,
     reading_until: HashMap<UpstreamId, Instant>,
     peers: HashMap<NodeId, PeerSummary>,
 }
@@ -124,6 +134,9 @@
             } else if index == 0 {
                 load.loose += 1;
                 load.unanswered += 1;
+                let gaps = self.gaps.entry(part.engine.clone()).or_default();
+                *gaps.entry(plan.gap).or_default() += 1;
+                load.loose_gap = gaps.keys().next().copied();
             }
         }
         self.next += 1;
@@ -165,6 +178,7 @@
                 load.tight = load.tight.saturating_sub(1);
             } else if index == 0 {
                 load.loose = load.loose.saturating_sub(1);
+                load.loose_gap = remove_gap(&mut self.gaps, part, plan.gap);
             }
             if *load == EngineLoad::default() {
                 self.own.remove(&part.engine);
@@ -197,10 +211,12 @@
                 engine: first.clone(),
                 tight: 0,
                 loose: 0,
+                loose_gap: None,
                 unanswered: 0,
                 memory: 0,
             });
             load.loose += 1;
+            load.loose_gap = shorter(load.loose_gap, Some(notice.gap));
             load.unanswered += 1;
             load.memory += notice.memory;
         }
@@ -240,6 +256,7 @@
         for other in fresh.filter_map(|peer| peer.loads.get(engine)) {
             load.tight += other.tight;
             load.loose += other.loose;
+            load.loose_gap = shorter(load.loose_gap, other.loose_gap);
             load.unanswered += other.unanswered;
             load.memory += other.memory;
         }
@@ -255,9 +272,34 @@
                 engine: engine.clone(),
                 tight: load.tight,
                 loose: load.loose,
+                loose_gap: load.loose_gap,
                 unanswered: load.unanswered,
                 memory: load.memory,
             })
             .collect()
     }
 }
+
+fn shorter(one: Option<Duration>, other: Option<Duration>) -> Option<Duration> {
+    one.into_iter().chain(other).min()
+}
+
+/// Removes one request's pause; returns the shortest of those left.
+fn remove_gap(
+    all: &mut HashMap<UpstreamId, BTreeMap<Duration, u32>>,
+    part: &FlightPart,
+    gap: Duration,
+) -> Option<Duration> {
+    let gaps = all.get_mut(&part.engine)?;
+    if let Some(count) = gaps.get_mut(&gap) {
+        *count -= 1;
+        if *count == 0 {
+            gaps.remove(&gap);
+        }
+    }
+    let left = gaps.keys().next().copied();
+    if left.is_none() {
+        all.remove(&part.engine);
+    }
+    left
+}
--- a/components/dispatch/src/placement.rs
+++ b/components/dispatch/src/placement.rs
@@ -41,9 +41,9 @@
 /// Longest part that may be read before the parts of other prompts: about the
 /// shortest part, so that it delays them by no more than a few steps.
 const SMALL_PART: Duration = Duration::from_millis(25);
-/// Share of the longest goal for which a prompt may hold up all engines though
-/// its answer will be late; a longer one would make others late, too.
-const LATE_SHARE: f64 = 0.05;
+/// Share of the goal within which a prompt must be read once its answer will
+/// be late; its caller does better to come back.
+const LATE_READ_SHARE: f64 = 0.4;
 /// Share of the goal within which a prompt that is read apart must be read.
 const GOAL_SHARE: f64 = 0.8;
 
@@ -214,8 +214,7 @@
     if ask.size.memory() > usable_memory(spec) {
         return read_apart(spec, ask, candidates, rng);
     }
-    let engines = candidates.len();
-    let readers = wanted_readers(spec, ask).min(engines);
+    let readers = wanted_readers(spec, ask).min(candidates.len());
     let first = if read_time(spec, ask.size.prompt, readers) <= SMALL_PART {
         pick_writer(spec, ask, &candidates, rng)
     } else {
@@ -227,28 +226,20 @@
     match ask.patience {
         PlacePatience::Waits { longest_read } if placed.read <= longest_read => Ok(placed),
         PlacePatience::Waits { .. } => Err(PlacementRefusal::Full),
-        PlacePatience::Over if too_long_for_late(spec, ask, engines) => {
+        PlacePatience::Over if placed.read > ask.goals.first_event.mul_f64(LATE_READ_SHARE) => {
             Err(PlacementRefusal::NeedsQuiet)
         }
-        PlacePatience::Over if placed.read > ask.goals.first_event.mul_f64(0.5) => Err(PlacementRefusal::NeedsQuiet),
         PlacePatience::Over => Ok(placed),
     }
 }
 
-/// The time that a prompt takes grows with the square of its length, its worth
-/// only with the length: so the longest ones give way when all can't be served.
-fn too_long_for_late(spec: &EngineSpec, ask: &PromptAsk, engines: usize) -> bool {
-    let own = read_time(spec, ask.size.prompt, engines);
-    own > ask.goals.longest_first.mul_f64(LATE_SHARE)
-}
-
 /// Time that reading may add to a pass of this engine.
 fn reading_allowance(spec: &EngineSpec, ask: &PromptAsk, load: &EngineLoad) -> Duration {
     let pass = spec.pass_time(load.running() + 1, load.memory);
     let gap = if load.tight > 0 {
         ask.goals.tightest_gap
-    } else if load.loose > 0 {
-        ask.goals.tightest_gap * 3
+    } else if let Some(gap) = load.loose_gap {
+        gap
     } else {
         return Duration::MAX;
     };
--- a/components/gateway/src/leg.rs
+++ b/components/gateway/src/leg.rs
@@ -7,7 +7,7 @@
 };
 
 use bytes::Bytes;
-use dispatch::{CallKind, FlightPart, FlightPlan, Placement, PromptSize, ReadNotice};
+use dispatch::{CallKind, FlightPart, FlightPlan, Placement, PromptGoals, PromptSize, ReadNotice};
 use http::{HeaderMap, Request, Uri, header};
 use http_body_util::Full;
 use types::{TokenCount, UpstreamId};
@@ -68,11 +68,15 @@
             engine: engine.clone(),
             memory: *tokens,
         }));
-        let tight = goals_of(gateway, job).tight();
-        let plan = FlightPlan { parts, tight };
+        let goals = goals_of(gateway, job);
+        let plan = FlightPlan {
+            parts,
+            tight: goals.tight(),
+            gap: goals.gap,
+        };
         let flight = gateway.loads.borrow_mut().start(plan);
         if !placed.part.is_zero() {
-            note_reading(gateway, placed, memory, tight);
+            note_reading(gateway, placed, memory, &goals);
         }
         Some(Self {
             upstream: placed.first.clone(),
@@ -229,7 +233,7 @@
 }
 
 /// Notes which engines start to read, and tells all nodes when it is much.
-fn note_reading(gateway: &Gateway, placed: &Placement, memory: TokenCount, tight: bool) {
+fn note_reading(gateway: &Gateway, placed: &Placement, memory: TokenCount, goals: &PromptGoals) {
     let mut engines = vec![placed.first.clone()];
     engines.extend(placed.shares.iter().map(|(engine, _)| engine.clone()));
     engines.extend(placed.helpers.iter().cloned());
@@ -238,10 +242,11 @@
         part: placed.part,
         pass: placed.pass,
         memory,
+        gap: goals.gap,
     };
     let now = gateway.now();
     gateway.loads.borrow_mut().note_reading(now, &notice);
-    if !tight || !placed.helpers.is_empty() {
+    if !goals.tight() || !placed.helpers.is_empty() {
         let node = gateway.settings.node.clone();
         gateway.tell(PeerNews::Reading(node, notice));
     }
--- a/components/gateway/src/place.rs
+++ b/components/gateway/src/place.rs
@@ -17,6 +17,14 @@
 const PLACE_SHARE: f64 = 0.8;
 /// The same as a share of the time that the caller gives.
 const PLACE_DEADLINE_SHARE: f64 = 0.4;
+/// Share of the latency goal for which a prompt waits for engines that read it
+/// within [`READ_SHARE`]: some times what reading usually takes.
+const CHOOSY_SHARE: f64 = 0.25;
+/// Share of the latency goal within which a prompt is read while it is choosy.
+const READ_SHARE: f64 = 0.4;
+/// Share of the latency goal at which a prompt should have been read, so that
+/// its first event is in time.
+const GOAL_SHARE: f64 = 0.9;
 /// Share of the goal for which a prompt that no engine can hold waits before
 /// its caller is told to come back: longer waits seldom find idle engines.
 const QUIET_SHARE: f64 = 0.125;
@@ -37,9 +45,7 @@
         let patience = if late {
             PlacePatience::Over
         } else {
-            let goal = job.route.latency_goal;
-            let first = if waited < goal.mul_f64(0.25) { 0.4 } else { 0.9 };
-            let longest_read = goal.mul_f64(first).saturating_sub(if first > 0.5 { waited } else {Duration::ZERO});
+            let longest_read = longest_read(job.route.latency_goal, waited);
             PlacePatience::Waits { longest_read }
         };
         match place(gateway, job, tried, patience) {
@@ -55,13 +61,26 @@
     }
 }
 
+/// At first a prompt goes only where many engines read it; after a while,
+/// wherever it still makes its goal.
+fn longest_read(goal: Duration, waited: Duration) -> Duration {
+    if waited < goal.mul_f64(CHOOSY_SHARE) {
+        goal.mul_f64(READ_SHARE)
+    } else {
+        goal.mul_f64(GOAL_SHARE).saturating_sub(waited)
+    }
+}
+
 /// Places the rest of a stream that broke off.
 pub(crate) fn place_again(
     gateway: &Rc<Gateway>,
     job: &ForwardJob,
     tried: &[UpstreamId],
 ) -> Option<Placement> {
-    place(gateway, job, tried, PlacePatience::Over).ok()
+    let patience = PlacePatience::Waits {
+        longest_read: job.time_left(gateway.now()),
+    };
+    place(gateway, job, tried, patience).ok()
 }
 
 fn place(
