--- a/components/dispatch/tests/swinging_mix.rs
+++ b/components/dispatch/tests/swinging_mix.rs
@@ -294,7 +294,7 @@
         (300_000, Some(PlacementRefusal::NeedsQuiet)),
     ] {
         let soon = PlacePatience::Waits {
-            longest_read: Duration::from_millis(300),
+            longest_read: Duration::from_millis(100),
         };
         let waiting = fleet.place(long(prompt), long_goals(), soon);
         assert_eq!(waiting.unwrap_err(), PlacementRefusal::Full);
