Gather the loads of engines at relays

Cause: each node told all others its requests in its summary, every 0.3 to 0.7 s, the longer the more nodes there are. On the grown sites two thirds of a second are 130 to 200 short prompts, which filled engines over their places as soon as short prompts became many.

Change: nodes report to the first ready node of each availability zone every 0.1 s, and it answers with the sums of the others. Engines go by a short hash. Summaries say only that a node lives and what it follows.

Sums count once they are whole, held by a test.

--- a/components/dispatch/src/lib.rs
+++ b/components/dispatch/src/lib.rs
@@ -10,6 +10,7 @@
 mod load;
 mod placement;
 mod quarantine;
+mod relays;
 mod roster;
 mod routes;
 mod upstreams;
@@ -21,11 +22,15 @@
 };
 pub use engine::{PromptSize, read_time};
 pub use feed::{FeedBelief, FeedSource};
-pub use load::{EngineLoad, FlightId, FlightPart, FlightPlan, LoadBook, PeerLoad, ReadNotice};
+pub use load::{
+    EngineKey, EngineLoad, FlightId, FlightPart, FlightPlan, LoadBook, PeerLoad, ReadNotice,
+    engine_key,
+};
 pub use placement::{
     PlacePatience, Placement, PlacementRefusal, PromptAsk, PromptGoals, place_call, place_prompt,
 };
 pub use quarantine::{CrashFingerprint, QuarantineList};
+pub use relays::{RelayChoice, relays};
 pub use roster::{NodeRoster, RosterEntry};
 pub use routes::{RouteMatch, RouteTable};
 pub use upstreams::{UpstreamEntry, UpstreamState, UpstreamTable, UpstreamView};
--- a/components/dispatch/src/load.rs
+++ b/components/dispatch/src/load.rs
@@ -8,14 +8,25 @@
 
 use serde::{Deserialize, Serialize};
 use types::{NodeId, TokenCount, UpstreamId};
+use xxhash_rust::xxh3::xxh3_64;
 
-/// Age at which another node's summary counts no more.
-const SUMMARY_LIFETIME: Duration = Duration::from_millis(1500);
+/// Age at which another node's report counts no more.
+const REPORT_LIFETIME: Duration = Duration::from_millis(1500);
 
 /// Time until an engine starts to read a part: a new connection and a step
 /// that is under way.
 const START_TIME: Duration = Duration::from_millis(15);
 
+/// Short name of an engine between nodes: a hash of its id.
+pub type EngineKey = u32;
+
+/// The short name of the engine `id`.
+#[must_use]
+pub fn engine_key(id: &str) -> EngineKey {
+    let [a, b, c, d, ..] = xxh3_64(id.as_bytes()).to_le_bytes();
+    u32::from_le_bytes([a, b, c, d])
+}
+
 /// Names one request that this node has at an upstream.
 pub type FlightId = u64;
 
@@ -43,14 +54,22 @@
     pub fn running(&self) -> u32 {
         self.tight + self.loose
     }
+
+    fn add(&mut self, other: &PeerLoad) {
+        self.tight += other.tight;
+        self.loose += other.loose;
+        self.loose_gap = shorter(self.loose_gap, other.loose_gap);
+        self.unanswered += other.unanswered;
+        self.memory += other.memory;
+    }
 }
 
-/// A node's own requests at one engine, as other nodes are told.
-#[derive(Clone, Debug, Eq, PartialEq)]
+/// Requests of a node, or of several, at one engine, as other nodes are told.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
 #[derive(Deserialize, Serialize)]
 pub struct PeerLoad {
     /// The engine.
-    pub engine: UpstreamId,
+    pub engine: EngineKey,
     /// Requests whose callers accept only short pauses.
     pub tight: u32,
     /// Other requests.
@@ -108,7 +127,12 @@
     /// Pauses of this node's loose requests at each engine, with their number.
     gaps: HashMap<UpstreamId, BTreeMap<Duration, u32>>,
     reading_until: HashMap<UpstreamId, Instant>,
-    peers: HashMap<NodeId, PeerSummary>,
+    /// Reports of other nodes, at the nodes that gather them.
+    peers: HashMap<NodeId, LoadReport>,
+    /// Sums of all other nodes, as a relay told.
+    others: Option<LoadReport>,
+    /// The parts of newer sums that are here.
+    coming: Option<Vec<PeerLoad>>,
 }
 
 #[derive(Debug)]
@@ -118,9 +142,35 @@
 }
 
 #[derive(Debug)]
-struct PeerSummary {
+struct LoadReport {
     heard: Instant,
-    loads: HashMap<UpstreamId, PeerLoad>,
+    loads: HashMap<EngineKey, PeerLoad>,
+}
+
+impl LoadReport {
+    fn new(heard: Instant, loads: Vec<PeerLoad>) -> Self {
+        let loads = loads.into_iter().map(|load| (load.engine, load));
+        Self {
+            heard,
+            loads: loads.collect(),
+        }
+    }
+
+    fn fresh(&self, now: Instant) -> bool {
+        now.saturating_duration_since(self.heard) <= REPORT_LIFETIME
+    }
+
+    /// Adds a prompt that is not in the report yet.
+    fn add_prompt(&mut self, engine: EngineKey, notice: &ReadNotice) {
+        let load = self.loads.entry(engine).or_insert_with(|| PeerLoad {
+            engine,
+            ..PeerLoad::default()
+        });
+        load.loose += 1;
+        load.loose_gap = shorter(load.loose_gap, Some(notice.gap));
+        load.unanswered += 1;
+        load.memory += notice.memory;
+    }
 }
 
 impl LoadBook {
@@ -196,40 +246,43 @@
         }
     }
 
-    /// Notes a long prompt of another node, until its next summary has it.
+    /// Notes a long prompt of another node, until the next report has it.
     pub fn note_peer_reading(&mut self, now: Instant, node: &str, notice: &ReadNotice) {
         self.note_reading(now, notice);
-        let peer = self
-            .peers
+        let Some(first) = notice.engines.first() else {
+            return;
+        };
+        let engine = engine_key(first);
+        self.peers
             .entry(node.to_owned())
-            .or_insert_with(|| PeerSummary {
-                heard: now,
-                loads: HashMap::new(),
-            });
-        if let Some(first) = notice.engines.first() {
-            let load = peer.loads.entry(first.clone()).or_insert_with(|| PeerLoad {
-                engine: first.clone(),
-                tight: 0,
-                loose: 0,
-                loose_gap: None,
-                unanswered: 0,
-                memory: 0,
-            });
-            load.loose += 1;
-            load.loose_gap = shorter(load.loose_gap, Some(notice.gap));
-            load.unanswered += 1;
-            load.memory += notice.memory;
+            .or_insert_with(|| LoadReport::new(now, Vec::new()))
+            .add_prompt(engine, notice);
+        if let Some(others) = &mut self.others {
+            others.add_prompt(engine, notice);
         }
     }
 
-    /// Takes over another node's summary.
+    /// Takes over another node's report of its own requests.
     pub fn note_peer(&mut self, now: Instant, node: &str, loads: Vec<PeerLoad>) {
-        let loads = loads
-            .into_iter()
-            .map(|load| (load.engine.clone(), load))
-            .collect();
-        let summary = PeerSummary { heard: now, loads };
-        self.peers.insert(node.to_owned(), summary);
+        self.peers
+            .insert(node.to_owned(), LoadReport::new(now, loads));
+    }
+
+    /// Takes over a part of the sums of all other nodes. They count once the
+    /// last part is here: an engine of a missing one would seem idle.
+    pub fn note_others(&mut self, now: Instant, continues: bool, more: bool, loads: Vec<PeerLoad>) {
+        if !continues {
+            self.coming = Some(Vec::new());
+        }
+        let Some(mut coming) = self.coming.take() else {
+            return;
+        };
+        coming.extend(loads);
+        if more {
+            self.coming = Some(coming);
+        } else {
+            self.others = Some(LoadReport::new(now, coming));
+        }
     }
 
     /// Forgets another node.
@@ -237,6 +290,23 @@
         self.peers.remove(node);
     }
 
+    /// The sums of all nodes but `node`, as far as they report here.
+    #[must_use]
+    pub fn sums_without(&self, now: Instant, node: &str) -> Vec<PeerLoad> {
+        let mut sums: HashMap<EngineKey, EngineLoad> = HashMap::new();
+        for load in self.summary() {
+            sums.entry(load.engine).or_default().add(&load);
+        }
+        let others = self.peers.iter().filter(|(name, _)| *name != node);
+        let fresh = others.filter(|(_, report)| report.fresh(now));
+        for load in fresh.flat_map(|(_, report)| report.loads.values()) {
+            sums.entry(load.engine).or_default().add(load);
+        }
+        sums.into_iter()
+            .map(|(engine, load)| told(engine, &load))
+            .collect()
+    }
+
     /// Forgets an engine that is gone.
     pub fn forget_engine(&mut self, engine: &str) {
         self.reading_until.remove(engine);
@@ -249,16 +319,19 @@
         if let Some(until) = self.reading_until.get(engine) {
             load.reading = until.saturating_duration_since(now);
         }
-        let fresh = self
-            .peers
-            .values()
-            .filter(|peer| now.duration_since(peer.heard) <= SUMMARY_LIFETIME);
-        for other in fresh.filter_map(|peer| peer.loads.get(engine)) {
-            load.tight += other.tight;
-            load.loose += other.loose;
-            load.loose_gap = shorter(load.loose_gap, other.loose_gap);
-            load.unanswered += other.unanswered;
-            load.memory += other.memory;
+        let key = engine_key(engine);
+        match &self.others {
+            Some(others) if others.fresh(now) => {
+                if let Some(other) = others.loads.get(&key) {
+                    load.add(other);
+                }
+            }
+            _ => {
+                let fresh = self.peers.values().filter(|report| report.fresh(now));
+                for other in fresh.filter_map(|report| report.loads.get(&key)) {
+                    load.add(other);
+                }
+            }
         }
         load
     }
@@ -268,18 +341,22 @@
     pub fn summary(&self) -> Vec<PeerLoad> {
         self.own
             .iter()
-            .map(|(engine, load)| PeerLoad {
-                engine: engine.clone(),
-                tight: load.tight,
-                loose: load.loose,
-                loose_gap: load.loose_gap,
-                unanswered: load.unanswered,
-                memory: load.memory,
-            })
+            .map(|(engine, load)| told(engine_key(engine), load))
             .collect()
     }
 }
 
+fn told(engine: EngineKey, load: &EngineLoad) -> PeerLoad {
+    PeerLoad {
+        engine,
+        tight: load.tight,
+        loose: load.loose,
+        loose_gap: load.loose_gap,
+        unanswered: load.unanswered,
+        memory: load.memory,
+    }
+}
+
 fn shorter(one: Option<Duration>, other: Option<Duration>) -> Option<Duration> {
     one.into_iter().chain(other).min()
 }
--- /dev/null
+++ b/components/dispatch/tests/shared_loads.rs
@@ -0,0 +1,145 @@
+//! Loads of all nodes, gathered by relays: who they are, what they hand out,
+//! and what a node believes while datagrams are lost or nodes fall silent.
+
+use std::time::{Duration, Instant};
+
+use dispatch::{
+    FlightPart, FlightPlan, LoadBook, PeerLoad, ReadNotice, RelayChoice, RosterEntry, engine_key,
+    relays,
+};
+
+const ENGINE: &str = "engine-00";
+
+fn node(name: &str, zone: &str, ready: bool) -> RosterEntry {
+    RosterEntry {
+        node: name.to_owned(),
+        zone: zone.to_owned(),
+        callers: ([10, 0, 0, 1], 80).into(),
+        peers: ([10, 0, 0, 1], 81).into(),
+        life: 1,
+        ready,
+    }
+}
+
+fn writers(engine: &str, tight: u32) -> PeerLoad {
+    PeerLoad {
+        engine: engine_key(engine),
+        tight,
+        memory: 5_000 * u64::from(tight),
+        ..PeerLoad::default()
+    }
+}
+
+fn start_writer(book: &mut LoadBook) {
+    let part = FlightPart {
+        engine: ENGINE.to_owned(),
+        memory: 5_000,
+    };
+    book.start(FlightPlan {
+        parts: vec![part],
+        tight: true,
+        gap: Duration::from_millis(200),
+    });
+}
+
+fn tight_at(book: &LoadBook, now: Instant) -> u32 {
+    book.load(now, ENGINE).tight
+}
+
+#[test]
+fn each_zone_has_one_relay_and_the_own_zone_is_asked_first() {
+    let all = [
+        node("a1", "a", false),
+        node("a2", "a", true),
+        node("b1", "b", true),
+        node("b2", "b", true),
+    ];
+    let named = |own: usize| -> Vec<&str> {
+        let others = all.iter().filter(|entry| entry.node != all[own].node);
+        let relays = relays(&all[own], others);
+        relays.iter().map(|entry| entry.node.as_str()).collect()
+    };
+    assert_eq!(named(0), ["a2", "b1"]);
+    assert_eq!(named(3), ["b1", "a2"]);
+    // A relay asks the others, since it has no sums without itself.
+    assert_eq!(named(1), ["b1"]);
+}
+
+#[test]
+fn a_silent_relay_is_passed_over() {
+    let mut choice = RelayChoice::default();
+    let start = Instant::now();
+    assert_eq!(choice.ask(start, 0), None);
+    assert_eq!(choice.ask(start, 3), Some(0));
+    choice.note_answer();
+    let later = start + Duration::from_millis(400);
+    assert_eq!(choice.ask(later, 3), Some(0), "it answered");
+    assert_eq!(choice.ask(later + Duration::from_millis(300), 3), Some(0));
+    assert_eq!(choice.ask(later + Duration::from_millis(400), 3), Some(1));
+    choice.note_answer();
+    assert_eq!(choice.ask(later + Duration::from_millis(500), 3), Some(1));
+}
+
+#[test]
+fn sums_hold_all_nodes_but_the_one_that_asks() {
+    let now = Instant::now();
+    let mut relay = LoadBook::default();
+    start_writer(&mut relay);
+    relay.note_peer(now, "b", vec![writers(ENGINE, 2)]);
+    relay.note_peer(now, "c", vec![writers(ENGINE, 4)]);
+    assert_eq!(relay.sums_without(now, "b"), [writers(ENGINE, 5)]);
+    assert_eq!(relay.sums_without(now, "c"), [writers(ENGINE, 3)]);
+
+    relay.forget_peer("c");
+    assert_eq!(relay.sums_without(now, "b"), [writers(ENGINE, 1)]);
+    let late = now + Duration::from_secs(2);
+    assert_eq!(relay.sums_without(late, "d"), [writers(ENGINE, 1)]);
+}
+
+#[test]
+fn sums_in_parts_count_once_they_are_whole() {
+    let now = Instant::now();
+    let mut book = LoadBook::default();
+    start_writer(&mut book);
+    book.note_others(now, false, false, vec![writers(ENGINE, 7)]);
+    assert_eq!(tight_at(&book, now), 8);
+
+    book.note_others(now, false, true, vec![writers("engine-01", 3)]);
+    assert_eq!(tight_at(&book, now), 8, "the first part says nothing of it");
+    book.note_others(now, true, false, vec![writers(ENGINE, 9)]);
+    assert_eq!(tight_at(&book, now), 10);
+    assert_eq!(book.load(now, "engine-01").tight, 3);
+
+    // The end of a table whose start was lost.
+    book.note_others(now, true, false, vec![writers(ENGINE, 1)]);
+    assert_eq!(tight_at(&book, now), 10);
+}
+
+#[test]
+fn old_sums_give_way_to_what_nodes_report() {
+    let now = Instant::now();
+    let mut book = LoadBook::default();
+    book.note_others(now, false, false, vec![writers(ENGINE, 7)]);
+    let later = now + Duration::from_secs(2);
+    book.note_peer(later, "b", vec![writers(ENGINE, 2)]);
+    assert_eq!(tight_at(&book, later), 2);
+}
+
+#[test]
+fn a_prompt_counts_until_the_next_sums() {
+    let now = Instant::now();
+    let mut book = LoadBook::default();
+    book.note_others(now, false, false, Vec::new());
+    let notice = ReadNotice {
+        engines: vec![ENGINE.to_owned()],
+        part: Duration::from_millis(100),
+        pass: Duration::ZERO,
+        memory: 200_000,
+        gap: Duration::from_millis(800),
+    };
+    book.note_peer_reading(now, "b", &notice);
+    let load = book.load(now, ENGINE);
+    assert_eq!((load.loose, load.unanswered, load.memory), (1, 1, 200_000));
+    book.note_others(now, false, false, Vec::new());
+    assert_eq!(book.load(now, ENGINE).running(), 0);
+}
--- a/components/dispatch/tests/swinging_mix.rs
+++ b/components/dispatch/tests/swinging_mix.rs
@@ -9,7 +9,7 @@
 use dispatch::{
     EngineLoad, EngineSpec, FlightPart, FlightPlan, LoadBook, PeerLoad, PlacePatience, Placement,
     PlacementRefusal, PromptAsk, PromptGoals, PromptSize, ReadNotice, UpstreamEntry, UpstreamState,
-    UpstreamTable, place_prompt, read_time,
+    UpstreamTable, engine_key, place_prompt, read_time,
 };
 use rand::{SeedableRng, rngs::SmallRng};
 
@@ -157,7 +157,7 @@
 fn nodes_that_see_the_same_summaries_do_not_all_choose_the_emptiest_engine() {
     let mut fleet = Fleet::new();
     let busy = (0..ENGINES - 1).map(|number| PeerLoad {
-        engine: format!("engine-{number:02}"),
+        engine: engine_key(&format!("engine-{number:02}")),
         tight: 13,
         loose: 0,
         loose_gap: None,
@@ -230,7 +230,7 @@
         let mut fleet = Fleet::new();
         let gap = Duration::from_millis(gap);
         let busy = (0..ENGINES).map(|number| PeerLoad {
-            engine: format!("engine-{number:02}"),
+            engine: engine_key(&format!("engine-{number:02}")),
             tight: 0,
             loose: 1,
             loose_gap: Some(gap),
@@ -375,7 +375,7 @@
     assert_eq!(load.unanswered, 1);
 
     let summary = vec![PeerLoad {
-        engine: "engine-13".to_owned(),
+        engine: engine_key("engine-13"),
         tight: 0,
         loose: 1,
         loose_gap: Some(Duration::from_millis(800)),
--- a/components/gateway/src/daemon.rs
+++ b/components/gateway/src/daemon.rs
@@ -17,6 +17,7 @@
     client::PlainCaller,
     listen::{ListenRole, closing, listen},
     peers::{PeerNews, receive_news, send_news, send_summaries},
+    shared_loads::report_loads,
     state::Gateway,
     sync::follow,
 };
@@ -92,6 +93,9 @@
     executor
         .spawn(send_summaries(Rc::clone(&gateway), Rc::clone(&socket)))
         .detach();
+    executor
+        .spawn(report_loads(Rc::clone(&gateway), Rc::clone(&socket)))
+        .detach();
     executor.spawn(write_own_row(Rc::clone(&gateway))).detach();
     executor.spawn(sweep(Rc::clone(&gateway))).detach();
     while let Some(signal) = signals.next().await {
--- a/components/gateway/src/lib.rs
+++ b/components/gateway/src/lib.rs
@@ -18,6 +18,7 @@
 mod place;
 mod relay;
 mod settings;
+mod shared_loads;
 mod state;
 mod sync;
 mod tickets;
--- a/components/gateway/src/peers.rs
+++ b/components/gateway/src/peers.rs
@@ -8,7 +8,7 @@
 };
 
 use bytes::Bytes;
-use dispatch::{CrashFingerprint, FeedSource, PeerLoad, ReadNotice, RosterEntry};
+use dispatch::{CrashFingerprint, FeedSource, ReadNotice, RosterEntry};
 use http::{Method, Request, Response, StatusCode};
 use hyper::body::Incoming;
 use serde::{Deserialize, Serialize};
@@ -16,7 +16,12 @@
 use types::{NodeId, UpstreamId};
 
 use crate::{
-    PlainCall, answer::AnswerBody, client::PlainCaller, state::Gateway, sync::take_desired,
+    PlainCall,
+    answer::AnswerBody,
+    client::PlainCaller,
+    shared_loads::{LoadReport, LoadSums, take_report, take_sums},
+    state::Gateway,
+    sync::take_desired,
 };
 
 /// Pause between two summaries to all nodes of a small fleet.
@@ -30,7 +35,7 @@
 /// Pauses before news is sent again.
 const NEWS_REPEATS: [Duration; 2] = [Duration::from_millis(150), Duration::from_millis(350)];
 /// Largest datagram: one that fits a usual packet.
-const DATAGRAM_MAX: usize = 1400;
+pub(crate) const DATAGRAM_MAX: usize = 1400;
 /// Time for another node to hand out the desired state.
 const FETCH_TIME: Duration = Duration::from_millis(800);
 /// Path of a node's copy of the desired state, among nodes.
@@ -42,6 +47,10 @@
 pub(crate) enum PeerNews {
     /// The sender lives.
     Summary(PeerSummary),
+    /// The sender's requests at engines, for a relay.
+    Loads(LoadReport),
+    /// The sums of all other nodes' requests, from a relay.
+    Sums(LoadSums),
     /// Engines start to read a prompt of the sender.
     Reading(NodeId, ReadNotice),
     /// A request broke an upstream off.
@@ -65,7 +74,6 @@
     pub(crate) desired_age_ms: Option<u32>,
     /// The same for the listing of upstreams.
     pub(crate) listing_age_ms: Option<u32>,
-    pub(crate) loads: Vec<PeerLoad>,
 }
 
 /// The row of a node whose desired state is passed on.
@@ -118,7 +126,6 @@
         desired: desired.version(),
         desired_age_ms: desired.store_age(now).map(millis),
         listing_age_ms: gateway.listing.borrow().store_age(now).map(millis),
-        loads: gateway.loads.borrow().summary(),
     })
 }
 
@@ -165,6 +172,7 @@
             }
         };
         match postcard::from_bytes::<PeerNews>(&buffer[..size]) {
+            Ok(PeerNews::Loads(report)) => take_report(&gateway, &socket, from, report).await,
             Ok(news) => take_news(&gateway, news),
             Err(error) => log::warn!("event=datagram_unreadable peer={from} error=\"{error}\""),
         }
@@ -175,6 +183,9 @@
     let now = gateway.now();
     match news {
         PeerNews::Summary(summary) => take_summary(gateway, summary),
+        // Answered by the task that owns the socket.
+        PeerNews::Loads(_) => {}
+        PeerNews::Sums(sums) => take_sums(gateway, sums),
         PeerNews::Reading(node, notice) => {
             let mut loads = gateway.loads.borrow_mut();
             loads.note_peer_reading(now, &node, &notice);
@@ -218,11 +229,7 @@
     let now = gateway.now();
     let known = gateway.desired.borrow().version();
     let peer = summary.entry.peers;
-    let node = summary.entry.node.clone();
     gateway.roster.borrow_mut().note_heard(now, summary.entry);
-    let mut loads = gateway.loads.borrow_mut();
-    loads.note_peer(now, &node, summary.loads);
-    drop(loads);
     let at = |age_ms: u32| now.checked_sub(Duration::from_millis(age_ms.into()));
     if let Some(at) = summary.desired_age_ms.and_then(at) {
         gateway.desired.borrow_mut().note_follower(at);
--- a/components/gateway/src/state.rs
+++ b/components/gateway/src/state.rs
@@ -9,8 +9,8 @@
 
 use bytes::Bytes;
 use dispatch::{
-    FeedBelief, FlightId, LoadBook, NodeRoster, QuarantineList, RetryBudget, RosterEntry,
-    RouteTable, UpstreamTable,
+    FeedBelief, FlightId, LoadBook, NodeRoster, QuarantineList, RelayChoice, RetryBudget,
+    RosterEntry, RouteTable, UpstreamTable,
 };
 use kernel::ClockSource;
 use rand::{SeedableRng, rngs::SmallRng};
@@ -38,6 +38,8 @@
     pub(crate) listing: RefCell<FeedBelief>,
     pub(crate) loads: RefCell<LoadBook>,
     pub(crate) roster: RefCell<NodeRoster>,
+    /// The node asked for the sums of all others' loads.
+    pub(crate) relay: RefCell<RelayChoice>,
     pub(crate) budget: RefCell<RetryBudget>,
     pub(crate) quarantine: RefCell<QuarantineList>,
     pub(crate) pool: RefCell<ConnectionPool>,
@@ -84,6 +86,7 @@
             listing: RefCell::default(),
             loads: RefCell::default(),
             roster: RefCell::default(),
+            relay: RefCell::default(),
             budget: RefCell::new(budget),
             quarantine: RefCell::default(),
             pool: RefCell::default(),
