Keep engines for short prompts; read the longest on all idle engines

They waited an eighth of their goal for as many idle engines as 0.8 of the goal needs, while other long parts took the engines that short prompts were about to need.

Change: such a prompt takes all idle engines, half of the fleet at most, and waits for them for 0.4 of its goal. Long parts go to no engine that the short prompts there are still have to open. No prompt waits for more than 0.6 of its goal, so that its caller is told sooner.

--- a/components/dispatch/src/placement.rs
+++ b/components/dispatch/src/placement.rs
@@ -44,8 +44,6 @@
 /// Share of the goal within which a prompt must be read once its answer will
 /// be late; its caller does better to come back.
 const LATE_READ_SHARE: f64 = 0.4;
-/// Share of the goal within which a prompt that is read apart must be read.
-const GOAL_SHARE: f64 = 0.8;
 
 /// Where a request goes.
 #[derive(Clone, Debug)]
@@ -211,8 +209,10 @@
         let first = candidates.swap_remove(first);
         return Ok(with_helpers(spec, ask, first, candidates, rng));
     }
+    let most_apart = candidates.len().div_ceil(2).min(READERS_MAX);
+    keep_places(spec, &mut candidates);
     if ask.size.memory() > usable_memory(spec) {
-        return read_apart(spec, ask, candidates, rng);
+        return read_apart(spec, ask, most_apart, candidates, rng);
     }
     let readers = wanted_readers(spec, ask).min(candidates.len());
     let first = if read_time(spec, ask.size.prompt, readers) <= SMALL_PART {
@@ -233,6 +233,17 @@
     }
 }
 
+/// Leaves out engines that are still to be opened for the short prompts there
+/// are: a long part would shut them for seconds.
+fn keep_places(spec: &EngineSpec, candidates: &mut Vec<Candidate<'_>>) {
+    let writing = candidates.iter().filter(|one| one.load.tight > 0);
+    let writers: u32 = writing.map(|one| one.load.running()).sum();
+    let target = f64::from(spec.places) * PACKED_SHARE;
+    let needed = whole((f64::from(writers) / target).ceil());
+    let needed = usize::try_from(needed).unwrap_or(usize::MAX);
+    candidates.retain(|one| one.rank >= needed || one.load.running() > 0);
+}
+
 /// Time that reading may add to a pass of this engine.
 fn reading_allowance(spec: &EngineSpec, ask: &PromptAsk, load: &EngineLoad) -> Duration {
     let pass = spec.pass_time(load.running() + 1, load.memory);
@@ -380,29 +391,30 @@
     }
 }
 
-/// Engines without other work for a prompt that no engine can hold: as many as
-/// its goal and its memory need, and at most half of all.
+/// Engines without other work for a prompt that no engine can hold: `most` at
+/// most, which is half of all.
 fn read_apart(
     spec: &EngineSpec,
     ask: &PromptAsk,
+    most: usize,
     mut candidates: Vec<Candidate<'_>>,
     rng: &mut impl Rng,
 ) -> Result<Placement, PlacementRefusal> {
     let usable = usable_memory(spec);
-    let most = candidates.len().div_ceil(2).min(READERS_MAX);
     let most_tokens = usable.saturating_mul(u64::try_from(most).unwrap_or(u64::MAX));
     if ask.size.memory() > most_tokens {
         return Err(PlacementRefusal::TooLarge);
     }
     let for_memory = ask.size.memory().div_ceil(usable.max(1));
-    let whole_read = read_time(spec, ask.size.prompt, 1);
-    let for_goal =
-        whole((whole_read.as_secs_f64() / ask.goals.first_event.as_secs_f64() / GOAL_SHARE).ceil());
-    let readers = usize::try_from(for_memory.max(for_goal)).unwrap_or(usize::MAX);
-    let readers = readers.clamp(1, most);
     candidates.retain(|one| one.load.running() == 0 && one.load.reading.is_zero());
     candidates.sort_by_cached_key(|one| (Reverse(one.rank), tie(rng)));
-    if candidates.len() < readers {
+    let readers = candidates.len().min(most);
+    let needed = usize::try_from(for_memory).unwrap_or(usize::MAX);
+    let longest_read = match ask.patience {
+        PlacePatience::Waits { longest_read } => longest_read,
+        PlacePatience::Over => Duration::ZERO,
+    };
+    if readers < needed || read_time(spec, ask.size.prompt, readers) > longest_read {
         return Err(PlacementRefusal::NeedsQuiet);
     }
     let share = ask
--- a/components/dispatch/tests/swinging_mix.rs
+++ b/components/dispatch/tests/swinging_mix.rs
@@ -327,11 +327,52 @@
     assert_eq!(loads.load(now, "engine-00"), EngineLoad::default());
 }
 
+#[test]
+fn long_parts_leave_the_engines_that_short_prompts_need() {
+    let mut fleet = Fleet::new();
+    // Twelve engines are needed, and these are full of them as yet.
+    let busy = (0..10).map(|number| PeerLoad {
+        engine: engine_key(&format!("engine-{number:02}")),
+        tight: 15,
+        memory: 75_000,
+        ..PeerLoad::default()
+    });
+    fleet.loads.note_peer(fleet.now, "other", busy.collect());
+    let mut free = BTreeSet::new();
+    for size in [long(210_000), long(500_000)] {
+        let patience = PlacePatience::Waits {
+            longest_read: Duration::from_secs(20),
+        };
+        let placed = fleet.place(size, long_goals(), patience).unwrap();
+        let readers = placed.readers_beside_first();
+        free.extend(readers.into_iter().map(str::to_owned));
+        free.insert(placed.first);
+    }
+    assert_eq!(free, ["engine-12", "engine-13"].map(str::to_owned).into());
+}
+
+#[test]
+fn prompts_that_no_engine_holds_take_all_idle_engines_up_to_half() {
+    let mut fleet = Fleet::new();
+    let giant = long(700_000);
+    let placed = fleet.place(giant, long_goals(), WAITS);
+    assert_eq!(placed.unwrap_err(), PlacementRefusal::NeedsQuiet);
+    let patience = PlacePatience::Waits {
+        longest_read: Duration::from_secs(4),
+    };
+    let placed = fleet.place(giant, long_goals(), patience).unwrap();
+    assert_eq!(placed.shares.len(), 6);
+    assert!(placed.read <= Duration::from_secs(4), "{placed:?}");
+}
+
 #[test]
 fn prompts_that_no_engine_holds_are_read_on_idle_engines_only() {
     let mut fleet = Fleet::new();
     let giant = long(700_000);
-    let placed = fleet.place(giant, long_goals(), WAITS).unwrap();
+    let patience = PlacePatience::Waits {
+        longest_read: Duration::from_secs(4),
+    };
+    let placed = fleet.place(giant, long_goals(), patience).unwrap();
     assert!(placed.shares.len() < 7, "half of the engines stay free");
     let held: u64 = placed.shares.iter().map(|(_, tokens)| tokens).sum();
     assert!(giant.memory() - held <= spec().memory);
--- a/components/gateway/src/place.rs
+++ b/components/gateway/src/place.rs
@@ -14,7 +14,7 @@
 pub(crate) const PLACE_PAUSE: Duration = Duration::from_millis(25);
 /// Share of the latency goal for which a prompt may wait for a better place, so
 /// that it can still be read within the goal.
-const PLACE_SHARE: f64 = 0.8;
+const PLACE_SHARE: f64 = 0.6;
 /// The same as a share of the time that the caller gives.
 const PLACE_DEADLINE_SHARE: f64 = 0.4;
 /// Share of the latency goal for which a prompt waits for engines that read it
@@ -25,9 +25,9 @@
 /// Share of the latency goal at which a prompt should have been read, so that
 /// its first event is in time.
 const GOAL_SHARE: f64 = 0.9;
-/// Share of the goal for which a prompt that no engine can hold waits before
-/// its caller is told to come back: longer waits seldom find idle engines.
-const QUIET_SHARE: f64 = 0.125;
+/// Share of the goal for which a prompt that no engine can hold waits for idle
+/// engines: reading on few of them takes the rest.
+const QUIET_SHARE: f64 = 0.4;
 
 /// Waits for a place that harms nobody while the request's goal allows it.
 pub(crate) async fn find_place(
