Refuse a prompt that no engine holds soon where engines write

Cause: such a prompt waited 0.4 of its goal, also while too few engines were without writers to read it in time at all; refusals that come late are dear to callers.

Change: it is told to come back after an eighth of its goal where the engines without writers could not make the rest of its goal; otherwise it waits for them as others do.

--- a/components/dispatch/src/placement.rs
+++ b/components/dispatch/src/placement.rs
@@ -123,6 +123,8 @@
     Waits {
         /// Longest time in which it must be read.
         longest_read: Duration,
+        /// Time until it must have been read.
+        left: Duration,
     },
     /// It has waited long enough.
     Over,
@@ -224,7 +226,7 @@
     let first = candidates.swap_remove(first);
     let placed = with_helpers(spec, ask, first, candidates, rng);
     match ask.patience {
-        PlacePatience::Waits { longest_read } if placed.read <= longest_read => Ok(placed),
+        PlacePatience::Waits { longest_read, .. } if placed.read <= longest_read => Ok(placed),
         PlacePatience::Waits { .. } => Err(PlacementRefusal::Full),
         PlacePatience::Over if placed.read > ask.goals.first_event.mul_f64(LATE_READ_SHARE) => {
             Err(PlacementRefusal::NeedsQuiet)
@@ -406,17 +408,24 @@
         return Err(PlacementRefusal::TooLarge);
     }
     let for_memory = ask.size.memory().div_ceil(usable.max(1));
-    candidates.retain(|one| one.load.running() == 0 && one.load.reading.is_zero());
-    candidates.sort_by_cached_key(|one| (Reverse(one.rank), tie(rng)));
-    let readers = candidates.len().min(most);
+    let PlacePatience::Waits { longest_read, left } = ask.patience else {
+        return Err(PlacementRefusal::NeedsQuiet);
+    };
     let needed = usize::try_from(for_memory).unwrap_or(usize::MAX);
-    let longest_read = match ask.patience {
-        PlacePatience::Waits { longest_read } => longest_read,
-        PlacePatience::Over => Duration::ZERO,
+    let made_by = |engines: usize, time: Duration| {
+        engines >= needed && read_time(spec, ask.size.prompt, engines) <= time
     };
-    if readers < needed || read_time(spec, ask.size.prompt, readers) > longest_read {
+    // Writers go on for longer than a prompt may wait.
+    candidates.retain(|one| one.load.running() == 0);
+    if !made_by(candidates.len().min(most), left) {
         return Err(PlacementRefusal::NeedsQuiet);
     }
+    candidates.retain(|one| one.load.reading.is_zero());
+    candidates.sort_by_cached_key(|one| (Reverse(one.rank), tie(rng)));
+    let readers = candidates.len().min(most);
+    if !made_by(readers, longest_read) {
+        return Err(PlacementRefusal::Full);
+    }
     let share = ask
         .size
         .memory()
--- a/components/dispatch/tests/swinging_mix.rs
+++ b/components/dispatch/tests/swinging_mix.rs
@@ -16,6 +16,7 @@
 const ENGINES: u32 = 14;
 const WAITS: PlacePatience = PlacePatience::Waits {
     longest_read: Duration::from_millis(1_200),
+    left: Duration::from_millis(2_700),
 };
 const SHORT: PromptSize = PromptSize {
     prompt: 5_000,
@@ -295,6 +296,7 @@
     ] {
         let soon = PlacePatience::Waits {
             longest_read: Duration::from_millis(100),
+            left: Duration::from_millis(100),
         };
         let waiting = fleet.place(long(prompt), long_goals(), soon);
         assert_eq!(waiting.unwrap_err(), PlacementRefusal::Full);
@@ -342,6 +344,7 @@
     for size in [long(210_000), long(500_000)] {
         let patience = PlacePatience::Waits {
             longest_read: Duration::from_secs(20),
+            left: Duration::from_secs(20),
         };
         let placed = fleet.place(size, long_goals(), patience).unwrap();
         let readers = placed.readers_beside_first();
@@ -357,8 +360,16 @@
     let giant = long(700_000);
     let placed = fleet.place(giant, long_goals(), WAITS);
     assert_eq!(placed.unwrap_err(), PlacementRefusal::NeedsQuiet);
+    // It waits while engines only read; it is refused where they write.
+    let soon = PlacePatience::Waits {
+        longest_read: Duration::from_secs(1),
+        left: Duration::from_secs(4),
+    };
+    let placed = fleet.place(giant, long_goals(), soon);
+    assert_eq!(placed.unwrap_err(), PlacementRefusal::Full);
     let patience = PlacePatience::Waits {
         longest_read: Duration::from_secs(4),
+        left: Duration::from_secs(4),
     };
     let placed = fleet.place(giant, long_goals(), patience).unwrap();
     assert_eq!(placed.shares.len(), 6);
@@ -371,6 +382,7 @@
     let giant = long(700_000);
     let patience = PlacePatience::Waits {
         longest_read: Duration::from_secs(4),
+        left: Duration::from_secs(4),
     };
     let placed = fleet.place(giant, long_goals(), patience).unwrap();
     assert!(placed.shares.len() < 7, "half of the engines stay free");
--- a/components/gateway/src/place.rs
+++ b/components/gateway/src/place.rs
@@ -25,9 +25,9 @@
 /// Share of the latency goal at which a prompt should have been read, so that
 /// its first event is in time.
 const GOAL_SHARE: f64 = 0.9;
-/// Share of the goal for which a prompt that no engine can hold waits for idle
-/// engines: reading on few of them takes the rest.
-const QUIET_SHARE: f64 = 0.4;
+/// Share of the goal for which a prompt waits that could not be read in time
+/// as things are, before its caller is told to come back.
+const QUIET_SHARE: f64 = 0.125;
 
 /// Waits for a place that harms nobody while the request's goal allows it.
 pub(crate) async fn find_place(
@@ -45,8 +45,7 @@
         let patience = if late {
             PlacePatience::Over
         } else {
-            let longest_read = longest_read(job.route.latency_goal, waited);
-            PlacePatience::Waits { longest_read }
+            waits(job.route.latency_goal, waited)
         };
         match place(gateway, job, tried, patience) {
             Ok(placed) if placed.harmless || late => return Ok(placed),
@@ -63,12 +62,14 @@
 
 /// At first a prompt goes only where many engines read it; after a while,
 /// wherever it still makes its goal.
-fn longest_read(goal: Duration, waited: Duration) -> Duration {
-    if waited < goal.mul_f64(CHOOSY_SHARE) {
+fn waits(goal: Duration, waited: Duration) -> PlacePatience {
+    let left = goal.mul_f64(GOAL_SHARE).saturating_sub(waited);
+    let longest_read = if waited < goal.mul_f64(CHOOSY_SHARE) {
         goal.mul_f64(READ_SHARE)
     } else {
-        goal.mul_f64(GOAL_SHARE).saturating_sub(waited)
-    }
+        left
+    };
+    PlacePatience::Waits { longest_read, left }
 }
 
 /// Places the rest of a stream that broke off.
@@ -77,8 +78,10 @@
     job: &ForwardJob,
     tried: &[UpstreamId],
 ) -> Option<Placement> {
+    let left = job.time_left(gateway.now());
     let patience = PlacePatience::Waits {
-        longest_read: job.time_left(gateway.now()),
+        longest_read: left,
+        left,
     };
     place(gateway, job, tried, patience).ok()
 }
