--- a/components/dispatch/src/lib.rs
+++ b/components/dispatch/src/lib.rs
@@ -8,6 +8,7 @@
 mod engine;
 mod feed;
 mod load;
+mod pick;
 mod placement;
 mod quarantine;
 mod relays;
--- /dev/null
+++ b/components/dispatch/src/pick.rs
@@ -0,0 +1,245 @@
+//! The engines of a prompt: one that answers, and those that read parts.
+
+use std::{cmp::Reverse, time::Duration};
+
+use rand::{Rng, RngExt, seq::IteratorRandom};
+use types::{TokenCount, UpstreamId};
+
+use crate::{
+    EngineLoad, EngineSpec, PlacePatience, Placement, PlacementRefusal, PromptAsk,
+    placement::{Candidate, PACKED_SHARE, SMALL_PART, whole},
+    read_time,
+};
+
+/// Most engines that read one prompt: the first and sixteen helpers.
+const READERS_MAX: usize = 17;
+/// Time of a part below which a further reader saves nothing: the time of a
+/// few steps, so that the hop and the wait for a pass outweigh it.
+const PART_MIN: Duration = Duration::from_millis(18);
+/// Share of a pause that a pass may take, so that delays on the way fit too.
+const PASS_SHARE: f64 = 0.75;
+/// Passes of an engine's writers that a part waits for: half of one under way,
+/// and the one that reads it.
+const PASS_LAG: f64 = 1.5;
+/// Share of memory that placements count on; answers are shorter than their
+/// limit, and reports of other nodes lag.
+const MEMORY_SHARE: f64 = 0.95;
+
+/// Time that reading may add to a pass of this engine.
+fn reading_allowance(spec: &EngineSpec, ask: &PromptAsk, load: &EngineLoad) -> Duration {
+    let pass = spec.pass_time(load.running() + 1, load.memory);
+    let gap = if load.tight > 0 {
+        ask.goals.tightest_gap
+    } else if let Some(gap) = load.loose_gap {
+        gap
+    } else {
+        return Duration::MAX;
+    };
+    gap.mul_f64(PASS_SHARE).saturating_sub(pass)
+}
+
+fn has_room(spec: &EngineSpec, ask: &PromptAsk, load: &EngineLoad) -> bool {
+    load.running() < spec.places && load.memory + ask.size.memory() <= usable_memory(spec)
+}
+
+/// An engine among those that are open for short pauses: the less busy of two,
+/// since nodes with the same summaries would all pick the same least busy one.
+pub(crate) fn pick_writer(
+    spec: &EngineSpec,
+    ask: &PromptAsk,
+    candidates: &[Candidate<'_>],
+    rng: &mut impl Rng,
+) -> Option<usize> {
+    let writing = candidates.iter().filter(|one| one.load.tight > 0);
+    let writers: u32 = writing.map(|one| one.load.running()).sum();
+    let target = f64::from(spec.places) * PACKED_SHARE;
+    let open = whole((f64::from(writers + 1) / target).ceil());
+    let open = usize::try_from(open).unwrap_or(usize::MAX);
+    let own = read_time(spec, ask.size.prompt, 1).min(PART_MIN * 2);
+    let fits = |one: &Candidate<'_>| {
+        has_room(spec, ask, &one.load)
+            && one.load.reading + own <= reading_allowance(spec, ask, &one.load)
+    };
+    let best = |range: &[Candidate<'_>], rng: &mut _| {
+        let fitting = range.iter().enumerate().filter(|(_, one)| fits(one));
+        let two = fitting.sample(rng, 2).into_iter();
+        two.min_by_key(|(_, one)| (one.load.running(), one.load.reading))
+            .map(|(index, _)| index)
+    };
+    let open = open.min(candidates.len());
+    best(&candidates[..open], rng)
+        .or_else(|| best(candidates, rng))
+        .or_else(|| {
+            let roomy = candidates.iter().enumerate();
+            roomy
+                .filter(|(_, one)| has_room(spec, ask, &one.load))
+                .min_by_key(|(_, one)| (one.load.reading, one.load.running()))
+                .map(|(index, _)| index)
+        })
+}
+
+/// An engine for the answer to a long prompt. Answers are written on few
+/// engines, so that the others read without the steps of writers in between.
+pub(crate) fn pick_reader(
+    spec: &EngineSpec,
+    ask: &PromptAsk,
+    candidates: &[Candidate<'_>],
+) -> Option<usize> {
+    let readers = wanted_readers(spec, ask).min(candidates.len());
+    let part = read_time(spec, ask.size.prompt, readers);
+    let roomy = candidates.iter().enumerate();
+    roomy
+        .filter(|(_, one)| has_room(spec, ask, &one.load))
+        .min_by_key(|(index, one)| {
+            let load = &one.load;
+            let harmful = load.reading + part > reading_allowance(spec, ask, load);
+            let kind = match (load.tight, load.loose) {
+                (0, 1..) => 0,
+                (0, 0) => 1,
+                _ => 2,
+            };
+            (harmful, kind, load.reading, Reverse(*index))
+        })
+        .map(|(index, _)| index)
+}
+
+/// Engines that may read a prompt before the parts get too short.
+pub(crate) fn wanted_readers(spec: &EngineSpec, ask: &PromptAsk) -> usize {
+    let whole_read = read_time(spec, ask.size.prompt, 1);
+    let wanted = whole(whole_read.as_secs_f64() / PART_MIN.as_secs_f64());
+    usize::try_from(wanted)
+        .unwrap_or(usize::MAX)
+        .clamp(1, READERS_MAX)
+}
+
+/// Time that a part waits at an engine beside the reading before it: writers
+/// there have a pass under way, and one more while it is read.
+fn pass_lag(spec: &EngineSpec, load: &EngineLoad) -> Duration {
+    if load.running() == 0 {
+        return Duration::ZERO;
+    }
+    spec.pass_time(load.running(), load.memory)
+        .mul_f64(PASS_LAG)
+}
+
+/// The engines that read parts beside `first`: as many as make the prompt read
+/// soonest.
+pub(crate) fn with_helpers(
+    spec: &EngineSpec,
+    ask: &PromptAsk,
+    first: Candidate<'_>,
+    mut others: Vec<Candidate<'_>>,
+    rng: &mut impl Rng,
+) -> Placement {
+    let whole_read = read_time(spec, ask.size.prompt, 1);
+    // Parts go before an engine's own prompts, which would wait without end.
+    others.retain(|one| one.load.unanswered == 0);
+    let most = wanted_readers(spec, ask).min(others.len() + 1);
+    let before = |load: &EngineLoad| load.reading + pass_lag(spec, load);
+    others.sort_by_cached_key(|one| (before(&one.load), tie(rng)));
+    let mut best: Option<(Duration, Vec<usize>)> = None;
+    for readers in (1..=most).rev() {
+        let part = read_time(spec, ask.size.prompt, readers);
+        let fitting: Vec<usize> = others
+            .iter()
+            .enumerate()
+            .filter(|(_, one)| one.load.reading.is_zero() || part <= SMALL_PART)
+            .filter(|(_, one)| one.load.reading + part <= reading_allowance(spec, ask, &one.load))
+            .map(|(index, _)| index)
+            .take(readers - 1)
+            .collect();
+        if fitting.len() + 1 < readers {
+            continue;
+        }
+        let slowest = fitting
+            .iter()
+            .map(|index| before(&others[*index].load))
+            .fold(before(&first.load), Duration::max);
+        let read = slowest + part;
+        if best.as_ref().is_none_or(|(time, _)| read < *time) {
+            best = Some((read, fitting));
+        }
+    }
+    let (read, helpers) = best.unwrap_or((before(&first.load) + whole_read, Vec::new()));
+    let part = read_time(spec, ask.size.prompt, helpers.len() + 1);
+    let harmless = first.load.reading + part <= reading_allowance(spec, ask, &first.load);
+    let helpers = helpers
+        .into_iter()
+        .map(|index| others[index].view.entry.id.clone())
+        .collect();
+    Placement {
+        first: first.view.entry.id.clone(),
+        helpers,
+        shares: Vec::new(),
+        part,
+        pass: spec.pass_time(spec.places / 2, 0).mul_f64(PASS_LAG),
+        read,
+        harmless,
+    }
+}
+
+/// Engines without other work for a prompt that no engine can hold: `half` of
+/// all at most, so that others go on.
+pub(crate) fn read_apart(
+    spec: &EngineSpec,
+    ask: &PromptAsk,
+    half: usize,
+    mut candidates: Vec<Candidate<'_>>,
+    rng: &mut impl Rng,
+) -> Result<Placement, PlacementRefusal> {
+    let usable = usable_memory(spec);
+    let most = half.min(READERS_MAX);
+    let most_tokens = usable.saturating_mul(u64::try_from(most).unwrap_or(u64::MAX));
+    if ask.size.memory() > most_tokens {
+        return Err(PlacementRefusal::TooLarge);
+    }
+    let PlacePatience::Waits { longest_read, left } = ask.patience else {
+        return Err(PlacementRefusal::NeedsQuiet);
+    };
+    let needed = ask.size.memory().div_ceil(usable.max(1));
+    let needed = usize::try_from(needed).unwrap_or(usize::MAX);
+    let made_by = |engines: usize, time: Duration| {
+        engines >= needed && read_time(spec, ask.size.prompt, engines) <= time
+    };
+    // Writers go on for longer than a prompt may wait.
+    candidates.retain(|one| one.load.running() == 0);
+    if !made_by(candidates.len().min(most), left) {
+        return Err(PlacementRefusal::NeedsQuiet);
+    }
+    candidates.retain(|one| one.load.reading.is_zero());
+    candidates.sort_by_cached_key(|one| (Reverse(one.rank), tie(rng)));
+    let readers = candidates.len().min(most);
+    if !made_by(readers, longest_read) {
+        return Err(PlacementRefusal::Full);
+    }
+    let share = ask
+        .size
+        .memory()
+        .div_ceil(u64::try_from(readers).unwrap_or(u64::MAX));
+    let ids = candidates[..readers].iter();
+    let mut ids = ids.map(|one| one.view.entry.id.clone());
+    let first = ids.next().ok_or(PlacementRefusal::NoUpstream)?;
+    let others: Vec<UpstreamId> = ids.collect();
+    let part = read_time(spec, ask.size.prompt, readers);
+    Ok(Placement {
+        first,
+        helpers: Vec::new(),
+        shares: others.into_iter().map(|id| (id, share)).collect(),
+        part,
+        pass: spec.pass_time(spec.places / 2, 0).mul_f64(PASS_LAG),
+        read: part,
+        harmless: true,
+    })
+}
+
+pub(crate) fn usable_memory(spec: &EngineSpec) -> TokenCount {
+    whole(float(spec.memory) * MEMORY_SHARE)
+}
+
+fn tie(rng: &mut impl Rng) -> u8 {
+    rng.random()
+}
+
+fn float(number: u64) -> f64 {
+    f64::from(u32::try_from(number).unwrap_or(u32::MAX))
+}
