--- a/components/model/src/lib.rs
+++ b/components/model/src/lib.rs
@@ -9,6 +9,7 @@
 mod engine;
 mod holding;
 mod memory;
+mod passes;
 mod placement;
 mod sequence;
 mod spec;
@@ -20,6 +21,7 @@
     gang_pace, prefill_time,
 };
 pub use engine::EngineModel;
+pub use passes::{JobId, PassEngine, PassEvent, PassPart, PassSpec};
 pub use spec::{
     AttemptSpec, EventKind, HoldSpec, KvExportRef, KvImportSpec, ModelError, ModelEvent, SequenceId,
 };
--- /dev/null
+++ b/components/model/tests/passes.rs
@@ -0,0 +1,98 @@
+//! The arithmetic of engines that work in passes.
+
+use std::time::Duration;
+
+use model::{JobId, PassEngine, PassEvent, PassPart, PassSpec};
+
+const SPEC: PassSpec = PassSpec {
+    stride: 46,
+    step: Duration::from_micros(925),
+    writer_ms: 0.004_83,
+    context_ms: 0.002_54,
+    chunk: 2_048,
+};
+
+fn part(job: JobId, tokens: u64, millis: u64) -> PassPart {
+    PassPart {
+        job,
+        tokens,
+        time: Duration::from_millis(millis),
+    }
+}
+
+/// Time of each event, in the order in which they come.
+fn run(engine: &mut PassEngine, most: Duration) -> Vec<(Duration, PassEvent)> {
+    let mut now = Duration::ZERO;
+    let mut events = Vec::new();
+    while let Some(time) = engine.begin() {
+        now += time;
+        events.extend(engine.end().into_iter().map(|event| (now, event)));
+        if now > most {
+            break;
+        }
+    }
+    events
+}
+
+#[test]
+fn a_pass_with_a_writer_takes_all_its_steps() {
+    let mut engine = PassEngine::new(SPEC);
+    engine.write(1, 2, 5_000);
+    let events = run(&mut engine, Duration::MAX);
+    let step = Duration::from_secs_f64((0.925 + 0.004_83 + 0.002_54 * 5.0) / 1e3);
+    let names: Vec<PassEvent> = events.iter().map(|(_, event)| *event).collect();
+    assert_eq!(names, [PassEvent::Wrote(1), PassEvent::Ended(1)]);
+    let ratio = events[0].0.as_secs_f64() / (step * 46).as_secs_f64();
+    assert!((ratio - 1.0).abs() < 1e-6, "{events:?}");
+}
+
+#[test]
+fn a_prompt_without_writers_takes_its_reading_and_a_step_a_chunk() {
+    let mut engine = PassEngine::new(SPEC);
+    engine.read_own(part(1, 20_480, 200));
+    let events = run(&mut engine, Duration::MAX);
+    let expected = Duration::from_millis(200) + SPEC.step * 10;
+    assert_eq!(events.len(), 1);
+    let off = events[0].0.abs_diff(expected);
+    assert!(off < Duration::from_micros(10), "{events:?}");
+}
+
+#[test]
+fn parts_for_others_go_first_and_the_newest_of_them() {
+    let mut engine = PassEngine::new(SPEC);
+    engine.read_own(part(1, 10_000, 100));
+    engine.read_for_other(part(2, 10_000, 100));
+    engine.read_for_other(part(3, 10_000, 100));
+    let order: Vec<PassEvent> = run(&mut engine, Duration::MAX)
+        .into_iter()
+        .map(|(_, event)| event)
+        .collect();
+    assert_eq!(order, [3, 2, 1].map(PassEvent::Read));
+}
+
+#[test]
+fn own_prompts_are_read_in_order() {
+    let mut engine = PassEngine::new(SPEC);
+    engine.read_own(part(1, 30_000, 300));
+    engine.read_own(part(2, 5_000, 50));
+    let first = run(&mut engine, Duration::MAX)[0].1;
+    assert_eq!(first, PassEvent::Read(1));
+}
+
+#[test]
+fn reading_stretches_the_pauses_of_writers() {
+    let mut engine = PassEngine::new(SPEC);
+    engine.write(1, 4, 5_000);
+    engine.read_for_other(part(2, 50_000, 600));
+    let events = run(&mut engine, Duration::MAX);
+    let wrote: Vec<Duration> = events
+        .iter()
+        .filter(|(_, event)| *event != PassEvent::Read(2))
+        .map(|(at, _)| *at)
+        .collect();
+    assert!(wrote[0] > Duration::from_millis(600), "{wrote:?}");
+    assert!(
+        wrote[1].saturating_sub(wrote[0]) < Duration::from_millis(50),
+        "{wrote:?}"
+    );
+}
