--- a/components/dispatch/src/pick.rs
+++ b/components/dispatch/src/pick.rs
@@ -17,7 +17,7 @@
 /// few steps, so that the hop and the wait for a pass outweigh it.
 const PART_MIN: Duration = Duration::from_millis(18);
 /// Share of a pause that a pass may take, so that delays on the way fit too.
-const PASS_SHARE: f64 = 0.75;
+const PASS_SHARE: f64 = 0.85;
 /// Passes of an engine's writers that a part waits for: half of one under way,
 /// and the one that reads it.
 const PASS_LAG: f64 = 1.5;
