--- a/components/gateway/src/peers.rs
+++ b/components/gateway/src/peers.rs
@@ -35,7 +35,7 @@
 /// Pauses before news is sent again.
 const NEWS_REPEATS: [Duration; 2] = [Duration::from_millis(150), Duration::from_millis(350)];
 /// Largest datagram: one that fits a usual packet.
-pub(crate) const DATAGRAM_MAX: usize = 1400;
+const DATAGRAM_MAX: usize = 1400;
 /// Time for another node to hand out the desired state.
 const FETCH_TIME: Duration = Duration::from_millis(800);
 /// Path of a node's copy of the desired state, among nodes.
@@ -144,19 +144,28 @@
         }
     }
     let size = u32::try_from(targets.len()).unwrap_or(u32::MAX);
+    send_datagram(socket, &targets, news).await;
+    size
+}
+
+/// Sends to all of `targets`. What gets lost is repeated or superseded.
+pub(crate) async fn send_datagram(
+    socket: &Async<UdpSocket>,
+    targets: &[SocketAddr],
+    news: &PeerNews,
+) {
     let Ok(bytes) = postcard::to_stdvec(news) else {
         log::error!("event=news_unencodable");
-        return size;
+        return;
     };
     if bytes.len() > DATAGRAM_MAX {
         log::warn!("event=news_too_long bytes={}", bytes.len());
     }
     for target in targets {
-        if let Err(error) = socket.send_to(&bytes, target).await {
+        if let Err(error) = socket.send_to(&bytes, *target).await {
             log::debug!("event=datagram_failed peer={target} error=\"{error}\"");
         }
     }
-    size
 }
 
 /// Takes in other nodes' datagrams.
--- a/components/gateway/src/shared_loads.rs
+++ b/components/gateway/src/shared_loads.rs
@@ -13,7 +13,10 @@
 use smol::Async;
 use types::NodeId;
 
-use crate::{peers::PeerNews, state::Gateway};
+use crate::{
+    peers::{PeerNews, send_datagram},
+    state::Gateway,
+};
 
 /// Pause between two reports: about the time in which an engine starts to
 /// write another answer at full load.
@@ -56,7 +59,7 @@
                 asks,
                 loads: loads.clone(),
             };
-            send(&socket, target, &PeerNews::Loads(report)).await;
+            send_datagram(&socket, &[target], &PeerNews::Loads(report)).await;
         }
         let pause = Duration::from_secs(1) * size / REPORTS_PER_SECOND;
         gateway.clock.sleep(pause.max(REPORT_PAUSE)).await;
@@ -96,7 +99,7 @@
             more: part + 1 < parts,
             loads: loads.cloned().collect(),
         };
-        send(socket, from, &PeerNews::Sums(sums)).await;
+        send_datagram(socket, &[from], &PeerNews::Sums(sums)).await;
     }
 }
 
@@ -114,13 +117,3 @@
     loads.note_others(gateway.now(), sums.continues, sums.more, sums.loads);
     gateway.relay.borrow_mut().note_answer();
 }
-
-async fn send(socket: &Async<UdpSocket>, target: SocketAddr, news: &PeerNews) {
-    let Ok(bytes) = postcard::to_stdvec(news) else {
-        log::error!("event=news_unencodable");
-        return;
-    };
-    if let Err(error) = socket.send_to(&bytes, target).await {
-        log::debug!("event=datagram_failed peer={target} error=\"{error}\"");
-    }
-}
