Find a service's shortest pause once for each desired state

It was searched among all routes twice for each send and again at each look for a place. The longest time until a first event, which nothing reads since the bound on reading went, is gone.

--- a/components/dispatch/src/placement.rs
+++ b/components/dispatch/src/placement.rs
@@ -126,8 +126,6 @@
     pub gap: Duration,
     /// Shortest pause that a route of the service allows.
     pub tightest_gap: Duration,
-    /// Longest time until the first event that a route of the service allows.
-    pub longest_first: Duration,
 }
 
 impl PromptGoals {
--- a/components/dispatch/src/routes.rs
+++ b/components/dispatch/src/routes.rs
@@ -4,8 +4,11 @@
     collections::HashMap,
     hash::{BuildHasher, RandomState},
     sync::Arc,
+    time::Duration,
 };
 
+use types::ServiceName;
+
 use crate::{DesiredState, ForwardRoute, OrganisationEntry};
 
 /// A desired state, indexed by host and prefix, and by key.
@@ -14,6 +17,8 @@
     state: DesiredState,
     hosts: HashMap<String, HashMap<String, usize>>,
     keys: HashMap<String, usize>,
+    /// Shortest pause that a route of each service with streams allows.
+    shortest_gaps: HashMap<ServiceName, Duration>,
 }
 
 /// What the desired state says of a request.
@@ -45,7 +50,28 @@
                 keys.insert(key.clone(), index);
             }
         }
-        Self { state, hosts, keys }
+        let mut shortest_gaps: HashMap<ServiceName, Duration> = HashMap::new();
+        for route in &state.routes {
+            let Some(gap) = route.event_gap else {
+                continue;
+            };
+            for share in &route.split {
+                let shortest = shortest_gaps.entry(share.service.clone()).or_insert(gap);
+                *shortest = gap.min(*shortest);
+            }
+        }
+        Self {
+            state,
+            hosts,
+            keys,
+            shortest_gaps,
+        }
+    }
+
+    /// Shortest pause between events that a route of `service` allows.
+    #[must_use]
+    pub fn shortest_gap(&self, service: &str) -> Option<Duration> {
+        self.shortest_gaps.get(service).copied()
     }
 
     /// The state behind the index.
--- a/components/dispatch/tests/routes.rs
+++ b/components/dispatch/tests/routes.rs
@@ -94,3 +94,26 @@
         route.service_for("attempt", &hasher)
     );
 }
+
+#[test]
+fn the_shortest_pause_of_a_service_is_that_of_all_its_routes() {
+    let streams = |millis| {
+        let plain = route("stream", "ash.example", "/s/", false);
+        Arc::new(ForwardRoute {
+            event_gap: Some(Duration::from_millis(millis)),
+            ..Arc::unwrap_or_clone(plain)
+        })
+    };
+    let table = RouteTable::new(DesiredState {
+        routes: vec![
+            streams(500),
+            streams(200),
+            route("plain", "ash.example", "/p/", false),
+        ],
+        ..DesiredState::default()
+    });
+    let shortest = Some(Duration::from_millis(200));
+    assert_eq!(table.shortest_gap("most"), shortest);
+    assert_eq!(table.shortest_gap("few"), shortest);
+    assert_eq!(table.shortest_gap("none"), None);
+}
--- a/components/dispatch/tests/swinging_load.rs
+++ b/components/dispatch/tests/swinging_load.rs
@@ -274,7 +274,6 @@
                 first_event: call.class.goal,
                 gap: call.class.gap,
                 tightest_gap: CLASSES[0].gap,
-                longest_first: CLASSES[2].goal,
             },
             patience: PlacePatience::Waits {
                 longest_read: left,
--- a/components/dispatch/tests/swinging_mix.rs
+++ b/components/dispatch/tests/swinging_mix.rs
@@ -111,7 +111,6 @@
         first_event: Duration::from_millis(300),
         gap: Duration::from_millis(200),
         tightest_gap: Duration::from_millis(200),
-        longest_first: Duration::from_secs(3),
     }
 }
 
--- a/components/gateway/src/place.rs
+++ b/components/gateway/src/place.rs
@@ -115,19 +115,10 @@
 /// What callers of the request's route, and of others of its service, expect.
 pub(crate) fn goals_of(gateway: &Gateway, job: &ForwardJob) -> PromptGoals {
     let gap = job.route.event_gap.unwrap_or(job.route.latency_goal);
-    let mut goals = PromptGoals {
+    let shortest = gateway.routes.borrow().shortest_gap(&job.service);
+    PromptGoals {
         first_event: job.route.latency_goal,
         gap,
-        tightest_gap: gap,
-        longest_first: job.route.latency_goal,
-    };
-    let routes = gateway.routes.borrow();
-    for route in &routes.state().routes {
-        let serves = route.split.iter().any(|one| one.service == job.service);
-        if let (true, Some(gap)) = (serves, route.event_gap) {
-            goals.tightest_gap = goals.tightest_gap.min(gap);
-            goals.longest_first = goals.longest_first.max(route.latency_goal);
-        }
+        tightest_gap: shortest.map_or(gap, |shortest| shortest.min(gap)),
     }
-    goals
 }
