--- /dev/null
+++ b/components/dispatch/tests/support/mod.rs
@@ -0,0 +1,43 @@
+//! The fleet of engines that the tests of placement use.
+
+use std::time::Duration;
+
+use dispatch::{EngineSpec, UpstreamEntry, UpstreamState, UpstreamTable};
+
+/// Engines of the fleet.
+pub const ENGINES: usize = 14;
+
+pub fn spec() -> EngineSpec {
+    EngineSpec {
+        places: 16,
+        memory: 450_000,
+        stride: 46,
+        step: Duration::from_micros(925),
+        writer_ms: 0.004_83,
+        context_ms: 0.002_54,
+        read_per_ms: 256.0,
+        pairs_ms: 0.0917,
+    }
+}
+
+pub fn engine_name(number: usize) -> String {
+    format!("engine-{number:02}")
+}
+
+/// All engines of the fleet, ready.
+pub fn engine_table() -> UpstreamTable {
+    let mut table = UpstreamTable::default();
+    for number in 0..ENGINES {
+        table.upsert(UpstreamEntry {
+            id: engine_name(number),
+            service: "models".to_owned(),
+            address: ([10, 0, 0, 1], u16::try_from(number).unwrap()).into(),
+            zone: "duluth".to_owned(),
+            places: spec().places,
+            state: UpstreamState::Ready,
+            started_ms: None,
+            version: 1,
+        });
+    }
+    table
+}
--- a/components/dispatch/tests/swinging_load.rs
+++ b/components/dispatch/tests/swinging_load.rs
@@ -2,6 +2,8 @@
 //! many short ones, played against engines that work in passes: six nodes that
 //! know of each other what relays tell, and no network.
 
+mod support;
+
 use std::{
     cmp::Reverse,
     collections::{BTreeMap, BinaryHeap},
@@ -9,13 +11,14 @@
 };
 
 use dispatch::{
-    EngineSpec, FlightId, FlightPart, FlightPlan, LoadBook, PlacePatience, Placement, PromptAsk,
-    PromptGoals, PromptSize, ReadNotice, UpstreamEntry, UpstreamState, UpstreamTable, place_prompt,
+    FlightId, FlightPart, FlightPlan, LoadBook, PlacePatience, Placement, PromptAsk, PromptGoals,
+    PromptSize, ReadNotice, UpstreamTable, place_prompt,
 };
 use model::{PassEngine, PassEvent, PassPart, PassSpec};
 use rand::{RngExt, SeedableRng, rngs::SmallRng};
 
-const ENGINES: usize = 14;
+use support::{ENGINES, engine_name, engine_table, spec};
+
 const NODES: usize = 6;
 const SWING: Duration = Duration::from_secs(10);
 const DAY: Duration = Duration::from_mins(1);
@@ -84,19 +87,6 @@
     },
 ];
 
-fn spec() -> EngineSpec {
-    EngineSpec {
-        places: 16,
-        memory: 450_000,
-        stride: 46,
-        step: Duration::from_micros(925),
-        writer_ms: 0.004_83,
-        context_ms: 0.002_54,
-        read_per_ms: 256.0,
-        pairs_ms: 0.0917,
-    }
-}
-
 fn pass_spec() -> PassSpec {
     let spec = spec();
     PassSpec {
@@ -156,20 +146,7 @@
 
 impl LoadDay {
     fn new(seed: u64) -> Self {
-        let mut table = UpstreamTable::default();
-        let names: Vec<String> = (0..ENGINES).map(|n| format!("engine-{n:02}")).collect();
-        for name in &names {
-            table.upsert(UpstreamEntry {
-                id: name.clone(),
-                service: "models".to_owned(),
-                address: ([10, 0, 0, 1], 80).into(),
-                zone: "duluth".to_owned(),
-                places: spec().places,
-                state: UpstreamState::Ready,
-                started_ms: None,
-                version: 1,
-            });
-        }
+        let names: Vec<String> = (0..ENGINES).map(engine_name).collect();
         let mut day = Self {
             start: Instant::now(),
             now: Duration::ZERO,
@@ -178,7 +155,7 @@
             engines: (0..ENGINES).map(|_| PassEngine::new(pass_spec())).collect(),
             names,
             books: (0..NODES).map(|_| LoadBook::default()).collect(),
-            table,
+            table: engine_table(),
             calls: Vec::new(),
             rng: SmallRng::seed_from_u64(seed),
         };
--- a/components/dispatch/tests/swinging_mix.rs
+++ b/components/dispatch/tests/swinging_mix.rs
@@ -1,19 +1,22 @@
 //! The load that swings every few seconds between long prompts and short
 //! ones: where each goes while the other is about.
 
+mod support;
+
 use std::{
     collections::BTreeSet,
     time::{Duration, Instant},
 };
 
 use dispatch::{
-    EngineLoad, EngineSpec, FlightPart, FlightPlan, LoadBook, PeerLoad, PlacePatience, Placement,
-    PlacementRefusal, PromptAsk, PromptGoals, PromptSize, ReadNotice, UpstreamEntry, UpstreamState,
-    UpstreamTable, engine_key, place_prompt, read_time,
+    EngineLoad, FlightPart, FlightPlan, LoadBook, PeerLoad, PlacePatience, Placement,
+    PlacementRefusal, PromptAsk, PromptGoals, PromptSize, ReadNotice, UpstreamTable, engine_key,
+    place_prompt, read_time,
 };
 use rand::{SeedableRng, rngs::SmallRng};
 
-const ENGINES: u32 = 14;
+use support::{ENGINES, engine_name, engine_table, spec};
+
 const WAITS: PlacePatience = PlacePatience::Waits {
     longest_read: Duration::from_millis(1_200),
     left: Duration::from_millis(2_700),
@@ -23,19 +26,6 @@
     answer: 1_600,
 };
 
-fn spec() -> EngineSpec {
-    EngineSpec {
-        places: 16,
-        memory: 450_000,
-        stride: 46,
-        step: Duration::from_micros(925),
-        writer_ms: 0.004_83,
-        context_ms: 0.002_54,
-        read_per_ms: 256.0,
-        pairs_ms: 0.0917,
-    }
-}
-
 struct Fleet {
     now: Instant,
     table: UpstreamTable,
@@ -45,22 +35,9 @@
 
 impl Fleet {
     fn new() -> Self {
-        let mut table = UpstreamTable::default();
-        for number in 0..ENGINES {
-            table.upsert(UpstreamEntry {
-                id: format!("engine-{number:02}"),
-                service: "models".to_owned(),
-                address: ([10, 0, 0, 1], u16::try_from(number).unwrap()).into(),
-                zone: "duluth".to_owned(),
-                places: 16,
-                state: UpstreamState::Ready,
-                started_ms: None,
-                version: 1,
-            });
-        }
         Self {
             now: Instant::now(),
-            table,
+            table: engine_table(),
             loads: LoadBook::default(),
             rng: SmallRng::seed_from_u64(7),
         }
@@ -157,7 +134,7 @@
 fn nodes_that_see_the_same_summaries_do_not_all_choose_the_emptiest_engine() {
     let mut fleet = Fleet::new();
     let busy = (0..ENGINES - 1).map(|number| PeerLoad {
-        engine: engine_key(&format!("engine-{number:02}")),
+        engine: engine_key(&engine_name(number)),
         tight: 13,
         loose: 0,
         loose_gap: None,
@@ -230,7 +207,7 @@
         let mut fleet = Fleet::new();
         let gap = Duration::from_millis(gap);
         let busy = (0..ENGINES).map(|number| PeerLoad {
-            engine: engine_key(&format!("engine-{number:02}")),
+            engine: engine_key(&engine_name(number)),
             tight: 0,
             loose: 1,
             loose_gap: Some(gap),
@@ -333,7 +310,7 @@
     let mut fleet = Fleet::new();
     // Twelve engines are needed, and these are full of them as yet.
     let busy = (0..10).map(|number| PeerLoad {
-        engine: engine_key(&format!("engine-{number:02}")),
+        engine: engine_key(&engine_name(number)),
         tight: 15,
         memory: 75_000,
         ..PeerLoad::default()
