--- a/components/dispatch/src/desired.rs
+++ b/components/dispatch/src/desired.rs
@@ -85,8 +85,6 @@
 /// What the operator says of a service.
 #[derive(Clone, Debug, Default)]
 pub struct ServiceSpec {
-    /// Connections that one upstream accepts from all callers.
-    pub max_connections: u32,
     /// Figures of its model engines; `None` for plain services.
     pub engine: Option<EngineSpec>,
 }
