--- a/components/telemetry/src/bounded.rs
+++ b/components/telemetry/src/bounded.rs
@@ -17,17 +17,23 @@
 const BUFFER_MAX: usize = 128 << 10;
 /// Pause between two writes, so that many lines go out in one.
 const WRITE_PAUSE: Duration = Duration::from_millis(50);
+/// Longest time that a flush waits: some write pauses. A reader that has
+/// stopped must not keep the process from ending.
+const FLUSH_TIME: Duration = Duration::from_millis(300);
 
 #[derive(Debug, Default)]
 struct LineBuffer {
     text: String,
     dropped: u64,
+    /// Whether lines that were taken out are still being written.
+    writing: bool,
 }
 
 #[derive(Debug, Default)]
 struct BoundedLog {
     buffer: Mutex<LineBuffer>,
     filled: Condvar,
+    written: Condvar,
 }
 
 /// Sends log lines of `level` and above to standard output.
@@ -70,7 +76,11 @@
     }
 
     fn flush(&self) {
-        self.write_pending();
+        let buffer = self.buffer.lock().unwrap_or_else(PoisonError::into_inner);
+        let waited = self.written.wait_timeout_while(buffer, FLUSH_TIME, |buffer| {
+            buffer.writing || !buffer.text.is_empty()
+        });
+        drop(waited);
     }
 }
 
@@ -90,7 +100,9 @@
     fn write_pending(&self) {
         let taken = {
             let mut buffer = self.buffer.lock().unwrap_or_else(PoisonError::into_inner);
-            std::mem::take(&mut *buffer)
+            let taken = std::mem::take(&mut *buffer);
+            buffer.writing = true;
+            taken
         };
         let mut output = std::io::stdout().lock();
         // Nobody is left to be told when standard output is gone.
@@ -104,5 +116,9 @@
             .ok();
         }
         output.flush().ok();
+        drop(output);
+        let mut buffer = self.buffer.lock().unwrap_or_else(PoisonError::into_inner);
+        buffer.writing = false;
+        self.written.notify_all();
     }
 }
