--- a/components/telemetry/src/lib.rs
+++ b/components/telemetry/src/lib.rs
@@ -8,6 +8,7 @@
 mod logs;
 mod metrics;
 mod spans;
+mod story;
 
 pub use bounded::init_bounded_logs;
 pub use logs::init_logs;
@@ -15,3 +16,4 @@
     LengthLabels, NodeMetrics, OutcomeLabels, PeerLabels, RouteLabels, length_bucket,
 };
 pub use spans::{HopKind, HopSpan, HopTracer, SpanRecord};
+pub use story::{LogLine, RequestStory, read_log_line, tell_story};
--- a/src/cli.rs
+++ b/src/cli.rs
@@ -357,9 +357,12 @@
     /// id of the request (X-Request-Id) or of the trace
     #[argh(positional)]
     pub id: String,
-    /// address of any node, as IP number and port
-    #[argh(option)]
+    /// address of any node, as IP number and port; not needed with --log
+    #[argh(option, default = "String::new()")]
     pub node: String,
+    /// log file of a gateway to read instead of asking nodes; may be repeated
+    #[argh(option)]
+    pub log: Vec<std::path::PathBuf>,
     /// operator's key; else the environment's GENTIANTALLY_KEY
     #[argh(option)]
     pub key: Option<String>,
