--- a/components/dispatch/src/upstreams.rs
+++ b/components/dispatch/src/upstreams.rs
@@ -7,6 +7,7 @@
 };
 
 use types::{ServiceName, UpstreamId, ZoneId};
+use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 /// Time an upstream is left out after its first failure in a row.
 const EJECT_BASE: Duration = Duration::from_millis(400);
@@ -208,6 +209,21 @@
         gone
     }
 
+    /// Equal at two nodes that know the same upstreams to take new work, in the
+    /// same lives. Entries that may come back after an outage don't count.
+    #[must_use]
+    pub fn digest(&self) -> u64 {
+        let ready = self
+            .views
+            .values()
+            .filter(|view| view.lapses_at.is_none() && view.entry.state == UpstreamState::Ready);
+        let hashes = ready.map(|view| {
+            let started = view.entry.started_ms.unwrap_or_default();
+            xxh3_64_with_seed(view.entry.id.as_bytes(), started)
+        });
+        hashes.fold(0, u64::wrapping_add)
+    }
+
     /// One upstream.
     #[must_use]
     pub fn get(&self, id: &str) -> Option<&UpstreamView> {
--- a/components/dispatch/tests/beliefs.rs
+++ b/components/dispatch/tests/beliefs.rs
@@ -84,6 +84,35 @@
     assert_eq!(usable(&table, now), ["a"]);
 }
 
+#[test]
+fn nodes_that_know_the_same_upstreams_have_the_same_digest() {
+    let (mut follower, mut other) = (UpstreamTable::default(), UpstreamTable::default());
+    for table in [&mut follower, &mut other] {
+        table.upsert(entry("a", 1, UpstreamState::Ready, 1));
+        table.upsert(entry("b", 2, UpstreamState::Ready, 1));
+    }
+    assert_eq!(follower.digest(), other.digest());
+
+    // News of a joining, a new life or a leaving upstream was lost.
+    for (missed, told) in [
+        (entry("c", 3, UpstreamState::Ready, 1), true),
+        (entry("a", 4, UpstreamState::Ready, 9), true),
+        (entry("b", 5, UpstreamState::Draining, 1), false),
+    ] {
+        follower.upsert(missed.clone());
+        assert_ne!(follower.digest(), other.digest(), "{missed:?}");
+        if told {
+            other.upsert(missed);
+        } else {
+            other.note_leaving("b", 5);
+        }
+        assert_eq!(follower.digest(), other.digest());
+    }
+    // A leaving one that has gone is no news.
+    follower.remove("b", None);
+    assert_eq!(follower.digest(), other.digest());
+}
+
 #[test]
 fn a_new_life_under_an_old_id_has_a_clean_record() {
     let now = Instant::now();
--- a/components/gateway/src/peers.rs
+++ b/components/gateway/src/peers.rs
@@ -74,6 +74,8 @@
     pub(crate) desired_age_ms: Option<u32>,
     /// The same for the listing of upstreams.
     pub(crate) listing_age_ms: Option<u32>,
+    /// Digest of the upstreams that the sender knows.
+    pub(crate) listing_digest: u64,
 }
 
 /// The row of a node whose desired state is passed on.
@@ -126,6 +128,7 @@
         desired: desired.version(),
         desired_age_ms: desired.store_age(now).map(millis),
         listing_age_ms: gateway.listing.borrow().store_age(now).map(millis),
+        listing_digest: gateway.upstreams.borrow().digest(),
     })
 }
 
@@ -240,10 +243,16 @@
     let peer = summary.entry.peers;
     gateway.roster.borrow_mut().note_heard(now, summary.entry);
     let at = |age_ms: u32| now.checked_sub(Duration::from_millis(age_ms.into()));
-    if let Some(at) = summary.desired_age_ms.and_then(at) {
+    // A follower stands in for the store only where both know the same: news
+    // from it may have been lost.
+    if let Some(at) = summary.desired_age_ms.and_then(at)
+        && summary.desired == known
+    {
         gateway.desired.borrow_mut().note_follower(at);
     }
-    if let Some(at) = summary.listing_age_ms.and_then(at) {
+    if let Some(at) = summary.listing_age_ms.and_then(at)
+        && summary.listing_digest == gateway.upstreams.borrow().digest()
+    {
         gateway.listing.borrow_mut().note_follower(at);
     }
     if summary.desired > known && gateway.begin_fetch(now, FETCH_TIME) {
--- a/components/gateway/src/sync.rs
+++ b/components/gateway/src/sync.rs
@@ -23,11 +23,12 @@
 const UPSTREAM_PAUSE: Duration = Duration::from_millis(500);
 /// Pause between two looks at the rows of other nodes, which mostly make
 /// themselves known by their summaries.
-const NODES_PAUSE: Duration = Duration::from_secs(10);
+const NODES_PAUSE: Duration = Duration::from_secs(20);
 /// Nodes that always follow the store and tell the others.
 const FOLLOWERS: usize = 3;
-/// Longest time for which another node looks at the store no more.
-const REST_TIME: Duration = Duration::from_secs(4);
+/// Longest time for which another node looks at the store no more. Summaries of
+/// followers show sooner when it has missed something.
+const REST_TIME: Duration = Duration::from_secs(30);
 /// Pause between two looks at whether others still follow.
 const REST_STEP: Duration = Duration::from_millis(250);
 /// Time for the store's answer beside the wait of the call.
