Open engines for short prompts that others have not reported yet

Change: the growth of a node's own short prompts over half a second, times the other nodes and the age of their reports, counts as writers.

The test failed before it.

--- a/components/dispatch/src/load.rs
+++ b/components/dispatch/src/load.rs
@@ -6,6 +6,7 @@
     time::{Duration, Instant},
 };
 
+use crate::placement::whole;
 use serde::{Deserialize, Serialize};
 use types::{NodeId, TokenCount, UpstreamId};
 use xxhash_rust::xxh3::xxh3_64;
@@ -13,6 +14,12 @@
 /// Age at which another node's report counts no more.
 const REPORT_LIFETIME: Duration = Duration::from_millis(1500);
 
+/// Time over which this node's own growth is measured: some reports.
+const GROWTH_TIME: Duration = Duration::from_millis(500);
+/// Usual age of what this node knows of others: half the pause between two
+/// reports, the same for the sums, and the way.
+const REPORT_LAG: Duration = Duration::from_millis(120);
+
 /// Time until an engine starts to read a part: a new connection and a step
 /// that is under way.
 const START_TIME: Duration = Duration::from_millis(15);
@@ -125,6 +132,8 @@
 pub struct LoadBook {
     flights: HashMap<FlightId, Flight>,
     next: FlightId,
+    /// Own requests with short pauses, at regular times.
+    shorts: VecDeque<(Instant, u32)>,
     own: HashMap<UpstreamId, EngineLoad>,
     /// Pauses of this node's loose requests at each engine, with their number.
     gaps: HashMap<UpstreamId, BTreeMap<Duration, u32>>,
@@ -226,6 +235,36 @@
         self.next
     }
 
+    /// Notes how many short prompts this node has at engines; called at regular
+    /// times.
+    pub fn note_shorts(&mut self, now: Instant) {
+        let shorts = self.own_shorts();
+        self.shorts.push_back((now, shorts));
+        let old = |(at, _): &(Instant, u32)| now.saturating_duration_since(*at) > GROWTH_TIME;
+        while self.shorts.front().is_some_and(old) {
+            self.shorts.pop_front();
+        }
+    }
+
+    /// Short prompts by which `others` other nodes have probably grown since
+    /// their last report, if each grows as this one does.
+    #[must_use]
+    pub fn unreported(&self, now: Instant, others: usize) -> u32 {
+        let Some((since, before)) = self.shorts.front() else {
+            return 0;
+        };
+        let time = now.saturating_duration_since(*since).max(REPORT_LAG);
+        let growth = self.own_shorts().saturating_sub(*before);
+        let others = u32::try_from(others).unwrap_or(u32::MAX);
+        let all = f64::from(growth.saturating_mul(others));
+        let grown = whole(all * REPORT_LAG.div_duration_f64(time));
+        u32::try_from(grown).unwrap_or(u32::MAX)
+    }
+
+    fn own_shorts(&self) -> u32 {
+        self.own.values().map(|load| load.tight).sum()
+    }
+
     /// Notes the first part of a request's answer.
     pub fn note_answering(&mut self, flight: FlightId) {
         let Some(flight) = self.flights.get_mut(&flight) else {
--- a/components/dispatch/src/placement.rs
+++ b/components/dispatch/src/placement.rs
@@ -101,6 +101,8 @@
     pub goals: PromptGoals,
     /// Whether it may wait.
     pub patience: PlacePatience,
+    /// Short prompts that other nodes have probably placed since their reports.
+    pub unreported: u32,
 }
 
 /// Whether a prompt may still wait for engines with less to read.
--- a/components/dispatch/tests/swinging_load.rs
+++ b/components/dispatch/tests/swinging_load.rs
@@ -256,6 +256,7 @@
                 longest_read: left,
                 left,
             },
+            unreported: self.books[call.node].unreported(self.start + self.now, NODES - 1),
         };
         let now = self.start + self.now;
         let usable = self.table.usable(now, "models", &[]);
@@ -368,6 +369,9 @@
 
     fn share_sums(&mut self) {
         let now = self.start + self.now;
+        for book in &mut self.books {
+            book.note_shorts(now);
+        }
         let reports: Vec<_> = self.books.iter().map(LoadBook::summary).collect();
         for node in 0..NODES {
             let mut relay = LoadBook::default();
--- a/components/dispatch/tests/swinging_mix.rs
+++ b/components/dispatch/tests/swinging_mix.rs
@@ -30,6 +30,7 @@
     now: Instant,
     table: UpstreamTable,
     loads: LoadBook,
+    unreported: u32,
     rng: SmallRng,
 }
 
@@ -39,6 +40,7 @@
             now: Instant::now(),
             table: engine_table(),
             loads: LoadBook::default(),
+            unreported: 0,
             rng: SmallRng::seed_from_u64(7),
         }
     }
@@ -55,6 +57,7 @@
             size,
             goals,
             patience,
+            unreported: self.unreported,
         };
         place_prompt(now, &spec(), &ask, &usable, loads, rng)
     }
@@ -158,6 +161,31 @@
     assert_eq!(used, BTreeSet::from([engine_name(1)]));
 }
 
+#[test]
+fn a_herd_of_short_prompts_opens_engines_before_its_reports_are_here() {
+    let mut fleet = Fleet::new();
+    fleet.loads.note_shorts(fleet.now);
+    for _ in 0..4 {
+        fleet.start(SHORT, short_goals());
+        fleet.now += Duration::from_millis(60);
+    }
+    // Thirty others have probably started as many; half of these are known.
+    fleet.unreported = fleet.loads.unreported(fleet.now, 30);
+    assert_eq!(fleet.unreported, 60);
+    let used: BTreeSet<String> = (0..40)
+        .filter_map(|_| fleet.place(SHORT, short_goals(), WAITS).ok())
+        .map(|placed| placed.first)
+        .collect();
+    // The first engine is the busiest of the five that are open.
+    assert_eq!(used, (1..=4).map(engine_name).collect());
+
+    // Once no more come, all is reported.
+    fleet.loads.note_shorts(fleet.now);
+    fleet.now += Duration::from_millis(600);
+    fleet.loads.note_shorts(fleet.now);
+    assert_eq!(fleet.loads.unreported(fleet.now, 30), 0);
+}
+
 #[test]
 fn short_prompts_get_all_engines_when_there_are_many() {
     let mut fleet = Fleet::new();
--- a/components/gateway/src/place.rs
+++ b/components/gateway/src/place.rs
@@ -97,6 +97,7 @@
     let spec = routes.state().services.get(&job.service);
     let upstreams = gateway.upstreams.borrow();
     let usable = upstreams.usable(now, &job.service, tried);
+    let others = gateway.roster.borrow().live(now).count();
     let loads = gateway.loads.borrow();
     let mut rng = gateway.rng.borrow_mut();
     match (spec.and_then(|spec| spec.engine.as_ref()), job.call.size) {
@@ -105,6 +106,7 @@
                 size,
                 goals: goals_of(gateway, job),
                 patience,
+                unreported: loads.unreported(now, others),
             };
             place_prompt(now, engine, &ask, &usable, &loads, &mut *rng)
         }
--- a/components/gateway/src/shared_loads.rs
+++ b/components/gateway/src/shared_loads.rs
@@ -52,6 +52,7 @@
 pub(crate) async fn report_loads(gateway: Rc<Gateway>, socket: Rc<Async<UdpSocket>>) {
     loop {
         let (targets, size) = relays_to_ask(&gateway);
+        gateway.loads.borrow_mut().note_shorts(gateway.now());
         let loads = gateway.loads.borrow().summary();
         for (target, asks) in targets {
             let report = LoadReport {
