--- a/components/dispatch/src/load.rs
+++ b/components/dispatch/src/load.rs
@@ -2,24 +2,19 @@
 //! exactly, those of other nodes from their last notice.
 
 use std::{
-    collections::{BTreeMap, HashMap, VecDeque},
+    collections::{BTreeMap, HashMap},
     time::{Duration, Instant},
 };
 
-use crate::placement::whole;
 use serde::{Deserialize, Serialize};
 use types::{NodeId, TokenCount, UpstreamId};
 use xxhash_rust::xxh3::xxh3_64;
 
+use crate::{growth::ShortGrowth, reading::ReadQueue};
+
 /// Age at which another node's report counts no more.
 const REPORT_LIFETIME: Duration = Duration::from_millis(1500);
 
-/// Time over which this node's own growth is measured: some reports.
-const GROWTH_TIME: Duration = Duration::from_millis(500);
-/// Usual age of what this node knows of others: half the pause between two
-/// reports, the same for the sums, and the way.
-const REPORT_LAG: Duration = Duration::from_millis(120);
-
 /// Time until an engine starts to read a part: a new connection and a step
 /// that is under way.
 const START_TIME: Duration = Duration::from_millis(15);
@@ -132,8 +127,7 @@
 pub struct LoadBook {
     flights: HashMap<FlightId, Flight>,
     next: FlightId,
-    /// Own requests with short pauses, at regular times.
-    shorts: VecDeque<(Instant, u32)>,
+    growth: ShortGrowth,
     own: HashMap<UpstreamId, EngineLoad>,
     /// Pauses of this node's loose requests at each engine, with their number.
     gaps: HashMap<UpstreamId, BTreeMap<Duration, u32>>,
@@ -146,32 +140,6 @@
     coming: Option<Vec<PeerLoad>>,
 }
 
-/// What an engine has to read.
-#[derive(Debug, Default)]
-struct ReadQueue {
-    /// When each part will have been read, and the time that it takes.
-    parts: VecDeque<(Instant, Duration)>,
-}
-
-impl ReadQueue {
-    fn until(&self) -> Option<Instant> {
-        self.parts.back().map(|(until, _)| *until)
-    }
-
-    fn add(&mut self, now: Instant, starts: Instant, part: Duration) {
-        while self.parts.front().is_some_and(|(until, _)| *until <= now) {
-            self.parts.pop_front();
-        }
-        let starts = self.until().map_or(starts, |until| until.max(starts));
-        self.parts.push_back((starts + part, part));
-    }
-
-    fn unread(&self, now: Instant) -> Duration {
-        let left = self.parts.iter().filter(|(until, _)| *until > now);
-        left.map(|(until, part)| (*part).min(*until - now)).sum()
-    }
-}
-
 #[derive(Debug)]
 struct Flight {
     plan: FlightPlan,
@@ -239,26 +207,14 @@
     /// times.
     pub fn note_shorts(&mut self, now: Instant) {
         let shorts = self.own_shorts();
-        self.shorts.push_back((now, shorts));
-        let old = |(at, _): &(Instant, u32)| now.saturating_duration_since(*at) > GROWTH_TIME;
-        while self.shorts.front().is_some_and(old) {
-            self.shorts.pop_front();
-        }
+        self.growth.note(now, shorts);
     }
 
     /// Short prompts by which `others` other nodes have probably grown since
     /// their last report, if each grows as this one does.
     #[must_use]
     pub fn unreported(&self, now: Instant, others: usize) -> u32 {
-        let Some((since, before)) = self.shorts.front() else {
-            return 0;
-        };
-        let time = now.saturating_duration_since(*since).max(REPORT_LAG);
-        let growth = self.own_shorts().saturating_sub(*before);
-        let others = u32::try_from(others).unwrap_or(u32::MAX);
-        let all = f64::from(growth.saturating_mul(others));
-        let grown = whole(all * REPORT_LAG.div_duration_f64(time));
-        u32::try_from(grown).unwrap_or(u32::MAX)
+        self.growth.unreported(now, self.own_shorts(), others)
     }
 
     fn own_shorts(&self) -> u32 {
