--- a/components/dispatch/src/roster.rs
+++ b/components/dispatch/src/roster.rs
@@ -76,15 +76,14 @@
         }
     }
 
-    /// Forgets a node that said it leaves.
-    pub fn note_left(&mut self, node: &str, life: u64) {
-        if self
-            .members
-            .get(node)
-            .is_some_and(|member| member.entry.life <= life)
-        {
+    /// Forgets a node that said it leaves; returns whether that is news.
+    pub fn note_left(&mut self, node: &str, life: u64) -> bool {
+        let member = self.members.get(node);
+        let known = member.is_some_and(|member| member.entry.life <= life);
+        if known {
             self.members.remove(node);
         }
+        known
     }
 
     /// Forgets nodes that have been silent for long; returns them.
--- a/components/dispatch/tests/beliefs.rs
+++ b/components/dispatch/tests/beliefs.rs
@@ -242,6 +242,17 @@
     }
 }
 
+#[test]
+fn a_node_leaves_once_and_a_newer_life_stays() {
+    let now = Instant::now();
+    let mut roster = NodeRoster::default();
+    roster.note_heard(now, node("a", 2, true));
+    assert!(!roster.note_left("a", 1), "news of an older life came late");
+    assert!(roster.alive(now, "a"));
+    assert!(roster.note_left("a", 2));
+    assert!(!roster.note_left("a", 2), "repeated news is no news");
+}
+
 #[test]
 fn address_answers_name_only_nodes_that_live_and_take_callers() {
     let now = Instant::now();
--- a/components/gateway/src/peers.rs
+++ b/components/gateway/src/peers.rs
@@ -217,9 +217,10 @@
             }
         }
         PeerNews::Left(node, life) => {
-            log::info!("event=node_left node={node}");
-            gateway.roster.borrow_mut().note_left(&node, life);
-            gateway.loads.borrow_mut().forget_peer(&node);
+            if gateway.roster.borrow_mut().note_left(&node, life) {
+                log::info!("event=node_left node={node}");
+                gateway.loads.borrow_mut().forget_peer(&node);
+            }
         }
     }
 }
@@ -227,8 +228,12 @@
 fn take_joined(gateway: &Gateway, key: &str, version: u64, row: &[u8]) {
     match gateway.dialect.read_upstream(key, version, row) {
         Ok(entry) => {
-            log::info!("event=upstream_joined upstream={key} source=peer");
-            gateway.upstreams.borrow_mut().upsert(entry);
+            let mut upstreams = gateway.upstreams.borrow_mut();
+            // Followers tell the same, and each three times.
+            if upstreams.get(key).is_none() {
+                log::info!("event=upstream_joined upstream={key} source=peer");
+            }
+            upstreams.upsert(entry);
         }
         Err(error) => log::warn!("event=entry_unreadable upstream={key} error=\"{error}\""),
     }
