Count a death only once every node can have reported its prompts

- Two nodes had prompts on one engine, as a node noticed up to 250 ms late that another had taken the engine over.
Each reported its own prompts, and the first report alone decided: a bystander was quarantined, or tied with the guilty prompt, which then crashed a third and fourth engine.
- A prompt whose connection to a dead engine was refused became a suspect of a death at which it never ran.
- Other nodes were given 100 ms to hear of a death.
Busy ones missed it and ran the prompt once more.

A death now counts 250 ms after its first report, and its suspects wait until then. Only prompts that the engine accepted are suspects. A node stops using an engine as soon as the live nodes change. Other nodes get a second.

--- a/components/engines/src/crash.rs
+++ b/components/engines/src/crash.rs
@@ -62,6 +62,12 @@
     /// An engine died with the prompt on it; the prompt must not share an engine
     /// with another suspect.
     Suspect,
+    /// An engine died with the prompt on it, and other nodes may not have reported
+    /// their prompts yet; the prompt must wait before it runs again.
+    Settling {
+        /// Time until the verdict is known.
+        left: Duration,
+    },
     /// The prompt is refused until the quarantine ends.
     Quarantined {
         /// Time until the quarantine ends.
@@ -218,7 +224,7 @@
                     deaths: deaths.iter().cloned().collect(),
                     left,
                 }),
-                CrashVerdict::Clear | CrashVerdict::Suspect => None,
+                CrashVerdict::Clear | CrashVerdict::Suspect | CrashVerdict::Settling { .. } => None,
             })
             .collect()
     }
--- a/components/node/src/fleet.rs
+++ b/components/node/src/fleet.rs
@@ -10,6 +10,7 @@
 };
 
 use membership::{OwnerCandidate, group_owner_of};
+use smol::channel::{Receiver, Sender, bounded};
 use types::{EngineId, NodeId, ZoneId};
 
 /// Live nodes that may own engines, and the engines this node owns.
@@ -19,6 +20,8 @@
     leaving: AtomicBool,
     candidates: Mutex<Vec<OwnerCandidate>>,
     zone_engines: Mutex<BTreeMap<ZoneId, usize>>,
+    change_sender: Sender<()>,
+    change_receiver: Receiver<()>,
 }
 
 impl EngineOwnership {
@@ -29,21 +32,34 @@
             node: node.clone(),
             zone: zone.clone(),
         };
+        let (change_sender, change_receiver) = bounded(1);
         Arc::new(Self {
             own: node.clone(),
             leaving: AtomicBool::new(false),
             candidates: Mutex::new(vec![candidate]),
             zone_engines: Mutex::default(),
+            change_sender,
+            change_receiver,
         })
     }
 
+    /// Receives a wake-up after the candidates changed. All receivers share one
+    /// channel, so each wake-up reaches only one of them.
+    #[must_use]
+    pub fn changes(&self) -> Receiver<()> {
+        self.change_receiver.clone()
+    }
+
     /// Replaces the candidates by the live nodes that membership reports.
     pub fn set_candidates(&self, candidates: Vec<OwnerCandidate>) {
         let mut known = self
             .candidates
             .lock()
             .unwrap_or_else(PoisonError::into_inner);
-        *known = candidates;
+        if *known != candidates {
+            *known = candidates;
+            self.change_sender.try_send(()).ok();
+        }
     }
 
     /// Sets the number of engines in each zone; `zones` yields one item per
--- a/components/node/src/prompts/attempt.rs
+++ b/components/node/src/prompts/attempt.rs
@@ -16,13 +16,16 @@
     PromptService, PromptUpdate,
     delivery::TokenOutcome,
     gang::GangReservation,
-    open::{OpenPrompt, PromptAssignment},
+    open::{EngineRun, OpenPrompt, PromptAssignment},
+};
+use crate::{
+    directory::KnownEngine,
+    quarantine::{DEATH_SETTLE_TIME, LostPrompt},
 };
-use crate::{directory::KnownEngine, quarantine::LostPrompt};
 
 /// Longest time that a retry or the final update waits for other nodes to learn
-/// of an engine's death.
-const DEATH_BROADCAST_TIMEOUT: Duration = Duration::from_millis(100);
+/// of an engine's death. Only a node that doesn't answer lets it pass.
+const DEATH_BROADCAST_TIMEOUT: Duration = Duration::from_secs(1);
 
 /// An attempt in flight, on one engine or on all engines of a gang.
 pub(super) struct RunningAttempt {
@@ -60,11 +63,19 @@
         let Some(first) = engines.first().cloned() else {
             return;
         };
+        let incarnation = self
+            .directory
+            .newest_incarnation(&first)
+            .unwrap_or_default();
         let prepared = self.with_open_prompts(|prompts| {
             let prompt = prompts.get_mut(&request)?;
             prompt.token = CancellationToken::new();
             prompt.assignment = PromptAssignment::Attempt(attempt);
-            prompt.first_engine = Some(first.clone());
+            prompt.run = Some(EngineRun {
+                engine: first.clone(),
+                incarnation,
+                accepted: false,
+            });
             prompt.attempts = prompt.attempts.max(attempt);
             let span = self.tracer.start(
                 "engine",
@@ -90,10 +101,7 @@
             request,
             attempt,
             first_engine: self.directory.engine(&first),
-            incarnation: self
-                .directory
-                .newest_incarnation(&first)
-                .unwrap_or_default(),
+            incarnation,
             engines,
             call,
             token,
@@ -216,6 +224,7 @@
         let known_engine = self.first_engine.as_ref();
         let known_engine = known_engine.ok_or_else(|| unlisted_engine_error(engine))?;
         let mut stream = known_engine.client.submit(call).await?;
+        self.record_accepted();
         while let Some(event) = stream.next().await {
             if let Some(outcome) = self.handle_event(event?).await? {
                 return Ok(outcome);
@@ -224,6 +233,17 @@
         Err(self.malformed_error("the stream ended without an end event".to_owned()))
     }
 
+    fn record_accepted(&self) {
+        self.service.with_open_prompts(|prompts| {
+            if let Some(prompt) = prompts.get_mut(&self.request)
+                && prompt.assignment == self.assignment()
+                && let Some(run) = &mut prompt.run
+            {
+                run.accepted = true;
+            }
+        });
+    }
+
     async fn handle_event(
         &self,
         event: EngineEvent,
@@ -369,6 +389,8 @@
         );
         if is_engine_fault(error) {
             self.record_engine_failure();
+        }
+        if error.effect_unknown() {
             self.record_engine_death().await;
         }
         self.service.count_failure(&self.request);
@@ -412,22 +434,32 @@
             engine: known_engine.id.clone(),
             incarnation: self.incarnation,
         };
-        // All prompts whose first engine it is, also those whose attempts have not
-        // failed yet.
+        // This prompt, and all others that ran on the engine, also those whose attempts
+        // have not failed yet.
         let lost: Vec<LostPrompt> = self.service.with_open_prompts(|prompts| {
-            let running = prompts
-                .values()
-                .filter(|prompt| prompt.has_first_engine(&known_engine.id));
+            let running = prompts.values().filter(|prompt| {
+                prompt.job.request == self.request
+                    || prompt.runs_on(&death.engine, self.incarnation)
+            });
             running.map(OpenPrompt::to_lost_prompt).collect()
         });
-        if !lost.is_empty() {
-            let records = self.service.quarantine.record_death(&death, &lost);
-            // The other nodes must know before the prompt runs again or its caller
-            // can send it to them.
-            self.service
+        if lost.is_empty() {
+            return;
+        }
+        // The other nodes must know before the prompt runs again or its caller can
+        // send it to them, and this node must know which prompts they lost.
+        let service = &self.service;
+        let record = service.quarantine.record_death(&death, &lost);
+        let told = service
+            .peers
+            .broadcast_deaths(vec![record], DEATH_BROADCAST_TIMEOUT);
+        smol::future::zip(told, service.clock.sleep(DEATH_SETTLE_TIME)).await;
+        let attributed = service.quarantine.attributed_deaths(&lost);
+        if !attributed.is_empty() {
+            let told = service
                 .peers
-                .broadcast_deaths(records, DEATH_BROADCAST_TIMEOUT)
-                .await;
+                .broadcast_deaths(attributed, DEATH_BROADCAST_TIMEOUT);
+            told.await;
         }
     }
 }
--- a/components/node/src/prompts/open.rs
+++ b/components/node/src/prompts/open.rs
@@ -5,7 +5,7 @@
 use kernel::CancellationToken;
 use routing::{RefusalReason, SchedulerEvent};
 use smol::channel::{Receiver, Sender};
-use types::{AttemptId, EngineId, NodeId, PromptJob, RequestId, TokenCount};
+use types::{AttemptId, EngineId, IncarnationNumber, NodeId, PromptJob, RequestId, TokenCount};
 
 use super::PromptService;
 use crate::quarantine::LostPrompt;
@@ -94,16 +94,28 @@
     pub(super) attempts: AttemptId,
     /// Failed attempts and forwards.
     pub(super) failures: u32,
-    /// First engine of the last attempt, which received the call; `None` before the
-    /// first attempt.
-    pub(super) first_engine: Option<EngineId>,
+    /// Where the last attempt was sent; `None` before the first attempt.
+    pub(super) run: Option<EngineRun>,
+}
+
+/// Engine process that received the call of an attempt. In a gang, this is the
+/// first engine.
+pub(super) struct EngineRun {
+    pub(super) engine: EngineId,
+    pub(super) incarnation: IncarnationNumber,
+    /// Whether the engine accepted the call, so that it may have run the prompt.
+    pub(super) accepted: bool,
 }
 
 impl OpenPrompt {
-    /// Returns whether `engine` is the first engine of the prompt's running attempt.
-    pub(super) fn has_first_engine(&self, engine: &EngineId) -> bool {
+    /// Returns whether this incarnation of `engine` accepted the prompt's running
+    /// attempt.
+    pub(super) fn runs_on(&self, engine: &EngineId, incarnation: IncarnationNumber) -> bool {
+        let is_same = |run: &EngineRun| {
+            run.accepted && run.engine == *engine && run.incarnation == incarnation
+        };
         matches!(self.assignment, PromptAssignment::Attempt(_))
-            && self.first_engine.as_ref() == Some(engine)
+            && self.run.as_ref().is_some_and(is_same)
     }
 
     /// Builds the event that returns the prompt to the scheduler for a retry.
--- a/components/node/src/prompts/service.rs
+++ b/components/node/src/prompts/service.rs
@@ -133,7 +133,7 @@
             first_token_seen: submission.resume_at > 0,
             attempts: 0,
             failures: 0,
-            first_engine: None,
+            run: None,
         };
         self.with_open_prompts(|prompts| prompts.insert(request.clone(), prompt));
         self.metrics.open_prompts.inc();
--- a/components/node/src/prompts/trial.rs
+++ b/components/node/src/prompts/trial.rs
@@ -7,6 +7,7 @@
 use std::{
     collections::HashMap,
     sync::{Arc, Mutex, MutexGuard, PoisonError},
+    time::Duration,
 };
 
 use engines::CrashVerdict;
@@ -116,6 +117,7 @@
                     self.handle(event);
                 }
             }
+            CrashVerdict::Settling { left } => self.admit_later(request, event, left),
             CrashVerdict::Quarantined { left } => {
                 self.refuse(request, RefusalReason::Quarantined, left);
                 self.handle(SchedulerEvent::Cancelled {
@@ -125,6 +127,19 @@
         }
     }
 
+    /// Admits a prompt after `delay`, unless it has ended by then.
+    fn admit_later(self: &Arc<Self>, request: &RequestId, event: SchedulerEvent, delay: Duration) {
+        let service = Arc::clone(self);
+        let request = request.clone();
+        smol::spawn(async move {
+            service.clock.sleep(delay).await;
+            if service.with_open_prompts(|prompts| prompts.contains_key(&request)) {
+                service.admit(&request, event);
+            }
+        })
+        .detach();
+    }
+
     /// Clears the active suspect once it has generated enough tokens.
     pub(super) fn clear_passed_suspect(
         self: &Arc<Self>,
--- a/components/node/src/watch.rs
+++ b/components/node/src/watch.rs
@@ -54,12 +54,15 @@
     /// Starts and stops polling as ownership changes, until `token` is
     /// cancelled.
     pub async fn run(self, token: CancellationToken) {
-        let changes = self.directory.changes();
+        let upstream_changes = self.directory.changes();
+        let owner_changes = self.ownership.changes();
         let mut watched: HashMap<EngineId, WatchedEngine> = HashMap::new();
         while !token.is_cancelled() {
             self.update_watched(&mut watched).await;
             let wake_up = async {
-                changes.recv().await.ok();
+                smol::future::or(upstream_changes.recv(), owner_changes.recv())
+                    .await
+                    .ok();
             };
             let wake_up_or_due = smol::future::or(wake_up, self.clock.sleep(OWNERSHIP_POLL_PAUSE));
             smol::future::or(wake_up_or_due, token.cancelled()).await;
