--- a/components/dispatch/src/freshness.rs
+++ b/components/dispatch/src/freshness.rs
@@ -4,10 +4,9 @@
 //! are handled alike: the copy has an age, and code that depends on the copy
 //! checks that age.
 //!
-//! Only a few nodes, the store pollers, poll a table in the store all the time.
-//! Each node sends the others a summary at regular intervals: a datagram with the
-//! versions or digests of its copies and their ages. While a store poller's
-//! summary agrees with a node's own copy, the node need not poll.
+//! Only a few nodes, the store pollers, poll a table in the store all the time. The
+//! others get their copies from a relay, with the time since the store confirmed
+//! them to a store poller. While that is short, a node need not poll.
 
 use std::time::{Duration, Instant};
 
@@ -33,8 +32,8 @@
 }
 
 /// Age of a store poller's copy up to which this node relies on it. Covers the
-/// store poller's longest wait for a change in the store, the interval between its
-/// summaries, and one lost summary.
+/// store poller's longest wait for a change in the store, two steps from relay to
+/// node, and a lost answer.
 const STORE_POLLER_TIMEOUT: Duration = Duration::from_millis(2200);
 /// Time after an outage of the store during which missing entries may still
 /// come back.
@@ -94,11 +93,28 @@
         Some(now.saturating_duration_since(answered))
     }
 
+    /// Whether this node polls the store, with success.
+    #[must_use]
+    pub fn polls_store(&self, now: Instant) -> bool {
+        self.store_age(now)
+            .is_some_and(|age| age < STORE_POLLER_TIMEOUT)
+    }
+
+    /// Time since the store last confirmed the copy, to this node or to a store poller
+    /// that it has the copy from; `None` when it never did.
+    #[must_use]
+    pub fn confirmed_age(&self, now: Instant) -> Option<Duration> {
+        let own = self.store_answered_at.filter(|_| !self.is_failing());
+        let confirmed_at = own.max(self.peer_confirmed_at)?;
+        Some(now.saturating_duration_since(confirmed_at))
+    }
+
     /// Time since the copy was last known to be complete; `None` when it never
     /// was.
     #[must_use]
     pub fn age(&self, now: Instant) -> Option<Duration> {
-        Some(now.saturating_duration_since(self.confirmed_at?))
+        let confirmed_at = self.confirmed_at.max(self.peer_confirmed_at)?;
+        Some(now.saturating_duration_since(confirmed_at))
     }
 
     /// Whether the store did not answer the last call.
--- a/components/dispatch/src/lib.rs
+++ b/components/dispatch/src/lib.rs
@@ -9,6 +9,8 @@
 mod engine;
 mod freshness;
 mod load;
+mod load_sums;
+mod news;
 mod pick;
 mod placement;
 mod prefill_queue;
@@ -27,15 +29,16 @@
 pub use engine::{PromptSize, prefill_time};
 pub use freshness::{TableFreshness, VersionSource};
 pub use load::{
-    EngineKey, EngineLoad, InFlightId, InFlightRequest, LoadTracker, MemoryShare, PrefillNotice,
-    ReportedLoad, engine_key,
+    AggregateChunk, EngineKey, EngineLoad, InFlightId, InFlightRequest, LoadTracker, MemoryShare,
+    PrefillNotice, ReportedLoad, engine_key,
 };
+pub use news::{AcceptedNews, NewsCursor, NewsItem, NewsLog, NewsPage, NewsReader, NewsSubject};
 pub use placement::{
     LatencyGoals, Placement, PlacementRefusal, PlacementRequest, PlacementWait,
     place_plain_request, place_prompt,
 };
 pub use quarantine::{CrashFingerprint, QuarantineList};
-pub use relays::{RelaySelector, select_relays};
+pub use relays::{RelayWatch, find_lost_relays, is_better_relay, select_relays};
 pub use roster::{NodeRoster, RosterEntry};
 pub use routes::{RouteMatch, RouteTable};
 pub use upstreams::{UpstreamEntry, UpstreamHealth, UpstreamState, UpstreamTable};
--- a/components/dispatch/src/load.rs
+++ b/components/dispatch/src/load.rs
@@ -11,7 +11,9 @@
 use types::{NodeId, TokenCount, UpstreamId};
 use xxhash_rust::xxh3::xxh3_64;
 
-use crate::{prefill_queue::PrefillQueue, unreported::UnreportedEstimator};
+use crate::{
+    load_sums::LoadSumTable, prefill_queue::PrefillQueue, unreported::UnreportedEstimator,
+};
 
 /// Age above which a report or an aggregate is ignored.
 const REPORT_LIFETIME: Duration = Duration::from_millis(1500);
@@ -67,14 +69,6 @@
     pub fn running(&self) -> u32 {
         self.strict + self.relaxed
     }
-
-    fn add(&mut self, other: &ReportedLoad) {
-        self.strict += other.strict;
-        self.relaxed += other.relaxed;
-        self.relaxed_event_gap = min_gap(self.relaxed_event_gap, other.relaxed_event_gap);
-        self.unanswered += other.unanswered;
-        self.memory += other.memory;
-    }
 }
 
 /// Requests that one node, or several together, have in flight at one engine, as
@@ -97,6 +91,16 @@
     pub memory: TokenCount,
 }
 
+impl ReportedLoad {
+    fn add(&mut self, other: &Self) {
+        self.strict += other.strict;
+        self.relaxed += other.relaxed;
+        self.relaxed_event_gap = min_gap(self.relaxed_event_gap, other.relaxed_event_gap);
+        self.unanswered += other.unanswered;
+        self.memory += other.memory;
+    }
+}
+
 /// Announces to other nodes that engines start to prefill a prompt.
 #[derive(Clone, Debug, Eq, PartialEq)]
 #[derive(Deserialize, Serialize)]
@@ -148,10 +152,53 @@
     prefill_queues: HashMap<UpstreamId, PrefillQueue>,
     /// Reports of other nodes; complete only at relays.
     peer_snapshots: HashMap<NodeId, LoadSnapshot>,
+    /// Sums of `peer_snapshots`.
+    peer_sums: LoadSumTable,
+    /// When the newest of `peer_snapshots` was received.
+    last_report_at: Option<Instant>,
     /// Aggregate of all other nodes' loads, received from a relay.
     aggregate: Option<LoadSnapshot>,
     /// Chunks of a newer aggregate that have arrived so far.
-    partial_aggregate: Option<Vec<ReportedLoad>>,
+    partial_aggregate: PartialAggregate,
+}
+
+/// Part of the aggregate of all other nodes' loads, as large as a datagram.
+#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
+pub struct AggregateChunk {
+    /// Number of the aggregate that the chunk belongs to; later ones are higher.
+    pub aggregate: u64,
+    /// Position of the chunk in the aggregate, from 0.
+    pub index: u16,
+    /// Number of chunks of the aggregate.
+    pub count: u16,
+    /// Loads of the engines in this chunk.
+    pub loads: Vec<ReportedLoad>,
+}
+
+/// Chunks of one aggregate, in whatever order they arrive.
+#[derive(Debug, Default)]
+struct PartialAggregate {
+    aggregate: u64,
+    chunks: BTreeMap<u16, Vec<ReportedLoad>>,
+}
+
+impl PartialAggregate {
+    /// Adds a chunk; returns the whole aggregate with the last one that was missing.
+    fn add(&mut self, chunk: AggregateChunk) -> Option<Vec<ReportedLoad>> {
+        if chunk.aggregate != self.aggregate {
+            *self = Self {
+                aggregate: chunk.aggregate,
+                chunks: BTreeMap::new(),
+            };
+        }
+        self.chunks.insert(chunk.index, chunk.loads);
+        if self.chunks.len() < usize::from(chunk.count) {
+            return None;
+        }
+        let chunks = std::mem::take(&mut self.chunks);
+        Some(chunks.into_values().flatten().collect())
+    }
 }
 
 #[derive(Debug)]
@@ -307,10 +354,20 @@
             return;
         };
         let engine = engine_key(primary);
-        self.peer_snapshots
+        let snapshot = self
+            .peer_snapshots
             .entry(node.to_owned())
-            .or_insert_with(|| LoadSnapshot::new(now, Vec::new()))
-            .add_prompt(engine, notice);
+            .or_insert_with(|| {
+                self.last_report_at = Some(now);
+                LoadSnapshot::new(now, Vec::new())
+            });
+        if let Some(load) = snapshot.loads.get(&engine) {
+            self.peer_sums.subtract(load);
+        }
+        snapshot.add_prompt(engine, notice);
+        if let Some(load) = snapshot.loads.get(&engine) {
+            self.peer_sums.add(load);
+        }
         if let Some(aggregate) = &mut self.aggregate {
             aggregate.add_prompt(engine, notice);
         }
@@ -318,58 +375,66 @@
 
     /// Stores another node's report of its own requests.
     pub fn record_peer_report(&mut self, now: Instant, node: &str, loads: Vec<ReportedLoad>) {
-        self.peer_snapshots
-            .insert(node.to_owned(), LoadSnapshot::new(now, loads));
+        self.remove_peer(node);
+        let snapshot = LoadSnapshot::new(now, loads);
+        for load in snapshot.loads.values() {
+            self.peer_sums.add(load);
+        }
+        self.peer_snapshots.insert(node.to_owned(), snapshot);
+        self.last_report_at = Some(now);
     }
 
-    /// Stores one chunk of the aggregate of all other nodes: `continues` is false
-    /// for the first chunk, and `more` is true for all but the last. The aggregate
-    /// counts only from its last chunk on, because an engine listed in a missing
-    /// chunk would seem idle. Chunks carry no number: a lost middle chunk is not
-    /// noticed, and an aggregate without its first chunk is discarded unless an
-    /// earlier one is still incomplete.
-    pub fn record_aggregate(
-        &mut self,
-        now: Instant,
-        continues: bool,
-        more: bool,
-        loads: Vec<ReportedLoad>,
-    ) {
-        if !continues {
-            self.partial_aggregate = Some(Vec::new());
+    /// Removes the reports that are too old to count; called at regular intervals.
+    pub fn remove_expired_reports(&mut self, now: Instant) {
+        let snapshots = self.peer_snapshots.iter();
+        let expired: Vec<NodeId> = snapshots
+            .filter(|(_, snapshot)| !snapshot.is_fresh(now))
+            .map(|(node, _)| node.clone())
+            .collect();
+        for node in expired {
+            self.remove_peer(&node);
         }
-        let Some(mut partial) = self.partial_aggregate.take() else {
-            return;
-        };
-        partial.extend(loads);
-        if more {
-            self.partial_aggregate = Some(partial);
-        } else {
-            self.aggregate = Some(LoadSnapshot::new(now, partial));
+    }
+
+    /// Stores one chunk of the aggregate of all other nodes. The aggregate counts only
+    /// once all its chunks have arrived, because an engine listed in a missing chunk
+    /// would seem idle.
+    pub fn record_aggregate(&mut self, now: Instant, chunk: AggregateChunk) {
+        if let Some(loads) = self.partial_aggregate.add(chunk) {
+            self.aggregate = Some(LoadSnapshot::new(now, loads));
         }
     }
 
     /// Removes the report of another node.
     pub fn remove_peer(&mut self, node: &str) {
-        self.peer_snapshots.remove(node);
+        if let Some(snapshot) = self.peer_snapshots.remove(node) {
+            for load in snapshot.loads.values() {
+                self.peer_sums.subtract(load);
+            }
+        }
     }
 
     /// Aggregates the loads of this node and of all nodes that report to it,
     /// without `node`.
     #[must_use]
-    pub fn aggregate_excluding(&self, now: Instant, node: &str) -> Vec<ReportedLoad> {
-        let mut sums: HashMap<EngineKey, EngineLoad> = HashMap::new();
-        for load in self.own_report() {
-            sums.entry(load.engine).or_default().add(&load);
-        }
-        let others = self.peer_snapshots.iter().filter(|(name, _)| *name != node);
-        let fresh = others.filter(|(_, snapshot)| snapshot.is_fresh(now));
-        for load in fresh.flat_map(|(_, snapshot)| snapshot.loads.values()) {
-            sums.entry(load.engine).or_default().add(load);
+    pub fn aggregate_excluding(&mut self, now: Instant, node: &str) -> Vec<ReportedLoad> {
+        self.remove_expired_reports(now);
+        let excluded = self
+            .peer_snapshots
+            .get(node)
+            .map(|snapshot| &snapshot.loads);
+        let others = self.peer_sums.excluding(excluded);
+        let mut sums: HashMap<EngineKey, ReportedLoad> =
+            others.map(|load| (load.engine, load)).collect();
+        for own in self.own_report() {
+            match sums.get_mut(&own.engine) {
+                Some(sum) => sum.add(&own),
+                None => {
+                    sums.insert(own.engine, own);
+                }
+            }
         }
-        sums.into_iter()
-            .map(|(engine, load)| to_reported_load(engine, &load))
-            .collect()
+        sums.into_values().collect()
     }
 
     /// Removes the prefill queue of an engine that is gone.
@@ -394,19 +459,18 @@
                     load.add(other);
                 }
             }
-            _ => {
-                let fresh = self
-                    .peer_snapshots
-                    .values()
-                    .filter(|snapshot| snapshot.is_fresh(now));
-                for other in fresh.filter_map(|snapshot| snapshot.loads.get(&key)) {
-                    load.add(other);
-                }
-            }
+            _ if self.hears_reports(now) => load.add(&self.peer_sums.get(key)),
+            _ => {}
         }
         load
     }
 
+    /// Whether any report still counts. Older ones among them are removed at intervals.
+    fn hears_reports(&self, now: Instant) -> bool {
+        self.last_report_at
+            .is_some_and(|at| now.saturating_duration_since(at) <= REPORT_LIFETIME)
+    }
+
     /// This node's own load at each engine, for its report to other nodes.
     #[must_use]
     pub fn own_report(&self) -> Vec<ReportedLoad> {
--- a/components/dispatch/src/relays.rs
+++ b/components/dispatch/src/relays.rs
@@ -1,62 +1,95 @@
-//! Selects the relays, which gather the load reports of all nodes and return
-//! the aggregate: in each availability zone, the first ready node by name. When
-//! a relay does not answer, a node asks the next one.
+//! Selects the relays, which hear all nodes and tell the others: in each
+//! availability zone the best node by readiness, capacity and name. When a relay
+//! does not answer, the next best node of its zone takes its place.
 
 use std::{
+    cmp::Reverse,
     collections::BTreeMap,
     time::{Duration, Instant},
 };
 
+use types::NodeId;
+
 use crate::RosterEntry;
 
-/// Time without an answer after which the next relay is asked: a few report
-/// intervals.
-const RELAY_TIMEOUT: Duration = Duration::from_millis(350);
+/// Number of questions in a row without an answer after which a relay is passed over.
+const QUESTIONS_MAX: u32 = 2;
+/// Longest time that an answer usually takes.
+const ANSWER_TIME: Duration = Duration::from_millis(150);
 
-/// Returns the relays that the node `own` reports to, without itself. The relay
-/// of its own zone comes first, as traffic within a zone is cheapest.
+/// Whether `one` is a better relay than `other`. All nodes agree on this order, so
+/// they report to the same few.
 #[must_use]
-pub fn select_relays<'a>(
-    own: &'a RosterEntry,
-    live: impl Iterator<Item = &'a RosterEntry>,
-) -> Vec<&'a RosterEntry> {
+pub fn is_better_relay(one: &RosterEntry, other: &RosterEntry) -> bool {
+    relay_order(one) < relay_order(other)
+}
+
+fn relay_order(entry: &RosterEntry) -> (bool, Reverse<u32>, &NodeId) {
+    (!entry.ready, Reverse(entry.capacity), &entry.node)
+}
+
+/// Returns the relays among `nodes`: the best one of each availability zone, the
+/// best of all first.
+#[must_use]
+pub fn select_relays<'a>(nodes: impl Iterator<Item = &'a RosterEntry>) -> Vec<&'a RosterEntry> {
     let mut relays_by_zone: BTreeMap<&str, &RosterEntry> = BTreeMap::new();
-    let all = live.chain([own]);
-    for entry in all.filter(|entry| entry.ready) {
+    for entry in nodes {
         let relay = relays_by_zone.entry(&entry.zone).or_insert(entry);
-        if entry.node < relay.node {
+        if is_better_relay(entry, relay) {
             *relay = entry;
         }
     }
     let mut relays: Vec<&RosterEntry> = relays_by_zone.into_values().collect();
-    relays.retain(|entry| entry.node != own.node);
-    relays.sort_by_key(|entry| entry.zone != own.zone);
+    relays.sort_by_key(|entry| relay_order(entry));
     relays
 }
 
-/// Selects the relay that this node asks for the aggregate of the other nodes'
-/// loads.
+/// Returns the nodes that would be relays if they were alive. Reports go to them as
+/// well, so that the parts of a fleet find each other after a network partition.
+#[must_use]
+pub fn find_lost_relays<'a>(
+    known: impl Iterator<Item = &'a RosterEntry>,
+    relays: &[&RosterEntry],
+) -> Vec<&'a RosterEntry> {
+    let mut best = select_relays(known);
+    best.retain(|entry| relays.iter().all(|relay| relay.node != entry.node));
+    best
+}
+
+/// Watches whether the relay that this node asks answers.
 #[derive(Debug, Default)]
-pub struct RelaySelector {
-    offset: usize,
-    waiting_since: Option<Instant>,
+pub struct RelayWatch {
+    relay: Option<NodeId>,
+    /// When the relay was first asked since its last answer.
+    asked_at: Option<Instant>,
 }
 
-impl RelaySelector {
-    /// Index of the relay to ask among `count`; `None` without relays. The first
-    /// call after an answer starts the timeout. Moves on to the next relay when the
-    /// current one has not answered in time.
-    pub fn relay_to_ask(&mut self, now: Instant, count: usize) -> Option<usize> {
-        let since = *self.waiting_since.get_or_insert(now);
-        if now.saturating_duration_since(since) >= RELAY_TIMEOUT {
-            self.offset += 1;
-            self.waiting_since = Some(now);
+impl RelayWatch {
+    /// Records that `relay` is asked; returns whether it is another one than before.
+    /// The first question after an answer starts the timeout.
+    pub fn record_question(&mut self, now: Instant, relay: &NodeId) -> bool {
+        let is_new = self.relay.as_ref() != Some(relay);
+        if is_new {
+            self.relay = Some(relay.clone());
+            self.asked_at = None;
         }
-        self.offset.checked_rem(count)
+        self.asked_at.get_or_insert(now);
+        is_new
     }
 
-    /// Records that the aggregate has arrived.
+    /// Records that an answer has arrived.
     pub fn record_answer(&mut self) {
-        self.waiting_since = None;
+        self.asked_at = None;
+    }
+
+    /// Returns the relay that was asked and has not answered in time, once;
+    /// `question_pause` is the interval between questions.
+    pub fn take_silent(&mut self, now: Instant, question_pause: Duration) -> Option<NodeId> {
+        let timeout = question_pause * QUESTIONS_MAX + ANSWER_TIME;
+        if now.saturating_duration_since(self.asked_at?) < timeout {
+            return None;
+        }
+        self.asked_at = None;
+        self.relay.take()
     }
 }
--- a/components/dispatch/src/roster.rs
+++ b/components/dispatch/src/roster.rs
@@ -6,12 +6,15 @@
     time::{Duration, Instant},
 };
 
+use rand::{Rng, seq::SliceRandom};
 use serde::{Deserialize, Serialize};
 use types::{NodeId, ZoneId};
 
 /// Time without a heartbeat after which a node counts as dead and is left out
 /// of address answers.
 const ALIVE_TIMEOUT: Duration = Duration::from_millis(1600);
+/// Time for which a node that did not answer is passed over, whatever a relay says.
+const SILENCE_TIME: Duration = Duration::from_secs(3);
 /// Time after which a node is removed, counted from the last heartbeat of its known
 /// incarnation or from the listing that first showed this incarnation.
 const REMOVAL_TIMEOUT: Duration = Duration::from_secs(40);
@@ -36,6 +39,8 @@
     pub incarnation: u64,
     /// Whether callers may be sent to the node.
     pub ready: bool,
+    /// Processor and network share of the host, to compare nodes by.
+    pub capacity: u32,
 }
 
 #[derive(Debug)]
@@ -44,6 +49,12 @@
     last_heartbeat: Option<Instant>,
     /// Last heartbeat of this incarnation, or the listing that first showed it.
     last_seen: Instant,
+    /// Whether a relay says that the node is alive.
+    told_alive: bool,
+    /// Until when the node is passed over, since it did not answer.
+    silent_until: Option<Instant>,
+    /// When the store last confirmed the upstreams to the node.
+    store_confirmed_at: Option<Instant>,
 }
 
 /// The other nodes that this node knows of, dead ones included.
@@ -51,6 +62,8 @@
 pub struct NodeRoster {
     members: BTreeMap<NodeId, RosterMember>,
     recent_sizes: Vec<(Instant, usize)>,
+    /// Whether this node hears all others itself, and doesn't need to be told.
+    hears_all: bool,
 }
 
 impl NodeRoster {
@@ -62,6 +75,7 @@
                 member.entry = entry;
                 member.last_heartbeat = Some(now);
                 member.last_seen = now;
+                member.silent_until = None;
             }
         } else {
             self.insert(now, entry, Some(now));
@@ -82,6 +96,67 @@
         }
     }
 
+    /// Stores what a relay says of a node, unless a newer incarnation is known.
+    pub fn record_told(&mut self, now: Instant, entry: RosterEntry, alive: bool) {
+        match self.members.get_mut(&entry.node) {
+            Some(member) if entry.incarnation >= member.entry.incarnation => {
+                member.entry = entry;
+                member.told_alive = alive;
+                if alive {
+                    member.last_seen = now;
+                }
+            }
+            Some(_) => {}
+            None => {
+                let node = entry.node.clone();
+                self.insert(now, entry, None);
+                if let Some(member) = self.members.get_mut(&node) {
+                    member.told_alive = alive;
+                }
+            }
+        }
+    }
+
+    /// Takes back what relays said of the nodes for which `is_listed` is false.
+    pub fn retain_told(&mut self, is_listed: impl Fn(&NodeId) -> bool) {
+        for (node, member) in &mut self.members {
+            member.told_alive &= is_listed(node);
+        }
+    }
+
+    /// Passes over a node that did not answer, for [`SILENCE_TIME`].
+    pub fn record_silence(&mut self, now: Instant, node: &str) {
+        if let Some(member) = self.members.get_mut(node) {
+            member.last_heartbeat = None;
+            member.silent_until = Some(now + SILENCE_TIME);
+        }
+    }
+
+    /// Sets whether this node hears all others itself, as a relay does. What other
+    /// relays say then no longer counts, so that two relays can't keep a dead node
+    /// alive by telling each other.
+    pub fn set_hears_all(&mut self, hears_all: bool) {
+        self.hears_all = hears_all;
+    }
+
+    /// Records when the store last confirmed the upstreams to a node.
+    pub fn record_store_confirmation(&mut self, node: &str, at: Instant) {
+        if let Some(member) = self.members.get_mut(node) {
+            member.store_confirmed_at = member.store_confirmed_at.max(Some(at));
+        }
+    }
+
+    /// The live node to which the store has confirmed the upstreams last, and when.
+    #[must_use]
+    pub fn newest_store_confirmation(&self, now: Instant) -> Option<(&RosterEntry, Instant)> {
+        let live = self
+            .members
+            .values()
+            .filter(|member| self.counts_as_alive(now, member));
+        live.filter_map(|member| Some((&member.entry, member.store_confirmed_at?)))
+            .max_by_key(|(_, at)| *at)
+    }
+
     /// Removes a node when `incarnation` of it announced that it leaves; returns
     /// whether the node was known in this or an older incarnation.
     pub fn remove_left(&mut self, node: &str, incarnation: u64) -> bool {
@@ -101,8 +176,9 @@
             now.duration_since(last.max(member.last_seen)) > REMOVAL_TIMEOUT
         };
         let mut removed = Vec::new();
+        let hears_all = self.hears_all;
         self.members.retain(|_, member| {
-            let is_silent = is_silent(member);
+            let is_silent = is_silent(member) && (hears_all || !member.told_alive);
             if is_silent {
                 removed.push(member.entry.clone());
             }
@@ -111,12 +187,19 @@
         removed
     }
 
-    /// Whether the last heartbeat of `node` is recent.
+    /// Whether `node` is in the roster, dead or alive.
+    #[must_use]
+    pub fn is_known(&self, node: &str) -> bool {
+        self.members.contains_key(node)
+    }
+
+    /// Whether the last heartbeat of `node` is recent, or a relay says that it is
+    /// alive.
     #[must_use]
     pub fn is_alive(&self, now: Instant, node: &str) -> bool {
         self.members
             .get(node)
-            .is_some_and(|member| member.is_alive(now))
+            .is_some_and(|member| self.counts_as_alive(now, member))
     }
 
     /// All known nodes, dead ones included.
@@ -124,25 +207,46 @@
         self.members.values().map(|member| &member.entry)
     }
 
-    /// Nodes whose last heartbeat is recent.
+    /// Nodes that are alive, as in [`is_alive`](Self::is_alive).
     pub fn live(&self, now: Instant) -> impl Iterator<Item = &RosterEntry> {
         self.members
             .values()
-            .filter(move |member| member.is_alive(now))
+            .filter(move |member| self.counts_as_alive(now, member))
             .map(|member| &member.entry)
     }
 
     /// Addresses for a caller: `own`, when this node takes callers, and those of
-    /// the live nodes that do; at most `MAX_ADDRESSES`.
+    /// the live nodes that do, at most `MAX_ADDRESSES`. In a larger fleet, those in
+    /// `zone` come first, and the rest is a random choice, so that no node is left out
+    /// by its name.
     #[must_use]
-    pub fn addresses(&self, now: Instant, own: Option<SocketAddr>) -> Vec<SocketAddr> {
-        let others = self.live(now).filter(|entry| entry.ready);
+    pub fn addresses(
+        &self,
+        now: Instant,
+        own: Option<SocketAddr>,
+        zone: &str,
+        rng: &mut impl Rng,
+    ) -> Vec<SocketAddr> {
+        let mut others: Vec<&RosterEntry> = self.live(now).filter(|entry| entry.ready).collect();
+        if others.len() + own.iter().len() > MAX_ADDRESSES {
+            others.shuffle(rng);
+            others.sort_by_key(|entry| entry.zone != zone);
+        }
         own.into_iter()
-            .chain(others.map(|entry| entry.caller_address))
+            .chain(others.into_iter().map(|entry| entry.caller_address))
             .take(MAX_ADDRESSES)
             .collect()
     }
 
+    /// Whether a node of `zone` that should be alive is passed over.
+    #[must_use]
+    pub fn has_silent_node(&self, now: Instant, zone: &str) -> bool {
+        self.members.values().any(|member| {
+            let is_silent = member.silent_until.is_some_and(|until| now < until);
+            is_silent && member.told_alive && member.entry.zone == zone
+        })
+    }
+
     /// Records the present number of live nodes, this one included, and returns
     /// the largest number recorded in the last 30 s.
     pub fn recent_fleet_size(&mut self, now: Instant) -> usize {
@@ -157,10 +261,19 @@
             .unwrap_or(1)
     }
 
+    fn counts_as_alive(&self, now: Instant, member: &RosterMember) -> bool {
+        let told_alive = member.told_alive && !self.hears_all;
+        let is_silent = member.silent_until.is_some_and(|until| now < until);
+        member.was_heard(now) || told_alive && !is_silent
+    }
+
     fn insert(&mut self, now: Instant, entry: RosterEntry, last_heartbeat: Option<Instant>) {
         let member = RosterMember {
             last_heartbeat,
             last_seen: now,
+            told_alive: false,
+            silent_until: None,
+            store_confirmed_at: None,
             entry,
         };
         self.members.insert(member.entry.node.clone(), member);
@@ -168,7 +281,7 @@
 }
 
 impl RosterMember {
-    fn is_alive(&self, now: Instant) -> bool {
+    fn was_heard(&self, now: Instant) -> bool {
         self.last_heartbeat
             .is_some_and(|heartbeat| now.duration_since(heartbeat) <= ALIVE_TIMEOUT)
     }
--- a/components/dispatch/src/upstreams.rs
+++ b/components/dispatch/src/upstreams.rs
@@ -9,6 +9,7 @@
     time::{Duration, Instant},
 };
 
+use serde::{Deserialize, Serialize};
 use types::{ServiceName, UpstreamId, ZoneId};
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
@@ -29,11 +30,14 @@
 /// upstream is left out while at least half of the candidates are healthy. A queue
 /// of usual length causes a smaller ratio.
 const MAX_SLOWDOWN: f64 = 3.0;
+/// Time for which the removal of an upstream is remembered.
+const REMOVAL_MEMORY: Duration = Duration::from_mins(2);
 /// Weight of the newest answer in the moving average of the slowdown.
 const SLOWDOWN_WEIGHT: f64 = 0.4;
 
 /// Directory entry of an upstream.
 #[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
 pub struct UpstreamEntry {
     /// Id of the upstream; usually a new one after each restart.
     pub id: UpstreamId,
@@ -56,6 +60,7 @@
 
 /// Whether an upstream takes new work.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
 pub enum UpstreamState {
     /// The upstream takes new work.
     Ready,
@@ -88,6 +93,9 @@
 #[derive(Debug, Default)]
 pub struct UpstreamTable {
     upstreams: HashMap<UpstreamId, UpstreamHealth>,
+    /// Versions in which removed upstreams left the directory, so that late news of
+    /// an older version doesn't bring them back.
+    removed: HashMap<UpstreamId, (Instant, u64)>,
 }
 
 impl UpstreamHealth {
@@ -144,8 +152,12 @@
 }
 
 impl UpstreamTable {
-    /// Stores a new or changed entry, unless a newer one is known.
+    /// Stores a new or changed entry, unless a newer one or a later removal is known.
     pub fn upsert(&mut self, entry: UpstreamEntry) {
+        let removal = self.removed.get(&entry.id);
+        if removal.is_some_and(|(_, version)| *version >= entry.version) {
+            return;
+        }
         match self.upstreams.get_mut(&entry.id) {
             Some(health) if health.entry.version > entry.version => {}
             Some(health) if health.entry.started_ms == entry.started_ms => {
@@ -172,6 +184,27 @@
         }
     }
 
+    /// Removes an upstream that left the directory in `version`, unless a newer entry
+    /// is known; returns whether it was in the table.
+    pub fn remove_at(&mut self, now: Instant, id: &str, version: u64) -> bool {
+        let known = self.upstreams.get(id);
+        if known.is_some_and(|health| health.entry.version > version) {
+            return false;
+        }
+        self.removed
+            .retain(|_, (at, _)| now.saturating_duration_since(*at) < REMOVAL_MEMORY);
+        let removal = self.removed.entry(id.to_owned()).or_insert((now, version));
+        *removal = (now, removal.1.max(version));
+        self.upstreams.remove(id).is_some()
+    }
+
+    /// Version of the directory in which a removed upstream left it, if it was
+    /// removed lately.
+    #[must_use]
+    pub fn removed_version(&self, id: &str) -> Option<u64> {
+        self.removed.get(id).map(|(_, version)| *version)
+    }
+
     /// Records another node's notice that an upstream is draining, as of
     /// `version` of the directory; returns whether this was not known yet.
     pub fn record_draining(&mut self, id: &str, version: u64) -> bool {
@@ -216,7 +249,9 @@
             .map(|(id, _)| id.clone())
             .collect();
         for id in &gone {
-            self.upstreams.remove(id);
+            if let Some(health) = self.upstreams.remove(id) {
+                self.removed.insert(id.clone(), (now, health.entry.version));
+            }
         }
         gone
     }
@@ -249,6 +284,11 @@
         upstreams.find(|health| health.entry.address == address)
     }
 
+    /// Entries of all upstreams in the table.
+    pub fn entries(&self) -> impl Iterator<Item = &UpstreamEntry> {
+        self.upstreams.values().map(|health| &health.entry)
+    }
+
     /// Ids of all upstreams in the table.
     pub fn ids(&self) -> impl Iterator<Item = &UpstreamId> {
         self.upstreams.keys()
--- a/components/dispatch/tests/alternating_load.rs
+++ b/components/dispatch/tests/alternating_load.rs
@@ -12,7 +12,7 @@
 };
 
 use dispatch::{
-    InFlightId, InFlightRequest, LatencyGoals, LoadTracker, MemoryShare, Placement,
+    AggregateChunk, InFlightId, InFlightRequest, LatencyGoals, LoadTracker, MemoryShare, Placement,
     PlacementRequest, PlacementWait, PrefillNotice, PromptSize, UpstreamTable, place_prompt,
 };
 use model::{PassEngine, PassEvent, PassSpec, PrefillShard};
@@ -143,6 +143,8 @@
     engines: Vec<PassEngine>,
     names: Vec<String>,
     trackers: Vec<LoadTracker>,
+    /// Number of aggregates shared so far.
+    aggregates: u64,
     table: UpstreamTable,
     requests: Vec<SimulatedRequest>,
     rng: SmallRng,
@@ -160,6 +162,7 @@
             engines: (0..ENGINES).map(|_| PassEngine::new(pass_spec())).collect(),
             names,
             trackers: (0..NODES).map(|_| LoadTracker::default()).collect(),
+            aggregates: 0,
             table: engine_table(),
             requests: Vec::new(),
             rng: SmallRng::seed_from_u64(seed),
@@ -402,7 +405,14 @@
                 relay.record_peer_report(now, &node_name(other), loads.clone());
             }
             let aggregate = relay.aggregate_excluding(now, &node_name(node));
-            self.trackers[node].record_aggregate(now, false, false, aggregate);
+            self.aggregates += 1;
+            let chunk = AggregateChunk {
+                aggregate: self.aggregates,
+                index: 0,
+                count: 1,
+                loads: aggregate,
+            };
+            self.trackers[node].record_aggregate(now, chunk);
         }
         self.schedule(
             self.now + AGGREGATE_INTERVAL,
--- a/components/dispatch/tests/known_state.rs
+++ b/components/dispatch/tests/known_state.rs
@@ -1,13 +1,18 @@
 //! State about upstreams, other nodes and the store when updates are lost, late,
 //! repeated or out of order; limits on retries and crash-causing requests.
 
-use std::time::{Duration, Instant};
+use std::{
+    collections::BTreeSet,
+    net::{IpAddr, SocketAddr},
+    time::{Duration, Instant},
+};
 
 use dispatch::{
     NodeRoster, QuarantineList, RetryBudget, RosterEntry, TableFreshness, UpstreamEntry,
     UpstreamState, UpstreamTable, VersionSource,
 };
 use proptest::prelude::{prop, proptest};
+use rand::{SeedableRng, rngs::StdRng};
 
 fn entry(id: &str, version: u64, state: UpstreamState, started_ms: u64) -> UpstreamEntry {
     UpstreamEntry {
@@ -253,6 +258,7 @@
         peer_address: ([10, 0, 0, 2], 81).into(),
         incarnation,
         ready,
+        capacity: 250,
     }
 }
 
@@ -274,24 +280,100 @@
 fn address_answers_contain_only_live_nodes_that_take_callers() {
     let now = Instant::now();
     let mut roster = NodeRoster::default();
+    let addresses = |roster: &NodeRoster, now| {
+        roster.addresses(now, None, "sault", &mut StdRng::seed_from_u64(1))
+    };
     roster.record_listing(now, node("listed", 1, true));
     assert!(
-        roster.addresses(now, None).is_empty(),
+        addresses(&roster, now).is_empty(),
         "a listed node does not count as alive"
     );
     roster.record_heartbeat(now, node("heard", 1, true));
-    assert_eq!(roster.addresses(now, None).len(), 1);
+    assert_eq!(addresses(&roster, now).len(), 1);
     roster.record_heartbeat(now, node("heard", 1, false));
-    assert!(roster.addresses(now, None).is_empty(), "it is leaving");
+    assert!(addresses(&roster, now).is_empty(), "it is leaving");
     roster.record_heartbeat(now, node("heard", 2, true));
     roster.record_heartbeat(now, node("heard", 1, false));
     assert_eq!(
-        roster.addresses(now, None).len(),
+        addresses(&roster, now).len(),
         1,
         "a heartbeat of its old incarnation"
     );
     let later = now + Duration::from_secs(3);
-    assert!(roster.addresses(later, None).is_empty(), "it fell silent");
+    assert!(addresses(&roster, later).is_empty(), "it fell silent");
+}
+
+/// In a fleet of more nodes than an answer holds, callers are sent to the nodes of
+/// their zone, and no node is left out because of its name.
+#[test]
+fn address_answers_of_a_large_fleet_name_the_zone_first_and_others_at_random() {
+    let now = Instant::now();
+    let mut roster = NodeRoster::default();
+    for index in 0..300 {
+        let mut entry = node(&format!("node-{index:03}"), 1, true);
+        entry.zone = format!("zone-{}", index % 5);
+        let [high, low] = u16::to_be_bytes(index);
+        entry.caller_address = ([10, 0, high, low], 80).into();
+        roster.record_heartbeat(now, entry);
+    }
+    let mut rng = StdRng::seed_from_u64(27);
+    let mut named = BTreeSet::new();
+    for _ in 0..200 {
+        let answer = roster.addresses(now, None, "zone-4", &mut rng);
+        assert_eq!(answer.len(), 64);
+        let index = |address: &SocketAddr| match address.ip() {
+            IpAddr::V4(ip) => u16::from_be_bytes([ip.octets()[2], ip.octets()[3]]),
+            IpAddr::V6(_) => unreachable!(),
+        };
+        let in_zone = answer.iter().filter(|address| index(address) % 5 == 4);
+        assert_eq!(in_zone.count(), 60, "all nodes of the zone");
+        named.extend(answer);
+    }
+    assert!(named.len() > 280, "{} of 300 nodes named", named.len());
+}
+
+/// What relays tell keeps a node alive until they take it back, or until it does not
+/// answer. A node that hears all others itself believes only what it hears, or two
+/// relays would keep a dead node alive by telling each other.
+#[test]
+fn a_node_counts_as_alive_as_long_as_a_relay_says_so() {
+    let now = Instant::now();
+    let mut roster = NodeRoster::default();
+    roster.record_told(now, node("a", 2, true), true);
+    assert!(roster.is_alive(now, "a"));
+    roster.record_told(now, node("a", 1, true), false);
+    assert!(roster.is_alive(now, "a"), "news of its old incarnation");
+
+    roster.record_silence(now, "a");
+    assert!(!roster.is_alive(now, "a"), "it did not answer");
+    assert!(
+        roster.is_alive(now + Duration::from_secs(4), "a"),
+        "tried again"
+    );
+
+    let later = now + Duration::from_secs(4);
+    roster.set_hears_all(true);
+    assert!(!roster.is_alive(later, "a"));
+    roster.record_heartbeat(later, node("a", 2, true));
+    assert!(roster.is_alive(later, "a"));
+    roster.set_hears_all(false);
+    roster.retain_told(|_| false);
+    assert!(!roster.is_alive(later + Duration::from_secs(2), "a"));
+}
+
+/// News of an upstream that was removed doesn't bring it back, unless it registered
+/// anew since.
+#[test]
+fn late_news_does_not_bring_back_a_removed_upstream() {
+    let now = Instant::now();
+    let mut table = UpstreamTable::default();
+    table.upsert(entry("a", 5, UpstreamState::Ready, 1));
+    assert!(!table.remove_at(now, "a", 4), "the entry is newer");
+    assert!(table.remove_at(now, "a", 8));
+    table.upsert(entry("a", 7, UpstreamState::Ready, 1));
+    assert!(selectable_ids(&table, now).is_empty());
+    table.upsert(entry("a", 9, UpstreamState::Ready, 2));
+    assert_eq!(selectable_ids(&table, now), ["a"]);
 }
 
 #[test]
--- a/components/gateway/src/daemon.rs
+++ b/components/gateway/src/daemon.rs
@@ -15,11 +15,11 @@
 use crate::{
     GatewaySettings, WatchedTable, WireDialect,
     client::PlainCaller,
+    datagrams::{PeerDatagram, receive_datagrams, send_queued_datagrams},
     listen::{ListenRole, is_closing, listen},
-    peers::{PeerDatagram, receive_datagrams, send_queued_datagrams, send_summaries},
-    shared_loads::report_loads,
+    reports::{is_relay, send_reports},
     state::Gateway,
-    sync::watch_table,
+    sync::{wait_for_fleet, watch_table},
 };
 
 /// Capacity of the queue of outgoing datagrams.
@@ -28,6 +28,8 @@
 const ROW_CALL_TIMEOUT: Duration = Duration::from_millis(900);
 /// Pause between attempts to write the row.
 const ROW_RETRY_PAUSE: Duration = Duration::from_millis(500);
+/// Interval at which a node checks whether it has become a relay.
+const RELAY_CHECK_PAUSE: Duration = Duration::from_millis(500);
 /// Interval at which expired entries are removed.
 const EXPIRY_PAUSE: Duration = Duration::from_secs(1);
 /// Share of the grace period after which the process exits even if connections
@@ -99,10 +101,7 @@
         ))
         .detach();
     executor
-        .spawn(send_summaries(Rc::clone(&gateway), Rc::clone(&socket)))
-        .detach();
-    executor
-        .spawn(report_loads(Rc::clone(&gateway), Rc::clone(&socket)))
+        .spawn(send_reports(Rc::clone(&gateway), Rc::clone(&socket)))
         .detach();
     executor.spawn(write_own_row(Rc::clone(&gateway))).detach();
     executor
@@ -149,8 +148,13 @@
     Ok(())
 }
 
-/// Writes this node's row to the store, so that other nodes find it.
+/// Writes this node's row to the store once it is a relay, so that nodes that know no
+/// other find it.
 async fn write_own_row(gateway: Rc<Gateway>) {
+    wait_for_fleet(&gateway).await;
+    while !is_relay(&gateway) {
+        gateway.clock.sleep(RELAY_CHECK_PAUSE).await;
+    }
     let entry = gateway.own_entry();
     let Ok(value) = postcard::to_stdvec(&entry) else {
         log::error!("event=row_unencodable node={}", entry.node);
@@ -164,7 +168,10 @@
             .timeout(ROW_CALL_TIMEOUT, caller.call(call))
             .await
         {
-            Some(Ok((status, _))) if status.is_success() => return,
+            Some(Ok((status, _))) if status.is_success() => {
+                gateway.row_written.set(true);
+                return;
+            }
             other => log::warn!("event=row_not_written node={} answer={other:?}", entry.node),
         }
         gateway.clock.sleep(ROW_RETRY_PAUSE).await;
@@ -197,8 +204,10 @@
     log::info!("event=stopping node={}", gateway.settings.node);
     let node = gateway.settings.node.clone();
     gateway.queue_datagram(PeerDatagram::NodeLeft(node, gateway.incarnation));
-    let removal = remove_own_row(Rc::clone(gateway));
-    gateway.executor.spawn(removal).detach();
+    if gateway.row_written.get() {
+        let removal = remove_own_row(Rc::clone(gateway));
+        gateway.executor.spawn(removal).detach();
+    }
     while !is_closing(gateway) {
         gateway.clock.sleep(STOP_CHECK_PAUSE).await;
     }
--- /dev/null
+++ b/components/gateway/src/datagrams.rs
@@ -0,0 +1,189 @@
+//! Datagrams between nodes. A node sends its reports and what it sees to the relays
+//! only; they tell the other nodes.
+
+use std::{
+    net::{SocketAddr, UdpSocket},
+    rc::Rc,
+    time::Duration,
+};
+
+use dispatch::{AggregateChunk, CrashFingerprint, NewsItem, PrefillNotice, select_relays};
+use serde::{Deserialize, Serialize};
+use smol::{Async, channel::Receiver};
+use types::{NodeId, UpstreamId};
+
+use crate::{
+    news::{RelayNews, handle_news},
+    reports::{NodeReport, handle_report, handle_sums, is_relay},
+    state::Gateway,
+};
+
+/// Pauses before a datagram is sent for the second and the third time.
+const REPEAT_PAUSES: [Duration; 2] = [Duration::from_millis(150), Duration::from_millis(350)];
+/// Largest datagram that fits into one packet of usual size. A longer one is sent as
+/// well, with a warning; receivers accept up to four times this size.
+pub(crate) const PACKET_PAYLOAD_BYTES: usize = 1400;
+
+/// Datagram between nodes.
+#[derive(Clone, Debug)]
+#[derive(Deserialize, Serialize)]
+pub(crate) enum PeerDatagram {
+    /// Heartbeat of the sender, with the load of its requests on the engines.
+    Report(NodeReport),
+    /// Load of all other nodes' requests on the engines, from a relay.
+    Sums(AggregateChunk),
+    /// What is new since the last answer, from a relay.
+    News(RelayNews),
+    /// Engines start the prefill of a prompt that this node placed.
+    PrefillStarted {
+        node: NodeId,
+        notice: PrefillNotice,
+        /// Whether a relay passes the notice on.
+        passed_on: bool,
+    },
+    /// The connection to an upstream broke while it may have been running the request.
+    UpstreamCrashed(CrashFingerprint, UpstreamId),
+    /// The sender is stopping; the number is its incarnation: its start time in Unix
+    /// milliseconds.
+    NodeLeft(NodeId, u64),
+}
+
+/// Sends the datagrams that other tasks queue to the relays, and repeats all but the
+/// notices of prefills.
+pub(crate) async fn send_queued_datagrams(
+    gateway: Rc<Gateway>,
+    socket: Rc<Async<UdpSocket>>,
+    queued: Receiver<PeerDatagram>,
+) {
+    while let Ok(datagram) = queued.recv().await {
+        let is_prefill = matches!(datagram, PeerDatagram::PrefillStarted { .. });
+        let mut targets = other_relays(&gateway);
+        if is_prefill && is_relay(&gateway) {
+            targets.extend(zone_members(&gateway, &gateway.settings.node));
+        }
+        send_datagram(&socket, &targets, &datagram).await;
+        if !is_prefill {
+            let repeating = repeat_datagram(Rc::clone(&gateway), Rc::clone(&socket), datagram);
+            gateway.executor.spawn(repeating).detach();
+        }
+    }
+}
+
+/// Repeats a datagram, since some get lost and nothing else would soon carry the
+/// same information.
+async fn repeat_datagram(
+    gateway: Rc<Gateway>,
+    socket: Rc<Async<UdpSocket>>,
+    datagram: PeerDatagram,
+) {
+    for pause in REPEAT_PAUSES {
+        gateway.clock.sleep(pause).await;
+        send_datagram(&socket, &other_relays(&gateway), &datagram).await;
+    }
+}
+
+/// Returns the addresses of the relays, without this node's own.
+fn other_relays(gateway: &Gateway) -> Vec<SocketAddr> {
+    let own = gateway.own_entry();
+    let roster = gateway.roster.borrow();
+    let relays = select_relays(roster.live(gateway.now()).chain([&own]));
+    let others = relays.iter().filter(|relay| relay.node != own.node);
+    others.map(|relay| relay.peer_address).collect()
+}
+
+/// Returns the addresses of the live nodes of this node's zone, without `origin` and
+/// without this node's own.
+fn zone_members(gateway: &Gateway, origin: &str) -> Vec<SocketAddr> {
+    let roster = gateway.roster.borrow();
+    roster
+        .live(gateway.now())
+        .filter(|entry| entry.zone == gateway.settings.zone && entry.node != origin)
+        .map(|entry| entry.peer_address)
+        .collect()
+}
+
+/// Sends to all of `targets`. Errors are only logged: reports and answers are sent
+/// anew at intervals, and [`send_queued_datagrams`] repeats the other datagrams that
+/// matter.
+pub(crate) async fn send_datagram(
+    socket: &Async<UdpSocket>,
+    targets: &[SocketAddr],
+    datagram: &PeerDatagram,
+) {
+    let Ok(bytes) = postcard::to_stdvec(datagram) else {
+        log::error!("event=news_unencodable");
+        return;
+    };
+    if bytes.len() > PACKET_PAYLOAD_BYTES {
+        log::warn!("event=news_too_long bytes={}", bytes.len());
+    }
+    for target in targets {
+        if let Err(error) = socket.send_to(&bytes, *target).await {
+            log::debug!("event=datagram_failed peer={target} error=\"{error}\"");
+        }
+    }
+}
+
+/// Receives and handles the datagrams of other nodes.
+pub(crate) async fn receive_datagrams(gateway: Rc<Gateway>, socket: Rc<Async<UdpSocket>>) {
+    let mut buffer = vec![0; 4 * PACKET_PAYLOAD_BYTES];
+    loop {
+        let received = socket.recv_from(&mut buffer).await;
+        let (size, from) = match received {
+            Ok(received) => received,
+            Err(error) => {
+                log::debug!("event=datagram_receive_failed error=\"{error}\"");
+                continue;
+            }
+        };
+        match postcard::from_bytes::<PeerDatagram>(&buffer[..size]) {
+            Ok(datagram) => handle_datagram(&gateway, &socket, from, datagram).await,
+            Err(error) => log::warn!("event=datagram_unreadable peer={from} error=\"{error}\""),
+        }
+    }
+}
+
+async fn handle_datagram(
+    gateway: &Rc<Gateway>,
+    socket: &Async<UdpSocket>,
+    from: SocketAddr,
+    datagram: PeerDatagram,
+) {
+    let now = gateway.now();
+    match datagram {
+        PeerDatagram::Report(report) => handle_report(gateway, socket, from, report).await,
+        PeerDatagram::Sums(sums) => handle_sums(gateway, sums),
+        PeerDatagram::News(news) => handle_news(gateway, news),
+        PeerDatagram::PrefillStarted {
+            node,
+            notice,
+            passed_on,
+        } => {
+            gateway
+                .loads
+                .borrow_mut()
+                .record_peer_prefill(now, &node, &notice);
+            if !passed_on && is_relay(gateway) {
+                let targets = zone_members(gateway, &node);
+                let datagram = PeerDatagram::PrefillStarted {
+                    node,
+                    notice,
+                    passed_on: true,
+                };
+                send_datagram(socket, &targets, &datagram).await;
+            }
+        }
+        PeerDatagram::UpstreamCrashed(fingerprint, upstream) => {
+            let mut quarantine = gateway.quarantine.borrow_mut();
+            quarantine.record_crash(now, fingerprint, &upstream);
+            let item = NewsItem::Crash(fingerprint, upstream);
+            gateway.news_log.borrow_mut().publish(now, item);
+        }
+        PeerDatagram::NodeLeft(node, incarnation) => {
+            if gateway.roster.borrow_mut().remove_left(&node, incarnation) {
+                log::info!("event=node_left node={node}");
+                gateway.loads.borrow_mut().remove_peer(&node);
+            }
+        }
+    }
+}
--- a/components/gateway/src/leg.rs
+++ b/components/gateway/src/leg.rs
@@ -9,7 +9,8 @@
 
 use bytes::Bytes;
 use dispatch::{
-    CallKind, InFlightRequest, LatencyGoals, MemoryShare, Placement, PrefillNotice, PromptSize,
+    CallKind, InFlightRequest, LatencyGoals, MemoryShare, NewsItem, Placement, PrefillNotice,
+    PromptSize,
 };
 use http::{HeaderMap, Request, Uri, header};
 use http_body_util::Full;
@@ -18,8 +19,8 @@
 use crate::{
     ForwardHead,
     client::{ClientConnection, DEFAULT_IDLE_TIMEOUT},
+    datagrams::PeerDatagram,
     forward::ForwardJob,
-    peers::PeerDatagram,
     place::prompt_goals,
     state::{Gateway, InFlightGuard},
     tickets::ReservationSet,
@@ -265,6 +266,8 @@
                 .borrow_mut()
                 .record_crash(now, job.fingerprint, &self.upstream);
         if newly_seen {
+            let item = NewsItem::Crash(job.fingerprint, self.upstream.clone());
+            gateway.news_log.borrow_mut().publish(now, item);
             gateway.queue_datagram(PeerDatagram::UpstreamCrashed(
                 job.fingerprint,
                 self.upstream.clone(),
@@ -300,7 +303,11 @@
     gateway.loads.borrow_mut().record_prefill(now, &notice);
     if !goals.is_strict() || !placement.helpers.is_empty() {
         let node = gateway.settings.node.clone();
-        gateway.queue_datagram(PeerDatagram::PrefillStarted(node, notice));
+        gateway.queue_datagram(PeerDatagram::PrefillStarted {
+            node,
+            notice,
+            passed_on: false,
+        });
     }
 }
 
--- a/components/gateway/src/listen.rs
+++ b/components/gateway/src/listen.rs
@@ -148,7 +148,12 @@
         return empty_response(StatusCode::NOT_FOUND);
     }
     let own = gateway.ready().then_some(gateway.settings.callers);
-    let addresses = gateway.roster.borrow().addresses(gateway.now(), own);
+    let addresses = gateway.roster.borrow().addresses(
+        gateway.now(),
+        own,
+        &gateway.settings.zone,
+        &mut *gateway.rng.borrow_mut(),
+    );
     if addresses.is_empty() {
         return empty_response(StatusCode::SERVICE_UNAVAILABLE);
     }
--- /dev/null
+++ b/components/gateway/src/news.rs
@@ -0,0 +1,276 @@
+//! Tells other nodes what this one knows, and takes over what a relay tells.
+
+use std::{
+    collections::HashSet,
+    net::{SocketAddr, UdpSocket},
+    rc::Rc,
+    time::{Duration, Instant},
+};
+
+use dispatch::{
+    AcceptedNews, NewsCursor, NewsItem, NewsPage, NewsSubject, RosterEntry, UpstreamEntry,
+    UpstreamState,
+};
+use serde::{Deserialize, Serialize};
+use smol::Async;
+use types::UpstreamId;
+
+use crate::{
+    WatchedTable,
+    datagrams::{PACKET_PAYLOAD_BYTES, PeerDatagram, send_datagram},
+    peers::begin_fetch_desired,
+    reports::millis,
+    state::{Gateway, NodeKey},
+    sync::is_store_poller,
+};
+
+/// Key that names any of the store pollers, which go before all other nodes that poll.
+const STORE_POLLER_KEY: NodeKey = 0;
+/// Bytes of a datagram that are left for news items.
+const PAGE_BYTES: usize = PACKET_PAYLOAD_BYTES - 150;
+/// Shortest time between two listings that are asked for since digests differ.
+const RELIST_PAUSE: Duration = Duration::from_secs(2);
+/// Most pages in one answer. A node that needs more asks again.
+const PAGES_MAX: usize = 10;
+
+/// News from a relay, and how fresh the relay's own knowledge is.
+#[derive(Clone, Debug)]
+#[derive(Deserialize, Serialize)]
+pub(crate) struct RelayNews {
+    entry: RosterEntry,
+    /// Version of the desired state that the sender uses.
+    desired: Option<u64>,
+    /// Milliseconds since the store confirmed that version to the sender or to the
+    /// node that the sender has it from.
+    desired_age_ms: Option<u32>,
+    /// The same for the table of upstreams.
+    upstreams_age_ms: Option<u32>,
+    /// Node to which the store confirmed the table of upstreams; [`STORE_POLLER_KEY`]
+    /// if it is a store poller.
+    upstreams_source: Option<NodeKey>,
+    /// Digest of the upstreams that the sender knows, to compare with one's own.
+    upstreams_digest: u64,
+    page: NewsPage,
+}
+
+/// Answers a node that knows this node's news up to `cursor`.
+pub(crate) async fn answer_news(
+    gateway: &Gateway,
+    socket: &Async<UdpSocket>,
+    to: SocketAddr,
+    cursor: NewsCursor,
+) {
+    let now = gateway.now();
+    publish_state(gateway, now);
+    let mut cursor = cursor;
+    for _ in 0..PAGES_MAX {
+        let page = gateway.news_log.borrow().page_after(cursor, PAGE_BYTES);
+        let complete = page.complete;
+        cursor = NewsCursor {
+            log: page.log,
+            sequence: page.until,
+            listing: cursor.listing || page.restarts,
+        };
+        let news = own_news(gateway, now, page);
+        send_datagram(socket, &[to], &PeerDatagram::News(news)).await;
+        if complete {
+            return;
+        }
+    }
+}
+
+fn own_news(gateway: &Gateway, now: Instant, page: NewsPage) -> RelayNews {
+    let desired = gateway.desired_freshness.borrow();
+    let upstreams = gateway.upstream_freshness.borrow();
+    let upstreams_source = if upstreams.polls_store(now) {
+        Some(own_source_key(gateway))
+    } else {
+        gateway.upstreams_source.get()
+    };
+    RelayNews {
+        entry: gateway.own_entry(),
+        desired: desired.version(),
+        desired_age_ms: desired.confirmed_age(now).map(millis),
+        upstreams_age_ms: upstreams.confirmed_age(now).map(millis),
+        upstreams_source,
+        upstreams_digest: gateway.upstreams.borrow().digest(),
+        page,
+    }
+}
+
+/// Returns the key under which this node is named as the source of the upstreams.
+fn own_source_key(gateway: &Gateway) -> NodeKey {
+    if is_store_poller(gateway, WatchedTable::Upstreams) {
+        STORE_POLLER_KEY
+    } else {
+        gateway.own_key()
+    }
+}
+
+/// Brings the log up to date with the nodes and upstreams that this node knows.
+fn publish_state(gateway: &Gateway, now: Instant) {
+    let mut log = gateway.news_log.borrow_mut();
+    log.expire(now);
+    log.publish(now, NewsItem::Node(gateway.own_entry(), true));
+    let roster = gateway.roster.borrow();
+    for entry in roster.members() {
+        let alive = roster.is_alive(now, &entry.node);
+        log.publish(now, NewsItem::Node(entry.clone(), alive));
+    }
+    let left: Vec<RosterEntry> = log
+        .live_nodes()
+        .filter(|entry| entry.node != gateway.settings.node && !roster.is_known(&entry.node))
+        .cloned()
+        .collect();
+    for entry in left {
+        log.publish(now, NewsItem::Node(entry, false));
+    }
+    let upstreams = gateway.upstreams.borrow();
+    let gone: Vec<(UpstreamId, u64)> = log
+        .listed_upstreams()
+        .filter(|entry| upstreams.get(&entry.id).is_none())
+        .map(|entry| {
+            let version = upstreams.removed_version(&entry.id);
+            (entry.id.clone(), version.unwrap_or(entry.version))
+        })
+        .collect();
+    for (id, version) in gone {
+        log.publish(now, NewsItem::UpstreamGone(id, version));
+    }
+    for entry in upstreams.entries() {
+        log.publish(now, NewsItem::Upstream(entry.clone()));
+    }
+}
+
+/// Takes over a page of news.
+pub(crate) fn handle_news(gateway: &Rc<Gateway>, news: RelayNews) {
+    let now = gateway.now();
+    gateway.relay_watch.borrow_mut().record_answer();
+    let peer = news.entry.peer_address;
+    gateway
+        .roster
+        .borrow_mut()
+        .record_heartbeat(now, news.entry);
+    let mut readers = gateway.news_readers.borrow_mut();
+    let accepted = readers.entry(peer).or_default().accept(news.page);
+    drop(readers);
+    let Some(AcceptedNews {
+        items,
+        caught_up,
+        listing,
+    }) = accepted
+    else {
+        return;
+    };
+    for item in items {
+        apply_item(gateway, now, item);
+    }
+    let at = |age_ms: u32| now.checked_sub(Duration::from_millis(age_ms.into()));
+    if let Some(listing) = listing {
+        apply_listed_nodes(gateway, &listing);
+        if news.upstreams_age_ms.is_some() {
+            apply_listed_upstreams(gateway, now, &listing);
+        }
+    }
+    if caught_up
+        && news.upstreams_source != Some(gateway.own_key())
+        && let Some(at) = news.upstreams_age_ms.and_then(at)
+    {
+        gateway
+            .upstream_freshness
+            .borrow_mut()
+            .record_store_poller(at);
+        gateway.upstreams_source.set(news.upstreams_source);
+        compare_digest(gateway, now, peer, news.upstreams_digest);
+    }
+    let known = gateway.desired_freshness.borrow().version();
+    if let Some(at) = news.desired_age_ms.and_then(at)
+        && news.desired == known
+    {
+        gateway
+            .desired_freshness
+            .borrow_mut()
+            .record_store_poller(at);
+    }
+    if news.desired > known {
+        begin_fetch_desired(gateway, peer);
+    }
+}
+
+fn apply_item(gateway: &Gateway, now: Instant, item: NewsItem) {
+    match item {
+        NewsItem::Node(entry, alive) => {
+            if entry.node != gateway.settings.node {
+                gateway.roster.borrow_mut().record_told(now, entry, alive);
+            }
+        }
+        NewsItem::Upstream(entry) => apply_upstream(gateway, entry),
+        NewsItem::UpstreamGone(id, version) => {
+            if gateway.upstreams.borrow_mut().remove_at(now, &id, version) {
+                log::info!("event=upstream_gone upstream={id} source=peer");
+                gateway.loads.borrow_mut().remove_prefill_queue(&id);
+            }
+        }
+        NewsItem::Crash(fingerprint, upstream) => {
+            let mut quarantine = gateway.quarantine.borrow_mut();
+            quarantine.record_crash(now, fingerprint, &upstream);
+            let item = NewsItem::Crash(fingerprint, upstream);
+            gateway.news_log.borrow_mut().publish(now, item);
+        }
+    }
+}
+
+fn apply_upstream(gateway: &Gateway, entry: UpstreamEntry) {
+    let mut upstreams = gateway.upstreams.borrow_mut();
+    let known = upstreams.get(&entry.id).map(|health| &health.entry);
+    match known {
+        None => log::info!("event=upstream_joined upstream={} source=peer", entry.id),
+        Some(known)
+            if known.state == UpstreamState::Ready && entry.state == UpstreamState::Draining =>
+        {
+            log::info!("event=upstream_leaving upstream={} source=peer", entry.id);
+        }
+        Some(_) => {}
+    }
+    upstreams.upsert(entry);
+}
+
+/// Takes back what relays said of nodes that are missing from a complete listing.
+fn apply_listed_nodes(gateway: &Gateway, listing: &HashSet<NewsSubject>) {
+    let is_listed = |node: &String| listing.contains(&NewsSubject::Node(node.clone()));
+    gateway.roster.borrow_mut().retain_told(is_listed);
+}
+
+/// Removes upstreams that are missing from a complete listing, unless this node polls
+/// the store, and so knows better.
+fn apply_listed_upstreams(gateway: &Gateway, now: Instant, listing: &HashSet<NewsSubject>) {
+    if gateway.upstream_freshness.borrow().polls_store(now) {
+        return;
+    }
+    let mut upstreams = gateway.upstreams.borrow_mut();
+    let absent: Vec<UpstreamId> = upstreams
+        .ids()
+        .filter(|id| !listing.contains(&NewsSubject::Upstream((*id).clone())))
+        .cloned()
+        .collect();
+    for id in absent {
+        log::info!("event=upstream_gone upstream={id} source=listing");
+        upstreams.remove(&id, None);
+        gateway.loads.borrow_mut().remove_prefill_queue(&id);
+    }
+}
+
+/// Asks for a listing if the relay knows other upstreams than this node although this
+/// node has all its news.
+fn compare_digest(gateway: &Gateway, now: Instant, peer: SocketAddr, digest: u64) {
+    let polls_store = gateway.upstream_freshness.borrow().polls_store(now);
+    if polls_store || gateway.upstreams.borrow().digest() == digest {
+        return;
+    }
+    let last = gateway.relisted_at.get();
+    if last.is_none_or(|last| now.saturating_duration_since(last) >= RELIST_PAUSE) {
+        gateway.relisted_at.set(Some(now));
+        log::info!("event=upstreams_differ action=relist");
+        gateway.news_readers.borrow_mut().remove(&peer);
+    }
+}
--- a/components/gateway/src/settings.rs
+++ b/components/gateway/src/settings.rs
@@ -11,6 +11,9 @@
     pub node: NodeId,
     /// Availability zone of the entry host.
     pub zone: ZoneId,
+    /// Processor and network share of the entry host; nodes with more of it gather and
+    /// pass on what others report.
+    pub capacity: u32,
     /// Listen address for callers' requests.
     pub callers: SocketAddr,
     /// Listen address for the platform's readiness checks; `None` for no listener.
@@ -21,8 +24,8 @@
     pub peers: SocketAddr,
     /// Listen address for metrics; `None` for no listener.
     pub metrics: Option<SocketAddr>,
-    /// Peer addresses of nodes that may be up. They get every broadcast, so that the
-    /// fleet is found even while the store is unavailable.
+    /// Peer addresses of nodes that may be up, asked by a node that knows no other, so
+    /// that the fleet is found even while the store is unavailable.
     pub seeds: Vec<SocketAddr>,
     /// Address of the platform's store.
     pub store: SocketAddr,
--- a/components/gateway/src/state.rs
+++ b/components/gateway/src/state.rs
@@ -2,24 +2,31 @@
 
 use std::{
     cell::{Cell, RefCell},
+    collections::HashMap,
     hash::RandomState,
+    net::SocketAddr,
     rc::Rc,
     time::{Duration, Instant},
 };
 
 use bytes::Bytes;
 use dispatch::{
-    InFlightId, LoadTracker, NodeRoster, QuarantineList, RelaySelector, RetryBudget, RosterEntry,
-    RouteTable, TableFreshness, UpstreamTable,
+    InFlightId, LoadTracker, NewsCursor, NewsLog, NewsReader, NodeRoster, QuarantineList,
+    RelayWatch, RetryBudget, RosterEntry, RouteTable, TableFreshness, UpstreamTable,
 };
 use kernel::ClockSource;
 use rand::{SeedableRng, rngs::SmallRng};
 use smol::LocalExecutor;
+use xxhash_rust::xxh3::xxh3_64;
 
 use crate::{
-    GatewaySettings, RevokePolicy, WireDialect, client::ConnectionPool, metrics::GatewayMetrics,
+    GatewaySettings, RevokePolicy, WireDialect, client::ConnectionPool, datagrams::PeerDatagram,
+    metrics::GatewayMetrics,
 };
 
+/// Hash of a node's id, in datagrams.
+pub(crate) type NodeKey = u64;
+
 /// State of one gateway.
 pub(crate) struct Gateway {
     pub(crate) settings: GatewaySettings,
@@ -42,15 +49,29 @@
     pub(crate) upstream_freshness: RefCell<TableFreshness>,
     pub(crate) loads: RefCell<LoadTracker>,
     pub(crate) roster: RefCell<NodeRoster>,
-    /// Chooses the relay node that is asked for the sums of all other nodes' loads.
-    pub(crate) relay_selector: RefCell<RelaySelector>,
+    /// What this node tells others that ask it.
+    pub(crate) news_log: RefCell<NewsLog>,
+    /// What this node has read of the logs of relays, by their address.
+    pub(crate) news_readers: RefCell<HashMap<SocketAddr, NewsReader>>,
+    /// Whether that relay answers.
+    pub(crate) relay_watch: RefCell<RelayWatch>,
+    /// Since when this node is the relay of its zone.
+    pub(crate) relay_since: Cell<Option<Instant>>,
+    /// Node whose polls of the store the known upstreams come from.
+    pub(crate) upstreams_source: Cell<Option<NodeKey>>,
     pub(crate) retry_budget: RefCell<RetryBudget>,
     pub(crate) quarantine: RefCell<QuarantineList>,
     pub(crate) pool: RefCell<ConnectionPool>,
-    /// Queue of datagrams for all nodes, sent by a task of its own.
-    pub(crate) outbox: smol::channel::Sender<crate::peers::PeerDatagram>,
+    /// Queue of datagrams for the relays, sent by a task of its own.
+    pub(crate) outbox: smol::channel::Sender<PeerDatagram>,
+    /// Number of the last aggregate that this node sent, in a range of its own.
+    last_aggregate: Cell<u64>,
+    /// When this node last asked for a listing since its upstreams differed.
+    pub(crate) relisted_at: Cell<Option<Instant>>,
     /// Start of the running call that fetches the desired state from another node.
     fetch_started: Cell<Option<Instant>>,
+    /// Whether this node's row is in the store.
+    pub(crate) row_written: Cell<bool>,
     /// When SIGTERM arrived.
     pub(crate) stopping_since: Cell<Option<Instant>>,
     /// Number of open connections from callers.
@@ -67,7 +88,7 @@
         executor: Rc<LocalExecutor<'static>>,
         clock: ClockSource,
         incarnation: u64,
-        outbox: smol::channel::Sender<crate::peers::PeerDatagram>,
+        outbox: smol::channel::Sender<PeerDatagram>,
         idle_close_receiver: smol::channel::Receiver<()>,
     ) -> Self {
         let retry_budget = RetryBudget::new(
@@ -90,12 +111,19 @@
             upstream_freshness: RefCell::default(),
             loads: RefCell::default(),
             roster: RefCell::default(),
-            relay_selector: RefCell::default(),
+            news_log: RefCell::new(NewsLog::new(rand::random_range(1..=u64::MAX))),
+            news_readers: RefCell::default(),
+            relay_watch: RefCell::default(),
+            relay_since: Cell::default(),
+            upstreams_source: Cell::default(),
             retry_budget: RefCell::new(retry_budget),
             quarantine: RefCell::default(),
             pool: RefCell::default(),
             outbox,
+            last_aggregate: Cell::new(u64::from(rand::random::<u32>()) << u32::BITS),
+            relisted_at: Cell::default(),
             fetch_started: Cell::new(None),
+            row_written: Cell::new(false),
             stopping_since: Cell::new(None),
             open_connections: Cell::new(0),
             idle_close_receiver,
@@ -126,8 +154,8 @@
     }
 
     /// Returns whether a fetch of the desired state from another node may start, and
-    /// records its start. Only one runs at a time, since every node announces every
-    /// new version; one that began more than `limit` ago no longer counts.
+    /// records its start. Only one runs at a time, since each answer of a relay names
+    /// its version; one that began more than `limit` ago no longer counts.
     pub(crate) fn begin_fetch(&self, now: Instant, limit: Duration) -> bool {
         let fetch_started = self.fetch_started.get();
         if fetch_started.is_some_and(|since| now.saturating_duration_since(since) < limit) {
@@ -142,6 +170,27 @@
         self.fetch_started.set(None);
     }
 
+    /// Returns up to where this node knows the news of the node at `address`.
+    pub(crate) fn news_cursor(&self, address: SocketAddr) -> NewsCursor {
+        let readers = self.news_readers.borrow();
+        readers
+            .get(&address)
+            .map(NewsReader::cursor)
+            .unwrap_or_default()
+    }
+
+    /// Returns a number for the next aggregate, higher than the last one.
+    pub(crate) fn next_aggregate(&self) -> u64 {
+        let number = self.last_aggregate.get() + 1;
+        self.last_aggregate.set(number);
+        number
+    }
+
+    /// Returns the hash of this node's id.
+    pub(crate) fn own_key(&self) -> NodeKey {
+        xxh3_64(self.settings.node.as_bytes())
+    }
+
     /// Returns the entry that this node publishes about itself.
     pub(crate) fn own_entry(&self) -> RosterEntry {
         RosterEntry {
@@ -151,12 +200,13 @@
             peer_address: self.settings.peers,
             incarnation: self.incarnation,
             ready: self.ready(),
+            capacity: self.settings.capacity,
         }
     }
 
-    /// Queues a datagram for all nodes. It is dropped if the queue is full; other
-    /// nodes then learn of the event late, from the store, or not at all.
-    pub(crate) fn queue_datagram(&self, datagram: crate::peers::PeerDatagram) {
+    /// Queues a datagram for the relays, which tell all nodes. It is dropped if the
+    /// queue is full; other nodes then learn of the event late or not at all.
+    pub(crate) fn queue_datagram(&self, datagram: PeerDatagram) {
         if self.outbox.try_send(datagram).is_err() {
             log::debug!("event=news_dropped reason=queue_full");
         }
--- a/components/gateway/src/sync.rs
+++ b/components/gateway/src/sync.rs
@@ -1,18 +1,19 @@
 //! Polls the store's tables, and applies what it or other nodes report.
 //!
-//! A few nodes, the store pollers, poll the desired state and the upstreams all the time
-//! and tell the others. The rows of the nodes are polled by every node.
+//! A few relays, the store pollers, poll the desired state and the upstreams all the
+//! time; the other nodes get both from the relays. While the store refuses the store
+//! pollers, all nodes try it in turn, and one that it answers takes their place. The
+//! rows of the nodes are polled by relays only.
 
 use std::{rc::Rc, time::Duration};
 
 use bytes::Bytes;
-use dispatch::{
-    DesiredState, RosterEntry, RouteTable, UpstreamEntry, UpstreamState, UpstreamTable,
-    VersionSource,
-};
+use dispatch::{DesiredState, RosterEntry, RouteTable, VersionSource, select_relays};
+use rand::RngExt;
+use types::UpstreamId;
 
 use crate::{
-    FeedAnswer, PlainCall, TableChange, WatchedTable, client::PlainCaller, peers::PeerDatagram,
+    FeedAnswer, PlainCall, TableChange, WatchedTable, client::PlainCaller, reports::is_relay,
     state::Gateway,
 };
 
@@ -27,13 +28,14 @@
 /// Pause between polls of the nodes' rows. Nodes mostly learn of each other by
 /// summaries.
 const NODES_POLL_PAUSE: Duration = Duration::from_secs(20);
-/// Number of ready nodes that always poll the store and tell the others. Nodes that
-/// aren't ready may do so as well.
+/// Number of relays that always poll the store.
 const POLLER_COUNT: usize = 3;
-/// Longest time for which other nodes rely on the store pollers before they poll
-/// the store themselves. A missed change is usually noticed earlier, from the version
-/// and digest in the pollers' summaries.
-const POLLER_RELIANCE_MAX: Duration = Duration::from_secs(30);
+/// Time that a node which starts gives the others to tell it what they know, before
+/// it asks the store.
+const FLEET_WAIT: Duration = Duration::from_millis(2500);
+/// Rate at which all nodes together, without the store pollers, try a store that does
+/// not answer.
+const PROBES_PER_SECOND: u32 = 8;
 /// Interval at which a node checks that the store pollers still poll the store.
 const POLLER_CHECK_PAUSE: Duration = Duration::from_millis(250);
 /// Timeout of a call to the store, in addition to the wait of a long poll.
@@ -43,13 +45,29 @@
 /// Longest pause after a failed call.
 const RETRY_PAUSE_MAX: Duration = Duration::from_millis(800);
 
+/// Waits until another node has told this one about the upstreams, at most
+/// [`FLEET_WAIT`]. A seed does not wait, as the others ask it.
+pub(crate) async fn wait_for_fleet(gateway: &Gateway) {
+    let settings = &gateway.settings;
+    if settings.seeds.is_empty() || settings.seeds.contains(&settings.peers) {
+        return;
+    }
+    let mut waited = Duration::ZERO;
+    while waited < FLEET_WAIT && !polled_by_others(gateway, WatchedTable::Upstreams) {
+        gateway.clock.sleep(POLLER_CHECK_PAUSE).await;
+        waited += POLLER_CHECK_PAUSE;
+    }
+}
+
 /// Lists `table` and then polls for its changes until the gateway ends.
 pub(crate) async fn watch_table(gateway: Rc<Gateway>, table: WatchedTable) {
+    wait_for_fleet(&gateway).await;
     let executor = Rc::clone(&gateway.executor);
     let mut caller = PlainCaller::new(executor, gateway.settings.store);
     let mut version = None;
     let mut retry_pause = RETRY_PAUSE_MIN;
     loop {
+        wait_while_polled(&gateway, table).await;
         let step = match version {
             None => list_table(&gateway, &mut caller, table).await,
             Some(version) => poll_changes(&gateway, &mut caller, table, version).await,
@@ -78,7 +96,7 @@
                     );
                 }
                 record_failure(&gateway, table);
-                let pause = retry_pause;
+                let pause = retry_pause.max(probe_pause(&gateway));
                 retry_pause = (retry_pause * 2).min(RETRY_PAUSE_MAX);
                 pause
             }
@@ -86,49 +104,64 @@
         if !pause.is_zero() {
             gateway.clock.sleep(pause).await;
         }
-        if version.is_some() {
-            wait_while_polled(&gateway, table).await;
-        }
     }
 }
 
 /// Waits while store pollers poll the table and tell this node, so that the number of
 /// calls to the store doesn't grow with the number of nodes.
 async fn wait_while_polled(gateway: &Gateway, table: WatchedTable) {
-    let mut waited = Duration::ZERO;
-    while waited < POLLER_RELIANCE_MAX
-        && !is_store_poller(gateway)
-        && polled_by_others(gateway, table)
-    {
+    if is_store_poller(gateway, table) || !polled_by_others(gateway, table) {
+        return;
+    }
+    log::info!("event=store_poll_paused table={table:?}");
+    while !is_store_poller(gateway, table) && polled_by_others(gateway, table) {
         gateway.clock.sleep(POLLER_CHECK_PAUSE).await;
-        waited += POLLER_CHECK_PAUSE;
     }
+    log::info!("event=store_poll_resumed table={table:?}");
 }
 
-/// Returns whether this node is a store poller: whether fewer than [`POLLER_COUNT`]
-/// other nodes that are ready have a smaller id. Whether this node is ready doesn't
-/// matter.
-fn is_store_poller(gateway: &Gateway) -> bool {
-    let own = &gateway.settings.node;
+/// Returns whether this node always polls the table: the rows of the nodes if it is a
+/// relay, the other tables if it is one of the best [`POLLER_COUNT`] relays.
+pub(crate) fn is_store_poller(gateway: &Gateway, table: WatchedTable) -> bool {
+    if table == WatchedTable::Nodes {
+        return is_relay(gateway);
+    }
+    let own = gateway.own_entry();
     let roster = gateway.roster.borrow();
-    let live = roster.live(gateway.now());
-    let smaller_ids = live
-        .filter(|entry| entry.ready && entry.node < *own)
-        .count();
-    smaller_ids < POLLER_COUNT
+    let relays = select_relays(roster.live(gateway.now()).chain([&own]));
+    let pollers = relays.iter().take(POLLER_COUNT);
+    pollers.into_iter().any(|poller| poller.node == own.node)
 }
 
-/// Returns whether a store poller polls the table and its copy is the same as this node's.
-/// The table of nodes is polled by every node.
+/// Returns whether another node polls the table and tells this one. Of two nodes that
+/// both poll the upstreams, the one with the smaller key goes on.
 fn polled_by_others(gateway: &Gateway, table: WatchedTable) -> bool {
     let now = gateway.now();
+    let upstreams = gateway.upstream_freshness.borrow();
+    let source = gateway.upstreams_source.get();
+    let goes_on = upstreams.polls_store(now) && source > Some(gateway.own_key());
     match table {
-        WatchedTable::Desired => gateway.desired_freshness.borrow().has_store_poller(now),
-        WatchedTable::Upstreams => gateway.upstream_freshness.borrow().has_store_poller(now),
-        WatchedTable::Nodes => false,
+        WatchedTable::Desired => {
+            !goes_on && gateway.desired_freshness.borrow().has_store_poller(now)
+        }
+        WatchedTable::Upstreams => !goes_on && upstreams.has_store_poller(now),
+        // Nodes that aren't relays don't need these rows.
+        WatchedTable::Nodes => true,
     }
 }
 
+/// Returns the pause before this node tries a store again that did not answer: with a
+/// random share of it, so that the nodes take turns.
+fn probe_pause(gateway: &Gateway) -> Duration {
+    if is_store_poller(gateway, WatchedTable::Upstreams) {
+        return Duration::ZERO;
+    }
+    let nodes = gateway.roster.borrow().live(gateway.now()).count();
+    let nodes = u32::try_from(nodes).unwrap_or(u32::MAX);
+    let pause = Duration::from_secs(1) * nodes / PROBES_PER_SECOND;
+    pause.mul_f64(gateway.rng.borrow_mut().random_range(0.5..1.5))
+}
+
 /// Outcome of one call that lists or polls a table.
 enum SyncStep {
     /// All changes up to this store version are applied.
@@ -290,8 +323,7 @@
     let mut freshness = gateway.upstream_freshness.borrow_mut();
     freshness.confirm(now, version, VersionSource::Store);
     // `Some` for a while after an outage of the store: upstreams that couldn't renew
-    // their rows may be missing, so they are kept until then and not announced as
-    // leaving.
+    // their rows may be missing, so they are kept until then.
     let expires_at = freshness.grace_until(now);
     let mut upstreams = gateway.upstreams.borrow_mut();
     let mut listed = Vec::new();
@@ -303,26 +335,13 @@
         });
         match entry {
             Some(Ok(entry)) if complete => listed.push(entry),
-            Some(Ok(entry)) => {
-                if entry.state == UpstreamState::Draining && expires_at.is_none() {
-                    announce_leaving(gateway, &upstreams, &entry.id, entry.version);
-                } else if upstreams.get(&entry.id).is_none() {
-                    let row = change.value.map(|value| value.to_vec());
-                    let row = row.unwrap_or_default();
-                    gateway.queue_datagram(PeerDatagram::UpstreamJoined(
-                        change.key,
-                        change.version,
-                        row,
-                    ));
-                }
-                upstreams.upsert(entry);
-            }
+            Some(Ok(entry)) => upstreams.upsert(entry),
             Some(Err(error)) => {
                 log::warn!(
                     "event=entry_unreadable upstream={} error=\"{error}\"",
                     change.key
                 );
-                upstreams.remove(&change.key, None);
+                upstreams.remove_at(now, &change.key, change.version);
             }
             None => {
                 let lapsed = expires_at.is_some();
@@ -330,16 +349,26 @@
                     "event=upstream_gone upstream={} lapsed={lapsed}",
                     change.key
                 );
-                if !lapsed {
-                    announce_leaving(gateway, &upstreams, &change.key, change.version);
+                if lapsed {
+                    upstreams.remove(&change.key, expires_at);
+                } else {
+                    upstreams.remove_at(now, &change.key, change.version);
                 }
-                upstreams.remove(&change.key, expires_at);
             }
         }
     }
     if complete {
         if expires_at.is_none() {
-            announce_absent(gateway, &upstreams, &listed, version);
+            let is_absent = |id: &UpstreamId| listed.iter().all(|entry| entry.id != *id);
+            let absent: Vec<UpstreamId> = upstreams
+                .ids()
+                .filter(|id| is_absent(id))
+                .cloned()
+                .collect();
+            for id in absent {
+                log::info!("event=upstream_gone upstream={id} lapsed=false");
+                upstreams.remove_at(now, &id, version);
+            }
         }
         upstreams.replace(listed, expires_at);
     }
@@ -348,30 +377,6 @@
     }
 }
 
-/// Tells all nodes which known upstreams are missing from a complete listing:
-/// they left while this node missed changes.
-fn announce_absent(
-    gateway: &Gateway,
-    upstreams: &UpstreamTable,
-    listed: &[UpstreamEntry],
-    version: u64,
-) {
-    for id in upstreams.ids() {
-        if listed.iter().all(|entry| entry.id != *id) {
-            announce_leaving(gateway, upstreams, id, version);
-        }
-    }
-}
-
-/// Tells all nodes that an upstream leaves, since some may not reach the store. Does
-/// nothing unless this node knows the upstream as ready.
-fn announce_leaving(gateway: &Gateway, upstreams: &UpstreamTable, id: &str, version: u64) {
-    let known = upstreams.get(id).map(|view| view.entry.state);
-    if known == Some(UpstreamState::Ready) {
-        gateway.queue_datagram(PeerDatagram::UpstreamLeaving(id.to_owned(), version));
-    }
-}
-
 fn apply_nodes(gateway: &Gateway, changes: Vec<TableChange>) {
     let now = gateway.now();
     let mut roster = gateway.roster.borrow_mut();
