Plan reports and news in one state machine, tested as a fleet

The choice of relays, whom to ask and what to believe of other relays moves from the gateway's tasks to dispatch::FleetView, which has no I/O. A test simulates up to 1,000 of them with lost, late and reordered datagrams.

It found, before the change of each: nodes stuck to dead relays for ever when most nodes were lost, as passing over a relay ended before its successor had settled; nodes that lost others for good after reading the logs of two relays; relays of one zone that did not know each other after a common restart; and pages taken from a relay that was no longer asked. A node now reads one log at a time, passes over a silent relay for 6 s and twice as long each time, and asks it again meanwhile; relays also look for nodes that others call alive.

--- a/components/dispatch/src/lib.rs
+++ b/components/dispatch/src/lib.rs
@@ -7,6 +7,7 @@
 mod budget;
 mod desired;
 mod engine;
+mod fleet;
 mod freshness;
 mod load;
 mod load_sums;
@@ -27,6 +28,7 @@
     ServiceSpec, ServiceWeight,
 };
 pub use engine::{PromptSize, prefill_time};
+pub use fleet::{FleetView, ReportPlan, ReportTarget};
 pub use freshness::{TableFreshness, VersionSource};
 pub use load::{
     AggregateChunk, EngineKey, EngineLoad, InFlightId, InFlightRequest, LoadTracker, MemoryShare,
--- a/components/dispatch/src/news.rs
+++ b/components/dispatch/src/news.rs
@@ -124,6 +124,18 @@
     pub items: Vec<NewsItem>,
 }
 
+impl NewsPage {
+    /// Position after this page, for a reader that was at `cursor` before.
+    #[must_use]
+    pub fn next_cursor(&self, cursor: NewsCursor) -> NewsCursor {
+        NewsCursor {
+            log: self.log,
+            sequence: self.until,
+            listing: (cursor.listing || self.restarts) && !self.complete,
+        }
+    }
+}
+
 /// Log of what a node knows, one item for each subject.
 #[derive(Debug)]
 pub struct NewsLog {
@@ -269,14 +281,9 @@
         if let Some(listing) = &mut self.listing {
             listing.extend(page.items.iter().map(NewsItem::subject));
         }
-        let listing = page.complete.then(|| self.listing.take()).flatten();
-        self.cursor = NewsCursor {
-            log: page.log,
-            sequence: page.until,
-            listing: self.listing.is_some(),
-        };
+        self.cursor = page.next_cursor(self.cursor);
         Some(AcceptedNews {
-            listing,
+            listing: page.complete.then(|| self.listing.take()).flatten(),
             caught_up: page.complete,
             items: page.items,
         })
--- a/components/dispatch/src/roster.rs
+++ b/components/dispatch/src/roster.rs
@@ -13,8 +13,11 @@
 /// Time without a heartbeat after which a node counts as dead and is left out
 /// of address answers.
 const ALIVE_TIMEOUT: Duration = Duration::from_millis(1600);
-/// Time for which a node that did not answer is passed over, whatever a relay says.
-const SILENCE_TIME: Duration = Duration::from_secs(3);
+/// Time for which a node that did not answer is passed over, whatever a relay says. It
+/// doubles each time. Longer than a new relay needs until it hears all nodes.
+const SILENCE_TIME_MIN: Duration = Duration::from_secs(6);
+/// Longest time for which a node is passed over.
+const SILENCE_TIME_MAX: Duration = Duration::from_mins(1);
 /// Time after which a node is removed, counted from the last heartbeat of its known
 /// incarnation or from the listing that first showed this incarnation.
 const REMOVAL_TIMEOUT: Duration = Duration::from_secs(40);
@@ -53,6 +56,8 @@
     told_alive: bool,
     /// Until when the node is passed over, since it did not answer.
     silent_until: Option<Instant>,
+    /// Number of times that it did not answer since it was last heard.
+    silences: u32,
     /// When the store last confirmed the upstreams to the node.
     store_confirmed_at: Option<Instant>,
 }
@@ -76,6 +81,7 @@
                 member.last_heartbeat = Some(now);
                 member.last_seen = now;
                 member.silent_until = None;
+                member.silences = 0;
             }
         } else {
             self.insert(now, entry, Some(now));
@@ -124,11 +130,13 @@
         }
     }
 
-    /// Passes over a node that did not answer, for [`SILENCE_TIME`].
+    /// Passes over a node that did not answer, for [`SILENCE_TIME_MIN`] at first.
     pub fn record_silence(&mut self, now: Instant, node: &str) {
         if let Some(member) = self.members.get_mut(node) {
+            let time = SILENCE_TIME_MIN * 2u32.saturating_pow(member.silences.min(8));
             member.last_heartbeat = None;
-            member.silent_until = Some(now + SILENCE_TIME);
+            member.silences += 1;
+            member.silent_until = Some(now + time.min(SILENCE_TIME_MAX));
         }
     }
 
@@ -207,6 +215,13 @@
         self.members.values().map(|member| &member.entry)
     }
 
+    /// Nodes of which a relay says that they are alive, whether or not this node
+    /// believes it.
+    pub fn told_alive(&self) -> impl Iterator<Item = &RosterEntry> {
+        let told = self.members.values().filter(|member| member.told_alive);
+        told.map(|member| &member.entry)
+    }
+
     /// Nodes that are alive, as in [`is_alive`](Self::is_alive).
     pub fn live(&self, now: Instant) -> impl Iterator<Item = &RosterEntry> {
         self.members
@@ -273,6 +288,7 @@
             last_seen: now,
             told_alive: false,
             silent_until: None,
+            silences: 0,
             store_confirmed_at: None,
             entry,
         };
--- /dev/null
+++ b/components/dispatch/tests/fleet.rs
@@ -0,0 +1,364 @@
+//! A fleet of nodes on a simulated clock that report to relays and ask them, while
+//! datagrams are lost, late and out of order, zones are cut off and nodes restart.
+
+use std::{
+    cmp::Reverse,
+    collections::{BTreeMap, BinaryHeap},
+    net::SocketAddr,
+    time::{Duration, Instant},
+};
+
+use dispatch::{
+    FleetView, NewsCursor, NewsPage, RosterEntry, UpstreamEntry, UpstreamState, UpstreamTable,
+};
+use rand::{RngExt, SeedableRng, rngs::StdRng};
+
+const PAGE_BYTES: usize = 1_250;
+const PAGES_MAX: usize = 10;
+const ZONES: usize = 5;
+const TICK: Duration = Duration::from_millis(20);
+
+#[derive(Clone, Debug)]
+enum Datagram {
+    Report(RosterEntry, Option<NewsCursor>),
+    News(RosterEntry, NewsPage),
+}
+
+#[derive(Debug)]
+struct SimulatedNode {
+    entry: RosterEntry,
+    view: FleetView,
+    next_report: Duration,
+    up: bool,
+    sent: usize,
+    received: usize,
+}
+
+struct Fleet {
+    start: Instant,
+    now: Duration,
+    rng: StdRng,
+    nodes: Vec<SimulatedNode>,
+    seeds: Vec<SocketAddr>,
+    upstreams: UpstreamTable,
+    in_flight: BinaryHeap<Reverse<(Duration, u64)>>,
+    datagrams: BTreeMap<u64, (usize, Datagram)>,
+    next_id: u64,
+    loss: f64,
+    /// Zone that exchanges no datagrams with the others.
+    cut_zone: Option<usize>,
+}
+
+fn address(index: usize) -> SocketAddr {
+    let [_, _, high, low] = u32::to_be_bytes(u32::try_from(index).unwrap());
+    ([10, 0, high, low], 81).into()
+}
+
+fn index_of(address: SocketAddr) -> usize {
+    let SocketAddr::V4(address) = address else {
+        unreachable!()
+    };
+    let [_, _, high, low] = address.ip().octets();
+    usize::from(u16::from_be_bytes([high, low]))
+}
+
+fn entry(index: usize, incarnation: u64) -> RosterEntry {
+    RosterEntry {
+        node: format!("node-{index:04}"),
+        zone: format!("zone-{}", index % ZONES),
+        caller_address: address(index),
+        peer_address: address(index),
+        incarnation,
+        ready: true,
+        // A few nodes are larger, but not the first ones by name.
+        capacity: if index % 50 == 17 { 500 } else { 120 },
+    }
+}
+
+impl Fleet {
+    fn new(count: usize, seed: u64) -> Self {
+        let seeds = [3, 5, 11].into_iter().filter(|index| *index < count);
+        let seeds: Vec<SocketAddr> = seeds.map(address).collect();
+        let nodes = (0..count).map(|index| SimulatedNode {
+            entry: entry(index, 1),
+            view: FleetView::new(u64::try_from(index).unwrap() + 1, seeds.clone()),
+            next_report: Duration::from_millis(u64::try_from(index).unwrap() % 300),
+            up: true,
+            sent: 0,
+            received: 0,
+        });
+        Self {
+            start: Instant::now(),
+            now: Duration::ZERO,
+            rng: StdRng::seed_from_u64(seed),
+            nodes: nodes.collect(),
+            seeds,
+            upstreams: UpstreamTable::default(),
+            in_flight: BinaryHeap::new(),
+            datagrams: BTreeMap::new(),
+            next_id: 0,
+            loss: 0.01,
+            cut_zone: None,
+        }
+    }
+
+    fn send(&mut self, from: usize, to: SocketAddr, datagram: Datagram) {
+        let to = index_of(to);
+        self.nodes[from].sent += 1;
+        let zones = [from % ZONES, to % ZONES];
+        let is_cut = zones[0] != zones[1] && zones.iter().any(|zone| Some(*zone) == self.cut_zone);
+        if is_cut || self.rng.random_bool(self.loss) {
+            return;
+        }
+        let delay = Duration::from_millis(self.rng.random_range(1..40));
+        self.in_flight
+            .push(Reverse((self.now + delay, self.next_id)));
+        self.datagrams.insert(self.next_id, (to, datagram));
+        self.next_id += 1;
+    }
+
+    fn run(&mut self, time: Duration) {
+        let end = self.now + time;
+        while self.now < end {
+            self.now += TICK;
+            while let Some(Reverse((at, id))) = self.in_flight.peek().copied() {
+                if at > self.now {
+                    break;
+                }
+                self.in_flight.pop();
+                let (to, datagram) = self.datagrams.remove(&id).unwrap();
+                if self.nodes[to].up {
+                    self.receive(to, datagram);
+                }
+            }
+            for index in 0..self.nodes.len() {
+                if self.nodes[index].up && self.nodes[index].next_report <= self.now {
+                    self.report(index);
+                }
+            }
+        }
+    }
+
+    fn report(&mut self, index: usize) {
+        let now = self.start + self.now;
+        let node = &mut self.nodes[index];
+        let pause = node.view.report_pause(now);
+        let plan = node
+            .view
+            .plan_report(now, &node.entry, pause, false, &mut self.rng);
+        node.next_report = self.now + pause;
+        let entry = node.entry.clone();
+        for target in plan.targets {
+            let report = Datagram::Report(entry.clone(), target.question);
+            self.send(index, target.address, report);
+        }
+    }
+
+    fn receive(&mut self, index: usize, datagram: Datagram) {
+        let now = self.start + self.now;
+        self.nodes[index].received += 1;
+        match datagram {
+            Datagram::Report(sender, question) => {
+                let to = sender.peer_address;
+                let node = &mut self.nodes[index];
+                node.view.roster_mut().record_heartbeat(now, sender);
+                let Some(mut cursor) = question else {
+                    return;
+                };
+                node.view.publish_state(now, &node.entry, &self.upstreams);
+                for _ in 0..PAGES_MAX {
+                    let node = &self.nodes[index];
+                    let page = node.view.news_after(cursor, PAGE_BYTES);
+                    let complete = page.complete;
+                    cursor = page.next_cursor(cursor);
+                    let news = Datagram::News(node.entry.clone(), page);
+                    self.send(index, to, news);
+                    if complete {
+                        return;
+                    }
+                }
+            }
+            Datagram::News(sender, page) => {
+                let node = &mut self.nodes[index];
+                node.view.accept_news(now, &node.entry, sender, page);
+            }
+        }
+    }
+
+    fn restart(&mut self, index: usize) {
+        let log = self.rng.random_range(10_000..u64::MAX);
+        let node = &mut self.nodes[index];
+        node.view = FleetView::new(log, self.seeds.clone());
+        node.entry.incarnation += 1;
+        node.next_report = self.now + Duration::from_millis(u64::try_from(index).unwrap() % 200);
+        node.up = true;
+    }
+
+    fn live_count(&self, index: usize) -> usize {
+        let now = self.start + self.now;
+        self.nodes[index].view.roster().live(now).count()
+    }
+
+    /// Fewest and most other nodes that a running node of `zones` counts as alive.
+    fn live_range(&self, zones: impl Fn(usize) -> bool) -> (usize, usize) {
+        let running =
+            (0..self.nodes.len()).filter(|index| self.nodes[*index].up && zones(index % ZONES));
+        let counts: Vec<usize> = running.map(|index| self.live_count(index)).collect();
+        (*counts.iter().min().unwrap(), *counts.iter().max().unwrap())
+    }
+
+    fn relays(&self) -> Vec<usize> {
+        let now = self.start + self.now;
+        let running = (0..self.nodes.len()).filter(|index| self.nodes[*index].up);
+        running
+            .filter(|index| {
+                let node = &self.nodes[*index];
+                node.view.is_relay(now, &node.entry)
+            })
+            .collect()
+    }
+}
+
+/// All nodes start at once and know only three seeds.
+#[test]
+fn nodes_that_start_together_find_each_other_within_seconds() {
+    for (count, seed) in [(6, 1), (22, 2), (100, 3), (300, 4)] {
+        let mut fleet = Fleet::new(count, seed);
+        fleet.run(Duration::from_secs(6));
+        assert_eq!(
+            fleet.live_range(|_| true),
+            (count - 1, count - 1),
+            "{count} nodes"
+        );
+        assert_eq!(fleet.relays().len(), ZONES.min(count), "{count} nodes");
+    }
+}
+
+/// Cost of a node in a quiet fleet: the messages of most nodes don't grow with the
+/// fleet, and those of a relay stay within the rate for which it is made.
+#[test]
+fn a_nodes_messages_do_not_grow_with_the_fleet() {
+    for count in [30, 100, 300, 1_000] {
+        let mut fleet = Fleet::new(count, 5);
+        fleet.run(Duration::from_secs(7));
+        for node in &mut fleet.nodes {
+            (node.sent, node.received) = (0, 0);
+        }
+        fleet.run(Duration::from_secs(2));
+        let relays = fleet.relays();
+        let others = (0..count).filter(|index| !relays.contains(index));
+        let mut messages: Vec<usize> = others
+            .map(|index| fleet.nodes[index].sent + fleet.nodes[index].received)
+            .collect();
+        messages.sort_unstable();
+        let middle = messages[messages.len() / 2];
+        // Five relays and one answer, ten times a second, for two seconds.
+        assert!(middle <= 140, "{count} nodes: {middle} messages");
+        let busiest = relays.iter().map(|index| fleet.nodes[*index].received);
+        let busiest = busiest.max().unwrap();
+        // 1,000 reports a second up to 400 nodes, then 2.5 a second from each node.
+        let limit = 2 * (1_000 + 3 * count);
+        assert!(busiest <= limit, "{count} nodes: {busiest} at a relay");
+    }
+}
+
+/// The relays and most other nodes are lost at once; the rest goes on.
+#[test]
+fn the_rest_of_a_fleet_agrees_on_new_relays_when_most_nodes_are_lost() {
+    for seed in 0..3 {
+        let mut fleet = Fleet::new(200, 10 + seed);
+        fleet.run(Duration::from_secs(8));
+        for relay in fleet.relays() {
+            fleet.nodes[relay].up = false;
+        }
+        for index in 0..200 {
+            if fleet.rng.random_bool(0.6) {
+                fleet.nodes[index].up = false;
+            }
+        }
+        let rest = fleet.nodes.iter().filter(|node| node.up).count();
+        fleet.run(Duration::from_secs(15));
+        assert_eq!(
+            fleet.live_range(|_| true),
+            (rest - 1, rest - 1),
+            "seed {seed}"
+        );
+    }
+}
+
+/// All processes restart within a second, some seeds are gone.
+#[test]
+fn nodes_that_restart_together_find_each_other_through_one_seed() {
+    for seed in 0..4 {
+        let mut fleet = Fleet::new(120, 20 + seed);
+        fleet.run(Duration::from_secs(5));
+        for index in 0..120 {
+            fleet.restart(index);
+        }
+        for lost in [3, 5] {
+            fleet.nodes[lost].up = false;
+        }
+        fleet.run(Duration::from_secs(8));
+        assert_eq!(fleet.live_range(|_| true), (117, 117), "seed {seed}");
+    }
+}
+
+/// A zone that is cut off keeps together, and the fleet is whole again after the cut.
+#[test]
+fn a_zone_that_was_cut_off_comes_back() {
+    let mut fleet = Fleet::new(100, 30);
+    fleet.loss = 0.03;
+    fleet.run(Duration::from_secs(8));
+    fleet.cut_zone = Some(2);
+    fleet.run(Duration::from_secs(12));
+    assert_eq!(fleet.live_range(|zone| zone == 2), (19, 19));
+    assert_eq!(fleet.live_range(|zone| zone != 2), (79, 79));
+    fleet.cut_zone = None;
+    fleet.run(Duration::from_secs(8));
+    let (fewest, _) = fleet.live_range(|_| true);
+    assert_eq!(fewest, 99);
+}
+
+/// A dead node is forgotten although the relays tell each other of their nodes.
+#[test]
+fn a_dead_node_does_not_live_on_in_what_relays_tell_each_other() {
+    let mut fleet = Fleet::new(60, 40);
+    fleet.run(Duration::from_secs(8));
+    fleet.nodes[29].up = false;
+    fleet.run(Duration::from_secs(4));
+    let now = fleet.start + fleet.now;
+    for node in fleet.nodes.iter().filter(|node| node.up) {
+        assert!(
+            !node.view.roster().is_alive(now, "node-0029"),
+            "{}",
+            node.entry.node
+        );
+    }
+}
+
+/// An upstream that leaves is known to be gone by the readers of every relay that knows
+/// it.
+#[test]
+fn the_departure_of_an_upstream_is_in_the_log() {
+    let now = Instant::now();
+    let mut view = FleetView::new(1, Vec::new());
+    let own = entry(0, 1);
+    let mut upstreams = UpstreamTable::default();
+    upstreams.upsert(UpstreamEntry {
+        id: "engine".to_owned(),
+        service: "models".to_owned(),
+        address: address(9),
+        zone: "zone-0".to_owned(),
+        slots: 10,
+        state: UpstreamState::Ready,
+        started_ms: Some(1),
+        version: 7,
+    });
+    view.publish_state(now, &own, &upstreams);
+    assert!(upstreams.remove_at(now, "engine", 9));
+    let later = now + Duration::from_secs(1);
+    view.publish_state(later, &own, &upstreams);
+    let page = view.news_after(NewsCursor::default(), PAGE_BYTES);
+    let gone = dispatch::NewsItem::UpstreamGone("engine".to_owned(), 9);
+    assert!(page.items.contains(&gone), "{page:?}");
+}
--- a/components/gateway/src/attempt.rs
+++ b/components/gateway/src/attempt.rs
@@ -185,7 +185,11 @@
 /// is used up.
 pub(crate) fn take_retry(gateway: &Gateway, job: &ForwardJob) -> bool {
     let now = gateway.now();
-    let nodes = gateway.roster.borrow_mut().recent_fleet_size(now);
+    let nodes = gateway
+        .fleet
+        .borrow_mut()
+        .roster_mut()
+        .recent_fleet_size(now);
     let taken = gateway
         .retry_budget
         .borrow_mut()
@@ -422,7 +426,11 @@
 /// deadline for the upstream that doesn't answer.
 pub(crate) fn can_retry(gateway: &Gateway, job: &ForwardJob, sends: u32) -> bool {
     let now = gateway.now();
-    let nodes = gateway.roster.borrow_mut().recent_fleet_size(now);
+    let nodes = gateway
+        .fleet
+        .borrow_mut()
+        .roster_mut()
+        .recent_fleet_size(now);
     job.route.call_kind.is_repeatable()
         && sends < job.route.max_upstreams
         && now + ANSWER_MARGIN < job.deadline
--- a/components/gateway/src/daemon.rs
+++ b/components/gateway/src/daemon.rs
@@ -188,7 +188,7 @@
             log::info!("event=upstream_gone upstream={id} lapsed=true");
             gateway.loads.borrow_mut().remove_prefill_queue(&id);
         }
-        for entry in gateway.roster.borrow_mut().remove_expired(now) {
+        for entry in gateway.fleet.borrow_mut().roster_mut().remove_expired(now) {
             gateway.loads.borrow_mut().remove_peer(&entry.node);
         }
     }
--- a/components/gateway/src/datagrams.rs
+++ b/components/gateway/src/datagrams.rs
@@ -7,7 +7,7 @@
     time::Duration,
 };
 
-use dispatch::{AggregateChunk, CrashFingerprint, NewsItem, PrefillNotice, select_relays};
+use dispatch::{AggregateChunk, CrashFingerprint, NewsItem, PrefillNotice};
 use serde::{Deserialize, Serialize};
 use smol::{Async, channel::Receiver};
 use types::{NodeId, UpstreamId};
@@ -85,21 +85,17 @@
 /// Returns the addresses of the relays, without this node's own.
 fn other_relays(gateway: &Gateway) -> Vec<SocketAddr> {
     let own = gateway.own_entry();
-    let roster = gateway.roster.borrow();
-    let relays = select_relays(roster.live(gateway.now()).chain([&own]));
-    let others = relays.iter().filter(|relay| relay.node != own.node);
-    others.map(|relay| relay.peer_address).collect()
+    gateway.fleet.borrow().other_relays(gateway.now(), &own)
 }
 
-/// Returns the addresses of the live nodes of this node's zone, without `origin` and
-/// without this node's own.
+/// Returns the addresses of the live nodes of this node's zone that need a notice of
+/// `origin`.
 fn zone_members(gateway: &Gateway, origin: &str) -> Vec<SocketAddr> {
-    let roster = gateway.roster.borrow();
-    roster
-        .live(gateway.now())
-        .filter(|entry| entry.zone == gateway.settings.zone && entry.node != origin)
-        .map(|entry| entry.peer_address)
-        .collect()
+    let own = gateway.own_entry();
+    gateway
+        .fleet
+        .borrow()
+        .zone_members(gateway.now(), &own, origin)
 }
 
 /// Sends to all of `targets`. Errors are only logged: reports and answers are sent
@@ -177,10 +173,11 @@
             let mut quarantine = gateway.quarantine.borrow_mut();
             quarantine.record_crash(now, fingerprint, &upstream);
             let item = NewsItem::Crash(fingerprint, upstream);
-            gateway.news_log.borrow_mut().publish(now, item);
+            gateway.fleet.borrow_mut().publish(now, item);
         }
         PeerDatagram::NodeLeft(node, incarnation) => {
-            if gateway.roster.borrow_mut().remove_left(&node, incarnation) {
+            let mut fleet = gateway.fleet.borrow_mut();
+            if fleet.roster_mut().remove_left(&node, incarnation) {
                 log::info!("event=node_left node={node}");
                 gateway.loads.borrow_mut().remove_peer(&node);
             }
--- a/components/gateway/src/leg.rs
+++ b/components/gateway/src/leg.rs
@@ -267,7 +267,7 @@
                 .record_crash(now, job.fingerprint, &self.upstream);
         if newly_seen {
             let item = NewsItem::Crash(job.fingerprint, self.upstream.clone());
-            gateway.news_log.borrow_mut().publish(now, item);
+            gateway.fleet.borrow_mut().publish(now, item);
             gateway.queue_datagram(PeerDatagram::UpstreamCrashed(
                 job.fingerprint,
                 self.upstream.clone(),
--- a/components/gateway/src/listen.rs
+++ b/components/gateway/src/listen.rs
@@ -148,7 +148,7 @@
         return empty_response(StatusCode::NOT_FOUND);
     }
     let own = gateway.ready().then_some(gateway.settings.callers);
-    let addresses = gateway.roster.borrow().addresses(
+    let addresses = gateway.fleet.borrow().roster().addresses(
         gateway.now(),
         own,
         &gateway.settings.zone,
--- a/components/gateway/src/news.rs
+++ b/components/gateway/src/news.rs
@@ -61,16 +61,16 @@
     cursor: NewsCursor,
 ) {
     let now = gateway.now();
-    publish_state(gateway, now);
+    gateway.fleet.borrow_mut().publish_state(
+        now,
+        &gateway.own_entry(),
+        &gateway.upstreams.borrow(),
+    );
     let mut cursor = cursor;
     for _ in 0..PAGES_MAX {
-        let page = gateway.news_log.borrow().page_after(cursor, PAGE_BYTES);
+        let page = gateway.fleet.borrow().news_after(cursor, PAGE_BYTES);
         let complete = page.complete;
-        cursor = NewsCursor {
-            log: page.log,
-            sequence: page.until,
-            listing: cursor.listing || page.restarts,
-        };
+        cursor = page.next_cursor(cursor);
         let news = own_news(gateway, now, page);
         send_datagram(socket, &[to], &PeerDatagram::News(news)).await;
         if complete {
@@ -107,53 +107,15 @@
     }
 }
 
-/// Brings the log up to date with the nodes and upstreams that this node knows.
-fn publish_state(gateway: &Gateway, now: Instant) {
-    let mut log = gateway.news_log.borrow_mut();
-    log.expire(now);
-    log.publish(now, NewsItem::Node(gateway.own_entry(), true));
-    let roster = gateway.roster.borrow();
-    for entry in roster.members() {
-        let alive = roster.is_alive(now, &entry.node);
-        log.publish(now, NewsItem::Node(entry.clone(), alive));
-    }
-    let left: Vec<RosterEntry> = log
-        .live_nodes()
-        .filter(|entry| entry.node != gateway.settings.node && !roster.is_known(&entry.node))
-        .cloned()
-        .collect();
-    for entry in left {
-        log.publish(now, NewsItem::Node(entry, false));
-    }
-    let upstreams = gateway.upstreams.borrow();
-    let gone: Vec<(UpstreamId, u64)> = log
-        .listed_upstreams()
-        .filter(|entry| upstreams.get(&entry.id).is_none())
-        .map(|entry| {
-            let version = upstreams.removed_version(&entry.id);
-            (entry.id.clone(), version.unwrap_or(entry.version))
-        })
-        .collect();
-    for (id, version) in gone {
-        log.publish(now, NewsItem::UpstreamGone(id, version));
-    }
-    for entry in upstreams.entries() {
-        log.publish(now, NewsItem::Upstream(entry.clone()));
-    }
-}
-
 /// Takes over a page of news.
 pub(crate) fn handle_news(gateway: &Rc<Gateway>, news: RelayNews) {
     let now = gateway.now();
-    gateway.relay_watch.borrow_mut().record_answer();
     let peer = news.entry.peer_address;
-    gateway
-        .roster
-        .borrow_mut()
-        .record_heartbeat(now, news.entry);
-    let mut readers = gateway.news_readers.borrow_mut();
-    let accepted = readers.entry(peer).or_default().accept(news.page);
-    drop(readers);
+    let accepted =
+        gateway
+            .fleet
+            .borrow_mut()
+            .accept_news(now, &gateway.own_entry(), news.entry, news.page);
     let Some(AcceptedNews {
         items,
         caught_up,
@@ -166,11 +128,10 @@
         apply_item(gateway, now, item);
     }
     let at = |age_ms: u32| now.checked_sub(Duration::from_millis(age_ms.into()));
-    if let Some(listing) = listing {
-        apply_listed_nodes(gateway, &listing);
-        if news.upstreams_age_ms.is_some() {
-            apply_listed_upstreams(gateway, now, &listing);
-        }
+    if let Some(listing) = listing
+        && news.upstreams_age_ms.is_some()
+    {
+        apply_listed_upstreams(gateway, now, &listing);
     }
     if caught_up
         && news.upstreams_source != Some(gateway.own_key())
@@ -199,11 +160,8 @@
 
 fn apply_item(gateway: &Gateway, now: Instant, item: NewsItem) {
     match item {
-        NewsItem::Node(entry, alive) => {
-            if entry.node != gateway.settings.node {
-                gateway.roster.borrow_mut().record_told(now, entry, alive);
-            }
-        }
+        // `FleetView` has taken it over.
+        NewsItem::Node(..) => {}
         NewsItem::Upstream(entry) => apply_upstream(gateway, entry),
         NewsItem::UpstreamGone(id, version) => {
             if gateway.upstreams.borrow_mut().remove_at(now, &id, version) {
@@ -215,7 +173,7 @@
             let mut quarantine = gateway.quarantine.borrow_mut();
             quarantine.record_crash(now, fingerprint, &upstream);
             let item = NewsItem::Crash(fingerprint, upstream);
-            gateway.news_log.borrow_mut().publish(now, item);
+            gateway.fleet.borrow_mut().publish(now, item);
         }
     }
 }
@@ -235,12 +193,6 @@
     upstreams.upsert(entry);
 }
 
-/// Takes back what relays said of nodes that are missing from a complete listing.
-fn apply_listed_nodes(gateway: &Gateway, listing: &HashSet<NewsSubject>) {
-    let is_listed = |node: &String| listing.contains(&NewsSubject::Node(node.clone()));
-    gateway.roster.borrow_mut().retain_told(is_listed);
-}
-
 /// Removes upstreams that are missing from a complete listing, unless this node polls
 /// the store, and so knows better.
 fn apply_listed_upstreams(gateway: &Gateway, now: Instant, listing: &HashSet<NewsSubject>) {
@@ -271,6 +223,6 @@
     if last.is_none_or(|last| now.saturating_duration_since(last) >= RELIST_PAUSE) {
         gateway.relisted_at.set(Some(now));
         log::info!("event=upstreams_differ action=relist");
-        gateway.news_readers.borrow_mut().remove(&peer);
+        gateway.fleet.borrow_mut().read_again(peer);
     }
 }
--- a/components/gateway/src/place.rs
+++ b/components/gateway/src/place.rs
@@ -106,7 +106,7 @@
     let spec = routes.state().services.get(&job.service);
     let upstreams = gateway.upstreams.borrow();
     let usable = upstreams.selectable(now, &job.service, tried);
-    let other_nodes = gateway.roster.borrow().live(now).count();
+    let other_nodes = gateway.fleet.borrow().roster().live(now).count();
     let loads = gateway.loads.borrow();
     let mut rng = gateway.rng.borrow_mut();
     match (spec.and_then(|spec| spec.engine.as_ref()), job.request.size) {
--- a/components/gateway/src/state.rs
+++ b/components/gateway/src/state.rs
@@ -2,17 +2,15 @@
 
 use std::{
     cell::{Cell, RefCell},
-    collections::HashMap,
     hash::RandomState,
-    net::SocketAddr,
     rc::Rc,
     time::{Duration, Instant},
 };
 
 use bytes::Bytes;
 use dispatch::{
-    InFlightId, LoadTracker, NewsCursor, NewsLog, NewsReader, NodeRoster, QuarantineList,
-    RelayWatch, RetryBudget, RosterEntry, RouteTable, TableFreshness, UpstreamTable,
+    FleetView, InFlightId, LoadTracker, QuarantineList, RetryBudget, RosterEntry, RouteTable,
+    TableFreshness, UpstreamTable,
 };
 use kernel::ClockSource;
 use rand::{SeedableRng, rngs::SmallRng};
@@ -48,15 +46,8 @@
     /// Version and age of the known upstreams.
     pub(crate) upstream_freshness: RefCell<TableFreshness>,
     pub(crate) loads: RefCell<LoadTracker>,
-    pub(crate) roster: RefCell<NodeRoster>,
-    /// What this node tells others that ask it.
-    pub(crate) news_log: RefCell<NewsLog>,
-    /// What this node has read of the logs of relays, by their address.
-    pub(crate) news_readers: RefCell<HashMap<SocketAddr, NewsReader>>,
-    /// Whether that relay answers.
-    pub(crate) relay_watch: RefCell<RelayWatch>,
-    /// Since when this node is the relay of its zone.
-    pub(crate) relay_since: Cell<Option<Instant>>,
+    /// The other nodes, and the news between them and this one.
+    pub(crate) fleet: RefCell<FleetView>,
     /// Node whose polls of the store the known upstreams come from.
     pub(crate) upstreams_source: Cell<Option<NodeKey>>,
     pub(crate) retry_budget: RefCell<RetryBudget>,
@@ -91,6 +82,7 @@
         outbox: smol::channel::Sender<PeerDatagram>,
         idle_close_receiver: smol::channel::Receiver<()>,
     ) -> Self {
+        let fleet = FleetView::new(rand::random_range(1..=u64::MAX), settings.seeds.clone());
         let retry_budget = RetryBudget::new(
             settings.retry_window,
             settings.retry_ratio,
@@ -110,11 +102,7 @@
             upstreams: RefCell::default(),
             upstream_freshness: RefCell::default(),
             loads: RefCell::default(),
-            roster: RefCell::default(),
-            news_log: RefCell::new(NewsLog::new(rand::random_range(1..=u64::MAX))),
-            news_readers: RefCell::default(),
-            relay_watch: RefCell::default(),
-            relay_since: Cell::default(),
+            fleet: RefCell::new(fleet),
             upstreams_source: Cell::default(),
             retry_budget: RefCell::new(retry_budget),
             quarantine: RefCell::default(),
@@ -170,15 +158,6 @@
         self.fetch_started.set(None);
     }
 
-    /// Returns up to where this node knows the news of the node at `address`.
-    pub(crate) fn news_cursor(&self, address: SocketAddr) -> NewsCursor {
-        let readers = self.news_readers.borrow();
-        readers
-            .get(&address)
-            .map(NewsReader::cursor)
-            .unwrap_or_default()
-    }
-
     /// Returns a number for the next aggregate, higher than the last one.
     pub(crate) fn next_aggregate(&self) -> u64 {
         let number = self.last_aggregate.get() + 1;
--- a/components/gateway/src/sync.rs
+++ b/components/gateway/src/sync.rs
@@ -8,7 +8,7 @@
 use std::{rc::Rc, time::Duration};
 
 use bytes::Bytes;
-use dispatch::{DesiredState, RosterEntry, RouteTable, VersionSource, select_relays};
+use dispatch::{DesiredState, RosterEntry, RouteTable, VersionSource};
 use rand::RngExt;
 use types::UpstreamId;
 
@@ -28,8 +28,6 @@
 /// Pause between polls of the nodes' rows. Nodes mostly learn of each other by
 /// summaries.
 const NODES_POLL_PAUSE: Duration = Duration::from_secs(20);
-/// Number of relays that always poll the store.
-const POLLER_COUNT: usize = 3;
 /// Time that a node which starts gives the others to tell it what they know, before
 /// it asks the store.
 const FLEET_WAIT: Duration = Duration::from_millis(2500);
@@ -121,16 +119,13 @@
 }
 
 /// Returns whether this node always polls the table: the rows of the nodes if it is a
-/// relay, the other tables if it is one of the best [`POLLER_COUNT`] relays.
+/// relay, the other tables if it is a store poller.
 pub(crate) fn is_store_poller(gateway: &Gateway, table: WatchedTable) -> bool {
     if table == WatchedTable::Nodes {
         return is_relay(gateway);
     }
     let own = gateway.own_entry();
-    let roster = gateway.roster.borrow();
-    let relays = select_relays(roster.live(gateway.now()).chain([&own]));
-    let pollers = relays.iter().take(POLLER_COUNT);
-    pollers.into_iter().any(|poller| poller.node == own.node)
+    gateway.fleet.borrow().is_store_poller(gateway.now(), &own)
 }
 
 /// Returns whether another node polls the table and tells this one. Of two nodes that
@@ -156,7 +151,7 @@
     if is_store_poller(gateway, WatchedTable::Upstreams) {
         return Duration::ZERO;
     }
-    let nodes = gateway.roster.borrow().live(gateway.now()).count();
+    let nodes = gateway.fleet.borrow().roster().live(gateway.now()).count();
     let nodes = u32::try_from(nodes).unwrap_or(u32::MAX);
     let pause = Duration::from_secs(1) * nodes / PROBES_PER_SECOND;
     pause.mul_f64(gateway.rng.borrow_mut().random_range(0.5..1.5))
@@ -379,14 +374,14 @@
 
 fn apply_nodes(gateway: &Gateway, changes: Vec<TableChange>) {
     let now = gateway.now();
-    let mut roster = gateway.roster.borrow_mut();
+    let mut fleet = gateway.fleet.borrow_mut();
     for change in changes {
         let Some(value) = change.value else {
             continue;
         };
         match postcard::from_bytes::<RosterEntry>(&value) {
             Ok(entry) if entry.node == gateway.settings.node => {}
-            Ok(entry) => roster.record_listing(now, entry),
+            Ok(entry) => fleet.roster_mut().record_listing(now, entry),
             Err(error) => {
                 log::warn!(
                     "event=node_row_unreadable node={} error=\"{error}\"",
