Keep to what upstreams ask, and to what is known when the store goes back

A server's answers may say that it leaves, or that it wants no requests for a time; the store may come back from a copy some seconds old, with its version numbers given out again.

- An upstream that says it leaves gets no new work from then on, whatever its entry says, until another process has its id.
The other nodes are told.
- One that turns a request away with a time to come back gets none before (each node adds up to a fifth, so that they don't come back together).
When all of a service ask for that, requests are refused at once, with the time until the first one takes them again.
A listing of a new era is taken like one after an outage: missing upstreams stay for the grace time, and entries that were drained or gone before don't come back.
Relays write their rows again.

--- a/components/dispatch/src/news.rs
+++ b/components/dispatch/src/news.rs
@@ -29,6 +29,9 @@
     Upstream(UpstreamEntry),
     /// An upstream that is no longer listed, and the store version of its removal.
     UpstreamGone(UpstreamId, u64),
+    /// The process of an upstream that started at this time, in Unix milliseconds, said
+    /// that it leaves.
+    UpstreamLeaving(UpstreamId, Option<u64>),
     /// An upstream broke the connection while it ran this prompt.
     Crash(CrashFingerprint, UpstreamId),
 }
@@ -40,6 +43,8 @@
     Node(NodeId),
     /// The upstream with this id.
     Upstream(UpstreamId),
+    /// The departure that the upstream with this id announced itself.
+    Leaving(UpstreamId),
     /// The crash of an upstream by a prompt.
     Crash(CrashFingerprint, UpstreamId),
 }
@@ -52,6 +57,7 @@
             Self::Node(entry, _) => NewsSubject::Node(entry.node.clone()),
             Self::Upstream(entry) => NewsSubject::Upstream(entry.id.clone()),
             Self::UpstreamGone(id, _) => NewsSubject::Upstream(id.clone()),
+            Self::UpstreamLeaving(id, _) => NewsSubject::Leaving(id.clone()),
             Self::Crash(fingerprint, id) => NewsSubject::Crash(*fingerprint, id.clone()),
         }
     }
@@ -79,7 +85,7 @@
         match self {
             Self::Node(_, alive) => !alive,
             Self::Upstream(_) => false,
-            Self::UpstreamGone(..) | Self::Crash(..) => true,
+            Self::UpstreamGone(..) | Self::UpstreamLeaving(..) | Self::Crash(..) => true,
         }
     }
 
@@ -87,7 +93,9 @@
         let texts = match self {
             Self::Node(entry, _) => entry.node.len() + entry.zone.len(),
             Self::Upstream(entry) => entry.id.len() + entry.service.len() + entry.zone.len(),
-            Self::UpstreamGone(id, _) | Self::Crash(_, id) => id.len(),
+            Self::UpstreamGone(id, _) | Self::UpstreamLeaving(id, _) | Self::Crash(_, id) => {
+                id.len()
+            }
         };
         texts + ITEM_FIXED_BYTES
     }
--- a/components/dispatch/src/placement.rs
+++ b/components/dispatch/src/placement.rs
@@ -99,6 +99,8 @@
 pub enum PlacementRefusal {
     /// There is no upstream to select.
     NoUpstream,
+    /// All upstreams that could be selected asked for no requests for this time.
+    Paused(Duration),
     /// No upstream has enough free slots and memory, or the prompt would not be
     /// prefilled soon enough; it may be placed later.
     Full,
--- a/components/dispatch/src/upstreams.rs
+++ b/components/dispatch/src/upstreams.rs
@@ -30,6 +30,9 @@
 /// upstream is left out while at least half of the candidates are healthy. A queue
 /// of usual length causes a smaller ratio.
 const MAX_SLOWDOWN: f64 = 3.0;
+/// Time for which an upstream that says it leaves counts as leaving, whatever its entry
+/// says; far longer than one takes to leave.
+const LEAVING_MEMORY: Duration = Duration::from_mins(10);
 /// Time for which the removal of an upstream is remembered.
 const REMOVAL_MEMORY: Duration = Duration::from_mins(2);
 /// Weight of the newest answer in the moving average of the slowdown.
@@ -96,6 +99,11 @@
     /// Versions in which removed upstreams left the directory, so that late news of
     /// an older version doesn't bring them back.
     removed: HashMap<UpstreamId, (Instant, u64)>,
+    /// Upstreams that said themselves that they leave, with the start of the process
+    /// that said so.
+    leaving: HashMap<UpstreamId, (Instant, Option<u64>)>,
+    /// Until when upstreams asked this node for no requests.
+    paused: HashMap<UpstreamId, Instant>,
 }
 
 impl UpstreamHealth {
@@ -198,6 +206,80 @@
         self.upstreams.remove(id).is_some()
     }
 
+    /// Records that the process of an upstream that started at `started_ms` says that it
+    /// leaves; returns whether this was not known yet. It gets no new work from then
+    /// on, even if its entry lapses and comes back.
+    pub fn record_leaving(&mut self, now: Instant, id: &str, started_ms: Option<u64>) -> bool {
+        self.leaving
+            .retain(|_, (at, _)| now.saturating_duration_since(*at) < LEAVING_MEMORY);
+        let known = self.leaving.insert(id.to_owned(), (now, started_ms));
+        known.is_none_or(|(_, known)| known != started_ms)
+    }
+
+    /// Whether the process of `entry` said that it leaves.
+    fn is_leaving(&self, entry: &UpstreamEntry) -> bool {
+        self.leaving
+            .get(&entry.id)
+            .is_some_and(|(_, started_ms)| *started_ms == entry.started_ms)
+    }
+
+    /// Records that an upstream asked this node for no requests until `until`.
+    pub fn record_pause(&mut self, now: Instant, id: &str, until: Instant) {
+        self.paused.retain(|_, until| *until > now);
+        let pause = self.paused.entry(id.to_owned()).or_insert(until);
+        *pause = (*pause).max(until);
+    }
+
+    /// Whether no request may be sent to the upstream now: it leaves, or asked for a
+    /// pause.
+    #[must_use]
+    pub fn is_barred(&self, now: Instant, id: &str) -> bool {
+        let entry = self.upstreams.get(id).map(|health| &health.entry);
+        entry.is_some_and(|entry| self.is_leaving(entry)) || self.is_paused(now, id)
+    }
+
+    fn is_paused(&self, now: Instant, id: &str) -> bool {
+        self.paused.get(id).is_some_and(|until| now < *until)
+    }
+
+    /// Time until the first upstream of `service` may be sent requests again; `None` if
+    /// one may now, or none ever.
+    #[must_use]
+    pub fn pause_left(&self, now: Instant, service: &str) -> Option<Duration> {
+        let staying = self.upstreams.values().filter(|health| {
+            health.entry.service == service
+                && health.entry.state == UpstreamState::Ready
+                && !self.is_leaving(&health.entry)
+        });
+        let ends = staying.map(|health| self.paused.get(&health.entry.id).copied());
+        let first_end = ends.map(|until| until.unwrap_or(now)).min()?;
+        let left = first_end.saturating_duration_since(now);
+        (!left.is_zero()).then_some(left)
+    }
+
+    /// Newest version of the directory that an entry or a removal is known from.
+    #[must_use]
+    pub fn newest_version(&self) -> Option<u64> {
+        let entries = self.upstreams.values().map(|health| health.entry.version);
+        let removals = self.removed.values().map(|(_, version)| *version);
+        entries.chain(removals).max()
+    }
+
+    /// Whether a listing from a copy of the directory, which may be older than this
+    /// table, says nothing about the present: this table knows that the upstream has
+    /// left since, or is draining. Upstreams that live write their entries again.
+    #[must_use]
+    pub fn is_outdated(&self, listed: &UpstreamEntry) -> bool {
+        match self.upstreams.get(&listed.id) {
+            Some(health) => {
+                health.entry.started_ms == listed.started_ms
+                    && health.entry.state == UpstreamState::Draining
+                    && listed.state == UpstreamState::Ready
+            }
+            None => self.removed.contains_key(&listed.id),
+        }
+    }
+
     /// Version of the directory in which a removed upstream left it, if it was
     /// removed lately.
     #[must_use]
@@ -301,7 +383,8 @@
     }
 
     /// Upstreams of `service` that may get new work, sorted by id, without those
-    /// in `excluded`. Ejected ones are left out while any is healthy; those with a
+    /// in `excluded`, those that say they leave and those that asked for a pause.
+    /// Ejected ones are left out while any is healthy; those with a
     /// high failure share or slow first events, while at least half are healthy.
     #[must_use]
     pub fn selectable(
@@ -315,6 +398,7 @@
             .values()
             .filter(|health| health.entry.service == service)
             .filter(|health| health.entry.state == UpstreamState::Ready)
+            .filter(|health| !self.is_barred(now, &health.entry.id))
             .filter(|health| !excluded.contains(&health.entry.id))
             .collect();
         ready.sort_by(|one, other| one.entry.id.cmp(&other.entry.id));
--- a/components/dispatch/tests/known_state.rs
+++ b/components/dispatch/tests/known_state.rs
@@ -366,6 +366,69 @@
     assert!(!roster.is_alive(later + Duration::from_secs(2), "a"));
 }
 
+/// The entry of an upstream that says it leaves may still be ready, lapse and come
+/// back; only a new process under the same id gets work again.
+#[test]
+fn an_upstream_that_says_it_leaves_gets_no_work_until_it_starts_again() {
+    let now = Instant::now();
+    let mut table = UpstreamTable::default();
+    table.upsert(entry("a", 1, UpstreamState::Ready, 7));
+    assert!(table.record_leaving(now, "a", Some(7)));
+    assert!(!table.record_leaving(now, "a", Some(7)), "known");
+    table.upsert(entry("a", 2, UpstreamState::Ready, 7));
+    assert!(selectable_ids(&table, now).is_empty());
+    table.remove("a", None);
+    table.upsert(entry("a", 3, UpstreamState::Ready, 7));
+    assert!(selectable_ids(&table, now).is_empty());
+    assert!(table.is_barred(now, "a"));
+    assert_eq!(table.pause_left(now, "models"), None);
+
+    table.upsert(entry("a", 4, UpstreamState::Ready, 8));
+    assert_eq!(selectable_ids(&table, now), ["a"]);
+    // Late news of the process that left.
+    table.record_leaving(now, "a", Some(7));
+    assert_eq!(selectable_ids(&table, now), ["a"]);
+}
+
+#[test]
+fn an_upstream_gets_no_requests_while_it_asks_for_a_pause() {
+    let now = Instant::now();
+    let mut table = UpstreamTable::default();
+    table.upsert(entry("a", 1, UpstreamState::Ready, 1));
+    table.upsert(entry("b", 2, UpstreamState::Ready, 1));
+    table.record_pause(now, "a", now + Duration::from_secs(3));
+    table.record_pause(now, "a", now + Duration::from_secs(1));
+    assert_eq!(selectable_ids(&table, now), ["b"]);
+    assert_eq!(table.pause_left(now, "models"), None);
+    table.record_pause(now, "b", now + Duration::from_secs(5));
+    let left = table.pause_left(now, "models");
+    assert_eq!(left, Some(Duration::from_secs(3)), "the longer one holds");
+    assert_eq!(selectable_ids(&table, now + Duration::from_secs(3)), ["a"]);
+    assert_eq!(
+        selectable_ids(&table, now + Duration::from_secs(5)),
+        ["a", "b"]
+    );
+}
+
+/// A directory that comes back from a copy lists upstreams as they were when the copy
+/// was made.
+#[test]
+fn a_listing_from_a_copy_brings_back_no_upstream_that_left_since() {
+    let now = Instant::now();
+    let mut table = UpstreamTable::default();
+    table.upsert(entry("draining", 4, UpstreamState::Draining, 1));
+    table.upsert(entry("gone", 5, UpstreamState::Ready, 1));
+    assert!(table.remove_at(now, "gone", 6));
+    assert_eq!(table.newest_version(), Some(6));
+    for id in ["draining", "gone"] {
+        let listed = entry(id, 100, UpstreamState::Ready, 1);
+        assert!(table.is_outdated(&listed), "{id}");
+    }
+    let restarted = entry("draining", 100, UpstreamState::Ready, 2);
+    assert!(!table.is_outdated(&restarted));
+    assert!(!table.is_outdated(&entry("new", 100, UpstreamState::Ready, 1)));
+}
+
 /// News of an upstream that was removed doesn't bring it back, unless it registered
 /// anew since.
 #[test]
--- a/components/gateway/src/attempt.rs
+++ b/components/gateway/src/attempt.rs
@@ -61,6 +61,8 @@
     may_have_run: bool,
     /// Latest complete server error (5xx) of an upstream.
     last_answer: Option<(http::response::Parts, Bytes)>,
+    /// Time until the first upstream takes requests again, if all asked for a pause.
+    pause_left: Option<Duration>,
 }
 
 /// Outcome of one attempt.
@@ -106,6 +108,10 @@
         let placement = match find_placement(gateway, &job, &history.tried).await {
             Ok(placement) => placement,
             Err(PlacementRefusal::NoUpstream) => break "no_upstream",
+            Err(PlacementRefusal::Paused(left)) => {
+                history.pause_left = Some(left);
+                break "paused";
+            }
             Err(PlacementRefusal::Full) => break "full",
             Err(PlacementRefusal::NeedsIdleEngines) => break "needs_quiet",
             Err(PlacementRefusal::TooLarge) => break "too_large",
@@ -157,6 +163,7 @@
     let answer = if !history.may_have_run {
         let left = job.time_left(now);
         GatewayAnswer::Refused(match reason {
+            "paused" => history.pause_left.unwrap_or_default().max(RETRY_AFTER_MIN),
             "needs_quiet" => left.mul_f64(IDLE_ENGINES_RETRY_SHARE).max(RETRY_AFTER_MIN),
             _ => RETRY_AFTER_MIN,
         })
@@ -227,6 +234,9 @@
         gateway.clock.sleep(PLACEMENT_RETRY_PAUSE).await;
         return SendOutcome::NotReserved;
     }
+    if attempt.is_barred(gateway) {
+        return SendOutcome::NotSent;
+    }
     log::info!(
         "event=sent request={} upstream={} service={} tokens={} helpers={} part_ms={} read_ms={} \
          load_age=now age_ms={}",
@@ -311,6 +321,7 @@
 ) -> SendOutcome {
     let status = response.status();
     let head = gateway.dialect.decode_answer(status, response.headers());
+    attempt.record_wish(gateway, head.wish);
     if head
         .caller_attempt_id
         .as_ref()
--- a/components/gateway/src/client.rs
+++ b/components/gateway/src/client.rs
@@ -137,6 +137,11 @@
         }
     }
 
+    /// Closes the idle connections to `address`.
+    pub(crate) fn remove(&mut self, address: SocketAddr) {
+        self.idle.remove(&address);
+    }
+
     /// Closes connections that have expired or that the peer has closed.
     pub(crate) fn expire(&mut self, now: Instant) {
         self.idle.retain(|_, pooled| {
@@ -164,9 +169,9 @@
         }
     }
 
-    /// Makes `call` and returns the status and body. The connection is reused only
-    /// after a complete answer.
-    pub(crate) async fn call(&mut self, call: PlainCall) -> io::Result<(http::StatusCode, Bytes)> {
+    /// Makes `call` and returns the whole answer. The connection is reused only after a
+    /// complete one.
+    pub(crate) async fn call(&mut self, call: PlainCall) -> io::Result<Response<Bytes>> {
         let mut connection = match self.connection.take().filter(ClientConnection::is_open) {
             Some(connection) => connection,
             None => ClientConnection::open(&self.executor, self.address).await?,
@@ -184,12 +189,12 @@
             .map_err(|error| match error {
                 ExchangeError::NotSent(text) | ExchangeError::Sent(text) => io::Error::other(text),
             })?;
-        let status = response.status();
-        let body = Limited::new(response.into_body(), ANSWER_MAX_BYTES)
+        let (head, body) = response.into_parts();
+        let body = Limited::new(body, ANSWER_MAX_BYTES)
             .collect()
             .await
             .map_err(io::Error::other)?;
         self.connection = Some(connection);
-        Ok((status, body.to_bytes()))
+        Ok(Response::from_parts(head, body.to_bytes()))
     }
 }
--- a/components/gateway/src/daemon.rs
+++ b/components/gateway/src/daemon.rs
@@ -103,7 +103,7 @@
     executor
         .spawn(send_reports(Rc::clone(&gateway), Rc::clone(&socket)))
         .detach();
-    executor.spawn(write_own_row(Rc::clone(&gateway))).detach();
+    executor.spawn(keep_own_row(Rc::clone(&gateway))).detach();
     executor
         .spawn(expire_periodically(Rc::clone(&gateway)))
         .detach();
@@ -148,13 +148,10 @@
     Ok(())
 }
 
-/// Writes this node's row to the store once it is a relay, so that nodes that know no
-/// other find it.
-async fn write_own_row(gateway: Rc<Gateway>) {
+/// Writes this node's row to the store while it is a relay, so that nodes that know no
+/// other find it. Writes it again if the store lost it.
+async fn keep_own_row(gateway: Rc<Gateway>) {
     wait_for_fleet(&gateway).await;
-    while !is_relay(&gateway) {
-        gateway.clock.sleep(RELAY_CHECK_PAUSE).await;
-    }
     let entry = gateway.own_entry();
     let Ok(value) = postcard::to_stdvec(&entry) else {
         log::error!("event=row_unencodable node={}", entry.node);
@@ -162,19 +159,22 @@
     };
     let mut caller = PlainCaller::new(Rc::clone(&gateway.executor), gateway.settings.store);
     loop {
+        if gateway.row_written.get() || !is_relay(&gateway) {
+            gateway.clock.sleep(RELAY_CHECK_PAUSE).await;
+            continue;
+        }
         let call = gateway.dialect.put_node_call(&entry.node, &value);
         match gateway
             .clock
             .timeout(ROW_CALL_TIMEOUT, caller.call(call))
             .await
         {
-            Some(Ok((status, _))) if status.is_success() => {
-                gateway.row_written.set(true);
-                return;
+            Some(Ok(answer)) if answer.status().is_success() => gateway.row_written.set(true),
+            other => {
+                log::warn!("event=row_not_written node={} answer={other:?}", entry.node);
+                gateway.clock.sleep(ROW_RETRY_PAUSE).await;
             }
-            other => log::warn!("event=row_not_written node={} answer={other:?}", entry.node),
         }
-        gateway.clock.sleep(ROW_RETRY_PAUSE).await;
     }
 }
 
@@ -232,7 +232,7 @@
         .clock
         .timeout(ROW_CALL_TIMEOUT, caller.call(call))
         .await;
-    if !matches!(&answer, Some(Ok((status, _))) if status.is_success()) {
+    if !matches!(&answer, Some(Ok(answer)) if answer.status().is_success()) {
         log::warn!("event=row_not_removed answer={answer:?}");
     }
 }
--- a/components/gateway/src/datagrams.rs
+++ b/components/gateway/src/datagrams.rs
@@ -13,7 +13,7 @@
 use types::{NodeId, UpstreamId};
 
 use crate::{
-    news::{RelayNews, handle_news},
+    news::{RelayNews, handle_news, record_leaving},
     reports::{NodeReport, handle_report, handle_sums, is_relay},
     state::Gateway,
 };
@@ -43,6 +43,8 @@
     },
     /// The connection to an upstream broke while it may have been running the request.
     UpstreamCrashed(CrashFingerprint, UpstreamId),
+    /// The process of an upstream, by its start time, said that it leaves.
+    UpstreamLeaving(UpstreamId, Option<u64>),
     /// The sender is stopping; the number is its incarnation: its start time in Unix
     /// milliseconds.
     NodeLeft(NodeId, u64),
@@ -175,6 +177,9 @@
             let item = NewsItem::Crash(fingerprint, upstream);
             gateway.fleet.borrow_mut().publish(now, item);
         }
+        PeerDatagram::UpstreamLeaving(upstream, started_ms) => {
+            record_leaving(gateway, &upstream, started_ms, "peer");
+        }
         PeerDatagram::NodeLeft(node, incarnation) => {
             let mut fleet = gateway.fleet.borrow_mut();
             if fleet.roster_mut().remove_left(&node, incarnation) {
--- a/components/gateway/src/edge.rs
+++ b/components/gateway/src/edge.rs
@@ -4,7 +4,7 @@
 
 use bytes::Bytes;
 use dispatch::{DesiredState, PromptSize, UpstreamEntry};
-use http::{HeaderMap, Method, StatusCode, Uri, request::Parts};
+use http::{HeaderMap, Method, Response, StatusCode, Uri, request::Parts};
 use types::{OrganisationId, UpstreamId};
 
 /// Translates between a deployment's wire format and the gateway's types. It
@@ -38,8 +38,13 @@
     fn changes_call(&self, table: WatchedTable, version: u64, wait: Duration) -> PlainCall;
 
     /// Decodes the answer to [`list_call`](Self::list_call) or
-    /// [`changes_call`](Self::changes_call).
-    fn decode_rows(&self, status: StatusCode, body: &[u8]) -> FeedAnswer;
+    /// [`changes_call`](Self::changes_call). Versions of a later history of the store
+    /// are higher than all of an earlier one.
+    fn decode_rows(&self, answer: &Response<Bytes>) -> FeedAnswer;
+
+    /// Returns whether two versions belong to the same history of the store. After the
+    /// store came back from a copy, its versions are those of a new history.
+    fn is_same_history(&self, one: u64, other: u64) -> bool;
 
     /// Builds the call that writes this node's row in [`WatchedTable::Nodes`].
     fn put_node_call(&self, key: &str, value: &[u8]) -> PlainCall;
@@ -178,6 +183,17 @@
     pub encoded: bool,
     /// Keep-alive time that the upstream announced for idle connections.
     pub keep_alive: Option<Duration>,
+    /// What the upstream says of itself.
+    pub wish: Option<UpstreamWish>,
+}
+
+/// What an upstream wants of a node, besides the answer to a request.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum UpstreamWish {
+    /// No new work, as it leaves.
+    Leave,
+    /// No requests from this node for a time, as it turned one away.
+    Pause(Duration),
 }
 
 /// Orders to an engine about its KV cache memory.
--- a/components/gateway/src/leg.rs
+++ b/components/gateway/src/leg.rs
@@ -14,13 +14,15 @@
 };
 use http::{HeaderMap, Request, Uri, header};
 use http_body_util::Full;
+use rand::RngExt;
 use types::{TokenCount, UpstreamId};
 
 use crate::{
-    ForwardHead,
+    ForwardHead, UpstreamWish,
     client::{ClientConnection, DEFAULT_IDLE_TIMEOUT},
     datagrams::PeerDatagram,
     forward::ForwardJob,
+    news::record_leaving,
     place::prompt_goals,
     state::{Gateway, InFlightGuard},
     tickets::ReservationSet,
@@ -35,10 +37,17 @@
 /// stay in the pool, so that none is used while the upstream closes it.
 const KEEP_ALIVE_SHARE: f64 = 0.6;
 
+/// Longest pause that an upstream is granted; a longer one would be a mistake.
+const PAUSE_MAX: Duration = Duration::from_hours(1);
+/// Largest factor by which a node prolongs a pause.
+const PAUSE_SPREAD: f64 = 1.2;
+
 /// One attempt of a request at one upstream.
 pub(crate) struct UpstreamAttempt {
     pub(crate) upstream: UpstreamId,
     pub(crate) address: SocketAddr,
+    /// Start of the upstream's process, in Unix milliseconds, if it publishes it.
+    started_ms: Option<u64>,
     /// Other engines that prefill chunks or hold KV cache memory, each with the id of
     /// its memory reservation if it has one.
     pub(crate) helpers: Vec<(SocketAddr, Option<String>)>,
@@ -63,7 +72,9 @@
         placement: &Placement,
     ) -> Option<Self> {
         let upstreams = gateway.upstreams.borrow();
-        let address = upstreams.get(&placement.upstream)?.entry.address;
+        let entry = &upstreams.get(&placement.upstream)?.entry;
+        let address = entry.address;
+        let started_ms = entry.started_ms;
         let helpers = placement
             .helpers
             .iter()
@@ -102,6 +113,7 @@
         Some(Self {
             upstream: placement.upstream.clone(),
             address,
+            started_ms,
             helpers,
             reservations: None,
             registered_at: gateway.now(),
@@ -221,6 +233,41 @@
         upstreams.record_slowdown(now, &self.upstream, ratio);
     }
 
+    /// Records what the upstream wants besides the answer to a request.
+    pub(crate) fn record_wish(&self, gateway: &Gateway, wish: Option<UpstreamWish>) {
+        match wish {
+            Some(UpstreamWish::Leave) => {
+                let started_ms = self.started_ms;
+                if record_leaving(gateway, &self.upstream, started_ms, "answer") {
+                    gateway.pool.borrow_mut().remove(self.address);
+                    let upstream = self.upstream.clone();
+                    gateway.queue_datagram(PeerDatagram::UpstreamLeaving(upstream, started_ms));
+                }
+            }
+            Some(UpstreamWish::Pause(pause)) => {
+                let pause = pause.min(PAUSE_MAX);
+                log::info!(
+                    "event=upstream_paused upstream={} pause_ms={}",
+                    self.upstream,
+                    pause.as_millis()
+                );
+                // Nodes that were asked at the same time don't come back together.
+                let factor = gateway.rng.borrow_mut().random_range(1.0..PAUSE_SPREAD);
+                let now = gateway.now();
+                let until = now + pause.mul_f64(factor);
+                let mut upstreams = gateway.upstreams.borrow_mut();
+                upstreams.record_pause(now, &self.upstream, until);
+            }
+            None => {}
+        }
+    }
+
+    /// Whether the upstream came to leave or to ask for a pause since the placement.
+    pub(crate) fn is_barred(&self, gateway: &Gateway) -> bool {
+        let upstreams = gateway.upstreams.borrow();
+        upstreams.is_barred(gateway.now(), &self.upstream)
+    }
+
     /// Backs off from the upstream that an answer names as at fault, or else from
     /// the one that answered.
     pub(crate) fn record_not_run(&self, gateway: &Gateway, at_fault: Option<&str>) {
--- a/components/gateway/src/lib.rs
+++ b/components/gateway/src/lib.rs
@@ -28,7 +28,7 @@
 pub use daemon::run_gateway;
 pub use edge::{
     AnswerHead, EngineCall, FeedAnswer, ForwardHead, PlainCall, RequestHead, TableChange,
-    WatchedTable, WireDialect,
+    UpstreamWish, WatchedTable, WireDialect,
 };
 pub use events::{EventCursor, EventError};
 pub use settings::{GatewaySettings, RevokePolicy};
--- a/components/gateway/src/news.rs
+++ b/components/gateway/src/news.rs
@@ -169,6 +169,9 @@
                 gateway.loads.borrow_mut().remove_prefill_queue(&id);
             }
         }
+        NewsItem::UpstreamLeaving(id, started_ms) => {
+            record_leaving(gateway, &id, started_ms, "peer");
+        }
         NewsItem::Crash(fingerprint, upstream) => {
             let mut quarantine = gateway.quarantine.borrow_mut();
             quarantine.record_crash(now, fingerprint, &upstream);
@@ -178,6 +181,25 @@
     }
 }
 
+/// Records that the process of an upstream says that it leaves, and publishes it;
+/// returns whether this is new.
+pub(crate) fn record_leaving(
+    gateway: &Gateway,
+    id: &UpstreamId,
+    started_ms: Option<u64>,
+    source: &str,
+) -> bool {
+    let now = gateway.now();
+    let mut upstreams = gateway.upstreams.borrow_mut();
+    let is_new = upstreams.record_leaving(now, id, started_ms);
+    if is_new {
+        log::info!("event=upstream_leaving upstream={id} source={source}");
+        let item = NewsItem::UpstreamLeaving(id.clone(), started_ms);
+        gateway.fleet.borrow_mut().publish(now, item);
+    }
+    is_new
+}
+
 fn apply_upstream(gateway: &Gateway, entry: UpstreamEntry) {
     let mut upstreams = gateway.upstreams.borrow_mut();
     let known = upstreams.get(&entry.id).map(|health| &health.entry);
--- a/components/gateway/src/peers.rs
+++ b/components/gateway/src/peers.rs
@@ -47,7 +47,7 @@
         .await;
     gateway.end_fetch();
     let body = match answer {
-        Some(Ok((StatusCode::OK, body))) => body,
+        Some(Ok(answer)) if answer.status() == StatusCode::OK => answer.into_body(),
         other => {
             log::warn!("event=peer_fetch_failed peer={peer} answer={other:?}");
             return;
--- a/components/gateway/src/place.rs
+++ b/components/gateway/src/place.rs
@@ -106,6 +106,11 @@
     let spec = routes.state().services.get(&job.service);
     let upstreams = gateway.upstreams.borrow();
     let usable = upstreams.selectable(now, &job.service, tried);
+    if usable.is_empty()
+        && let Some(left) = upstreams.pause_left(now, &job.service)
+    {
+        return Err(PlacementRefusal::Paused(left));
+    }
     let other_nodes = gateway.fleet.borrow().roster().live(now).count();
     let loads = gateway.loads.borrow();
     let mut rng = gateway.rng.borrow_mut();
--- a/components/gateway/src/relay.rs
+++ b/components/gateway/src/relay.rs
@@ -243,6 +243,9 @@
         if reserved.is_err() {
             return false;
         }
+        if attempt.is_barred(&self.gateway) {
+            return false;
+        }
         let last = self.cursor.last().map(|id| id.to_string());
         let Ok(request) = attempt.build_request(&self.gateway, &self.job, last.as_deref()) else {
             return false;
@@ -268,6 +271,7 @@
             .gateway
             .dialect
             .decode_answer(response.status(), response.headers());
+        attempt.record_wish(&self.gateway, head.wish);
         let matches_request = head
             .caller_attempt_id
             .is_none_or(|id| id == self.job.request.caller_attempt_id);
--- a/components/gateway/src/sync.rs
+++ b/components/gateway/src/sync.rs
@@ -63,6 +63,8 @@
     let executor = Rc::clone(&gateway.executor);
     let mut caller = PlainCaller::new(executor, gateway.settings.store);
     let mut version = None;
+    // Newest version that was ever reached.
+    let mut reached: Option<u64> = None;
     let mut retry_pause = RETRY_PAUSE_MIN;
     loop {
         wait_while_polled(&gateway, table).await;
@@ -75,7 +77,14 @@
                 if retry_pause > RETRY_PAUSE_MIN {
                     log::info!("event=dependency_regained dependency=store table={table:?}");
                 }
+                if reached.is_some_and(|known| !gateway.dialect.is_same_history(known, newest)) {
+                    log::warn!(
+                        "event=store_era_changed table={table:?} from={reached:?} to={newest}"
+                    );
+                    gateway.row_written.set(false);
+                }
                 version = Some(newest);
+                reached = reached.max(version);
                 retry_pause = RETRY_PAUSE_MIN;
                 match table {
                     WatchedTable::Desired => Duration::ZERO,
@@ -212,6 +221,11 @@
     };
     let call = gateway.dialect.changes_call(table, version, wait);
     match call_store(gateway, caller, call, wait).await {
+        // The changes since a version of another history don't start at what this node
+        // knows.
+        Ok(FeedAnswer::Rows {
+            version: newest, ..
+        }) if !gateway.dialect.is_same_history(version, newest) => SyncStep::HistoryGone,
         Ok(FeedAnswer::Rows {
             changes, version, ..
         }) => {
@@ -235,7 +249,7 @@
         .timeout(wait + ANSWER_TIMEOUT, caller.call(call))
         .await;
     match answer {
-        Some(Ok((status, body))) => Ok(gateway.dialect.decode_rows(status, &body)),
+        Some(Ok(answer)) => Ok(gateway.dialect.decode_rows(&answer)),
         Some(Err(error)) => Err(error.to_string()),
         None => Err("no answer in time".to_owned()),
     }
@@ -315,12 +329,19 @@
 
 fn apply_upstreams(gateway: &Gateway, changes: Vec<TableChange>, complete: bool, version: u64) {
     let now = gateway.now();
+    let mut upstreams = gateway.upstreams.borrow_mut();
     let mut freshness = gateway.upstream_freshness.borrow_mut();
+    let known = upstreams.newest_version();
+    let is_copy = known.is_some_and(|known| !gateway.dialect.is_same_history(known, version));
+    if is_copy {
+        // The store came back from a copy, as after an outage: upstreams may be missing
+        // until they have written their rows again.
+        freshness.record_failure(now);
+    }
     freshness.confirm(now, version, VersionSource::Store);
     // `Some` for a while after an outage of the store: upstreams that couldn't renew
     // their rows may be missing, so they are kept until then.
     let expires_at = freshness.grace_until(now);
-    let mut upstreams = gateway.upstreams.borrow_mut();
     let mut listed = Vec::new();
     for change in changes {
         let entry = change.value.as_ref().map(|value| {
@@ -329,6 +350,9 @@
                 .decode_upstream(&change.key, change.version, value)
         });
         match entry {
+            Some(Ok(entry)) if is_copy && upstreams.is_outdated(&entry) => {
+                log::info!("event=upstream_outdated upstream={}", entry.id);
+            }
             Some(Ok(entry)) if complete => listed.push(entry),
             Some(Ok(entry)) => upstreams.upsert(entry),
             Some(Err(error)) => {
--- a/components/gateway/src/tickets.rs
+++ b/components/gateway/src/tickets.rs
@@ -168,7 +168,7 @@
         .timeout(ORDER_TIMEOUT, caller.call(call))
         .await
     {
-        Some(Ok((status, _))) => Ok(status),
+        Some(Ok(answer)) => Ok(answer.status()),
         Some(Err(error)) => Err(error.to_string()),
         None => Err("no answer in time".to_owned()),
     }
--- a/components/telemetry/src/story.rs
+++ b/components/telemetry/src/story.rs
@@ -9,7 +9,7 @@
 const CONTEXT_WINDOW_MS: u64 = 2_000;
 
 /// Process-wide events that may explain the outcome of a request.
-const CONTEXT_EVENTS: [&str; 8] = [
+const CONTEXT_EVENTS: [&str; 10] = [
     "started",
     "stopping",
     "stopped",
@@ -17,6 +17,8 @@
     "dependency_regained",
     "upstream_gone",
     "upstream_leaving",
+    "upstream_paused",
+    "store_era_changed",
     "log_lines_dropped",
 ];
 
