--- a/components/dispatch/src/fleet.rs
+++ b/components/dispatch/src/fleet.rs
@@ -25,9 +25,10 @@
 /// Longest pause between two reports: a quarter of the time without one after which a
 /// node counts as dead.
 const REPORT_PAUSE_MAX: Duration = Duration::from_millis(400);
-/// Pause between the reports of a node that knows no other. All nodes of a fleet may
-/// start at once and report to the same few seeds.
-const ISOLATED_PAUSE: Duration = Duration::from_millis(300);
+/// Pause after the first report of a node that knows no other; it grows by as much with
+/// each further report, as all nodes of a fleet may start at once and report to the same
+/// few seeds.
+const ISOLATED_PAUSE_STEP: Duration = Duration::from_millis(100);
 /// Rate of reports to a relay at which the pause begins to grow with the fleet.
 /// Handling them takes a hundredth of a core.
 const RELAY_REPORTS_PER_SECOND: u32 = 1000;
@@ -57,6 +58,10 @@
     /// Since when this node is the relay of its zone.
     relay_since: Option<Instant>,
     published_at: Option<Instant>,
+    /// Digest of the upstreams that were published last.
+    published_digest: u64,
+    /// Number of reports in a row that were sent without knowing another node.
+    isolated_reports: u32,
 }
 
 /// Where a report goes, and what changed since the last one.
@@ -95,6 +100,8 @@
             source: None,
             relay_since: None,
             published_at: None,
+            published_digest: 0,
+            isolated_reports: 0,
         }
     }
 
@@ -114,7 +121,8 @@
     pub fn report_pause(&self, now: Instant) -> Duration {
         let nodes = u32::try_from(self.roster.live(now).count()).unwrap_or(u32::MAX);
         if nodes == 0 {
-            return ISOLATED_PAUSE;
+            let pause = ISOLATED_PAUSE_STEP * self.isolated_reports;
+            return pause.clamp(REPORT_PAUSE_MIN, REPORT_PAUSE_MAX);
         }
         let pause = Duration::from_secs(1) * nodes / RELAY_REPORTS_PER_SECOND;
         pause.clamp(REPORT_PAUSE_MIN, REPORT_PAUSE_MAX)
@@ -193,6 +201,11 @@
             let sample = members.sample(rng, ISOLATED_TARGETS);
             addresses.extend(sample.map(|entry| entry.peer_address));
         }
+        self.isolated_reports = if relays.is_empty() {
+            self.isolated_reports.saturating_add(1)
+        } else {
+            0
+        };
         let mut chosen = None;
         let asked = if relays.is_empty() {
             // One at a time, since all nodes may start at once and ask the same few
@@ -269,13 +282,17 @@
     }
 
     /// Brings the log up to date with the nodes and upstreams that this node knows, at
-    /// most once in [`PUBLISH_PAUSE`].
+    /// most once in [`PUBLISH_PAUSE`] unless other upstreams take work than before.
     pub fn publish_state(&mut self, now: Instant, own: &RosterEntry, upstreams: &UpstreamTable) {
+        let digest = upstreams.digest();
         let last = self.published_at;
-        if last.is_some_and(|last| now.saturating_duration_since(last) < PUBLISH_PAUSE) {
+        let is_recent =
+            last.is_some_and(|last| now.saturating_duration_since(last) < PUBLISH_PAUSE);
+        if is_recent && digest == self.published_digest {
             return;
         }
         self.published_at = Some(now);
+        self.published_digest = digest;
         let log = &mut self.log;
         log.expire(now);
         log.publish(now, NewsItem::Node(own.clone(), true));
--- a/components/dispatch/src/upstreams.rs
+++ b/components/dispatch/src/upstreams.rs
@@ -343,8 +343,17 @@
     /// may come back after an outage.
     #[must_use]
     pub fn digest(&self) -> u64 {
+        self.digest_where(|_| true)
+    }
+
+    /// Digest of those upstreams for which `is_included` holds, as in
+    /// [`digest`](Self::digest).
+    #[must_use]
+    pub fn digest_where(&self, is_included: impl Fn(&UpstreamId) -> bool) -> u64 {
         let ready = self.upstreams.values().filter(|health| {
-            health.grace_until.is_none() && health.entry.state == UpstreamState::Ready
+            health.grace_until.is_none()
+                && health.entry.state == UpstreamState::Ready
+                && is_included(&health.entry.id)
         });
         let hashes = ready.map(|health| {
             let started = health.entry.started_ms.unwrap_or_default();
--- a/components/dispatch/tests/fleet.rs
+++ b/components/dispatch/tests/fleet.rs
@@ -75,6 +75,19 @@
     }
 }
 
+fn upstream(id: &str, version: u64) -> UpstreamEntry {
+    UpstreamEntry {
+        id: id.to_owned(),
+        service: "models".to_owned(),
+        address: address(9),
+        zone: "zone-0".to_owned(),
+        slots: 10,
+        state: UpstreamState::Ready,
+        started_ms: Some(1),
+        version,
+    }
+}
+
 impl Fleet {
     fn new(count: usize, seed: u64) -> Self {
         let seeds = [3, 5, 11].into_iter().filter(|index| *index < count);
@@ -336,6 +349,21 @@
     }
 }
 
+/// A relay that has just started learns its upstreams from the store between two
+/// answers. The second answer must hold them, or its reader would take them for gone.
+#[test]
+fn an_answer_holds_upstreams_that_were_learnt_just_before() {
+    let now = Instant::now();
+    let mut view = FleetView::new(1, Vec::new());
+    let own = entry(0, 1);
+    let mut upstreams = UpstreamTable::default();
+    view.publish_state(now, &own, &upstreams);
+    upstreams.upsert(upstream("engine", 7));
+    view.publish_state(now + Duration::from_millis(1), &own, &upstreams);
+    let page = view.news_after(NewsCursor::default(), PAGE_BYTES);
+    assert_eq!(page.items.len(), 2, "{page:?}");
+}
+
 /// An upstream that leaves is known to be gone by the readers of every relay that knows
 /// it.
 #[test]
@@ -344,16 +372,7 @@
     let mut view = FleetView::new(1, Vec::new());
     let own = entry(0, 1);
     let mut upstreams = UpstreamTable::default();
-    upstreams.upsert(UpstreamEntry {
-        id: "engine".to_owned(),
-        service: "models".to_owned(),
-        address: address(9),
-        zone: "zone-0".to_owned(),
-        slots: 10,
-        state: UpstreamState::Ready,
-        started_ms: Some(1),
-        version: 7,
-    });
+    upstreams.upsert(upstream("engine", 7));
     view.publish_state(now, &own, &upstreams);
     assert!(upstreams.remove_at(now, "engine", 9));
     let later = now + Duration::from_secs(1);
--- a/components/gateway/src/datagrams.rs
+++ b/components/gateway/src/datagrams.rs
@@ -18,6 +18,8 @@
     state::Gateway,
 };
 
+/// Number of other nodes up to which a notice of a prefill goes straight to all of them.
+const DIRECT_NODES_MAX: usize = 16;
 /// Pauses before a datagram is sent for the second and the third time.
 const REPEAT_PAUSES: [Duration; 2] = [Duration::from_millis(150), Duration::from_millis(350)];
 /// Largest datagram that fits into one packet of usual size. A longer one is sent as
@@ -38,7 +40,7 @@
     PrefillStarted {
         node: NodeId,
         notice: PrefillNotice,
-        /// Whether a relay passes the notice on.
+        /// Whether the notice needs no relay to pass it on.
         passed_on: bool,
     },
     /// The connection to an upstream broke while it may have been running the request.
@@ -59,10 +61,11 @@
 ) {
     while let Ok(datagram) = queued.recv().await {
         let is_prefill = matches!(datagram, PeerDatagram::PrefillStarted { .. });
-        let mut targets = other_relays(&gateway);
-        if is_prefill && is_relay(&gateway) {
-            targets.extend(zone_members(&gateway, &gateway.settings.node));
-        }
+        let (targets, datagram) = if is_prefill {
+            address_notice(&gateway, datagram)
+        } else {
+            (other_relays(&gateway), datagram)
+        };
         send_datagram(&socket, &targets, &datagram).await;
         if !is_prefill {
             let repeating = repeat_datagram(Rc::clone(&gateway), Rc::clone(&socket), datagram);
@@ -71,6 +74,33 @@
     }
 }
 
+/// Returns where a notice of a prefill goes: to the relays, which pass it on, or in a
+/// small fleet straight to all nodes.
+fn address_notice(gateway: &Gateway, datagram: PeerDatagram) -> (Vec<SocketAddr>, PeerDatagram) {
+    let all: Vec<SocketAddr> = {
+        let fleet = gateway.fleet.borrow();
+        let live = fleet.roster().live(gateway.now());
+        live.map(|entry| entry.peer_address).collect()
+    };
+    match datagram {
+        PeerDatagram::PrefillStarted { node, notice, .. } if all.len() <= DIRECT_NODES_MAX => {
+            let datagram = PeerDatagram::PrefillStarted {
+                node,
+                notice,
+                passed_on: true,
+            };
+            (all, datagram)
+        }
+        datagram => {
+            let mut targets = other_relays(gateway);
+            if is_relay(gateway) {
+                targets.extend(zone_members(gateway, &gateway.settings.node));
+            }
+            (targets, datagram)
+        }
+    }
+}
+
 /// Repeats a datagram, since some get lost and nothing else would soon carry the
 /// same information.
 async fn repeat_datagram(
--- a/components/gateway/src/news.rs
+++ b/components/gateway/src/news.rs
@@ -131,7 +131,7 @@
     if let Some(listing) = listing
         && news.upstreams_age_ms.is_some()
     {
-        apply_listed_upstreams(gateway, now, &listing);
+        apply_listed_upstreams(gateway, now, &listing, news.upstreams_digest);
     }
     if caught_up
         && news.upstreams_source != Some(gateway.own_key())
@@ -216,15 +216,26 @@
 }
 
 /// Removes upstreams that are missing from a complete listing, unless this node polls
-/// the store, and so knows better.
-fn apply_listed_upstreams(gateway: &Gateway, now: Instant, listing: &HashSet<NewsSubject>) {
+/// the store, and so knows better. `digest` is that of the upstreams that the sender
+/// knows; a listing that doesn't match it was made while they changed.
+fn apply_listed_upstreams(
+    gateway: &Gateway,
+    now: Instant,
+    listing: &HashSet<NewsSubject>,
+    digest: u64,
+) {
     if gateway.upstream_freshness.borrow().polls_store(now) {
         return;
     }
     let mut upstreams = gateway.upstreams.borrow_mut();
+    let is_listed = |id: &UpstreamId| listing.contains(&NewsSubject::Upstream(id.clone()));
+    if upstreams.digest_where(is_listed) != digest {
+        log::info!("event=listing_ignored reason=\"its digest differs\"");
+        return;
+    }
     let absent: Vec<UpstreamId> = upstreams
         .ids()
-        .filter(|id| !listing.contains(&NewsSubject::Upstream((*id).clone())))
+        .filter(|id| !is_listed(id))
         .cloned()
         .collect();
     for id in absent {
--- a/components/gateway/src/sync.rs
+++ b/components/gateway/src/sync.rs
@@ -28,12 +28,16 @@
 /// Pause between polls of the nodes' rows. Nodes mostly learn of each other by
 /// summaries.
 const NODES_POLL_PAUSE: Duration = Duration::from_secs(20);
-/// Time that a node which starts gives the others to tell it what they know, before
-/// it asks the store.
+/// Time that a node which starts gives the others to answer at all, before it asks the
+/// store.
+const CONTACT_WAIT: Duration = Duration::from_millis(400);
+/// Time that it gives them to tell it all they know, once it has heard of any.
 const FLEET_WAIT: Duration = Duration::from_millis(2500);
 /// Rate at which all nodes together, without the store pollers, try a store that does
 /// not answer.
-const PROBES_PER_SECOND: u32 = 8;
+const PROBES_PER_SECOND: u32 = 20;
+/// Interval at which a node that starts checks whether others have told it.
+const FLEET_CHECK_PAUSE: Duration = Duration::from_millis(50);
 /// Interval at which a node checks that the store pollers still poll the store.
 const POLLER_CHECK_PAUSE: Duration = Duration::from_millis(250);
 /// Timeout of a call to the store, in addition to the wait of a long poll.
@@ -43,17 +47,26 @@
 /// Longest pause after a failed call.
 const RETRY_PAUSE_MAX: Duration = Duration::from_millis(800);
 
-/// Waits until another node has told this one about the upstreams, at most
-/// [`FLEET_WAIT`]. A seed does not wait, as the others ask it.
+/// Waits until another node has told this one about the upstreams, for a short time
+/// while it hears of no other node. A seed does not wait, as the others ask it.
 pub(crate) async fn wait_for_fleet(gateway: &Gateway) {
     let settings = &gateway.settings;
     if settings.seeds.is_empty() || settings.seeds.contains(&settings.peers) {
         return;
     }
-    let mut waited = Duration::ZERO;
-    while waited < FLEET_WAIT && !polled_by_others(gateway, WatchedTable::Upstreams) {
-        gateway.clock.sleep(POLLER_CHECK_PAUSE).await;
-        waited += POLLER_CHECK_PAUSE;
+    let started = gateway.now();
+    while !polled_by_others(gateway, WatchedTable::Upstreams) {
+        let now = gateway.now();
+        let hears_others = gateway.fleet.borrow().roster().live(now).next().is_some();
+        let limit = if hears_others {
+            FLEET_WAIT
+        } else {
+            CONTACT_WAIT
+        };
+        if now.saturating_duration_since(started) >= limit {
+            return;
+        }
+        gateway.clock.sleep(FLEET_CHECK_PAUSE).await;
     }
 }
 
@@ -103,7 +116,7 @@
                     );
                 }
                 record_failure(&gateway, table);
-                let pause = retry_pause.max(probe_pause(&gateway));
+                let pause = retry_pause;
                 retry_pause = (retry_pause * 2).min(RETRY_PAUSE_MAX);
                 pause
             }
@@ -115,16 +128,27 @@
 }
 
 /// Waits while store pollers poll the table and tell this node, so that the number of
-/// calls to the store doesn't grow with the number of nodes.
+/// calls to the store doesn't grow with the number of nodes. When they stop, each node
+/// waits for its turn, in which time one of the others may take their place.
 async fn wait_while_polled(gateway: &Gateway, table: WatchedTable) {
-    if is_store_poller(gateway, table) || !polled_by_others(gateway, table) {
-        return;
-    }
-    log::info!("event=store_poll_paused table={table:?}");
-    while !is_store_poller(gateway, table) && polled_by_others(gateway, table) {
+    let mut turn_in = probe_pause(gateway, table);
+    let mut paused = false;
+    while !is_store_poller(gateway, table) {
+        if polled_by_others(gateway, table) {
+            if !paused {
+                log::info!("event=store_poll_paused table={table:?}");
+                paused = true;
+            }
+            turn_in = probe_pause(gateway, table);
+        } else if turn_in.is_zero() {
+            break;
+        }
         gateway.clock.sleep(POLLER_CHECK_PAUSE).await;
+        turn_in = turn_in.saturating_sub(POLLER_CHECK_PAUSE);
+    }
+    if paused {
+        log::info!("event=store_poll_resumed table={table:?}");
     }
-    log::info!("event=store_poll_resumed table={table:?}");
 }
 
 /// Returns whether this node always polls the table: the rows of the nodes if it is a
@@ -154,16 +178,23 @@
     }
 }
 
-/// Returns the pause before this node tries a store again that did not answer: with a
-/// random share of it, so that the nodes take turns.
-fn probe_pause(gateway: &Gateway) -> Duration {
-    if is_store_poller(gateway, WatchedTable::Upstreams) {
+/// Returns how long this node waits for its turn to call the store: a random time, so
+/// that the nodes that know each other make [`PROBES_PER_SECOND`] together. A node that
+/// polls already, and a store poller, don't wait.
+fn probe_pause(gateway: &Gateway, table: WatchedTable) -> Duration {
+    let now = gateway.now();
+    let polls_already = match table {
+        WatchedTable::Desired => gateway.desired_freshness.borrow().polls_store(now),
+        WatchedTable::Upstreams => gateway.upstream_freshness.borrow().polls_store(now),
+        WatchedTable::Nodes => true,
+    };
+    if polls_already || is_store_poller(gateway, table) {
         return Duration::ZERO;
     }
-    let nodes = gateway.fleet.borrow().roster().live(gateway.now()).count();
+    let nodes = gateway.fleet.borrow().roster().live(now).count();
     let nodes = u32::try_from(nodes).unwrap_or(u32::MAX);
     let pause = Duration::from_secs(1) * nodes / PROBES_PER_SECOND;
-    pause.mul_f64(gateway.rng.borrow_mut().random_range(0.5..1.5))
+    pause.mul_f64(gateway.rng.borrow_mut().random_range(0.0..2.0))
 }
 
 /// Outcome of one call that lists or polls a table.
