--- a/components/gateway/src/reports.rs
+++ b/components/gateway/src/reports.rs
@@ -27,6 +27,7 @@
 const SUM_BYTES: u32 = 18;
 /// Engines per datagram of sums, so that it fits into one packet of usual size.
 const SUMS_PER_DATAGRAM_MAX: usize = 60;
+
 /// Heartbeat of a node and load of its own requests on each engine, sent to relays.
 #[derive(Clone, Debug)]
 #[derive(Deserialize, Serialize)]
