Log the prompt of a broken connection and whether the upstream has ended

In the incident with crashing prompt parts no line named a prompt, and a broken connection looked the same whether the engine had ended or not. A node now connects to the upstream once more: a refused connection means that its process has ended. Sent requests and broken connections name the request's fingerprint and the parts of its prompt that others may share. No decision uses either yet.

--- a/components/gateway/src/attempt.rs
+++ b/components/gateway/src/attempt.rs
@@ -239,7 +239,7 @@
     }
     log::info!(
         "event=sent request={} upstream={} service={} tokens={} helpers={} part_ms={} read_ms={} \
-         load_age=now age_ms={}",
+         load_age=now age_ms={} {}",
         job.request.caller_attempt_id,
         attempt.upstream,
         job.service,
@@ -251,6 +251,7 @@
             .now()
             .saturating_duration_since(job.arrived)
             .as_millis(),
+        job.prompt_label(),
     );
     let mut connection = match attempt.connect(gateway, job).await {
         Ok(connection) => connection,
--- a/components/gateway/src/edge.rs
+++ b/components/gateway/src/edge.rs
@@ -5,7 +5,7 @@
 use bytes::Bytes;
 use dispatch::{DesiredState, PromptSize, UpstreamEntry};
 use http::{HeaderMap, Method, Response, StatusCode, Uri, request::Parts};
-use types::{OrganisationId, UpstreamId};
+use types::{OrganisationId, PromptPartId, UpstreamId};
 
 /// Translates between a deployment's wire format and the gateway's types. It
 /// makes no decisions and does no I/O.
@@ -144,6 +144,9 @@
     pub key: Option<String>,
     /// Prompt and answer size in tokens; `None` if the caller sent none.
     pub size: Option<PromptSize>,
+    /// Parts of the prompt that other requests may share, in order; without the last
+    /// part, which belongs to this request or its session.
+    pub shared_parts: Vec<PromptPartId>,
     /// Id of the event after which the caller resumes a stream.
     pub resume_after: Option<String>,
 }
--- a/components/gateway/src/forward.rs
+++ b/components/gateway/src/forward.rs
@@ -49,6 +49,13 @@
     pub(crate) fn time_left(&self, now: Instant) -> Duration {
         self.deadline.saturating_duration_since(now)
     }
+
+    /// Names the request's fingerprint and the shared parts of its prompt, for log lines.
+    pub(crate) fn prompt_label(&self) -> String {
+        let parts = self.request.shared_parts.iter();
+        let parts: Vec<String> = parts.map(|part| format!("{part:x}")).collect();
+        format!("prompt={:016x} parts={}", self.fingerprint, parts.join(","))
+    }
 }
 
 /// Forwards a caller's request and returns the answer.
--- a/components/gateway/src/leg.rs
+++ b/components/gateway/src/leg.rs
@@ -2,6 +2,7 @@
 //! and records what the outcome says about the upstream's health.
 
 use std::{
+    cell::Cell,
     net::SocketAddr,
     rc::Rc,
     time::{Duration, Instant},
@@ -20,6 +21,7 @@
 use crate::{
     ForwardHead, UpstreamWish,
     client::{ClientConnection, DEFAULT_IDLE_TIMEOUT},
+    crashes::{BrokenAttempt, check_upstream},
     datagrams::PeerDatagram,
     forward::ForwardJob,
     news::record_leaving,
@@ -56,6 +58,8 @@
     /// Start of the measured time to first token, which includes reserving memory and
     /// connecting.
     registered_at: Instant,
+    /// When the first event of the answer arrived.
+    first_event_at: Cell<Option<Instant>>,
     /// Prefill time that the placement estimated.
     prefill_time: Duration,
     /// Counts the attempt in the load of its engines until this is dropped.
@@ -117,6 +121,7 @@
             helpers,
             reservations: None,
             registered_at: gateway.now(),
+            first_event_at: Cell::default(),
             prefill_time: placement.time_to_prefill,
             in_flight: InFlightGuard::new(gateway, in_flight_id),
         })
@@ -222,6 +227,7 @@
     /// attempt. The end of a stream without events counts as its first event.
     pub(crate) fn record_first_event(&self, gateway: &Gateway) {
         self.record_success(gateway);
+        self.first_event_at.set(Some(gateway.now()));
         if !self.helpers.is_empty() {
             return;
         }
@@ -304,9 +310,19 @@
 
     /// Records that the connection broke while the upstream may have been running
     /// the request, and tells all nodes if this is new evidence against the prompt.
-    pub(crate) fn record_crash(&self, gateway: &Gateway, job: &ForwardJob, reason: &str) {
+    pub(crate) fn record_crash(&self, gateway: &Rc<Gateway>, job: &Rc<ForwardJob>, reason: &str) {
         self.record_failure(gateway, job, reason);
         let now = gateway.now();
+        let broken = BrokenAttempt {
+            upstream: self.upstream.clone(),
+            address: self.address,
+            answered_for: self
+                .first_event_at
+                .get()
+                .map(|at| now.saturating_duration_since(at)),
+        };
+        let checking = check_upstream(Rc::clone(gateway), Rc::clone(job), broken);
+        gateway.executor.spawn(checking).detach();
         let newly_seen =
             gateway
                 .quarantine
--- a/components/gateway/src/lib.rs
+++ b/components/gateway/src/lib.rs
@@ -7,6 +7,7 @@
 mod answer;
 mod attempt;
 mod client;
+mod crashes;
 mod daemon;
 mod datagrams;
 mod edge;
--- a/components/types/src/ids.rs
+++ b/components/types/src/ids.rs
@@ -37,6 +37,8 @@
 pub type RowVersion = u64;
 /// Number of prompt or output tokens.
 pub type TokenCount = u64;
+/// Id of one part of a prompt; requests whose prompts share a part share its id.
+pub type PromptPartId = u64;
 /// Hash of a prompt prefix that ends on an estimated boundary of prefix cache
 /// blocks, see `prefix_hashes`.
 pub type PrefixHash = u64;
--- a/components/types/src/lib.rs
+++ b/components/types/src/lib.rs
@@ -15,8 +15,8 @@
 };
 pub use ids::{
     AdapterId, AttemptId, EngineId, FencingNumber, IncarnationNumber, ModelId, ModelVersion,
-    NodeId, NoteVersion, OrganisationId, PrefixHash, RegionId, RequestId, RowVersion, ServiceName,
-    TokenCount, UpstreamId, ZoneId,
+    NodeId, NoteVersion, OrganisationId, PrefixHash, PromptPartId, RegionId, RequestId, RowVersion,
+    ServiceName, TokenCount, UpstreamId, ZoneId,
 };
 pub use plan::PlanKind;
 pub use prompt::{CACHE_BLOCK_TOKENS, PromptJob};
