Quarantine parts of prompts that crash one engine after the other

Cause: the quarantine knew only whole requests, by path, organisation and body. Requests that share a crashing part and nothing else never reached its three crashes. Three more holes let such a request go on: a broken stream was resumed without asking the quarantine, the crash of a resumed stream before its answer was no evidence, and neither was a stream that ended inside an event. And all evidence was lost with the nodes.

Now a node that loses a connection asks whether the upstream has ended, and if so tells all nodes the request and the shared parts of its prompt. A part is refused once it occurs in three crashes under two requests, in more than any other part, and nothing with it was answered since; a crash that it explains counts against nothing else. Judgement waits a second for the reports of all nodes, in which prompts with the part pause. Sound answers clear a part at all nodes. Quarantines last ten minutes as rows of the store. A relay that a node asks anew is told the node's own reports, since it may have been out of reach before.

The test of whole requests keeps its assertions and calls the new interface.

--- a/components/dispatch/src/lib.rs
+++ b/components/dispatch/src/lib.rs
@@ -39,7 +39,9 @@
     LatencyGoals, Placement, PlacementRefusal, PlacementRequest, PlacementWait,
     place_plain_request, place_prompt,
 };
-pub use quarantine::{CrashFingerprint, QuarantineList};
+pub use quarantine::{
+    CrashFingerprint, CrashReport, PartStanding, QuarantineList, QuarantineRow, SuspectPart,
+};
 pub use relays::{RelayWatch, find_lost_relays, is_better_relay, select_relays};
 pub use roster::{NodeRoster, RosterEntry};
 pub use routes::{RouteMatch, RouteTable};
--- a/components/dispatch/src/news.rs
+++ b/components/dispatch/src/news.rs
@@ -9,15 +9,20 @@
 };
 
 use serde::{Deserialize, Serialize};
-use types::{NodeId, UpstreamId};
+use types::{NodeId, PromptPartId, UpstreamId};
 
-use crate::{CrashFingerprint, RosterEntry, UpstreamEntry};
+use crate::{
+    CrashFingerprint, CrashReport, PartStanding, RosterEntry, UpstreamEntry,
+    quarantine::PART_QUARANTINE_TIME,
+};
 
 /// Time for which a departure or a crash stays in the log. A node that has asked for
 /// news since does not need it any more.
 const ITEM_LIFETIME: Duration = Duration::from_mins(1);
 /// Encoded size of an item's fields that are not texts, rounded up.
 const ITEM_FIXED_BYTES: usize = 40;
+/// Largest encoded size of a part in a crash report.
+const SUSPECT_PART_BYTES: usize = 11;
 
 /// One piece of news. A newer one about the same subject replaces it.
 #[derive(Clone, Debug, Eq, PartialEq)]
@@ -32,8 +37,10 @@
     /// The process of an upstream that started at this time, in Unix milliseconds, said
     /// that it leaves.
     UpstreamLeaving(UpstreamId, Option<u64>),
-    /// An upstream broke the connection while it ran this prompt.
-    Crash(CrashFingerprint, UpstreamId),
+    /// The process of an upstream ended while it was answering this request.
+    Crash(CrashReport),
+    /// What is known of a part of prompts.
+    Part(PromptPartId, PartStanding),
 }
 
 /// What a piece of news is about.
@@ -45,8 +52,10 @@
     Upstream(UpstreamId),
     /// The departure that the upstream with this id announced itself.
     Leaving(UpstreamId),
-    /// The crash of an upstream by a prompt.
+    /// The crash of an upstream that was answering a request.
     Crash(CrashFingerprint, UpstreamId),
+    /// The part of prompts with this id.
+    Part(PromptPartId),
 }
 
 impl NewsItem {
@@ -58,7 +67,8 @@
             Self::Upstream(entry) => NewsSubject::Upstream(entry.id.clone()),
             Self::UpstreamGone(id, _) => NewsSubject::Upstream(id.clone()),
             Self::UpstreamLeaving(id, _) => NewsSubject::Leaving(id.clone()),
-            Self::Crash(fingerprint, id) => NewsSubject::Crash(*fingerprint, id.clone()),
+            Self::Crash(report) => NewsSubject::Crash(report.fingerprint, report.upstream.clone()),
+            Self::Part(part, _) => NewsSubject::Part(*part),
         }
     }
 
@@ -80,12 +90,16 @@
         }
     }
 
-    /// Whether the item can be dropped after [`ITEM_LIFETIME`].
-    fn is_transient(&self) -> bool {
+    /// Time after which the item can be dropped; `None` if it stays until it is replaced.
+    fn lifetime(&self) -> Option<Duration> {
         match self {
-            Self::Node(_, alive) => !alive,
-            Self::Upstream(_) => false,
-            Self::UpstreamGone(..) | Self::UpstreamLeaving(..) | Self::Crash(..) => true,
+            Self::Node(_, true) | Self::Upstream(_) => None,
+            Self::Part(_, PartStanding::Quarantined(_)) => Some(PART_QUARANTINE_TIME),
+            Self::Node(_, false)
+            | Self::UpstreamGone(..)
+            | Self::UpstreamLeaving(..)
+            | Self::Crash(_)
+            | Self::Part(..) => Some(ITEM_LIFETIME),
         }
     }
 
@@ -93,9 +107,9 @@
         let texts = match self {
             Self::Node(entry, _) => entry.node.len() + entry.zone.len(),
             Self::Upstream(entry) => entry.id.len() + entry.service.len() + entry.zone.len(),
-            Self::UpstreamGone(id, _) | Self::UpstreamLeaving(id, _) | Self::Crash(_, id) => {
-                id.len()
-            }
+            Self::UpstreamGone(id, _) | Self::UpstreamLeaving(id, _) => id.len(),
+            Self::Crash(report) => report.upstream.len() + report.parts.len() * SUSPECT_PART_BYTES,
+            Self::Part(..) => 0,
         };
         texts + ITEM_FIXED_BYTES
     }
@@ -202,10 +216,11 @@
         })
     }
 
-    /// Drops departures and crashes that are older than [`ITEM_LIFETIME`].
+    /// Drops departures, crashes and what is known of parts after their lifetime.
     pub fn expire(&mut self, now: Instant) {
         let is_expired = |published: Instant, item: &NewsItem| {
-            item.is_transient() && now.saturating_duration_since(published) > ITEM_LIFETIME
+            let age = now.saturating_duration_since(published);
+            item.lifetime().is_some_and(|lifetime| age > lifetime)
         };
         let expired: Vec<u64> = self
             .items
--- a/components/dispatch/src/quarantine.rs
+++ b/components/dispatch/src/quarantine.rs
@@ -1,70 +1,521 @@
-//! Quarantine of requests that crash the upstreams which run them.
+//! Quarantine of requests, and of parts of prompts, that crash the upstreams which
+//! answer them.
+//!
+//! When the process of an upstream ends, the requests that it was answering are its
+//! suspects. A whole request is recognised by its fingerprint, a part of a prompt by its
+//! id in requests that are otherwise unlike. A part is quarantined once it occurs in
+//! enough crashes under different requests, in more than any other part, and no upstream
+//! has answered a prompt with it since the first of them. A crash that a quarantined part
+//! explains counts against nothing else.
 
 use std::{
-    collections::HashMap,
+    collections::{HashMap, HashSet, VecDeque},
     time::{Duration, Instant},
 };
 
-use types::UpstreamId;
+use serde::{Deserialize, Serialize};
+use types::{PromptPartId, UpstreamId};
 
-/// A request is refused once it has crashed this many upstreams.
+/// A whole request is refused once it has crashed this many upstreams.
 const CRASHES_TO_QUARANTINE: usize = 3;
+/// A part of prompts is refused once it occurs in this many crashes.
+const PART_CRASHES: usize = 3;
+/// Different requests under which it has to occur in them: what a single request brings
+/// about is that request's doing.
+const PART_REQUESTS: usize = 2;
+/// The same for a part that was answered soundly shortly before. Crashes that a part
+/// without such an answer may explain don't count against it.
+const SOUND_PART_CRASHES: usize = 6;
+/// Divisor of the number of unexplained crashes: a part that occurs in fewer than that is
+/// not their cause, even if several parts are at work at once.
+const UNRELATED_DIVISOR: usize = 5;
+/// Number of crashes from which parts that always occur together are refused together.
+const INSEPARABLE_CRASHES: usize = 7;
+/// Number of crashes from which the fleet is told that a part is sound after all.
+const SUSPICIOUS_CRASHES: usize = 2;
+/// Time after a crash from which it counts against parts: by then this node has heard of
+/// the suspects at all other nodes, and these have answered which parts they know to be
+/// sound. Without that it might blame a part that merely ran beside the cause.
+const REPORT_TIME: Duration = Duration::from_secs(1);
 /// Time that an upstream needs at least to restart after a crash. An answer
 /// within this time shows that the upstream did not crash.
 const MIN_RESTART_TIME: Duration = Duration::from_millis(1500);
-/// Time after the last crash for which a request is refused.
-const QUARANTINE_TIME: Duration = Duration::from_mins(1);
+/// Time for which a crash counts, and after the last one for which a whole request is
+/// refused.
+const CRASH_MEMORY: Duration = Duration::from_mins(1);
+/// Time for which a part is refused. Afterwards it has to crash upstreams anew.
+pub(crate) const PART_QUARANTINE_TIME: Duration = Duration::from_mins(10);
+/// Time for which a sound answer speaks for the parts of its prompt.
+const SOUND_MEMORY: Duration = Duration::from_mins(1);
+/// Crashes that are remembered at most; the oldest are forgotten.
+const CRASHES_MAX: usize = 256;
+/// Own reports that are kept at most; the oldest are forgotten.
+const OWN_REPORTS_MAX: usize = 32;
+/// Suspects of one crash that are remembered at most.
+const SUSPECTS_MAX: usize = 64;
+/// Parts of which sound answers are remembered at most.
+const SOUND_PARTS_MAX: usize = 4096;
+/// Parts that are quarantined at most; the one that ends first makes room.
+const QUARANTINED_MAX: usize = 1024;
 
 /// Hash of a request's path, organisation and body, equal for all its attempts.
 pub type CrashFingerprint = u64;
 
-/// Requests with the upstreams that each is suspected of having crashed.
+/// A request that an upstream was answering when its process ended.
+#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
+pub struct CrashReport {
+    /// Id of the upstream.
+    pub upstream: UpstreamId,
+    /// Start of its process, in Unix milliseconds, if it publishes it.
+    pub started_ms: Option<u64>,
+    /// Fingerprint of the request.
+    pub fingerprint: CrashFingerprint,
+    /// Parts of its prompt that other requests may share and that may have caused the
+    /// crash.
+    pub parts: Vec<SuspectPart>,
+}
+
+/// A part of the prompt of a request that an upstream was answering when it crashed.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
+pub struct SuspectPart {
+    /// Id of the part.
+    pub part: PromptPartId,
+    /// Whether the reporting node has seen a sound answer on it shortly before.
+    pub was_sound: bool,
+}
+
+/// What is known of a part of prompts, as nodes tell each other.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
+pub enum PartStanding {
+    /// It was answered soundly shortly before the crashes under it.
+    SoundBefore,
+    /// It is not to blame: it was answered soundly after the crashes under it, or an
+    /// operator lifted its quarantine. The number tells such proofs apart.
+    Sound(u64),
+    /// Requests with it are refused, since this time in Unix milliseconds.
+    Quarantined(u64),
+}
+
+/// Change of a row of the store that keeps a quarantine.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum QuarantineRow {
+    /// The row is to be written, with the start of the quarantine in Unix milliseconds.
+    Missing(PromptPartId, u64),
+    /// The row is to be removed.
+    Obsolete(PromptPartId),
+}
+
+/// Crashes with their suspects, and the parts that are quarantined for them.
 #[derive(Debug, Default)]
 pub struct QuarantineList {
-    suspects: HashMap<CrashFingerprint, (Instant, Vec<(Instant, UpstreamId)>)>,
+    /// Numbers crashes and sound answers in the order in which this node learned of them.
+    sequence: u64,
+    crashes: VecDeque<CrashRecord>,
+    /// Reports of this node itself, oldest first.
+    own_reports: VecDeque<(Instant, CrashReport)>,
+    sound: HashMap<PromptPartId, SoundRecord>,
+    quarantined: HashMap<PromptPartId, PartQuarantine>,
+    /// Quarantines that the store holds.
+    rows: HashSet<PromptPartId>,
+}
+
+#[derive(Debug)]
+struct CrashRecord {
+    sequence: u64,
+    at: Instant,
+    upstream: UpstreamId,
+    started_ms: Option<u64>,
+    suspects: Vec<(CrashFingerprint, Vec<PromptPartId>)>,
+}
+
+/// The last sound answer on a part.
+#[derive(Clone, Copy, Debug)]
+struct SoundRecord {
+    /// Crashes with a lower sequence number don't count against the part.
+    sequence: u64,
+    at: Instant,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct PartQuarantine {
+    until: Instant,
+    since_ms: u64,
+}
+
+/// Crashes that count against one part.
+#[derive(Debug, Default)]
+struct PartEvidence {
+    crashes: HashSet<u64>,
+    requests: HashSet<CrashFingerprint>,
+}
+
+impl CrashRecord {
+    fn parts(&self) -> impl Iterator<Item = PromptPartId> {
+        self.suspects
+            .iter()
+            .flat_map(|(_, parts)| parts.iter().copied())
+    }
+
+    fn requests_with(&self, part: PromptPartId) -> impl Iterator<Item = CrashFingerprint> {
+        let suspects = self.suspects.iter();
+        suspects
+            .filter(move |(_, parts)| parts.contains(&part))
+            .map(|(fingerprint, _)| *fingerprint)
+    }
 }
 
 impl QuarantineList {
-    /// Records that the connection to `upstream` broke while it ran the request;
-    /// returns whether this upstream was not recorded yet.
-    pub fn record_crash(
+    /// Records a suspect of a crash; returns whether it was not known yet.
+    pub fn record_crash(&mut self, now: Instant, report: &CrashReport) -> bool {
+        while self.crashes.len() >= CRASHES_MAX
+            || self
+                .crashes
+                .front()
+                .is_some_and(|crash| now.saturating_duration_since(crash.at) >= CRASH_MEMORY)
+        {
+            self.crashes.pop_front();
+        }
+        for suspect in &report.parts {
+            if suspect.was_sound {
+                self.record_sound_before(now, suspect.part);
+            }
+        }
+        let is_same = |crash: &CrashRecord| {
+            crash.upstream == report.upstream && crash.started_ms == report.started_ms
+        };
+        let index = self
+            .crashes
+            .iter()
+            .position(is_same)
+            .unwrap_or_else(|| self.add_crash(now, report));
+        let suspects = &mut self.crashes[index].suspects;
+        let is_known = suspects
+            .iter()
+            .any(|(fingerprint, _)| *fingerprint == report.fingerprint);
+        if is_known || suspects.len() >= SUSPECTS_MAX {
+            return false;
+        }
+        let parts = report.parts.iter().map(|suspect| suspect.part).collect();
+        suspects.push((report.fingerprint, parts));
+        true
+    }
+
+    /// Keeps a report of this node itself, for relays that it has not told yet.
+    pub fn keep_own_report(&mut self, now: Instant, report: CrashReport) {
+        if self.own_reports.len() >= OWN_REPORTS_MAX {
+            self.own_reports.pop_front();
+        }
+        self.own_reports.push_back((now, report));
+    }
+
+    /// Reports of this node itself that still count.
+    pub fn own_reports(&self, now: Instant) -> impl Iterator<Item = &CrashReport> {
+        self.own_reports
+            .iter()
+            .filter(move |(at, _)| now.saturating_duration_since(*at) < CRASH_MEMORY)
+            .map(|(_, report)| report)
+    }
+
+    fn add_crash(&mut self, now: Instant, report: &CrashReport) -> usize {
+        let sequence = self.next_sequence();
+        self.crashes.push_back(CrashRecord {
+            sequence,
+            at: now,
+            upstream: report.upstream.clone(),
+            started_ms: report.started_ms,
+            suspects: Vec::new(),
+        });
+        self.crashes.len() - 1
+    }
+
+    fn next_sequence(&mut self) -> u64 {
+        self.sequence += 1;
+        self.sequence
+    }
+
+    /// Removes recent crashes of `upstream` once it answers, since only a connection to
+    /// it had broken.
+    pub fn clear_suspected_crashes(&mut self, now: Instant, upstream: &str) {
+        self.crashes.retain(|crash| {
+            crash.upstream != upstream || now.saturating_duration_since(crash.at) > MIN_RESTART_TIME
+        });
+    }
+
+    /// Whether this node knows of a recent sound answer on the part.
+    #[must_use]
+    pub fn is_known_sound(&self, now: Instant, part: PromptPartId) -> bool {
+        self.sound
+            .get(&part)
+            .is_some_and(|sound| now.saturating_duration_since(sound.at) < SOUND_MEMORY)
+    }
+
+    /// Records that an upstream answered a prompt with these parts and did not crash.
+    /// Returns those of them that other nodes may hold to be crash-causing.
+    pub fn record_sound_answer(
         &mut self,
         now: Instant,
-        fingerprint: CrashFingerprint,
-        upstream: &str,
+        parts: &[PromptPartId],
+    ) -> Vec<PromptPartId> {
+        let mut suspected = Vec::new();
+        for part in parts {
+            let was_quarantined = self.quarantined.remove(part).is_some();
+            if was_quarantined || self.crashes_of(*part).count() >= SUSPICIOUS_CRASHES {
+                suspected.push(*part);
+            }
+            let sequence = self.next_sequence();
+            self.record_sound(*part, SoundRecord { sequence, at: now });
+        }
+        suspected
+    }
+
+    fn record_sound_before(&mut self, now: Instant, part: PromptPartId) {
+        if !self.is_known_sound(now, part) {
+            let sequence = self.sound.get(&part).map_or(0, |sound| sound.sequence);
+            self.record_sound(part, SoundRecord { sequence, at: now });
+        }
+    }
+
+    fn record_sound(&mut self, part: PromptPartId, record: SoundRecord) {
+        if self.sound.len() >= SOUND_PARTS_MAX && !self.sound.contains_key(&part) {
+            let oldest = self.sound.iter().min_by_key(|(_, sound)| sound.at);
+            if let Some(oldest) = oldest.map(|(part, _)| *part) {
+                self.sound.remove(&oldest);
+            }
+        }
+        self.sound.insert(part, record);
+    }
+
+    /// Applies what another node or the store says of a part; returns whether it is new.
+    pub fn apply_standing(
+        &mut self,
+        now: Instant,
+        now_ms: u64,
+        part: PromptPartId,
+        standing: PartStanding,
     ) -> bool {
-        self.suspects
-            .retain(|_, (last_crash, _)| now.duration_since(*last_crash) < QUARANTINE_TIME);
-        let (last_crash, upstreams) = self
-            .suspects
-            .entry(fingerprint)
-            .or_insert((now, Vec::new()));
-        *last_crash = now;
-        if upstreams.iter().any(|(_, id)| id == upstream) {
+        match standing {
+            PartStanding::SoundBefore => {
+                let is_new =
+                    !self.quarantined.contains_key(&part) && !self.is_known_sound(now, part);
+                if is_new {
+                    self.record_sound_before(now, part);
+                }
+                is_new
+            }
+            PartStanding::Sound(_) => {
+                let is_suspected =
+                    self.quarantined.contains_key(&part) || self.crashes_of(part).next().is_some();
+                self.record_sound_answer(now, &[part]);
+                is_suspected
+            }
+            PartStanding::Quarantined(since_ms) => self.quarantine(now, now_ms, part, since_ms),
+        }
+    }
+
+    fn quarantine(&mut self, now: Instant, now_ms: u64, part: PromptPartId, since_ms: u64) -> bool {
+        let elapsed = Duration::from_millis(now_ms.saturating_sub(since_ms));
+        let left = PART_QUARANTINE_TIME.saturating_sub(elapsed);
+        self.quarantined.retain(|_, entry| entry.until > now);
+        if left.is_zero() || self.quarantined.contains_key(&part) {
             return false;
         }
-        upstreams.push((now, upstream.to_owned()));
+        if self.quarantined.len() >= QUARANTINED_MAX {
+            let first = self.quarantined.iter().min_by_key(|(_, entry)| entry.until);
+            if let Some(first) = first.map(|(part, _)| *part) {
+                self.quarantined.remove(&first);
+            }
+        }
+        let until = now + left;
+        let entry = PartQuarantine { until, since_ms };
+        self.quarantined.insert(part, entry);
         true
     }
 
-    /// Removes recent suspected crashes of `upstream` once it answers, since
-    /// only a connection to it had broken.
-    pub fn clear_suspected_crashes(&mut self, now: Instant, upstream: &str) {
-        for (_, upstreams) in self.suspects.values_mut() {
-            upstreams.retain(|(crashed_at, id)| {
-                id != upstream || now.duration_since(*crashed_at) > MIN_RESTART_TIME
-            });
+    /// Quarantines the parts that the recorded crashes prove to be their cause, and
+    /// returns them. `now_ms` is the present in Unix milliseconds.
+    pub fn judge(&mut self, now: Instant, now_ms: u64) -> Vec<PromptPartId> {
+        let mut judged = Vec::new();
+        loop {
+            let guilty = self.guilty_parts(now);
+            if guilty.is_empty() {
+                return judged;
+            }
+            for part in guilty {
+                self.quarantine(now, now_ms, part, now_ms);
+                judged.push(part);
+            }
+        }
+    }
+
+    /// The part with the most unexplained crashes, if these are enough; several parts if
+    /// they always occur together.
+    fn guilty_parts(&self, now: Instant) -> Vec<PromptPartId> {
+        let (total, evidence) = self.evidence(now);
+        // Parts without a sound answer go first.
+        let rank = |part: PromptPartId, evidence: &PartEvidence| {
+            (!self.is_known_sound(now, part), evidence.crashes.len())
+        };
+        let ranks = evidence
+            .iter()
+            .map(|(part, evidence)| rank(*part, evidence));
+        let Some((is_unproven, most)) = ranks.max() else {
+            return Vec::new();
+        };
+        let needed = if is_unproven {
+            PART_CRASHES
+        } else {
+            SOUND_PART_CRASHES
+        };
+        if most < needed.max(total.div_ceil(UNRELATED_DIVISOR)) {
+            return Vec::new();
+        }
+        let mut leaders = evidence;
+        leaders.retain(|part, evidence| rank(*part, evidence) == (is_unproven, most));
+        if leaders.len() > 1 && most < INSEPARABLE_CRASHES {
+            return Vec::new();
+        }
+        leaders.retain(|_, evidence| evidence.requests.len() >= PART_REQUESTS);
+        leaders.into_keys().collect()
+    }
+
+    /// The number of unexplained crashes that all nodes can have reported, and those that
+    /// count against each part.
+    fn evidence(&self, now: Instant) -> (usize, HashMap<PromptPartId, PartEvidence>) {
+        let mut total = 0;
+        let mut all: HashMap<PromptPartId, PartEvidence> = HashMap::new();
+        let is_reported =
+            |crash: &&CrashRecord| now.saturating_duration_since(crash.at) >= REPORT_TIME;
+        for crash in self.unexplained_crashes().filter(is_reported) {
+            total += 1;
+            let mut parts = crash.parts();
+            let has_unproven = parts.any(|part| !self.is_known_sound(now, part));
+            for (fingerprint, parts) in &crash.suspects {
+                for part in parts {
+                    let counts = crash.sequence > self.sound_sequence(*part)
+                        && !(has_unproven && self.is_known_sound(now, *part));
+                    if counts {
+                        let evidence = all.entry(*part).or_default();
+                        evidence.crashes.insert(crash.sequence);
+                        evidence.requests.insert(*fingerprint);
+                    }
+                }
+            }
+        }
+        (total, all)
+    }
+
+    /// The unexplained crashes that count against one part.
+    fn crashes_of(&self, part: PromptPartId) -> impl Iterator<Item = &CrashRecord> {
+        let sound_sequence = self.sound_sequence(part);
+        self.unexplained_crashes().filter(move |crash| {
+            crash.sequence > sound_sequence && crash.parts().any(|suspect| suspect == part)
+        })
+    }
+
+    fn sound_sequence(&self, part: PromptPartId) -> u64 {
+        self.sound.get(&part).map_or(0, |sound| sound.sequence)
+    }
+
+    fn unexplained_crashes(&self) -> impl Iterator<Item = &CrashRecord> {
+        self.crashes
+            .iter()
+            .filter(|crash| !self.is_explained(crash))
+    }
+
+    fn is_explained(&self, crash: &CrashRecord) -> bool {
+        let mut parts = crash.parts();
+        parts.any(|part| self.quarantined.contains_key(&part))
+    }
+
+    /// Time for which a request is still refused, for itself or for a part of its prompt;
+    /// `None` if it may be sent.
+    #[must_use]
+    pub fn time_left(
+        &self,
+        now: Instant,
+        fingerprint: CrashFingerprint,
+        parts: &[PromptPartId],
+    ) -> Option<Duration> {
+        let ends = parts.iter().filter_map(|part| self.quarantined.get(part));
+        let part_end = ends.map(|entry| entry.until).max();
+        let pauses = parts.iter().filter_map(|part| self.pause_end(now, *part));
+        let request_end = self.request_quarantine_end(fingerprint);
+        let until = part_end.max(pauses.max()).max(request_end)?;
+        let left = until.saturating_duration_since(now);
+        (!left.is_zero()).then_some(left)
+    }
+
+    /// When a part that may soon be quarantined is sent again: once all nodes can have
+    /// reported its last crash, so that it crashes no further upstreams meanwhile.
+    fn pause_end(&self, now: Instant, part: PromptPartId) -> Option<Instant> {
+        if self.crashes.is_empty() || self.is_known_sound(now, part) {
+            return None;
+        }
+        let crashes: Vec<&CrashRecord> = self.crashes_of(part).collect();
+        let requests: HashSet<CrashFingerprint> = crashes
+            .iter()
+            .flat_map(|crash| crash.requests_with(part))
+            .collect();
+        if crashes.len() < PART_CRASHES || requests.len() < PART_REQUESTS {
+            return None;
+        }
+        let last = crashes.iter().map(|crash| crash.at).max()?;
+        Some(last + REPORT_TIME)
+    }
+
+    fn request_quarantine_end(&self, fingerprint: CrashFingerprint) -> Option<Instant> {
+        let crashes = self.unexplained_crashes().filter(|crash| {
+            let mut suspects = crash.suspects.iter();
+            suspects.any(|(suspect, _)| *suspect == fingerprint)
+        });
+        let times: Vec<Instant> = crashes.map(|crash| crash.at).collect();
+        let last = times
+            .iter()
+            .max()
+            .filter(|_| times.len() >= CRASHES_TO_QUARANTINE)?;
+        Some(*last + CRASH_MEMORY)
+    }
+
+    /// Parts that are quarantined, with the start of each quarantine in Unix
+    /// milliseconds.
+    pub fn quarantined_parts(&self, now: Instant) -> impl Iterator<Item = (PromptPartId, u64)> {
+        self.quarantined
+            .iter()
+            .filter(move |(_, entry)| entry.until > now)
+            .map(|(part, entry)| (*part, entry.since_ms))
+    }
+
+    /// Records whether the store holds the row of a part's quarantine.
+    pub fn record_row(&mut self, part: PromptPartId, is_stored: bool) {
+        if is_stored {
+            self.rows.insert(part);
+        } else {
+            self.rows.remove(&part);
         }
     }
 
-    /// Whether the request is refused because it crashed too many upstreams.
+    /// Forgets which rows the store holds, before it is listed anew.
+    pub fn forget_rows(&mut self) {
+        self.rows.clear();
+    }
+
+    /// What is to be changed in the store so that it holds the present quarantines.
     #[must_use]
-    pub fn is_quarantined(&self, now: Instant, fingerprint: CrashFingerprint) -> bool {
-        self.suspects
-            .get(&fingerprint)
-            .is_some_and(|(last_crash, upstreams)| {
-                upstreams.len() >= CRASHES_TO_QUARANTINE
-                    && now.duration_since(*last_crash) < QUARANTINE_TIME
-            })
+    pub fn row_changes(&self, now: Instant) -> Vec<QuarantineRow> {
+        let missing = self
+            .quarantined_parts(now)
+            .filter(|(part, _)| !self.rows.contains(part))
+            .map(|(part, since_ms)| QuarantineRow::Missing(part, since_ms));
+        let is_current = |part: &PromptPartId| {
+            let entry = self.quarantined.get(part);
+            entry.is_some_and(|entry| entry.until > now)
+        };
+        let obsolete = self.rows.iter().filter(|part| !is_current(part));
+        missing
+            .chain(obsolete.map(|part| QuarantineRow::Obsolete(*part)))
+            .collect()
     }
 }
--- a/components/dispatch/tests/fleet_news.rs
+++ b/components/dispatch/tests/fleet_news.rs
@@ -7,8 +7,8 @@
 };
 
 use dispatch::{
-    NewsCursor, NewsItem, NewsLog, NewsPage, NewsReader, NewsSubject, RosterEntry, UpstreamEntry,
-    UpstreamState,
+    CrashReport, NewsCursor, NewsItem, NewsLog, NewsPage, NewsReader, NewsSubject, PartStanding,
+    RosterEntry, UpstreamEntry, UpstreamState,
 };
 use rand::{RngExt, SeedableRng, rngs::StdRng, seq::SliceRandom};
 
@@ -156,10 +156,11 @@
         for step in 0..400_u64 {
             now += Duration::from_millis(rng.random_range(50..2_000));
             let id = rng.random_range(0..40);
-            let item = match rng.random_range(0..4) {
+            let item = match rng.random_range(0..5) {
                 0 => NewsItem::Node(node(&format!("node-{id}"), step), rng.random()),
                 1 => NewsItem::UpstreamGone(format!("engine-{id}"), step),
-                2 => NewsItem::Crash(id, format!("engine-{id}")),
+                2 => NewsItem::Crash(crash(id)),
+                3 => NewsItem::Part(id, PartStanding::Sound(step)),
                 _ => upstream(&format!("engine-{id}"), step, UpstreamState::Ready),
             };
             for log in &mut logs {
@@ -226,3 +227,12 @@
         assert!(known.is_up_to_date(&log));
     }
 }
+
+fn crash(fingerprint: u64) -> CrashReport {
+    CrashReport {
+        upstream: format!("engine-{fingerprint}"),
+        started_ms: None,
+        fingerprint,
+        parts: Vec::new(),
+    }
+}
--- a/components/dispatch/tests/known_state.rs
+++ b/components/dispatch/tests/known_state.rs
@@ -8,8 +8,8 @@
 };
 
 use dispatch::{
-    NodeRoster, QuarantineList, RetryBudget, RosterEntry, TableFreshness, UpstreamEntry,
-    UpstreamState, UpstreamTable, VersionSource,
+    CrashReport, NodeRoster, QuarantineList, RetryBudget, RosterEntry, TableFreshness,
+    UpstreamEntry, UpstreamState, UpstreamTable, VersionSource,
 };
 use proptest::prelude::{prop, proptest};
 use rand::{SeedableRng, rngs::StdRng};
@@ -196,21 +196,31 @@
     let now = Instant::now();
     let mut list = QuarantineList::default();
     for upstream in ["a", "b"] {
-        assert!(list.record_crash(now, 1, upstream));
+        assert!(list.record_crash(now, &crash(1, upstream)));
     }
     assert!(
-        !list.record_crash(now, 1, "b"),
+        !list.record_crash(now, &crash(1, "b")),
         "the crash is already recorded"
     );
-    assert!(!list.is_quarantined(now, 1));
+    assert_eq!(list.time_left(now, 1, &[]), None);
     // The upstream answers another request, so only a connection had broken.
     list.clear_suspected_crashes(now + Duration::from_millis(300), "b");
-    list.record_crash(now, 1, "c");
-    assert!(!list.is_quarantined(now, 1));
-    list.record_crash(now, 1, "d");
-    assert!(list.is_quarantined(now, 1));
-    assert!(!list.is_quarantined(now, 2));
-    assert!(!list.is_quarantined(now + Duration::from_mins(2), 1));
+    list.record_crash(now, &crash(1, "c"));
+    assert_eq!(list.time_left(now, 1, &[]), None);
+    list.record_crash(now, &crash(1, "d"));
+    assert!(list.time_left(now, 1, &[]).is_some());
+    assert_eq!(list.time_left(now, 2, &[]), None);
+    let later = now + Duration::from_mins(2);
+    assert_eq!(list.time_left(later, 1, &[]), None);
+}
+
+fn crash(fingerprint: u64, upstream: &str) -> CrashReport {
+    CrashReport {
+        upstream: upstream.to_owned(),
+        started_ms: None,
+        fingerprint,
+        parts: Vec::new(),
+    }
 }
 
 #[test]
--- a/components/gateway/src/attempt.rs
+++ b/components/gateway/src/attempt.rs
@@ -14,8 +14,9 @@
     AnswerHead,
     answer::{AnswerBody, GatewayAnswer},
     client::{ClientConnection, ExchangeError},
+    crashes::record_sound_answer,
     forward::ForwardJob,
-    leg::{UpstreamAttempt, pool_connection, remove_hop_by_hop_headers},
+    leg::{UpstreamAttempt, is_framed, pool_connection, remove_hop_by_hop_headers},
     place::{PLACEMENT_RETRY_PAUSE, find_placement},
     relay::{StreamForwarder, stream_plain_answer},
     state::Gateway,
@@ -63,6 +64,8 @@
     last_answer: Option<(http::response::Parts, Bytes)>,
     /// Time until the first upstream takes requests again, if all asked for a pause.
     pause_left: Option<Duration>,
+    /// Time until the request's quarantine ends, if it has crashed upstreams.
+    quarantine_left: Option<Duration>,
 }
 
 /// Outcome of one attempt.
@@ -95,11 +98,8 @@
     let job = Rc::new(job);
     let mut history = AttemptHistory::default();
     let reason = loop {
-        if gateway
-            .quarantine
-            .borrow()
-            .is_quarantined(gateway.now(), job.fingerprint)
-        {
+        if let Some(left) = quarantine_left(gateway, &job) {
+            history.quarantine_left = Some(left);
             break "quarantined";
         }
         if history.sends > 0 && !take_retry_if_allowed(gateway, &job, &history) {
@@ -163,6 +163,10 @@
     let answer = if !history.may_have_run {
         let left = job.time_left(now);
         GatewayAnswer::Refused(match reason {
+            "quarantined" => history
+                .quarantine_left
+                .unwrap_or_default()
+                .max(RETRY_AFTER_MIN),
             "paused" => history.pause_left.unwrap_or_default().max(RETRY_AFTER_MIN),
             "needs_quiet" => left.mul_f64(IDLE_ENGINES_RETRY_SHARE).max(RETRY_AFTER_MIN),
             _ => RETRY_AFTER_MIN,
@@ -175,6 +179,15 @@
     (answer.into_response(), true)
 }
 
+/// Returns for how long the request is still refused because it, or a part of its prompt,
+/// crashes upstreams.
+pub(crate) fn quarantine_left(gateway: &Gateway, job: &ForwardJob) -> Option<Duration> {
+    gateway
+        .quarantine
+        .borrow()
+        .time_left(gateway.now(), job.fingerprint, &job.request.shared_parts)
+}
+
 /// Returns whether another attempt is allowed, and takes it from the retry budget.
 /// The route's kind and its limit of upstreams apply only once the request may have
 /// run; the budget always applies. The log reports all three as `not_repeatable`.
@@ -234,7 +247,7 @@
         gateway.clock.sleep(PLACEMENT_RETRY_PAUSE).await;
         return SendOutcome::NotReserved;
     }
-    if attempt.is_barred(gateway) {
+    if attempt.is_barred(gateway) || quarantine_left(gateway, job).is_some() {
         return SendOutcome::NotSent;
     }
     log::info!(
@@ -279,7 +292,7 @@
             return SendOutcome::NotSent;
         }
         Some(Err(ExchangeError::Sent(error))) => {
-            attempt.record_crash(gateway, job, &error);
+            attempt.record_broken(gateway, job, &error);
             return SendOutcome::Lost;
         }
         None => {
@@ -373,6 +386,7 @@
     head: &AnswerHead,
 ) -> SendOutcome {
     let (mut parts, body) = response.into_parts();
+    let is_framed = is_framed(&parts.headers);
     remove_hop_by_hop_headers(&mut parts.headers);
     let content_length = parts.headers.get(header::CONTENT_LENGTH);
     let content_length: Option<usize> = content_length
@@ -410,6 +424,9 @@
         return SendOutcome::Lost;
     }
     attempt.record_success(gateway);
+    if parts.status.is_success() && is_framed {
+        record_sound_answer(gateway, job);
+    }
     SendOutcome::Answered(Response::from_parts(parts, AnswerBody::from(body)))
 }
 
--- a/components/gateway/src/daemon.rs
+++ b/components/gateway/src/daemon.rs
@@ -15,6 +15,7 @@
 use crate::{
     GatewaySettings, WatchedTable, WireDialect,
     client::PlainCaller,
+    crashes::keep_quarantine,
     datagrams::{PeerDatagram, receive_datagrams, send_queued_datagrams},
     listen::{ListenRole, is_closing, listen},
     reports::{is_relay, send_reports},
@@ -85,6 +86,7 @@
         WatchedTable::Desired,
         WatchedTable::Upstreams,
         WatchedTable::Nodes,
+        WatchedTable::Quarantine,
     ] {
         executor
             .spawn(watch_table(Rc::clone(&gateway), table))
@@ -104,6 +106,9 @@
         .spawn(send_reports(Rc::clone(&gateway), Rc::clone(&socket)))
         .detach();
     executor.spawn(keep_own_row(Rc::clone(&gateway))).detach();
+    executor
+        .spawn(keep_quarantine(Rc::clone(&gateway)))
+        .detach();
     executor
         .spawn(expire_periodically(Rc::clone(&gateway)))
         .detach();
@@ -163,7 +168,9 @@
             gateway.clock.sleep(RELAY_CHECK_PAUSE).await;
             continue;
         }
-        let call = gateway.dialect.put_node_call(&entry.node, &value);
+        let call = gateway
+            .dialect
+            .put_row_call(WatchedTable::Nodes, &entry.node, &value);
         match gateway
             .clock
             .timeout(ROW_CALL_TIMEOUT, caller.call(call))
@@ -227,7 +234,8 @@
 
 async fn remove_own_row(gateway: Rc<Gateway>) {
     let mut caller = PlainCaller::new(Rc::clone(&gateway.executor), gateway.settings.store);
-    let call = gateway.dialect.remove_node_call(&gateway.settings.node);
+    let node = &gateway.settings.node;
+    let call = gateway.dialect.remove_row_call(WatchedTable::Nodes, node);
     let answer = gateway
         .clock
         .timeout(ROW_CALL_TIMEOUT, caller.call(call))
--- a/components/gateway/src/datagrams.rs
+++ b/components/gateway/src/datagrams.rs
@@ -7,12 +7,13 @@
     time::Duration,
 };
 
-use dispatch::{AggregateChunk, CrashFingerprint, NewsItem, PrefillNotice};
+use dispatch::{AggregateChunk, CrashReport, PartStanding, PrefillNotice};
 use serde::{Deserialize, Serialize};
 use smol::{Async, channel::Receiver};
-use types::{NodeId, UpstreamId};
+use types::{NodeId, PromptPartId, UpstreamId};
 
 use crate::{
+    crashes::{receive_crash, receive_standing},
     news::{RelayNews, handle_news, record_leaving},
     reports::{NodeReport, handle_report, handle_sums, is_relay},
     state::Gateway,
@@ -43,8 +44,10 @@
         /// Whether the notice needs no relay to pass it on.
         passed_on: bool,
     },
-    /// The connection to an upstream broke while it may have been running the request.
-    UpstreamCrashed(CrashFingerprint, UpstreamId),
+    /// The process of an upstream ended while it was answering a request.
+    UpstreamCrashed(CrashReport),
+    /// What is known of a part of prompts.
+    Part(PromptPartId, PartStanding),
     /// The process of an upstream, by its start time, said that it leaves.
     UpstreamLeaving(UpstreamId, Option<u64>),
     /// The sender is stopping; the number is its incarnation: its start time in Unix
@@ -201,12 +204,8 @@
                 send_datagram(socket, &targets, &datagram).await;
             }
         }
-        PeerDatagram::UpstreamCrashed(fingerprint, upstream) => {
-            let mut quarantine = gateway.quarantine.borrow_mut();
-            quarantine.record_crash(now, fingerprint, &upstream);
-            let item = NewsItem::Crash(fingerprint, upstream);
-            gateway.fleet.borrow_mut().publish(now, item);
-        }
+        PeerDatagram::UpstreamCrashed(report) => receive_crash(gateway, &report),
+        PeerDatagram::Part(part, standing) => receive_standing(gateway, part, standing),
         PeerDatagram::UpstreamLeaving(upstream, started_ms) => {
             record_leaving(gateway, &upstream, started_ms, "peer");
         }
--- a/components/gateway/src/edge.rs
+++ b/components/gateway/src/edge.rs
@@ -46,11 +46,11 @@
     /// store came back from a copy, its versions are those of a new history.
     fn is_same_history(&self, one: u64, other: u64) -> bool;
 
-    /// Builds the call that writes this node's row in [`WatchedTable::Nodes`].
-    fn put_node_call(&self, key: &str, value: &[u8]) -> PlainCall;
+    /// Builds the call that writes a row of a table that belongs to the gateway.
+    fn put_row_call(&self, table: WatchedTable, key: &str, value: &[u8]) -> PlainCall;
 
-    /// Builds the call that removes a row from [`WatchedTable::Nodes`].
-    fn remove_node_call(&self, key: &str) -> PlainCall;
+    /// Builds the call that removes a row from a table that belongs to the gateway.
+    fn remove_row_call(&self, table: WatchedTable, key: &str) -> PlainCall;
 
     /// Decodes the desired state from a row of [`WatchedTable::Desired`]; `None` for
     /// a row that holds something else.
@@ -85,6 +85,8 @@
     Upstreams,
     /// Nodes of the gateway, each registered by itself.
     Nodes,
+    /// Parts of prompts that are refused because they crash upstreams.
+    Quarantine,
 }
 
 /// An HTTP call whose answer is read whole, as made to the store, to engines and
--- a/components/gateway/src/leg.rs
+++ b/components/gateway/src/leg.rs
@@ -10,8 +10,7 @@
 
 use bytes::Bytes;
 use dispatch::{
-    CallKind, InFlightRequest, LatencyGoals, MemoryShare, NewsItem, Placement, PrefillNotice,
-    PromptSize,
+    CallKind, InFlightRequest, LatencyGoals, MemoryShare, Placement, PrefillNotice, PromptSize,
 };
 use http::{HeaderMap, Request, Uri, header};
 use http_body_util::Full;
@@ -21,7 +20,7 @@
 use crate::{
     ForwardHead, UpstreamWish,
     client::{ClientConnection, DEFAULT_IDLE_TIMEOUT},
-    crashes::{BrokenAttempt, check_upstream},
+    crashes::{BrokenAttempt, check_upstream, record_sound_answer},
     datagrams::PeerDatagram,
     forward::ForwardJob,
     news::record_leaving,
@@ -39,6 +38,11 @@
 /// stay in the pool, so that none is used while the upstream closes it.
 const KEEP_ALIVE_SHARE: f64 = 0.6;
 
+/// Time after the first event for which an upstream may still crash on the prompt that it
+/// answers; several times as long as crashes take on a slow upstream.
+const SOUND_ANSWER_TIME: Duration = Duration::from_millis(1500);
+/// Pause between two proofs by the same answer.
+const PROOF_INTERVAL: Duration = Duration::from_millis(500);
 /// Longest pause that an upstream is granted; a longer one would be a mistake.
 const PAUSE_MAX: Duration = Duration::from_hours(1);
 /// Largest factor by which a node prolongs a pause.
@@ -60,6 +64,8 @@
     registered_at: Instant,
     /// When the first event of the answer arrived.
     first_event_at: Cell<Option<Instant>>,
+    /// When further events next prove that the upstream has not crashed on the prompt.
+    proof_due_at: Cell<Option<Instant>>,
     /// Prefill time that the placement estimated.
     prefill_time: Duration,
     /// Counts the attempt in the load of its engines until this is dropped.
@@ -122,6 +128,7 @@
             reservations: None,
             registered_at: gateway.now(),
             first_event_at: Cell::default(),
+            proof_due_at: Cell::default(),
             prefill_time: placement.time_to_prefill,
             in_flight: InFlightGuard::new(gateway, in_flight_id),
         })
@@ -227,7 +234,6 @@
     /// attempt. The end of a stream without events counts as its first event.
     pub(crate) fn record_first_event(&self, gateway: &Gateway) {
         self.record_success(gateway);
-        self.first_event_at.set(Some(gateway.now()));
         if !self.helpers.is_empty() {
             return;
         }
@@ -308,34 +314,39 @@
         self.back_off(gateway);
     }
 
-    /// Records that the connection broke while the upstream may have been running
-    /// the request, and tells all nodes if this is new evidence against the prompt.
-    pub(crate) fn record_crash(&self, gateway: &Rc<Gateway>, job: &Rc<ForwardJob>, reason: &str) {
+    /// Records that the connection broke while the upstream may have been running the
+    /// request, and begins to find out whether the upstream has ended.
+    pub(crate) fn record_broken(&self, gateway: &Rc<Gateway>, job: &Rc<ForwardJob>, reason: &str) {
         self.record_failure(gateway, job, reason);
-        let now = gateway.now();
+        let answered_for = self.answered_for(gateway.now());
         let broken = BrokenAttempt {
             upstream: self.upstream.clone(),
             address: self.address,
-            answered_for: self
-                .first_event_at
-                .get()
-                .map(|at| now.saturating_duration_since(at)),
+            started_ms: self.started_ms,
+            answered_for,
+            is_proven_sound: answered_for.is_some_and(|time| time >= SOUND_ANSWER_TIME),
         };
         let checking = check_upstream(Rc::clone(gateway), Rc::clone(job), broken);
         gateway.executor.spawn(checking).detach();
-        let newly_seen =
-            gateway
-                .quarantine
-                .borrow_mut()
-                .record_crash(now, job.fingerprint, &self.upstream);
-        if newly_seen {
-            let item = NewsItem::Crash(job.fingerprint, self.upstream.clone());
-            gateway.fleet.borrow_mut().publish(now, item);
-            gateway.queue_datagram(PeerDatagram::UpstreamCrashed(
-                job.fingerprint,
-                self.upstream.clone(),
-            ));
+    }
+
+    /// Records that events of the answer have arrived. An upstream that still sends some
+    /// after [`SOUND_ANSWER_TIME`] has not crashed on this prompt.
+    pub(crate) fn record_events(&self, gateway: &Gateway, job: &ForwardJob) {
+        let now = gateway.now();
+        if self.first_event_at.get().is_none() {
+            self.first_event_at.set(Some(now));
+            self.proof_due_at.set(Some(now + SOUND_ANSWER_TIME));
         }
+        if self.proof_due_at.get().is_some_and(|due| now >= due) {
+            self.proof_due_at.set(Some(now + PROOF_INTERVAL));
+            record_sound_answer(gateway, job);
+        }
+    }
+
+    fn answered_for(&self, now: Instant) -> Option<Duration> {
+        let first_event_at = self.first_event_at.get()?;
+        Some(now.saturating_duration_since(first_event_at))
     }
 }
 
@@ -387,6 +398,11 @@
     gateway.pool.borrow_mut().put(now, connection, idle_timeout);
 }
 
+/// Returns whether an answer with these headers states where its body ends.
+pub(crate) fn is_framed(headers: &HeaderMap) -> bool {
+    headers.contains_key(header::CONTENT_LENGTH) || headers.contains_key(header::TRANSFER_ENCODING)
+}
+
 /// Removes hop-by-hop headers, including those that `Connection` names.
 pub(crate) fn remove_hop_by_hop_headers(headers: &mut HeaderMap) {
     let named: Vec<String> = headers
--- a/components/gateway/src/news.rs
+++ b/components/gateway/src/news.rs
@@ -17,6 +17,7 @@
 
 use crate::{
     WatchedTable,
+    crashes::{receive_crash, receive_standing},
     datagrams::{PACKET_PAYLOAD_BYTES, PeerDatagram, send_datagram},
     peers::begin_fetch_desired,
     reports::millis,
@@ -172,12 +173,8 @@
         NewsItem::UpstreamLeaving(id, started_ms) => {
             record_leaving(gateway, &id, started_ms, "peer");
         }
-        NewsItem::Crash(fingerprint, upstream) => {
-            let mut quarantine = gateway.quarantine.borrow_mut();
-            quarantine.record_crash(now, fingerprint, &upstream);
-            let item = NewsItem::Crash(fingerprint, upstream);
-            gateway.fleet.borrow_mut().publish(now, item);
-        }
+        NewsItem::Crash(report) => receive_crash(gateway, &report),
+        NewsItem::Part(part, standing) => receive_standing(gateway, part, standing),
     }
 }
 
--- a/components/gateway/src/relay.rs
+++ b/components/gateway/src/relay.rs
@@ -9,7 +9,7 @@
 
 use bytes::Bytes;
 use futures_lite::stream;
-use http::{Response, response::Parts};
+use http::{Response, header, response::Parts};
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use types::UpstreamId;
@@ -17,10 +17,11 @@
 use crate::{
     EventCursor,
     answer::AnswerBody,
-    attempt::{SendOutcome, can_retry, stream_read_timeout, take_resume_retry},
-    client::ClientConnection,
+    attempt::{SendOutcome, can_retry, quarantine_left, stream_read_timeout, take_resume_retry},
+    client::{ClientConnection, ExchangeError},
+    crashes::record_sound_answer,
     forward::ForwardJob,
-    leg::{UpstreamAttempt, remove_hop_by_hop_headers},
+    leg::{UpstreamAttempt, is_framed, remove_hop_by_hop_headers},
     place::resume_placement,
     state::Gateway,
 };
@@ -37,6 +38,8 @@
     /// Head of the answer until it is returned, with the first event, to the caller.
     response_head: Option<Parts>,
     body: Incoming,
+    /// Whether the body has a length or chunks, so that its end is told from a crash.
+    is_framed: bool,
     attempt: UpstreamAttempt,
     connection: ClientConnection,
     /// Upstreams that served the stream or were tried, which resumes avoid.
@@ -74,9 +77,10 @@
         sends: u32,
     ) -> Self {
         let (mut response_head, body) = response.into_parts();
+        let is_framed = is_framed(&response_head.headers);
         remove_hop_by_hop_headers(&mut response_head.headers);
         // Another upstream may complete the stream, so its length isn't known.
-        response_head.headers.remove(http::header::CONTENT_LENGTH);
+        response_head.headers.remove(header::CONTENT_LENGTH);
         let last = job.request.resume_after.as_deref();
         Self {
             cursor: EventCursor::new(last.and_then(|id| id.parse().ok())),
@@ -84,6 +88,7 @@
             job: Rc::clone(job),
             response_head: Some(response_head),
             body,
+            is_framed,
             tried: vec![attempt.upstream.clone()],
             attempt,
             connection,
@@ -175,15 +180,27 @@
             let frame = match frame.await {
                 Some(Some(Ok(frame))) => frame,
                 Some(Some(Err(error))) => {
-                    self.attempt.record_crash(
+                    self.attempt.record_broken(
                         &self.gateway,
                         &self.job,
                         "connection lost while reading the event stream",
                     );
                     return Err(io::Error::other(error));
                 }
-                Some(None) if self.cursor.at_boundary() => return Ok(None),
-                Some(None) => return Err(io::ErrorKind::UnexpectedEof.into()),
+                Some(None) if self.cursor.at_boundary() => {
+                    if self.is_framed {
+                        record_sound_answer(&self.gateway, &self.job);
+                    }
+                    return Ok(None);
+                }
+                Some(None) => {
+                    self.attempt.record_broken(
+                        &self.gateway,
+                        &self.job,
+                        "the event stream ended inside an event",
+                    );
+                    return Err(io::ErrorKind::UnexpectedEof.into());
+                }
                 None => {
                     self.attempt.record_failure(
                         &self.gateway,
@@ -214,12 +231,15 @@
             self.longest_gap = self.longest_gap.max(gap);
         }
         self.last_event_at = now;
+        self.attempt.record_events(&self.gateway, &self.job);
     }
 
     /// Continues the stream at another upstream after the last complete event;
     /// `false` if none can.
     async fn resume(&mut self) -> bool {
-        while take_resume_retry(&self.gateway, &self.job, self.sends) {
+        while quarantine_left(&self.gateway, &self.job).is_none()
+            && take_resume_retry(&self.gateway, &self.job, self.sends)
+        {
             self.sends += 1;
             if self.resume_once().await {
                 return true;
@@ -259,13 +279,24 @@
         };
         let limit = (RESUME_TIMEOUT + placement.time_to_prefill * 2).min(self.time_left());
         let answer = self.gateway.clock.timeout(limit, connection.send(request));
-        let Some(Ok(response)) = answer.await else {
-            attempt.record_failure(
-                &self.gateway,
-                &self.job,
-                "connection error or no answer head when resuming the stream",
-            );
-            return false;
+        let response = match answer.await {
+            Some(Ok(response)) => response,
+            Some(Err(ExchangeError::Sent(error))) => {
+                attempt.record_broken(&self.gateway, &self.job, &error);
+                return false;
+            }
+            Some(Err(ExchangeError::NotSent(error))) => {
+                attempt.record_failure(&self.gateway, &self.job, &error);
+                return false;
+            }
+            None => {
+                attempt.record_failure(
+                    &self.gateway,
+                    &self.job,
+                    "no answer head in time when resuming the stream",
+                );
+                return false;
+            }
         };
         let head = self
             .gateway
@@ -285,6 +316,7 @@
             attempt.upstream,
         );
         self.cursor.resume();
+        self.is_framed = is_framed(response.headers());
         self.body = response.into_body();
         self.attempt = attempt;
         self.connection = connection;
--- a/components/gateway/src/reports.rs
+++ b/components/gateway/src/reports.rs
@@ -15,6 +15,7 @@
 use types::NodeId;
 
 use crate::{
+    crashes::repeat_own_reports,
     datagrams::{PeerDatagram, send_datagram},
     news::answer_news,
     state::Gateway,
@@ -116,6 +117,7 @@
             relay.zone,
             relay.capacity
         );
+        repeat_own_reports(gateway);
     }
     let mut loads = gateway.loads.borrow_mut();
     loads.sample_strict_requests(now);
--- a/components/gateway/src/sync.rs
+++ b/components/gateway/src/sync.rs
@@ -13,8 +13,8 @@
 use types::UpstreamId;
 
 use crate::{
-    FeedAnswer, PlainCall, TableChange, WatchedTable, client::PlainCaller, reports::is_relay,
-    state::Gateway,
+    FeedAnswer, PlainCall, TableChange, WatchedTable, client::PlainCaller,
+    crashes::apply_quarantine_rows, reports::is_relay, state::Gateway,
 };
 
 /// Longest long poll for changes of the desired state. It is short because a dead
@@ -25,6 +25,9 @@
 /// Pause between long polls for upstreams: each upstream writes its row about once
 /// a second, and without a pause every write would end a poll.
 const UPSTREAM_PAUSE: Duration = Duration::from_millis(500);
+/// Longest long poll for changes of the quarantines. They are rare, and nodes mostly learn
+/// of them by news; the store tells nodes that have lost each other.
+const QUARANTINE_WAIT: Duration = Duration::from_secs(20);
 /// Pause between polls of the nodes' rows. Nodes mostly learn of each other by
 /// summaries.
 const NODES_POLL_PAUSE: Duration = Duration::from_secs(20);
@@ -100,7 +103,7 @@
                 reached = reached.max(version);
                 retry_pause = RETRY_PAUSE_MIN;
                 match table {
-                    WatchedTable::Desired => Duration::ZERO,
+                    WatchedTable::Desired | WatchedTable::Quarantine => Duration::ZERO,
                     WatchedTable::Upstreams => UPSTREAM_PAUSE,
                     WatchedTable::Nodes => NODES_POLL_PAUSE,
                 }
@@ -173,8 +176,8 @@
             !goes_on && gateway.desired_freshness.borrow().has_store_poller(now)
         }
         WatchedTable::Upstreams => !goes_on && upstreams.has_store_poller(now),
-        // Nodes that aren't relays don't need these rows.
-        WatchedTable::Nodes => true,
+        // Other nodes don't need these rows.
+        WatchedTable::Nodes | WatchedTable::Quarantine => true,
     }
 }
 
@@ -186,7 +189,7 @@
     let polls_already = match table {
         WatchedTable::Desired => gateway.desired_freshness.borrow().polls_store(now),
         WatchedTable::Upstreams => gateway.upstream_freshness.borrow().polls_store(now),
-        WatchedTable::Nodes => true,
+        WatchedTable::Nodes | WatchedTable::Quarantine => true,
     };
     if polls_already || is_store_poller(gateway, table) {
         return Duration::ZERO;
@@ -249,6 +252,7 @@
         WatchedTable::Desired => DESIRED_WAIT,
         WatchedTable::Upstreams => UPSTREAM_WAIT,
         WatchedTable::Nodes => Duration::ZERO,
+        WatchedTable::Quarantine => QUARANTINE_WAIT,
     };
     let call = gateway.dialect.changes_call(table, version, wait);
     match call_store(gateway, caller, call, wait).await {
@@ -291,7 +295,7 @@
     match table {
         WatchedTable::Desired => gateway.desired_freshness.borrow_mut().record_failure(now),
         WatchedTable::Upstreams => gateway.upstream_freshness.borrow_mut().record_failure(now),
-        WatchedTable::Nodes => {}
+        WatchedTable::Nodes | WatchedTable::Quarantine => {}
     }
 }
 
@@ -318,6 +322,7 @@
         }
         WatchedTable::Upstreams => apply_upstreams(gateway, changes, complete, version),
         WatchedTable::Nodes => apply_nodes(gateway, changes),
+        WatchedTable::Quarantine => apply_quarantine_rows(gateway, changes, complete),
     }
 }
 
