Log the request rate that an upstream names

In the incident with a rate limit no line said that an engine had named one, so the logs could not tell a node that ignores it from nodes that each keep to it alone. Nothing follows from the limit yet.

--- a/components/gateway/src/attempt.rs
+++ b/components/gateway/src/attempt.rs
@@ -336,6 +336,7 @@
     let status = response.status();
     let head = gateway.dialect.decode_answer(status, response.headers());
     attempt.record_wish(gateway, head.wish);
+    attempt.record_rate(head.rate);
     if head
         .caller_attempt_id
         .as_ref()
--- a/components/gateway/src/edge.rs
+++ b/components/gateway/src/edge.rs
@@ -190,6 +190,20 @@
     pub keep_alive: Option<Duration>,
     /// What the upstream says of itself.
     pub wish: Option<UpstreamWish>,
+    /// What the upstream says of the requests that it takes.
+    pub rate: RateStatement,
+}
+
+/// How many requests an upstream takes from all nodes together, as an answer says.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub enum RateStatement {
+    /// The answer names no limit.
+    #[default]
+    Unlimited,
+    /// Thousandths of a request a second.
+    Limited(u32),
+    /// The answer names a limit that can't be decoded.
+    Unclear,
 }
 
 /// What an upstream wants of a node, besides the answer to a request.
--- a/components/gateway/src/leg.rs
+++ b/components/gateway/src/leg.rs
@@ -18,7 +18,7 @@
 use types::{TokenCount, UpstreamId};
 
 use crate::{
-    ForwardHead, UpstreamWish,
+    ForwardHead, RateStatement, UpstreamWish,
     client::{ClientConnection, DEFAULT_IDLE_TIMEOUT},
     crashes::{BrokenAttempt, check_upstream, record_sound_answer},
     datagrams::PeerDatagram,
@@ -274,6 +274,17 @@
         }
     }
 
+    /// Records how many requests the upstream takes.
+    pub(crate) fn record_rate(&self, rate: RateStatement) {
+        if let RateStatement::Limited(thousandths) = rate {
+            log::info!(
+                "event=upstream_limited upstream={} limit={}",
+                self.upstream,
+                f64::from(thousandths) / 1e3
+            );
+        }
+    }
+
     /// Whether the upstream came to leave or to ask for a pause since the placement.
     pub(crate) fn is_barred(&self, gateway: &Gateway) -> bool {
         let upstreams = gateway.upstreams.borrow();
--- a/components/gateway/src/lib.rs
+++ b/components/gateway/src/lib.rs
@@ -28,8 +28,8 @@
 
 pub use daemon::run_gateway;
 pub use edge::{
-    AnswerHead, EngineCall, FeedAnswer, ForwardHead, PlainCall, RequestHead, TableChange,
-    UpstreamWish, WatchedTable, WireDialect,
+    AnswerHead, EngineCall, FeedAnswer, ForwardHead, PlainCall, RateStatement, RequestHead,
+    TableChange, UpstreamWish, WatchedTable, WireDialect,
 };
 pub use events::{EventCursor, EventError};
 pub use settings::{GatewaySettings, RevokePolicy};
--- a/components/gateway/src/relay.rs
+++ b/components/gateway/src/relay.rs
@@ -303,6 +303,7 @@
             .dialect
             .decode_answer(response.status(), response.headers());
         attempt.record_wish(&self.gateway, head.wish);
+        attempt.record_rate(head.rate);
         let matches_request = head
             .caller_attempt_id
             .is_none_or(|id| id == self.job.request.caller_attempt_id);
