Keep all nodes together to the rate that an upstream names

Cause: nodes did not read the header, so placement went on as before; and had each node read it alone, the sum over the nodes would still have exceeded it.

Now a node that reads a rate in an answer tells all others, in notices that are ordered by a stamp and belong to one process of the upstream. The rate is shared by a few nodes, chosen by rendezvous hashing over those that were alive in the last ten seconds: if each node of a large fleet sent one request, that would be too many. The request is taken from the share right before it is sent, first sends, retries and resumed streams alike. A limited upstream gets no shards and no reservations. An answer to a request that was sent later and names no rate ends it; an upstream that nothing was heard of for five seconds is asked again.

--- a/components/dispatch/src/fleet.rs
+++ b/components/dispatch/src/fleet.rs
@@ -322,6 +322,9 @@
         for entry in upstreams.entries() {
             log.publish(now, NewsItem::Upstream(entry.clone()));
         }
+        for (id, notice) in upstreams.rate_notices() {
+            log.publish(now, NewsItem::Rate(id.clone(), notice));
+        }
     }
 
     /// Publishes an item that is not part of the state that
--- a/components/dispatch/src/lib.rs
+++ b/components/dispatch/src/lib.rs
@@ -16,6 +16,7 @@
 mod placement;
 mod prefill_queue;
 mod quarantine;
+mod rate_limit;
 mod relays;
 mod roster;
 mod routes;
@@ -42,6 +43,7 @@
 pub use quarantine::{
     CrashFingerprint, CrashReport, PartStanding, QuarantineList, QuarantineRow, SuspectPart,
 };
+pub use rate_limit::RateNotice;
 pub use relays::{RelayWatch, find_lost_relays, is_better_relay, select_relays};
 pub use roster::{NodeRoster, RosterEntry};
 pub use routes::{RouteMatch, RouteTable};
--- a/components/dispatch/src/news.rs
+++ b/components/dispatch/src/news.rs
@@ -12,7 +12,7 @@
 use types::{NodeId, PromptPartId, UpstreamId};
 
 use crate::{
-    CrashFingerprint, CrashReport, PartStanding, RosterEntry, UpstreamEntry,
+    CrashFingerprint, CrashReport, PartStanding, RateNotice, RosterEntry, UpstreamEntry,
     quarantine::PART_QUARANTINE_TIME,
 };
 
@@ -41,6 +41,8 @@
     Crash(CrashReport),
     /// What is known of a part of prompts.
     Part(PromptPartId, PartStanding),
+    /// What is known of the rate of requests that an upstream takes.
+    Rate(UpstreamId, RateNotice),
 }
 
 /// What a piece of news is about.
@@ -56,6 +58,8 @@
     Crash(CrashFingerprint, UpstreamId),
     /// The part of prompts with this id.
     Part(PromptPartId),
+    /// The rate of the upstream with this id.
+    Rate(UpstreamId),
 }
 
 impl NewsItem {
@@ -69,6 +73,7 @@
             Self::UpstreamLeaving(id, _) => NewsSubject::Leaving(id.clone()),
             Self::Crash(report) => NewsSubject::Crash(report.fingerprint, report.upstream.clone()),
             Self::Part(part, _) => NewsSubject::Part(*part),
+            Self::Rate(id, _) => NewsSubject::Rate(id.clone()),
         }
     }
 
@@ -99,7 +104,8 @@
             | Self::UpstreamGone(..)
             | Self::UpstreamLeaving(..)
             | Self::Crash(_)
-            | Self::Part(..) => Some(ITEM_LIFETIME),
+            | Self::Part(..)
+            | Self::Rate(..) => Some(ITEM_LIFETIME),
         }
     }
 
@@ -107,7 +113,9 @@
         let texts = match self {
             Self::Node(entry, _) => entry.node.len() + entry.zone.len(),
             Self::Upstream(entry) => entry.id.len() + entry.service.len() + entry.zone.len(),
-            Self::UpstreamGone(id, _) | Self::UpstreamLeaving(id, _) => id.len(),
+            Self::UpstreamGone(id, _) | Self::UpstreamLeaving(id, _) | Self::Rate(id, _) => {
+                id.len()
+            }
             Self::Crash(report) => report.upstream.len() + report.parts.len() * SUSPECT_PART_BYTES,
             Self::Part(..) => 0,
         };
--- a/components/dispatch/src/pick.rs
+++ b/components/dispatch/src/pick.rs
@@ -163,7 +163,9 @@
     let single_engine_time = prefill_time(spec, request.size.prompt, 1);
     // An engine prefills shards for other engines before its own prompts, so one
     // with an unanswered relaxed prompt gets no shards.
-    others.retain(|candidate| candidate.load.unanswered == 0);
+    // One that limits its requests is asked for answers only.
+    others
+        .retain(|candidate| candidate.load.unanswered == 0 && !candidate.health.is_rate_limited());
     let max_engines = max_useful_engines(spec, request).min(others.len() + 1);
     let wait_at = |load: &EngineLoad| load.prefill_wait + decode_delay_at(spec, load);
     others.sort_by_cached_key(|candidate| (wait_at(&candidate.load), random_tiebreak(rng)));
@@ -246,7 +248,8 @@
         engines >= min_engines && prefill_time(spec, request.size.prompt, engines) <= time
     };
     // Engines that decode stay busy for longer than the prompt may wait.
-    candidates.retain(|candidate| candidate.load.running() == 0);
+    candidates
+        .retain(|candidate| candidate.load.running() == 0 && !candidate.health.is_rate_limited());
     if !finishes_within(candidates.len().min(max_engines), remaining) {
         return Err(PlacementRefusal::NeedsIdleEngines);
     }
--- a/components/dispatch/src/roster.rs
+++ b/components/dispatch/src/roster.rs
@@ -21,6 +21,8 @@
 /// Time after which a node is removed, counted from the last heartbeat of its known
 /// incarnation or from the listing that first showed this incarnation.
 const REMOVAL_TIMEOUT: Duration = Duration::from_secs(40);
+/// Time after a node was last heard for which it keeps its share of what nodes divide.
+const RECENT_TIME: Duration = Duration::from_secs(10);
 /// Most addresses in an answer; callers accept no more.
 const MAX_ADDRESSES: usize = 64;
 /// Time for which the largest fleet size is remembered.
@@ -230,6 +232,18 @@
             .map(|member| &member.entry)
     }
 
+    /// Nodes that are alive or were lately: what they share is not divided anew whenever a
+    /// heartbeat is late.
+    pub fn recent(&self, now: Instant) -> impl Iterator<Item = &RosterEntry> {
+        self.members
+            .values()
+            .filter(move |member| {
+                let age = now.saturating_duration_since(member.last_seen);
+                self.counts_as_alive(now, member) || age <= RECENT_TIME
+            })
+            .map(|member| &member.entry)
+    }
+
     /// Addresses for a caller: `own`, when this node takes callers, and those of
     /// the live nodes that do, at most `MAX_ADDRESSES`. In a larger fleet, those in
     /// `zone` come first, and the rest is a random choice, so that no node is left out
--- a/components/dispatch/src/upstreams.rs
+++ b/components/dispatch/src/upstreams.rs
@@ -10,9 +10,11 @@
 };
 
 use serde::{Deserialize, Serialize};
-use types::{ServiceName, UpstreamId, ZoneId};
+use types::{NodeId, ServiceName, UpstreamId, ZoneId};
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
+use crate::{RateNotice, rate_limit::RateLimit};
+
 /// Time for which an upstream is ejected after its first failure since a
 /// success.
 const BASE_EJECTION_TIME: Duration = Duration::from_millis(400);
@@ -35,6 +37,8 @@
 const LEAVING_MEMORY: Duration = Duration::from_mins(10);
 /// Time for which the removal of an upstream is remembered.
 const REMOVAL_MEMORY: Duration = Duration::from_mins(2);
+/// Time for which the rate of an unlisted process is remembered; entries lag far less.
+const EARLY_RATE_MEMORY: Duration = Duration::from_mins(1);
 /// Weight of the newest answer in the moving average of the slowdown.
 const SLOWDOWN_WEIGHT: f64 = 0.4;
 
@@ -90,6 +94,8 @@
     ejected_until: Option<Instant>,
     /// Until when the upstream stays selectable although its entry has expired.
     grace_until: Option<Instant>,
+    /// Rate of requests that the upstream takes from all nodes.
+    rate_limit: RateLimit,
 }
 
 /// All upstreams in the directory, and those in their grace time.
@@ -104,6 +110,8 @@
     leaving: HashMap<UpstreamId, (Instant, Option<u64>)>,
     /// Until when upstreams asked this node for no requests.
     paused: HashMap<UpstreamId, Instant>,
+    /// Rates of processes that the directory does not list yet.
+    early_rates: HashMap<UpstreamId, (Instant, RateNotice)>,
 }
 
 impl UpstreamHealth {
@@ -117,9 +125,22 @@
             slowdown_at: None,
             ejected_until: None,
             grace_until: None,
+            rate_limit: RateLimit::default(),
         }
     }
 
+    /// Whether the upstream names a rate of requests that it takes.
+    #[must_use]
+    pub fn is_rate_limited(&self) -> bool {
+        self.rate_limit.limit().is_some()
+    }
+
+    /// Whether the upstream is to be asked whether its limit still holds.
+    #[must_use]
+    pub fn is_recheck_due(&self, now: Instant) -> bool {
+        self.rate_limit.is_recheck_due(now)
+    }
+
     /// Whether the upstream is still ejected, at `now`, for its last failed call.
     #[must_use]
     pub fn is_ejected(&self, now: Instant) -> bool {
@@ -174,8 +195,12 @@
             }
             // A restarted upstream that keeps its id starts with a clean record.
             _ => {
+                let id = entry.id.clone();
                 self.upstreams
-                    .insert(entry.id.clone(), UpstreamHealth::new(entry));
+                    .insert(id.clone(), UpstreamHealth::new(entry));
+                if let Some((at, notice)) = self.early_rates.remove(&id) {
+                    self.apply_rate(at, &id, notice);
+                }
             }
         }
     }
@@ -230,6 +255,61 @@
         *pause = (*pause).max(until);
     }
 
+    /// Records the limit, in thousandths of a request a second, that the answer to a request
+    /// of `asked_at` names, if any; returns a notice for the other nodes if it is new.
+    pub fn observe_rate(
+        &mut self,
+        now: Instant,
+        id: &str,
+        started_ms: Option<u64>,
+        asked_at: Instant,
+        limit: Option<u32>,
+    ) -> Option<RateNotice> {
+        let health = self.upstreams.get_mut(id)?;
+        if health.entry.started_ms != started_ms {
+            return None;
+        }
+        health.rate_limit.observe(now, started_ms, asked_at, limit)
+    }
+
+    /// Takes over what another node has learned of an upstream's rate; returns whether it
+    /// is new.
+    pub fn apply_rate(&mut self, now: Instant, id: &UpstreamId, notice: RateNotice) -> bool {
+        match self.upstreams.get_mut(id) {
+            Some(health) if health.entry.started_ms == notice.started_ms => {
+                health.rate_limit.apply(now, notice)
+            }
+            _ => {
+                self.early_rates
+                    .retain(|_, (at, _)| now.saturating_duration_since(*at) < EARLY_RATE_MEMORY);
+                self.early_rates.insert(id.clone(), (now, notice));
+                false
+            }
+        }
+    }
+
+    /// Limits that are known to hold.
+    pub fn rate_notices(&self) -> impl Iterator<Item = (&UpstreamId, RateNotice)> {
+        self.upstreams.iter().filter_map(|(id, health)| {
+            let notice = health.rate_limit.notice()?;
+            notice.limit.map(|_| (id, notice))
+        })
+    }
+
+    /// Divides the rates that upstreams take among `nodes`, which include `own`.
+    pub fn share_rates(&mut self, now: Instant, own: &NodeId, nodes: &[&NodeId]) {
+        for (id, health) in &mut self.upstreams {
+            health.rate_limit.set_share(now, id, own, nodes);
+        }
+    }
+
+    /// Takes one request from this node's share of the upstream's rate; returns `false` if
+    /// none is left.
+    pub fn take_send(&mut self, now: Instant, id: &str) -> bool {
+        let health = self.upstreams.get_mut(id);
+        health.is_none_or(|health| health.rate_limit.take_send(now))
+    }
+
     /// Whether no request may be sent to the upstream now: it leaves, or asked for a
     /// pause.
     #[must_use]
@@ -251,8 +331,12 @@
                 && health.entry.state == UpstreamState::Ready
                 && !self.is_leaving(&health.entry)
         });
-        let ends = staying.map(|health| self.paused.get(&health.entry.id).copied());
-        let first_end = ends.map(|until| until.unwrap_or(now)).min()?;
+        let ends = staying.map(|health| {
+            let paused_until = self.paused.get(&health.entry.id).copied();
+            let due = health.rate_limit.time_left(now).map(|left| now + left);
+            paused_until.max(due).unwrap_or(now)
+        });
+        let first_end = ends.min()?;
         let left = first_end.saturating_duration_since(now);
         (!left.is_zero()).then_some(left)
     }
@@ -392,7 +476,8 @@
     }
 
     /// Upstreams of `service` that may get new work, sorted by id, without those
-    /// in `excluded`, those that say they leave and those that asked for a pause.
+    /// in `excluded`, those that say they leave, those that asked for a pause, and those
+    /// of whose rate this node has no request left.
     /// Ejected ones are left out while any is healthy; those with a
     /// high failure share or slow first events, while at least half are healthy.
     #[must_use]
@@ -408,6 +493,7 @@
             .filter(|health| health.entry.service == service)
             .filter(|health| health.entry.state == UpstreamState::Ready)
             .filter(|health| !self.is_barred(now, &health.entry.id))
+            .filter(|health| health.rate_limit.time_left(now).is_none())
             .filter(|health| !excluded.contains(&health.entry.id))
             .collect();
         ready.sort_by(|one, other| one.entry.id.cmp(&other.entry.id));
--- a/components/gateway/src/attempt.rs
+++ b/components/gateway/src/attempt.rs
@@ -18,6 +18,7 @@
     forward::ForwardJob,
     leg::{UpstreamAttempt, is_framed, pool_connection, remove_hop_by_hop_headers},
     place::{PLACEMENT_RETRY_PAUSE, find_placement},
+    rates::record_rate,
     relay::{StreamForwarder, stream_plain_answer},
     state::Gateway,
 };
@@ -247,7 +248,7 @@
         gateway.clock.sleep(PLACEMENT_RETRY_PAUSE).await;
         return SendOutcome::NotReserved;
     }
-    if attempt.is_barred(gateway) || quarantine_left(gateway, job).is_some() {
+    if quarantine_left(gateway, job).is_some() || !attempt.take_send(gateway) {
         return SendOutcome::NotSent;
     }
     log::info!(
@@ -336,7 +337,6 @@
     let status = response.status();
     let head = gateway.dialect.decode_answer(status, response.headers());
     attempt.record_wish(gateway, head.wish);
-    attempt.record_rate(head.rate);
     if head
         .caller_attempt_id
         .as_ref()
@@ -349,6 +349,7 @@
         );
         return SendOutcome::Lost;
     }
+    record_rate(gateway, &attempt, &head);
     if head.not_run {
         log::info!(
             "event=not_run request={} upstream={} status={} at_fault={}",
--- a/components/gateway/src/datagrams.rs
+++ b/components/gateway/src/datagrams.rs
@@ -7,7 +7,7 @@
     time::Duration,
 };
 
-use dispatch::{AggregateChunk, CrashReport, PartStanding, PrefillNotice};
+use dispatch::{AggregateChunk, CrashReport, PartStanding, PrefillNotice, RateNotice};
 use serde::{Deserialize, Serialize};
 use smol::{Async, channel::Receiver};
 use types::{NodeId, PromptPartId, UpstreamId};
@@ -15,6 +15,7 @@
 use crate::{
     crashes::{receive_crash, receive_standing},
     news::{RelayNews, handle_news, record_leaving},
+    rates::receive_rate,
     reports::{NodeReport, handle_report, handle_sums, is_relay},
     state::Gateway,
 };
@@ -48,6 +49,8 @@
     UpstreamCrashed(CrashReport),
     /// What is known of a part of prompts.
     Part(PromptPartId, PartStanding),
+    /// What is known of the rate of requests that an upstream takes.
+    Rate(UpstreamId, RateNotice),
     /// The process of an upstream, by its start time, said that it leaves.
     UpstreamLeaving(UpstreamId, Option<u64>),
     /// The sender is stopping; the number is its incarnation: its start time in Unix
@@ -206,6 +209,7 @@
         }
         PeerDatagram::UpstreamCrashed(report) => receive_crash(gateway, &report),
         PeerDatagram::Part(part, standing) => receive_standing(gateway, part, standing),
+        PeerDatagram::Rate(upstream, notice) => receive_rate(gateway, &upstream, notice),
         PeerDatagram::UpstreamLeaving(upstream, started_ms) => {
             record_leaving(gateway, &upstream, started_ms, "peer");
         }
--- a/components/gateway/src/leg.rs
+++ b/components/gateway/src/leg.rs
@@ -18,7 +18,7 @@
 use types::{TokenCount, UpstreamId};
 
 use crate::{
-    ForwardHead, RateStatement, UpstreamWish,
+    ForwardHead, UpstreamWish,
     client::{ClientConnection, DEFAULT_IDLE_TIMEOUT},
     crashes::{BrokenAttempt, check_upstream, record_sound_answer},
     datagrams::PeerDatagram,
@@ -53,7 +53,7 @@
     pub(crate) upstream: UpstreamId,
     pub(crate) address: SocketAddr,
     /// Start of the upstream's process, in Unix milliseconds, if it publishes it.
-    started_ms: Option<u64>,
+    pub(crate) started_ms: Option<u64>,
     /// Other engines that prefill chunks or hold KV cache memory, each with the id of
     /// its memory reservation if it has one.
     pub(crate) helpers: Vec<(SocketAddr, Option<String>)>,
@@ -61,7 +61,7 @@
     reservations: Option<ReservationSet>,
     /// Start of the measured time to first token, which includes reserving memory and
     /// connecting.
-    registered_at: Instant,
+    pub(crate) registered_at: Instant,
     /// When the first event of the answer arrived.
     first_event_at: Cell<Option<Instant>>,
     /// When further events next prove that the upstream has not crashed on the prompt.
@@ -274,21 +274,13 @@
         }
     }
 
-    /// Records how many requests the upstream takes.
-    pub(crate) fn record_rate(&self, rate: RateStatement) {
-        if let RateStatement::Limited(thousandths) = rate {
-            log::info!(
-                "event=upstream_limited upstream={} limit={}",
-                self.upstream,
-                f64::from(thousandths) / 1e3
-            );
-        }
-    }
-
-    /// Whether the upstream came to leave or to ask for a pause since the placement.
-    pub(crate) fn is_barred(&self, gateway: &Gateway) -> bool {
-        let upstreams = gateway.upstreams.borrow();
-        upstreams.is_barred(gateway.now(), &self.upstream)
+    /// Returns whether the request may still be sent, and takes it from the upstream's
+    /// rate. Since the placement, the upstream may have said that it leaves, asked for a
+    /// pause or got the last request of this node's share.
+    pub(crate) fn take_send(&self, gateway: &Gateway) -> bool {
+        let now = gateway.now();
+        let mut upstreams = gateway.upstreams.borrow_mut();
+        !upstreams.is_barred(now, &self.upstream) && upstreams.take_send(now, &self.upstream)
     }
 
     /// Backs off from the upstream that an answer names as at fault, or else from
--- a/components/gateway/src/lib.rs
+++ b/components/gateway/src/lib.rs
@@ -19,6 +19,7 @@
 mod news;
 mod peers;
 mod place;
+mod rates;
 mod relay;
 mod reports;
 mod settings;
--- a/components/gateway/src/news.rs
+++ b/components/gateway/src/news.rs
@@ -20,6 +20,7 @@
     crashes::{receive_crash, receive_standing},
     datagrams::{PACKET_PAYLOAD_BYTES, PeerDatagram, send_datagram},
     peers::begin_fetch_desired,
+    rates::receive_rate,
     reports::millis,
     state::{Gateway, NodeKey},
     sync::is_store_poller,
@@ -175,6 +176,7 @@
         }
         NewsItem::Crash(report) => receive_crash(gateway, &report),
         NewsItem::Part(part, standing) => receive_standing(gateway, part, standing),
+        NewsItem::Rate(upstream, notice) => receive_rate(gateway, &upstream, notice),
     }
 }
 
--- a/components/gateway/src/place.rs
+++ b/components/gateway/src/place.rs
@@ -4,7 +4,7 @@
 use std::{rc::Rc, time::Duration};
 
 use dispatch::{
-    LatencyGoals, Placement, PlacementRefusal, PlacementRequest, PlacementWait,
+    LatencyGoals, Placement, PlacementRefusal, PlacementRequest, PlacementWait, UpstreamHealth,
     place_plain_request, place_prompt,
 };
 use types::UpstreamId;
@@ -114,18 +114,30 @@
     let other_nodes = gateway.fleet.borrow().roster().live(now).count();
     let loads = gateway.loads.borrow();
     let mut rng = gateway.rng.borrow_mut();
-    match (spec.and_then(|spec| spec.engine.as_ref()), job.request.size) {
-        (Some(engine), Some(size)) => {
-            let ask = PlacementRequest {
-                size,
-                goals: prompt_goals(gateway, job),
-                wait: wait_limits,
-                unreported_strict: loads.estimate_unreported(now, other_nodes),
-            };
-            place_prompt(now, engine, &ask, &usable, &loads, &mut *rng)
+    let mut place_on = |upstreams: &[&UpstreamHealth]| {
+        let engine = spec.and_then(|spec| spec.engine.as_ref());
+        match (engine, job.request.size) {
+            (Some(engine), Some(size)) => {
+                let ask = PlacementRequest {
+                    size,
+                    goals: prompt_goals(gateway, job),
+                    wait: wait_limits,
+                    unreported_strict: loads.estimate_unreported(now, other_nodes),
+                };
+                place_prompt(now, engine, &ask, upstreams, &loads, &mut *rng)
+            }
+            _ => place_plain_request(now, upstreams, &loads, &mut *rng)
+                .map(Placement::single_upstream),
         }
-        _ => place_plain_request(now, &usable, &loads, &mut *rng).map(Placement::single_upstream),
+    };
+    // An upstream that would otherwise get no request is asked whether its limit holds.
+    let recheck = usable.iter().find(|health| health.is_recheck_due(now));
+    if let Some(Ok(placement)) = recheck.map(|health| place_on(&[*health]))
+        && placement.keeps_event_gaps
+    {
+        return Ok(placement);
     }
+    place_on(&usable)
 }
 
 /// Returns the latency goals of the request's route, and the shortest token gap
--- a/components/gateway/src/relay.rs
+++ b/components/gateway/src/relay.rs
@@ -23,6 +23,7 @@
     forward::ForwardJob,
     leg::{UpstreamAttempt, is_framed, remove_hop_by_hop_headers},
     place::resume_placement,
+    rates::record_rate,
     state::Gateway,
 };
 
@@ -263,7 +264,7 @@
         if reserved.is_err() {
             return false;
         }
-        if attempt.is_barred(&self.gateway) {
+        if !attempt.take_send(&self.gateway) {
             return false;
         }
         let last = self.cursor.last().map(|id| id.to_string());
@@ -303,10 +304,12 @@
             .dialect
             .decode_answer(response.status(), response.headers());
         attempt.record_wish(&self.gateway, head.wish);
-        attempt.record_rate(head.rate);
-        let matches_request = head
-            .caller_attempt_id
-            .is_none_or(|id| id == self.job.request.caller_attempt_id);
+        let caller_attempt_id = head.caller_attempt_id.as_ref();
+        let matches_request =
+            caller_attempt_id.is_none_or(|id| *id == self.job.request.caller_attempt_id);
+        if matches_request {
+            record_rate(&self.gateway, &attempt, &head);
+        }
         if !response.status().is_success() || !head.signed || !matches_request {
             attempt.back_off(&self.gateway);
             return false;
--- a/components/gateway/src/reports.rs
+++ b/components/gateway/src/reports.rs
@@ -18,6 +18,7 @@
     crashes::repeat_own_reports,
     datagrams::{PeerDatagram, send_datagram},
     news::answer_news,
+    rates::share_rates,
     state::Gateway,
 };
 
@@ -66,6 +67,7 @@
         let pause = gateway.fleet.borrow().report_pause(now);
         let question_pause = question_pause(&gateway).max(pause);
         let plan = plan_report(&gateway, now, question_pause);
+        share_rates(&gateway);
         // Half a report early, so that a late timer doesn't skip a question.
         let asks = now + pause / 2 >= next_question;
         if asks {
