Back off from upstreams whose event streams can't be read

An upstream that sent bytes without the end of an event was asked again at once: the error ended the stream without a record of the failure.

--- a/components/gateway/src/relay.rs
+++ b/components/gateway/src/relay.rs
@@ -214,10 +214,12 @@
             let Ok(data) = frame.into_data() else {
                 continue;
             };
-            let events = self
-                .cursor
-                .push(&data)
-                .map_err(|error| io::Error::other(format!("{error:?}")))?;
+            let events = self.cursor.push(&data).map_err(|error| {
+                let reason = format!("malformed event stream: {error:?}");
+                self.attempt
+                    .record_failure(&self.gateway, &self.job, &reason);
+                io::Error::other(reason)
+            })?;
             if !events.is_empty() {
                 self.record_events();
                 return Ok(Some(events));
