Don't take a part whose quarantine row was removed for a sound one

Store pollers remove the row of a quarantine that has ended, and other pollers read the removal as the proof that the part is sound. For a minute it could then crash twice as many engines before it was refused again. A removal now lifts the quarantine and proves nothing.

--- a/components/dispatch/src/quarantine.rs
+++ b/components/dispatch/src/quarantine.rs
@@ -92,9 +92,12 @@
 pub enum PartStanding {
     /// It was answered soundly shortly before the crashes under it.
     SoundBefore,
-    /// It is not to blame: it was answered soundly after the crashes under it, or an
-    /// operator lifted its quarantine. The number tells such proofs apart.
+    /// It is not to blame: it was answered soundly after the crashes under it. The number
+    /// tells such proofs apart.
     Sound(u64),
+    /// Its quarantine is lifted, and the crashes so far no longer count against it. The
+    /// number tells such decisions apart.
+    Lifted(u64),
     /// Requests with it are refused, since this time in Unix milliseconds.
     Quarantined(u64),
 }
@@ -136,7 +139,8 @@
 struct SoundRecord {
     /// Crashes with a lower sequence number don't count against the part.
     sequence: u64,
-    at: Instant,
+    /// `None` if the crashes don't count for another reason.
+    at: Option<Instant>,
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -247,9 +251,8 @@
     /// Whether this node knows of a recent sound answer on the part.
     #[must_use]
     pub fn is_known_sound(&self, now: Instant, part: PromptPartId) -> bool {
-        self.sound
-            .get(&part)
-            .is_some_and(|sound| now.saturating_duration_since(sound.at) < SOUND_MEMORY)
+        let sound_at = self.sound.get(&part).and_then(|sound| sound.at);
+        sound_at.is_some_and(|at| now.saturating_duration_since(at) < SOUND_MEMORY)
     }
 
     /// Records that an upstream answered a prompt with these parts and did not crash.
@@ -266,7 +269,8 @@
                 suspected.push(*part);
             }
             let sequence = self.next_sequence();
-            self.record_sound(*part, SoundRecord { sequence, at: now });
+            let at = Some(now);
+            self.record_sound(*part, SoundRecord { sequence, at });
         }
         suspected
     }
@@ -274,7 +278,8 @@
     fn record_sound_before(&mut self, now: Instant, part: PromptPartId) {
         if !self.is_known_sound(now, part) {
             let sequence = self.sound.get(&part).map_or(0, |sound| sound.sequence);
-            self.record_sound(part, SoundRecord { sequence, at: now });
+            let at = Some(now);
+            self.record_sound(part, SoundRecord { sequence, at });
         }
     }
 
@@ -311,6 +316,14 @@
                 self.record_sound_answer(now, &[part]);
                 is_suspected
             }
+            PartStanding::Lifted(_) => {
+                let was_quarantined = self.quarantined.remove(&part).is_some();
+                if was_quarantined {
+                    let sequence = self.next_sequence();
+                    self.record_sound(part, SoundRecord { sequence, at: None });
+                }
+                was_quarantined
+            }
             PartStanding::Quarantined(since_ms) => self.quarantine(now, now_ms, part, since_ms),
         }
     }
--- a/components/dispatch/tests/quarantine.rs
+++ b/components/dispatch/tests/quarantine.rs
@@ -375,6 +375,29 @@
     assert_eq!(list.time_left(now, 1, &[98]), None);
 }
 
+/// Guards against a part that counts as sound because its quarantine was lifted or has
+/// ended, and so may crash more upstreams than before.
+#[test]
+fn a_lifted_part_starts_anew_and_is_not_taken_for_sound() {
+    let now = Instant::now();
+    let mut list = QuarantineList::default();
+    for engine in 0..3 {
+        list.record_crash(now, &report(engine, engine, &[99]));
+    }
+    let reported = now + REPORTED;
+    assert_eq!(list.judge(reported, NOW_MS), [99]);
+    let lifted = PartStanding::Lifted(1);
+    assert!(list.apply_standing(reported, NOW_MS, 99, lifted));
+    assert!(!list.apply_standing(reported, NOW_MS, 99, lifted));
+    assert_eq!(list.judge(reported, NOW_MS), []);
+    assert_eq!(list.time_left(reported, 9, &[99]), None);
+    assert!(!list.is_known_sound(reported, 99));
+    for engine in 3..6 {
+        list.record_crash(reported, &report(engine, engine, &[99]));
+    }
+    assert_eq!(list.judge(reported + REPORTED, NOW_MS), [99]);
+}
+
 #[test]
 fn the_rows_of_the_store_follow_the_quarantines() {
     let now = Instant::now();
--- a/components/gateway/src/crashes.rs
+++ b/components/gateway/src/crashes.rs
@@ -227,7 +227,7 @@
                     continue;
                 }
             },
-            None => PartStanding::Sound(rand::random()),
+            None => PartStanding::Lifted(rand::random()),
         };
         if apply_standing(gateway, part, standing) {
             log::info!("event=part_standing part={part:x} standing={standing:?} source=store");
