Count no planned end of an upstream against the prompts it was answering

A process that has ended was taken for crashed, also one that had announced to leave: three rolling restarts under the same prompt part would have refused it for ten minutes. Only an upstream that the directory lists as ready, and that has not said it leaves, counts as crashed.

--- a/components/dispatch/src/upstreams.rs
+++ b/components/dispatch/src/upstreams.rs
@@ -241,6 +241,18 @@
         known.is_none_or(|(_, known)| known != started_ms)
     }
 
+    /// Whether the process of an upstream that started at `started_ms` is expected to stay:
+    /// the directory lists it, and it is neither draining nor leaving.
+    #[must_use]
+    pub fn is_staying(&self, id: &str, started_ms: Option<u64>) -> bool {
+        let entry = self.upstreams.get(id).map(|health| &health.entry);
+        entry.is_some_and(|entry| {
+            entry.started_ms == started_ms
+                && entry.state == UpstreamState::Ready
+                && !self.is_leaving(entry)
+        })
+    }
+
     /// Whether the process of `entry` said that it leaves.
     fn is_leaving(&self, entry: &UpstreamEntry) -> bool {
         self.leaving
--- a/components/gateway/src/crashes.rs
+++ b/components/gateway/src/crashes.rs
@@ -52,15 +52,21 @@
 }
 
 /// Checks whether the upstream of `broken` has ended, and if so reports the request as a
-/// suspect. An upstream that is alive or out of reach has not crashed on a prompt.
+/// suspect. An upstream that is alive or out of reach has not crashed on a prompt, and one
+/// that was to leave has ended as planned.
 pub(crate) async fn check_upstream(
     gateway: Rc<Gateway>,
     job: Rc<ForwardJob>,
     broken: BrokenAttempt,
 ) {
+    let was_staying = gateway
+        .upstreams
+        .borrow()
+        .is_staying(&broken.upstream, broken.started_ms);
     let state = check_process(&gateway, broken.address).await;
     log::warn!(
-        "event=connection_broken request={} upstream={} process={state:?} answered_ms={} {}",
+        "event=connection_broken request={} upstream={} process={state:?} staying={was_staying} \
+         answered_ms={} {}",
         job.request.caller_attempt_id,
         broken.upstream,
         broken
@@ -68,7 +74,7 @@
             .map_or_else(|| "-".to_owned(), |time| time.as_millis().to_string()),
         job.prompt_label(),
     );
-    if state == ProcessState::Ended {
+    if state == ProcessState::Ended && was_staying {
         let report = build_report(&gateway, &job, broken);
         if record_crash(&gateway, &report) {
             let mut quarantine = gateway.quarantine.borrow_mut();
