Keep the evidence of a crash when an earlier answer is read after it

An answer of an upstream withdrew crashes of the last 1.5 s, since only a connection could have broken. Now that a crash counts only when the upstream refuses connections, this could only withdraw true ones: a busy node may read what the upstream had sent after it has heard of the crash.

--- a/components/dispatch/src/quarantine.rs
+++ b/components/dispatch/src/quarantine.rs
@@ -37,9 +37,6 @@
 /// the suspects at all other nodes, and these have answered which parts they know to be
 /// sound. Without that it might blame a part that merely ran beside the cause.
 const REPORT_TIME: Duration = Duration::from_secs(1);
-/// Time that an upstream needs at least to restart after a crash. An answer
-/// within this time shows that the upstream did not crash.
-const MIN_RESTART_TIME: Duration = Duration::from_millis(1500);
 /// Time for which a crash counts, and after the last one for which a whole request is
 /// refused.
 const CRASH_MEMORY: Duration = Duration::from_mins(1);
@@ -240,14 +237,6 @@
         self.sequence
     }
 
-    /// Removes recent crashes of `upstream` once it answers, since only a connection to
-    /// it had broken.
-    pub fn clear_suspected_crashes(&mut self, now: Instant, upstream: &str) {
-        self.crashes.retain(|crash| {
-            crash.upstream != upstream || now.saturating_duration_since(crash.at) > MIN_RESTART_TIME
-        });
-    }
-
     /// Whether this node knows of a recent sound answer on the part.
     #[must_use]
     pub fn is_known_sound(&self, now: Instant, part: PromptPartId) -> bool {
--- a/components/gateway/src/leg.rs
+++ b/components/gateway/src/leg.rs
@@ -210,9 +210,7 @@
         Ok(request)
     }
 
-    /// Records that the upstream answered. An upstream that answers hasn't crashed, so
-    /// crashes recorded for it are withdrawn from the quarantine: only a connection to
-    /// it can have broken.
+    /// Records that the upstream answered.
     pub(crate) fn record_success(&self, gateway: &Gateway) {
         let now = gateway.now();
         gateway
@@ -223,10 +221,6 @@
             .loads
             .borrow_mut()
             .record_first_event(self.in_flight.id());
-        gateway
-            .quarantine
-            .borrow_mut()
-            .clear_suspected_crashes(now, &self.upstream);
     }
 
     /// Records a success and, for an attempt without helpers, the ratio of actual to
