Let only an upstream's own answer end the rate that it names

A request that an upstream turns away may come back without the headers of its answers, and would have ended the limit of an upstream in need at all nodes until the next answer named it again. Only signed answers end a limit now.

--- a/components/gateway/src/rates.rs
+++ b/components/gateway/src/rates.rs
@@ -13,8 +13,9 @@
 pub(crate) fn record_rate(gateway: &Gateway, attempt: &UpstreamAttempt, head: &AnswerHead) {
     let limit = match head.rate {
         RateStatement::Limited(limit) => Some(limit),
-        // An answer that isn't surely the upstream's own ends no limit.
-        RateStatement::Unlimited if head.signed || head.not_run => None,
+        // An answer that isn't surely the upstream's own, or turns a request away, ends no
+        // limit.
+        RateStatement::Unlimited if head.signed => None,
         RateStatement::Unlimited | RateStatement::Unclear => return,
     };
     let id = &attempt.upstream;
