Give long prompts to engines with a limited rate, short ones to the others

An engine that limits its rate counts a prompt of 45,000 tokens like one of 5,000. Prompts of routes with longer event gaps now go to limited engines first, strict ones to the others. The new test failed before: the first short prompt went to a limited engine.

--- a/components/dispatch/src/placement.rs
+++ b/components/dispatch/src/placement.rs
@@ -199,6 +199,9 @@
 /// Picks the engines that prefill and answer a prompt. `upstreams` are sorted by
 /// id.
 ///
+/// An engine that limits the rate of its requests counts a long prompt like a short one,
+/// so long prompts go there first, and strict requests elsewhere.
+///
 /// # Errors
 ///
 /// Returns the reason when the prompt is not placed.
@@ -209,6 +212,33 @@
     upstreams: &[&UpstreamHealth],
     loads: &LoadTracker,
     rng: &mut impl Rng,
+) -> Result<Placement, PlacementRefusal> {
+    let (limited, unlimited): (Vec<&UpstreamHealth>, Vec<&UpstreamHealth>) = upstreams
+        .iter()
+        .partition(|health| health.is_rate_limited());
+    if !limited.is_empty() {
+        let preferred = if request.goals.is_strict() {
+            unlimited
+        } else {
+            limited
+        };
+        let placement = place_among(now, spec, request, &preferred, loads, rng);
+        if let Ok(placement) = placement
+            && placement.keeps_event_gaps
+        {
+            return Ok(placement);
+        }
+    }
+    place_among(now, spec, request, upstreams, loads, rng)
+}
+
+fn place_among(
+    now: Instant,
+    spec: &EngineSpec,
+    request: &PlacementRequest,
+    upstreams: &[&UpstreamHealth],
+    loads: &LoadTracker,
+    rng: &mut impl Rng,
 ) -> Result<Placement, PlacementRefusal> {
     let mut candidates: Vec<Candidate<'_>> = upstreams
         .iter()
--- a/components/dispatch/tests/mixed_placement.rs
+++ b/components/dispatch/tests/mixed_placement.rs
@@ -542,3 +542,49 @@
     let shard = prefill_time(&spec(), 210_000, 16);
     assert!((0.176..0.179).contains(&shard.as_secs_f64()), "{shard:?}");
 }
+
+/// Guards against engines with a limited rate that are used up by short prompts, while the
+/// long ones crowd the few others.
+#[test]
+fn engines_with_a_limited_rate_get_long_prompts_first() {
+    let mut fleet = Fleet::new();
+    let limited: BTreeSet<String> = (0..10).map(engine_name).collect();
+    let own = "node-0".to_owned();
+    for engine in &limited {
+        let now = fleet.now;
+        fleet
+            .table
+            .observe_rate(now, engine, None, now, Some(1_000));
+    }
+    fleet.table.share_rates(fleet.now, &own, &[&own]);
+    fleet.now += Duration::from_secs(1);
+    let strict = LatencyGoals {
+        first_event: Duration::from_millis(300),
+        event_gap: Duration::from_millis(200),
+        shortest_event_gap: Duration::from_millis(200),
+    };
+    let relaxed = LatencyGoals {
+        first_event: Duration::from_millis(1_500),
+        event_gap: Duration::from_millis(500),
+        ..strict
+    };
+    let long = PromptSize {
+        prompt: 45_000,
+        answer: 1_000,
+    };
+    for _ in 0..20 {
+        let placement = fleet.place(SHORT, strict, PlacementWait::Expired).unwrap();
+        assert!(!limited.contains(&placement.upstream), "{placement:?}");
+        let placement = fleet.place(long, relaxed, WAIT).unwrap();
+        assert!(limited.contains(&placement.upstream), "{placement:?}");
+        assert!(placement.helpers.is_empty(), "{placement:?}");
+    }
+    // The limited engines take short prompts once the others are full.
+    let mut taken = BTreeSet::new();
+    for _ in 0..4 * spec().slots + 8 {
+        let placement = fleet.start(SHORT, strict);
+        fleet.table.take_send(fleet.now, &placement.upstream);
+        taken.insert(placement.upstream);
+    }
+    assert!(taken.intersection(&limited).count() >= 8, "{taken:?}");
+}
