Forget old crashes before judging

Crashes were forgotten only when another one was recorded. A part whose quarantine had ended was refused for ten more minutes for the same crashes, if another part had been quarantined meanwhile and no engine had crashed since. The new test failed before.

--- a/components/dispatch/src/quarantine.rs
+++ b/components/dispatch/src/quarantine.rs
@@ -171,14 +171,7 @@
 impl QuarantineList {
     /// Records a suspect of a crash; returns whether it was not known yet.
     pub fn record_crash(&mut self, now: Instant, report: &CrashReport) -> bool {
-        while self.crashes.len() >= CRASHES_MAX
-            || self
-                .crashes
-                .front()
-                .is_some_and(|crash| now.saturating_duration_since(crash.at) >= CRASH_MEMORY)
-        {
-            self.crashes.pop_front();
-        }
+        self.forget_old_crashes(now);
         for suspect in &report.parts {
             if suspect.was_sound {
                 self.record_sound_before(now, suspect.part);
@@ -204,6 +197,13 @@
         true
     }
 
+    fn forget_old_crashes(&mut self, now: Instant) {
+        let is_old = |crash: &CrashRecord| now.saturating_duration_since(crash.at) >= CRASH_MEMORY;
+        while self.crashes.len() >= CRASHES_MAX || self.crashes.front().is_some_and(is_old) {
+            self.crashes.pop_front();
+        }
+    }
+
     /// Keeps a report of this node itself, for relays that it has not told yet.
     pub fn keep_own_report(&mut self, now: Instant, report: CrashReport) {
         if self.own_reports.len() >= OWN_REPORTS_MAX {
@@ -339,6 +339,7 @@
     /// Quarantines the parts that the recorded crashes prove to be their cause, and
     /// returns them. `now_ms` is the present in Unix milliseconds.
     pub fn judge(&mut self, now: Instant, now_ms: u64) -> Vec<PromptPartId> {
+        self.forget_old_crashes(now);
         let mut judged = Vec::new();
         loop {
             let guilty = self.guilty_parts(now);
--- a/components/dispatch/tests/quarantine.rs
+++ b/components/dispatch/tests/quarantine.rs
@@ -375,6 +375,27 @@
     assert_eq!(list.time_left(now, 1, &[98]), None);
 }
 
+/// Guards against a quarantine that begins anew, time after time, for the same crashes.
+#[test]
+fn crashes_count_only_once_and_for_a_minute() {
+    let now = Instant::now();
+    let mut list = QuarantineList::default();
+    for engine in 0..3 {
+        list.record_crash(now, &report(engine, engine, &[99]));
+    }
+    assert_eq!(list.judge(now + REPORTED, NOW_MS), [99]);
+    let over = now + Duration::from_secs(610);
+    let over_ms = NOW_MS + 610_000;
+    // The next quarantine removes those that have ended.
+    list.apply_standing(over, over_ms, 50, PartStanding::Quarantined(over_ms));
+    assert_eq!(list.judge(over, over_ms), []);
+    assert_eq!(list.time_left(over, 9, &[99]), None);
+    for engine in 3..5 {
+        list.record_crash(over, &report(engine, engine, &[99]));
+    }
+    assert_eq!(list.judge(over + REPORTED, over_ms), []);
+}
+
 /// Guards against a part that counts as sound because its quarantine was lifted or has
 /// ended, and so may crash more upstreams than before.
 #[test]
