Count engines that end together as one crash

Each engine of a lost host or rack was a crash of its own. A node now says which upstream it lost at the same moment, and all nodes count such crashes as one, whenever they hear of them.

--- a/components/dispatch/src/news.rs
+++ b/components/dispatch/src/news.rs
@@ -116,7 +116,10 @@
             Self::UpstreamGone(id, _) | Self::UpstreamLeaving(id, _) | Self::Rate(id, _) => {
                 id.len()
             }
-            Self::Crash(report) => report.upstream.len() + report.parts.len() * SUSPECT_PART_BYTES,
+            Self::Crash(report) => {
+                let together = report.together_with.as_ref().map_or(0, String::len);
+                report.upstream.len() + together + report.parts.len() * SUSPECT_PART_BYTES
+            }
             Self::Part(..) => 0,
         };
         texts + ITEM_FIXED_BYTES
--- a/components/dispatch/src/quarantine.rs
+++ b/components/dispatch/src/quarantine.rs
@@ -18,6 +18,9 @@
 
 /// A whole request is refused once it has crashed this many upstreams.
 const CRASHES_TO_QUARANTINE: usize = 3;
+/// Time within which a node loses its connections to several upstreams if these end
+/// together, as with their host or rack. Such crashes count as one.
+const TOGETHER_TIME: Duration = Duration::from_millis(30);
 /// A part of prompts is refused once it occurs in this many crashes.
 const PART_CRASHES: usize = 3;
 /// Different requests under which it has to occur in them: what a single request brings
@@ -48,6 +51,8 @@
 const CRASHES_MAX: usize = 256;
 /// Own reports that are kept at most; the oldest are forgotten.
 const OWN_REPORTS_MAX: usize = 32;
+/// Upstreams lost together with one that are remembered at most.
+const TOGETHER_MAX: usize = 16;
 /// Suspects of one crash that are remembered at most.
 const SUSPECTS_MAX: usize = 64;
 /// Parts of which sound answers are remembered at most.
@@ -66,6 +71,8 @@
     pub upstream: UpstreamId,
     /// Start of its process, in Unix milliseconds, if it publishes it.
     pub started_ms: Option<u64>,
+    /// Another upstream that the reporting node lost at the same moment, if any.
+    pub together_with: Option<UpstreamId>,
     /// Fingerprint of the request.
     pub fingerprint: CrashFingerprint,
     /// Parts of its prompt that other requests may share and that may have caused the
@@ -114,6 +121,8 @@
     /// Numbers crashes and sound answers in the order in which this node learned of them.
     sequence: u64,
     crashes: VecDeque<CrashRecord>,
+    /// First upstream of those that this node lost together last, and when.
+    last_lost: Option<(UpstreamId, Instant)>,
     /// Reports of this node itself, oldest first.
     own_reports: VecDeque<(Instant, CrashReport)>,
     sound: HashMap<PromptPartId, SoundRecord>,
@@ -128,6 +137,8 @@
     at: Instant,
     upstream: UpstreamId,
     started_ms: Option<u64>,
+    /// Upstreams that nodes lost together with this one.
+    together_with: Vec<UpstreamId>,
     suspects: Vec<(CrashFingerprint, Vec<PromptPartId>)>,
 }
 
@@ -149,7 +160,8 @@
 /// Crashes that count against one part.
 #[derive(Debug, Default)]
 struct PartEvidence {
-    crashes: HashSet<u64>,
+    /// Groups of crashes that came together, by the index of their first.
+    crashes: HashSet<usize>,
     requests: HashSet<CrashFingerprint>,
 }
 
@@ -185,7 +197,14 @@
             .iter()
             .position(is_same)
             .unwrap_or_else(|| self.add_crash(now, report));
-        let suspects = &mut self.crashes[index].suspects;
+        let crash = &mut self.crashes[index];
+        if let Some(other) = &report.together_with
+            && !crash.together_with.contains(other)
+            && crash.together_with.len() < TOGETHER_MAX
+        {
+            crash.together_with.push(other.clone());
+        }
+        let suspects = &mut crash.suspects;
         let is_known = suspects
             .iter()
             .any(|(fingerprint, _)| *fingerprint == report.fingerprint);
@@ -204,6 +223,20 @@
         }
     }
 
+    /// Records that this node lost a connection to `upstream`; returns the first of the
+    /// upstreams that it lost together with it, if any.
+    pub fn record_loss(&mut self, now: Instant, upstream: &UpstreamId) -> Option<UpstreamId> {
+        match &self.last_lost {
+            Some((first, at)) if now.saturating_duration_since(*at) < TOGETHER_TIME => {
+                (first != upstream).then(|| first.clone())
+            }
+            _ => {
+                self.last_lost = Some((upstream.clone(), now));
+                None
+            }
+        }
+    }
+
     /// Keeps a report of this node itself, for relays that it has not told yet.
     pub fn keep_own_report(&mut self, now: Instant, report: CrashReport) {
         if self.own_reports.len() >= OWN_REPORTS_MAX {
@@ -227,6 +260,7 @@
             at: now,
             upstream: report.upstream.clone(),
             started_ms: report.started_ms,
+            together_with: Vec::new(),
             suspects: Vec::new(),
         });
         self.crashes.len() - 1
@@ -387,12 +421,16 @@
     /// The number of unexplained crashes that all nodes can have reported, and those that
     /// count against each part.
     fn evidence(&self, now: Instant) -> (usize, HashMap<PromptPartId, PartEvidence>) {
-        let mut total = 0;
+        let groups = self.groups();
+        let mut total: HashSet<usize> = HashSet::new();
         let mut all: HashMap<PromptPartId, PartEvidence> = HashMap::new();
         let is_reported =
-            |crash: &&CrashRecord| now.saturating_duration_since(crash.at) >= REPORT_TIME;
-        for crash in self.unexplained_crashes().filter(is_reported) {
-            total += 1;
+            |crash: &CrashRecord| now.saturating_duration_since(crash.at) >= REPORT_TIME;
+        for (crash, group) in self.crashes.iter().zip(groups) {
+            if self.is_explained(crash) || !is_reported(crash) {
+                continue;
+            }
+            total.insert(group);
             let mut parts = crash.parts();
             let has_unproven = parts.any(|part| !self.is_known_sound(now, part));
             for (fingerprint, parts) in &crash.suspects {
@@ -401,13 +439,36 @@
                         && !(has_unproven && self.is_known_sound(now, *part));
                     if counts {
                         let evidence = all.entry(*part).or_default();
-                        evidence.crashes.insert(crash.sequence);
+                        evidence.crashes.insert(group);
                         evidence.requests.insert(*fingerprint);
                     }
                 }
             }
         }
-        (total, all)
+        (total.len(), all)
+    }
+
+    /// For each crash the index of the first one of those that came together with it.
+    fn groups(&self) -> Vec<usize> {
+        let mut groups: Vec<usize> = (0..self.crashes.len()).collect();
+        // Last crash that names an upstream. A later process under the same id is another
+        // matter.
+        let mut last_by_id: HashMap<&UpstreamId, usize> = HashMap::new();
+        for (index, crash) in self.crashes.iter().enumerate() {
+            for id in crash.together_with.iter().chain([&crash.upstream]) {
+                let Some(last) = last_by_id.insert(id, index) else {
+                    continue;
+                };
+                let last_at = self.crashes[last].at;
+                if crash.at.saturating_duration_since(last_at) < REPORT_TIME {
+                    let (one, other) = (groups[index], groups[last]);
+                    let (kept, merged) = (one.min(other), one.max(other));
+                    let merged = groups.iter_mut().filter(|group| **group == merged);
+                    merged.for_each(|group| *group = kept);
+                }
+            }
+        }
+        groups
     }
 
     /// The unexplained crashes that count against one part.
--- a/components/dispatch/tests/fleet_news.rs
+++ b/components/dispatch/tests/fleet_news.rs
@@ -232,6 +232,7 @@
     CrashReport {
         upstream: format!("engine-{fingerprint}"),
         started_ms: None,
+        together_with: None,
         fingerprint,
         parts: Vec::new(),
     }
--- a/components/dispatch/tests/known_state.rs
+++ b/components/dispatch/tests/known_state.rs
@@ -214,6 +214,7 @@
     CrashReport {
         upstream: upstream.to_owned(),
         started_ms: None,
+        together_with: None,
         fingerprint,
         parts: Vec::new(),
     }
--- a/components/dispatch/tests/quarantine.rs
+++ b/components/dispatch/tests/quarantine.rs
@@ -105,7 +105,7 @@
             1000 + u64::try_from((self.step + 50) / 100).unwrap()
         };
         let mut parts = vec![SYSTEM_PART, middle];
-        if self.rng.random_bool(crashing_share) {
+        if !self.crashing_parts.is_empty() && self.rng.random_bool(crashing_share) {
             let index = self.rng.random_range(0..self.crashing_parts.len());
             parts.push(self.crashing_parts[index]);
         }
@@ -182,13 +182,16 @@
         self.incarnation += 1;
         for request in running {
             let list = &mut self.nodes[request.node];
+            let upstream = format!("engine-{engine}");
+            let together_with = list.record_loss(self.now, &upstream);
             let parts = request.parts.iter().map(|part| SuspectPart {
                 part: *part,
                 was_sound: list.is_known_sound(self.now, *part),
             });
             let report = CrashReport {
-                upstream: format!("engine-{engine}"),
+                upstream,
                 started_ms: Some(self.incarnation),
+                together_with,
                 fingerprint: request.fingerprint,
                 parts: parts.collect(),
             };
@@ -198,6 +201,16 @@
         }
     }
 
+    /// Ends several engines at once, as when their host or rack is lost.
+    fn lose_engines(&mut self, count: usize) {
+        for engine in 0..count {
+            if let Ok(running) = &mut self.engines[engine] {
+                let running = std::mem::take(running);
+                self.crash_engine(engine, running);
+            }
+        }
+    }
+
     fn tell(&mut self, from: usize, evidence: &Evidence) {
         for node in (0..NODES).filter(|node| *node != from) {
             let due = self.step + self.rng.random_range(1..=LAG_STEPS);
@@ -311,6 +324,36 @@
     }
 }
 
+/// Guards against blame for parts that have just come into use when engines end together
+/// for a reason of their own, again and again.
+#[test]
+fn engines_that_end_together_are_one_piece_of_evidence() {
+    for seed in 0..40 {
+        let mut simulation = CrashSimulation::new(seed, &[]);
+        simulation.run(55, 0.0);
+        for _ in 0..5 {
+            simulation.lose_engines(6);
+            simulation.run(100, 0.0);
+        }
+        simulation.assert_known(seed);
+    }
+}
+
+#[test]
+fn each_process_under_one_id_counts() {
+    let now = Instant::now();
+    let mut list = QuarantineList::default();
+    for life in 0..3 {
+        let crash = CrashReport {
+            started_ms: Some(life),
+            ..report(0, life, &[99])
+        };
+        list.record_crash(now + Duration::from_secs(3 * life), &crash);
+    }
+    let reported = now + Duration::from_secs(6) + REPORTED;
+    assert_eq!(list.judge(reported, NOW_MS), [99]);
+}
+
 /// Guards against blame for the parts of prompts that a whole crashing request, or a host
 /// with many engines, takes down with it.
 #[test]
@@ -459,6 +502,7 @@
     CrashReport {
         upstream: format!("engine-{engine}"),
         started_ms: None,
+        together_with: None,
         fingerprint,
         parts: parts.collect(),
     }
--- a/components/gateway/src/crashes.rs
+++ b/components/gateway/src/crashes.rs
@@ -44,6 +44,8 @@
     pub(crate) address: SocketAddr,
     /// Start of the upstream's process, in Unix milliseconds, if it publishes it.
     pub(crate) started_ms: Option<u64>,
+    /// Another upstream that this node lost at the same moment, if any.
+    pub(crate) together_with: Option<UpstreamId>,
     /// Time from the first event of the answer to the break; `None` before that event.
     pub(crate) answered_for: Option<Duration>,
     /// Whether the upstream had answered for too long to have crashed on a part of the
@@ -108,6 +110,7 @@
     CrashReport {
         upstream: broken.upstream,
         started_ms: broken.started_ms,
+        together_with: broken.together_with,
         fingerprint: job.fingerprint,
         parts,
     }
--- a/components/gateway/src/leg.rs
+++ b/components/gateway/src/leg.rs
@@ -315,11 +315,17 @@
     /// request, and begins to find out whether the upstream has ended.
     pub(crate) fn record_broken(&self, gateway: &Rc<Gateway>, job: &Rc<ForwardJob>, reason: &str) {
         self.record_failure(gateway, job, reason);
-        let answered_for = self.answered_for(gateway.now());
+        let now = gateway.now();
+        let together_with = gateway
+            .quarantine
+            .borrow_mut()
+            .record_loss(now, &self.upstream);
+        let answered_for = self.answered_for(now);
         let broken = BrokenAttempt {
             upstream: self.upstream.clone(),
             address: self.address,
             started_ms: self.started_ms,
+            together_with,
             answered_for,
             is_proven_sound: answered_for.is_some_and(|time| time >= SOUND_ANSWER_TIME),
         };
