Split the log of crashes from the quarantine

The module of the quarantine had become the largest of its crate, with two jobs: to keep what is known of crashes, and to judge it. Behaviour is as before.

--- a/components/dispatch/src/lib.rs
+++ b/components/dispatch/src/lib.rs
@@ -5,6 +5,7 @@
 //! event, and returns a decision.
 
 mod budget;
+mod crash_log;
 mod desired;
 mod engine;
 mod fleet;
@@ -24,6 +25,7 @@
 mod upstreams;
 
 pub use budget::RetryBudget;
+pub use crash_log::{CrashFingerprint, CrashLog, CrashReport, SuspectPart};
 pub use desired::{
     CallKind, DesiredState, EngineSpec, ForwardRoute, OrganisationEntry, RequestLimits,
     ServiceSpec, ServiceWeight,
@@ -40,9 +42,7 @@
     LatencyGoals, Placement, PlacementRefusal, PlacementRequest, PlacementWait,
     place_plain_request, place_prompt,
 };
-pub use quarantine::{
-    CrashFingerprint, CrashReport, PartStanding, QuarantineList, QuarantineRow, SuspectPart,
-};
+pub use quarantine::{PartStanding, QuarantineList, QuarantineRow};
 pub use rate_limit::RateNotice;
 pub use relays::{RelayWatch, find_lost_relays, is_better_relay, select_relays};
 pub use roster::{NodeRoster, RosterEntry};
--- a/components/dispatch/src/quarantine.rs
+++ b/components/dispatch/src/quarantine.rs
@@ -9,26 +9,28 @@
 //! explains counts against nothing else.
 
 use std::{
-    collections::{HashMap, HashSet, VecDeque},
+    collections::{HashMap, HashSet},
     time::{Duration, Instant},
 };
 
 use serde::{Deserialize, Serialize};
-use types::{PromptPartId, UpstreamId};
+use types::PromptPartId;
+
+use crate::{
+    CrashFingerprint, CrashLog, CrashReport,
+    crash_log::{CRASH_MEMORY, CrashRecord, REPORT_TIME},
+};
 
 /// A whole request is refused once it has crashed this many upstreams.
 const CRASHES_TO_QUARANTINE: usize = 3;
-/// Time within which a node loses its connections to several upstreams if these end
-/// together, as with their host or rack. Such crashes count as one.
-const TOGETHER_TIME: Duration = Duration::from_millis(30);
 /// A part of prompts is refused once it occurs in this many crashes.
 const PART_CRASHES: usize = 3;
-/// Different requests under which it has to occur in them: what a single request brings
-/// about is that request's doing.
-const PART_REQUESTS: usize = 2;
 /// The same for a part that was answered soundly shortly before. Crashes that a part
 /// without such an answer may explain don't count against it.
 const SOUND_PART_CRASHES: usize = 6;
+/// Different requests under which a part has to occur in these crashes: what a single request brings
+/// about is that request's doing.
+const PART_REQUESTS: usize = 2;
 /// Divisor of the number of unexplained crashes: a part that occurs in fewer than that is
 /// not their cause, even if several parts are at work at once.
 const UNRELATED_DIVISOR: usize = 5;
@@ -36,60 +38,15 @@
 const INSEPARABLE_CRASHES: usize = 7;
 /// Number of crashes from which the fleet is told that a part is sound after all.
 const SUSPICIOUS_CRASHES: usize = 2;
-/// Time after a crash from which it counts against parts: by then this node has heard of
-/// the suspects at all other nodes, and these have answered which parts they know to be
-/// sound. Without that it might blame a part that merely ran beside the cause.
-const REPORT_TIME: Duration = Duration::from_secs(1);
-/// Time for which a crash counts, and after the last one for which a whole request is
-/// refused.
-const CRASH_MEMORY: Duration = Duration::from_mins(1);
 /// Time for which a part is refused. Afterwards it has to crash upstreams anew.
 pub(crate) const PART_QUARANTINE_TIME: Duration = Duration::from_mins(10);
 /// Time for which a sound answer speaks for the parts of its prompt.
 const SOUND_MEMORY: Duration = Duration::from_mins(1);
-/// Crashes that are remembered at most; the oldest are forgotten.
-const CRASHES_MAX: usize = 256;
-/// Own reports that are kept at most; the oldest are forgotten.
-const OWN_REPORTS_MAX: usize = 32;
-/// Upstreams lost together with one that are remembered at most.
-const TOGETHER_MAX: usize = 16;
-/// Suspects of one crash that are remembered at most.
-const SUSPECTS_MAX: usize = 64;
 /// Parts of which sound answers are remembered at most.
 const SOUND_PARTS_MAX: usize = 4096;
 /// Parts that are quarantined at most; the one that ends first makes room.
 const QUARANTINED_MAX: usize = 1024;
 
-/// Hash of a request's path, organisation and body, equal for all its attempts.
-pub type CrashFingerprint = u64;
-
-/// A request that an upstream was answering when its process ended.
-#[derive(Clone, Debug, Eq, PartialEq)]
-#[derive(Deserialize, Serialize)]
-pub struct CrashReport {
-    /// Id of the upstream.
-    pub upstream: UpstreamId,
-    /// Start of its process, in Unix milliseconds, if it publishes it.
-    pub started_ms: Option<u64>,
-    /// Another upstream that the reporting node lost at the same moment, if any.
-    pub together_with: Option<UpstreamId>,
-    /// Fingerprint of the request.
-    pub fingerprint: CrashFingerprint,
-    /// Parts of its prompt that other requests may share and that may have caused the
-    /// crash.
-    pub parts: Vec<SuspectPart>,
-}
-
-/// A part of the prompt of a request that an upstream was answering when it crashed.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-#[derive(Deserialize, Serialize)]
-pub struct SuspectPart {
-    /// Id of the part.
-    pub part: PromptPartId,
-    /// Whether the reporting node has seen a sound answer on it shortly before.
-    pub was_sound: bool,
-}
-
 /// What is known of a part of prompts, as nodes tell each other.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 #[derive(Deserialize, Serialize)]
@@ -120,28 +77,13 @@
 pub struct QuarantineList {
     /// Numbers crashes and sound answers in the order in which this node learned of them.
     sequence: u64,
-    crashes: VecDeque<CrashRecord>,
-    /// First upstream of those that this node lost together last, and when.
-    last_lost: Option<(UpstreamId, Instant)>,
-    /// Reports of this node itself, oldest first.
-    own_reports: VecDeque<(Instant, CrashReport)>,
+    log: CrashLog,
     sound: HashMap<PromptPartId, SoundRecord>,
     quarantined: HashMap<PromptPartId, PartQuarantine>,
     /// Quarantines that the store holds.
     rows: HashSet<PromptPartId>,
 }
 
-#[derive(Debug)]
-struct CrashRecord {
-    sequence: u64,
-    at: Instant,
-    upstream: UpstreamId,
-    started_ms: Option<u64>,
-    /// Upstreams that nodes lost together with this one.
-    together_with: Vec<UpstreamId>,
-    suspects: Vec<(CrashFingerprint, Vec<PromptPartId>)>,
-}
-
 /// The last sound answer on a part.
 #[derive(Clone, Copy, Debug)]
 struct SoundRecord {
@@ -165,105 +107,25 @@
     requests: HashSet<CrashFingerprint>,
 }
 
-impl CrashRecord {
-    fn parts(&self) -> impl Iterator<Item = PromptPartId> {
-        self.suspects
-            .iter()
-            .flat_map(|(_, parts)| parts.iter().copied())
+impl QuarantineList {
+    /// The crashes that this node knows of.
+    #[must_use]
+    pub fn crash_log(&self) -> &CrashLog {
+        &self.log
     }
 
-    fn requests_with(&self, part: PromptPartId) -> impl Iterator<Item = CrashFingerprint> {
-        let suspects = self.suspects.iter();
-        suspects
-            .filter(move |(_, parts)| parts.contains(&part))
-            .map(|(fingerprint, _)| *fingerprint)
+    /// The crashes, to record what this node itself sees of them.
+    pub fn crash_log_mut(&mut self) -> &mut CrashLog {
+        &mut self.log
     }
-}
 
-impl QuarantineList {
     /// Records a suspect of a crash; returns whether it was not known yet.
     pub fn record_crash(&mut self, now: Instant, report: &CrashReport) -> bool {
-        self.forget_old_crashes(now);
-        for suspect in &report.parts {
-            if suspect.was_sound {
-                self.record_sound_before(now, suspect.part);
-            }
-        }
-        let is_same = |crash: &CrashRecord| {
-            crash.upstream == report.upstream && crash.started_ms == report.started_ms
-        };
-        let index = self
-            .crashes
-            .iter()
-            .position(is_same)
-            .unwrap_or_else(|| self.add_crash(now, report));
-        let crash = &mut self.crashes[index];
-        if let Some(other) = &report.together_with
-            && !crash.together_with.contains(other)
-            && crash.together_with.len() < TOGETHER_MAX
-        {
-            crash.together_with.push(other.clone());
+        for suspect in report.parts.iter().filter(|suspect| suspect.was_sound) {
+            self.record_sound_before(now, suspect.part);
         }
-        let suspects = &mut crash.suspects;
-        let is_known = suspects
-            .iter()
-            .any(|(fingerprint, _)| *fingerprint == report.fingerprint);
-        if is_known || suspects.len() >= SUSPECTS_MAX {
-            return false;
-        }
-        let parts = report.parts.iter().map(|suspect| suspect.part).collect();
-        suspects.push((report.fingerprint, parts));
-        true
-    }
-
-    fn forget_old_crashes(&mut self, now: Instant) {
-        let is_old = |crash: &CrashRecord| now.saturating_duration_since(crash.at) >= CRASH_MEMORY;
-        while self.crashes.len() >= CRASHES_MAX || self.crashes.front().is_some_and(is_old) {
-            self.crashes.pop_front();
-        }
-    }
-
-    /// Records that this node lost a connection to `upstream`; returns the first of the
-    /// upstreams that it lost together with it, if any.
-    pub fn record_loss(&mut self, now: Instant, upstream: &UpstreamId) -> Option<UpstreamId> {
-        match &self.last_lost {
-            Some((first, at)) if now.saturating_duration_since(*at) < TOGETHER_TIME => {
-                (first != upstream).then(|| first.clone())
-            }
-            _ => {
-                self.last_lost = Some((upstream.clone(), now));
-                None
-            }
-        }
-    }
-
-    /// Keeps a report of this node itself, for relays that it has not told yet.
-    pub fn keep_own_report(&mut self, now: Instant, report: CrashReport) {
-        if self.own_reports.len() >= OWN_REPORTS_MAX {
-            self.own_reports.pop_front();
-        }
-        self.own_reports.push_back((now, report));
-    }
-
-    /// Reports of this node itself that still count.
-    pub fn own_reports(&self, now: Instant) -> impl Iterator<Item = &CrashReport> {
-        self.own_reports
-            .iter()
-            .filter(move |(at, _)| now.saturating_duration_since(*at) < CRASH_MEMORY)
-            .map(|(_, report)| report)
-    }
-
-    fn add_crash(&mut self, now: Instant, report: &CrashReport) -> usize {
         let sequence = self.next_sequence();
-        self.crashes.push_back(CrashRecord {
-            sequence,
-            at: now,
-            upstream: report.upstream.clone(),
-            started_ms: report.started_ms,
-            together_with: Vec::new(),
-            suspects: Vec::new(),
-        });
-        self.crashes.len() - 1
+        self.log.record(now, sequence, report)
     }
 
     fn next_sequence(&mut self) -> u64 {
@@ -373,7 +235,7 @@
     /// Quarantines the parts that the recorded crashes prove to be their cause, and
     /// returns them. `now_ms` is the present in Unix milliseconds.
     pub fn judge(&mut self, now: Instant, now_ms: u64) -> Vec<PromptPartId> {
-        self.forget_old_crashes(now);
+        self.log.forget_old(now);
         let mut judged = Vec::new();
         loop {
             let guilty = self.guilty_parts(now);
@@ -421,12 +283,12 @@
     /// The number of unexplained crashes that all nodes can have reported, and those that
     /// count against each part.
     fn evidence(&self, now: Instant) -> (usize, HashMap<PromptPartId, PartEvidence>) {
-        let groups = self.groups();
+        let groups = self.log.groups();
         let mut total: HashSet<usize> = HashSet::new();
         let mut all: HashMap<PromptPartId, PartEvidence> = HashMap::new();
         let is_reported =
             |crash: &CrashRecord| now.saturating_duration_since(crash.at) >= REPORT_TIME;
-        for (crash, group) in self.crashes.iter().zip(groups) {
+        for (crash, group) in self.log.records().zip(groups) {
             if self.is_explained(crash) || !is_reported(crash) {
                 continue;
             }
@@ -448,29 +310,6 @@
         (total.len(), all)
     }
 
-    /// For each crash the index of the first one of those that came together with it.
-    fn groups(&self) -> Vec<usize> {
-        let mut groups: Vec<usize> = (0..self.crashes.len()).collect();
-        // Last crash that names an upstream. A later process under the same id is another
-        // matter.
-        let mut last_by_id: HashMap<&UpstreamId, usize> = HashMap::new();
-        for (index, crash) in self.crashes.iter().enumerate() {
-            for id in crash.together_with.iter().chain([&crash.upstream]) {
-                let Some(last) = last_by_id.insert(id, index) else {
-                    continue;
-                };
-                let last_at = self.crashes[last].at;
-                if crash.at.saturating_duration_since(last_at) < REPORT_TIME {
-                    let (one, other) = (groups[index], groups[last]);
-                    let (kept, merged) = (one.min(other), one.max(other));
-                    let merged = groups.iter_mut().filter(|group| **group == merged);
-                    merged.for_each(|group| *group = kept);
-                }
-            }
-        }
-        groups
-    }
-
     /// The unexplained crashes that count against one part.
     fn crashes_of(&self, part: PromptPartId) -> impl Iterator<Item = &CrashRecord> {
         let sound_sequence = self.sound_sequence(part);
@@ -484,9 +323,7 @@
     }
 
     fn unexplained_crashes(&self) -> impl Iterator<Item = &CrashRecord> {
-        self.crashes
-            .iter()
-            .filter(|crash| !self.is_explained(crash))
+        self.log.records().filter(|crash| !self.is_explained(crash))
     }
 
     fn is_explained(&self, crash: &CrashRecord) -> bool {
@@ -515,7 +352,7 @@
     /// When a part that may soon be quarantined is sent again: once all nodes can have
     /// reported its last crash, so that it crashes no further upstreams meanwhile.
     fn pause_end(&self, now: Instant, part: PromptPartId) -> Option<Instant> {
-        if self.crashes.is_empty() || self.is_known_sound(now, part) {
+        if self.is_known_sound(now, part) {
             return None;
         }
         let crashes: Vec<&CrashRecord> = self.crashes_of(part).collect();
--- a/components/dispatch/tests/quarantine.rs
+++ b/components/dispatch/tests/quarantine.rs
@@ -183,7 +183,7 @@
         for request in running {
             let list = &mut self.nodes[request.node];
             let upstream = format!("engine-{engine}");
-            let together_with = list.record_loss(self.now, &upstream);
+            let together_with = list.crash_log_mut().record_loss(self.now, &upstream);
             let parts = request.parts.iter().map(|part| SuspectPart {
                 part: *part,
                 was_sound: list.is_known_sound(self.now, *part),
--- a/components/gateway/src/crashes.rs
+++ b/components/gateway/src/crashes.rs
@@ -80,7 +80,8 @@
         let report = build_report(&gateway, &job, broken);
         if record_crash(&gateway, &report) {
             let mut quarantine = gateway.quarantine.borrow_mut();
-            quarantine.keep_own_report(gateway.now(), report.clone());
+            let log = quarantine.crash_log_mut();
+            log.keep_own_report(gateway.now(), report.clone());
             gateway.queue_datagram(PeerDatagram::UpstreamCrashed(report));
         }
     }
@@ -120,7 +121,7 @@
 /// don't ask the other nodes, so one that was out of reach can't know it.
 pub(crate) fn repeat_own_reports(gateway: &Gateway) {
     let quarantine = gateway.quarantine.borrow();
-    for report in quarantine.own_reports(gateway.now()) {
+    for report in quarantine.crash_log().own_reports(gateway.now()) {
         gateway.queue_datagram(PeerDatagram::UpstreamCrashed(report.clone()));
     }
 }
--- a/components/gateway/src/leg.rs
+++ b/components/gateway/src/leg.rs
@@ -319,6 +319,7 @@
         let together_with = gateway
             .quarantine
             .borrow_mut()
+            .crash_log_mut()
             .record_loss(now, &self.upstream);
         let answered_for = self.answered_for(now);
         let broken = BrokenAttempt {
