Connect from the node's own address

The system chose the address, so on a host with several of them upstreams, firewalls and limits did not see the host under the one by which it is known; on loopback all nodes looked alike, and a test could not cut one of them off.

--- a/components/gateway/src/client.rs
+++ b/components/gateway/src/client.rs
@@ -3,7 +3,7 @@
 use std::{
     collections::HashMap,
     io,
-    net::{SocketAddr, TcpStream},
+    net::{IpAddr, SocketAddr, TcpStream},
     rc::Rc,
     time::{Duration, Instant},
 };
@@ -15,10 +15,14 @@
     body::Incoming,
     client::conn::http1::{Builder, SendRequest},
 };
+use rustix::{
+    io::Errno,
+    net::{AddressFamily, SocketFlags, SocketType, bind, connect, socket_with},
+};
 use smol::{Async, LocalExecutor, Task};
 use smol_hyper::rt::FuturesIo;
 
-use crate::PlainCall;
+use crate::{PlainCall, state::Gateway};
 
 /// Read buffer of a connection: the smallest that hyper accepts.
 const READ_BUFFER_BYTES: usize = 8 << 10;
@@ -51,12 +55,14 @@
 }
 
 impl ClientConnection {
-    /// Connects to `address` and spawns the task that drives the connection.
+    /// Connects from `source` to `address` and spawns the task that drives the
+    /// connection.
     pub(crate) async fn open(
         executor: &LocalExecutor<'static>,
+        source: IpAddr,
         address: SocketAddr,
     ) -> io::Result<Self> {
-        let socket = Async::<TcpStream>::connect(address).await?;
+        let socket = connect_from(source, address).await?;
         socket.get_ref().set_nodelay(true)?;
         let (sender, connection) = Builder::new()
             .max_buf_size(READ_BUFFER_BYTES)
@@ -101,6 +107,34 @@
     }
 }
 
+/// Connects to `address` from `source`, so that peers, firewalls and limits see a host of
+/// several addresses under the one by which it is known.
+pub(crate) async fn connect_from(
+    source: IpAddr,
+    address: SocketAddr,
+) -> io::Result<Async<TcpStream>> {
+    let family = if address.is_ipv4() {
+        AddressFamily::INET
+    } else {
+        AddressFamily::INET6
+    };
+    let flags = SocketFlags::NONBLOCK | SocketFlags::CLOEXEC;
+    let socket = socket_with(family, SocketType::STREAM, flags, None)?;
+    if source.is_ipv4() == address.is_ipv4() {
+        bind(&socket, &SocketAddr::new(source, 0))?;
+    }
+    match connect(&socket, &address) {
+        Ok(()) | Err(Errno::INPROGRESS) => {}
+        Err(error) => return Err(error.into()),
+    }
+    let stream = Async::new_nonblocking(TcpStream::from(socket))?;
+    stream.writable().await?;
+    match stream.get_ref().take_error()? {
+        Some(error) => Err(error),
+        None => Ok(stream),
+    }
+}
+
 /// Idle connections by address, each with the time at which it expires.
 #[derive(Debug, Default)]
 pub(crate) struct ConnectionPool {
@@ -156,14 +190,17 @@
 #[derive(Debug)]
 pub(crate) struct PlainCaller {
     executor: Rc<LocalExecutor<'static>>,
+    /// Own address from which the connection is made.
+    source: IpAddr,
     address: SocketAddr,
     connection: Option<ClientConnection>,
 }
 
 impl PlainCaller {
-    pub(crate) fn new(executor: Rc<LocalExecutor<'static>>, address: SocketAddr) -> Self {
+    pub(crate) fn new(gateway: &Gateway, address: SocketAddr) -> Self {
         Self {
-            executor,
+            executor: Rc::clone(&gateway.executor),
+            source: gateway.source(),
             address,
             connection: None,
         }
@@ -174,7 +211,7 @@
     pub(crate) async fn call(&mut self, call: PlainCall) -> io::Result<Response<Bytes>> {
         let mut connection = match self.connection.take().filter(ClientConnection::is_open) {
             Some(connection) => connection,
-            None => ClientConnection::open(&self.executor, self.address).await?,
+            None => ClientConnection::open(&self.executor, self.source, self.address).await?,
         };
         let request = Request::builder()
             .method(call.method)
--- a/components/gateway/src/crashes.rs
+++ b/components/gateway/src/crashes.rs
@@ -3,19 +3,23 @@
 
 use std::{
     io,
-    net::{SocketAddr, TcpStream},
+    net::SocketAddr,
     rc::Rc,
     time::{Duration, SystemTime, UNIX_EPOCH},
 };
 
 use bytes::Bytes;
 use dispatch::{CrashReport, NewsItem, PartStanding, QuarantineRow, SuspectPart};
-use smol::Async;
 use types::{PromptPartId, UpstreamId};
 
 use crate::{
-    TableChange, WatchedTable, client::PlainCaller, datagrams::PeerDatagram, forward::ForwardJob,
-    reports::is_relay, state::Gateway, sync::is_store_poller,
+    TableChange, WatchedTable,
+    client::{PlainCaller, connect_from},
+    datagrams::PeerDatagram,
+    forward::ForwardJob,
+    reports::is_relay,
+    state::Gateway,
+    sync::is_store_poller,
 };
 
 /// Time after which an upstream that neither accepts nor refuses a connection counts as
@@ -88,7 +92,7 @@
 }
 
 async fn check_process(gateway: &Gateway, address: SocketAddr) -> ProcessState {
-    let connecting = Async::<TcpStream>::connect(address);
+    let connecting = connect_from(gateway.source(), address);
     match gateway.clock.timeout(CHECK_TIMEOUT, connecting).await {
         Some(Ok(_)) => ProcessState::Alive,
         Some(Err(error)) if error.kind() == io::ErrorKind::ConnectionRefused => ProcessState::Ended,
@@ -249,7 +253,7 @@
 /// Judges crashes at intervals and, while this node is a store poller, keeps the rows of
 /// quarantined parts in the store as they should be.
 pub(crate) async fn keep_quarantine(gateway: Rc<Gateway>) {
-    let mut caller = PlainCaller::new(Rc::clone(&gateway.executor), gateway.settings.store);
+    let mut caller = PlainCaller::new(&gateway, gateway.settings.store);
     loop {
         gateway.clock.sleep(JUDGE_PAUSE).await;
         judge_parts(&gateway);
--- a/components/gateway/src/daemon.rs
+++ b/components/gateway/src/daemon.rs
@@ -162,7 +162,7 @@
         log::error!("event=row_unencodable node={}", entry.node);
         return;
     };
-    let mut caller = PlainCaller::new(Rc::clone(&gateway.executor), gateway.settings.store);
+    let mut caller = PlainCaller::new(&gateway, gateway.settings.store);
     loop {
         if gateway.row_written.get() || !is_relay(&gateway) {
             gateway.clock.sleep(RELAY_CHECK_PAUSE).await;
@@ -233,7 +233,7 @@
 }
 
 async fn remove_own_row(gateway: Rc<Gateway>) {
-    let mut caller = PlainCaller::new(Rc::clone(&gateway.executor), gateway.settings.store);
+    let mut caller = PlainCaller::new(&gateway, gateway.settings.store);
     let node = &gateway.settings.node;
     let call = gateway.dialect.remove_row_call(WatchedTable::Nodes, node);
     let answer = gateway
--- a/components/gateway/src/leg.rs
+++ b/components/gateway/src/leg.rs
@@ -169,7 +169,7 @@
             }
         }
         let left = job.time_left(gateway.now());
-        let opening = ClientConnection::open(&gateway.executor, self.address);
+        let opening = ClientConnection::open(&gateway.executor, gateway.source(), self.address);
         gateway
             .clock
             .timeout(CONNECT_TIMEOUT.min(left), opening)
--- a/components/gateway/src/peers.rs
+++ b/components/gateway/src/peers.rs
@@ -35,7 +35,7 @@
 }
 
 async fn fetch_desired(gateway: Rc<Gateway>, peer: SocketAddr) {
-    let mut caller = PlainCaller::new(Rc::clone(&gateway.executor), peer);
+    let mut caller = PlainCaller::new(&gateway, peer);
     let call = PlainCall {
         method: Method::GET,
         target: DESIRED_PATH.to_owned(),
--- a/components/gateway/src/state.rs
+++ b/components/gateway/src/state.rs
@@ -3,6 +3,7 @@
 use std::{
     cell::{Cell, RefCell},
     hash::RandomState,
+    net::IpAddr,
     rc::Rc,
     time::{Duration, Instant},
 };
@@ -123,6 +124,11 @@
         self.clock.now()
     }
 
+    /// Returns the address from which this node connects to others.
+    pub(crate) fn source(&self) -> IpAddr {
+        self.settings.peers.ip()
+    }
+
     /// Returns whether a desired state is known and, under
     /// [`RevokePolicy::RefuseAfter`], recent enough.
     pub(crate) fn has_valid_state(&self) -> bool {
--- a/components/gateway/src/sync.rs
+++ b/components/gateway/src/sync.rs
@@ -76,8 +76,7 @@
 /// Lists `table` and then polls for its changes until the gateway ends.
 pub(crate) async fn watch_table(gateway: Rc<Gateway>, table: WatchedTable) {
     wait_for_fleet(&gateway).await;
-    let executor = Rc::clone(&gateway.executor);
-    let mut caller = PlainCaller::new(executor, gateway.settings.store);
+    let mut caller = PlainCaller::new(&gateway, gateway.settings.store);
     let mut version = None;
     // Newest version that was ever reached.
     let mut reached: Option<u64> = None;
--- a/components/gateway/src/tickets.rs
+++ b/components/gateway/src/tickets.rs
@@ -161,7 +161,7 @@
     reservation: &EngineReservation,
     call: &EngineCall<'_>,
 ) -> Result<StatusCode, String> {
-    let mut caller = PlainCaller::new(Rc::clone(&gateway.executor), reservation.address);
+    let mut caller = PlainCaller::new(gateway, reservation.address);
     let call = gateway.dialect.engine_call(call);
     match gateway
         .clock
