Count attempts to connect to upstreams by outcome

The log of one node does not tell a lost way to upstreams from upstreams that are down; counters of all nodes side by side do. No behaviour changes.

--- a/components/gateway/src/leg.rs
+++ b/components/gateway/src/leg.rs
@@ -170,11 +170,13 @@
         }
         let left = job.time_left(gateway.now());
         let opening = ClientConnection::open(&gateway.executor, gateway.source(), self.address);
-        gateway
+        let connection = gateway
             .clock
             .timeout(CONNECT_TIMEOUT.min(left), opening)
             .await
-            .unwrap_or_else(|| Err(std::io::ErrorKind::TimedOut.into()))
+            .unwrap_or_else(|| Err(std::io::ErrorKind::TimedOut.into()));
+        gateway.metrics.record_connect(&connection);
+        connection
     }
 
     /// Builds the request as it is sent to this upstream.
--- a/components/gateway/src/metrics.rs
+++ b/components/gateway/src/metrics.rs
@@ -1,6 +1,6 @@
 //! Metrics of a gateway, exported in the `OpenMetrics` format.
 
-use std::time::Duration;
+use std::{io, time::Duration};
 
 use prometheus_client::{
     encoding::{EncodeLabelSet, text::encode},
@@ -25,6 +25,14 @@
     pub(crate) source: String,
 }
 
+/// Labels of the counter of connection attempts.
+#[derive(Clone, Debug, Eq, Hash, PartialEq)]
+#[derive(EncodeLabelSet)]
+pub(crate) struct ConnectLabels {
+    /// `connected`, `refused`, `timed_out` or `failed`.
+    pub(crate) outcome: &'static str,
+}
+
 /// All metrics of a gateway and their registry.
 #[derive(Debug)]
 pub(crate) struct GatewayMetrics {
@@ -36,6 +44,8 @@
     pub(crate) answer_seconds: Histogram,
     /// Retries taken from the budget, whether or not another upstream was then found.
     pub(crate) retries: Counter,
+    /// Attempts to connect to an upstream, by outcome.
+    pub(crate) connects: Family<ConnectLabels, Counter>,
 }
 
 impl GatewayMetrics {
@@ -44,6 +54,7 @@
         let requests = Family::<OutcomeLabels, Counter>::default();
         let answer_seconds = Histogram::new(exponential_buckets(0.004, 2.0, 13));
         let retries = Counter::default();
+        let connects = Family::<ConnectLabels, Counter>::default();
         registry.register("requests", "Requests answered", requests.clone());
         registry.register(
             "answer_seconds",
@@ -51,14 +62,35 @@
             answer_seconds.clone(),
         );
         registry.register("retries", "Sends to a further upstream", retries.clone());
+        registry.register(
+            "connects",
+            "Attempts to connect to an upstream",
+            connects.clone(),
+        );
         Self {
             registry,
             requests,
             answer_seconds,
             retries,
+            connects,
         }
     }
 
+    /// Counts an attempt to connect to an upstream.
+    pub(crate) fn record_connect<T>(&self, result: &io::Result<T>) {
+        let outcome = match result {
+            Ok(_) => "connected",
+            Err(error) => match error.kind() {
+                io::ErrorKind::ConnectionRefused => "refused",
+                io::ErrorKind::TimedOut => "timed_out",
+                _ => "failed",
+            },
+        };
+        self.connects
+            .get_or_create(&ConnectLabels { outcome })
+            .inc();
+    }
+
     pub(crate) fn record_answer(
         &self,
         service: &str,
