Serve callers through other nodes while upstreams are out of reach

Cause: a node had no way to an upstream but its own. It tried one after the other, with a connect timeout of 400 ms each, until the caller left; streams that broke could not be resumed for the same reason. The class of fault: a node takes the failure of its own path for that of its peers.

Now a node whose connections hang, break or are refused tries up to four upstreams and asks other nodes for the same ones. It is cut off only if it reaches none and another node does; in an outage of all upstreams nothing changes. While it is cut off it opens its connections through such a node, which passes the bytes on, within a bound and until the request's deadline. All that decides about a request stays with the node that took it, so nothing is counted or repeated twice.

--- a/components/dispatch/src/lib.rs
+++ b/components/dispatch/src/lib.rs
@@ -18,6 +18,7 @@
 mod prefill_queue;
 mod quarantine;
 mod rate_limit;
+mod reach;
 mod relays;
 mod roster;
 mod routes;
@@ -44,6 +45,7 @@
 };
 pub use quarantine::{PartStanding, QuarantineList, QuarantineRow};
 pub use rate_limit::RateNotice;
+pub use reach::{HelperNode, ProbeOutcome, ReachCheck, ReachTable, ReachVerdict, select_sample};
 pub use relays::{RelayWatch, find_lost_relays, is_better_relay, select_relays};
 pub use roster::{NodeRoster, RosterEntry};
 pub use routes::{RouteMatch, RouteTable};
--- a/components/dispatch/src/roster.rs
+++ b/components/dispatch/src/roster.rs
@@ -267,6 +267,33 @@
             .collect()
     }
 
+    /// At most `count` live nodes that take callers and are not in `excluded`, of
+    /// different zones as far as possible, those of `own_zone` last.
+    pub fn nodes_to_ask(
+        &self,
+        now: Instant,
+        own_zone: &str,
+        excluded: &[NodeId],
+        count: usize,
+        rng: &mut impl Rng,
+    ) -> Vec<RosterEntry> {
+        let mut nodes: Vec<&RosterEntry> = self
+            .live(now)
+            .filter(|entry| entry.ready && !excluded.contains(&entry.node))
+            .collect();
+        nodes.shuffle(rng);
+        let mut in_zone: BTreeMap<&ZoneId, usize> = BTreeMap::new();
+        let mut ranked: Vec<(bool, usize, &RosterEntry)> = Vec::new();
+        for entry in nodes {
+            let rank = in_zone.entry(&entry.zone).or_default();
+            ranked.push((entry.zone == own_zone, *rank, entry));
+            *rank += 1;
+        }
+        ranked.sort_by_key(|(is_neighbour, rank, _)| (*is_neighbour, *rank));
+        let nodes = ranked.into_iter().take(count);
+        nodes.map(|(_, _, entry)| entry.clone()).collect()
+    }
+
     /// Whether a node of `zone` that should be alive is passed over.
     #[must_use]
     pub fn has_silent_node(&self, now: Instant, zone: &str) -> bool {
--- a/components/dispatch/src/upstreams.rs
+++ b/components/dispatch/src/upstreams.rs
@@ -96,6 +96,8 @@
     grace_until: Option<Instant>,
     /// Rate of requests that the upstream takes from all nodes.
     rate_limit: RateLimit,
+    /// When it last accepted a connection of this node.
+    reached_at: Option<Instant>,
 }
 
 /// All upstreams in the directory, and those in their grace time.
@@ -126,6 +128,7 @@
             ejected_until: None,
             grace_until: None,
             rate_limit: RateLimit::default(),
+            reached_at: None,
         }
     }
 
@@ -533,6 +536,31 @@
         }
     }
 
+    /// Records that an upstream has accepted a connection of this node.
+    pub fn record_contact(&mut self, now: Instant, id: &str) {
+        if let Some(health) = self.upstreams.get_mut(id) {
+            health.reached_at = Some(now);
+        }
+    }
+
+    /// Whether the upstream has accepted a connection of this node since `since`.
+    #[must_use]
+    pub fn is_reached_since(&self, id: &str, since: Instant) -> bool {
+        let health = self.upstreams.get(id);
+        health.is_some_and(|health| health.reached_at >= Some(since))
+    }
+
+    /// Takes back the failures of the upstreams of `service`, whose cause was this node.
+    pub fn clear_failures(&mut self, service: &str) {
+        let upstreams = self.upstreams.values_mut();
+        for health in upstreams.filter(|health| health.entry.service == service) {
+            health.consecutive_failures = 0;
+            health.ejected_until = None;
+            health.failure_share = 0.0;
+            health.failure_share_at = None;
+        }
+    }
+
     /// Records an answer whose first event took `ratio` times as long as
     /// expected.
     pub fn record_slowdown(&mut self, now: Instant, id: &str, ratio: f64) {
--- a/components/gateway/src/attempt.rs
+++ b/components/gateway/src/attempt.rs
@@ -5,6 +5,7 @@
 
 use bytes::Bytes;
 use dispatch::{CallKind, Placement, PlacementRefusal};
+use futures_lite::future::or;
 use http::{Response, StatusCode, header};
 use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
@@ -14,11 +15,13 @@
     AnswerHead,
     answer::{AnswerBody, GatewayAnswer},
     client::{ClientConnection, ExchangeError},
+    connect::ConnectError,
     crashes::record_sound_answer,
     forward::ForwardJob,
     leg::{UpstreamAttempt, is_framed, pool_connection, remove_hop_by_hop_headers},
     place::{PLACEMENT_RETRY_PAUSE, find_placement},
     rates::record_rate,
+    reach::suspect_cut,
     relay::{StreamForwarder, stream_plain_answer},
     state::Gateway,
 };
@@ -65,6 +68,8 @@
     last_answer: Option<(http::response::Parts, Bytes)>,
     /// Time until the first upstream takes requests again, if all asked for a pause.
     pause_left: Option<Duration>,
+    /// Time after which another node may take the request, if this one is cut off.
+    cut_off_left: Option<Duration>,
     /// Time until the request's quarantine ends, if it has crashed upstreams.
     quarantine_left: Option<Duration>,
 }
@@ -77,6 +82,9 @@
     NotReserved,
     /// The request was not sent to the upstream.
     NotSent,
+    /// This node is cut off and no other node takes the request now; one may after this
+    /// time.
+    CutOff(Duration),
     /// The upstream stated that it did not run the request.
     NotRun,
     /// The upstream may have run the request, but no usable answer arrived.
@@ -128,6 +136,10 @@
         match outcome {
             SendOutcome::Answered(response) => return (response, false),
             SendOutcome::NotReserved | SendOutcome::NotSent | SendOutcome::NotRun => {}
+            SendOutcome::CutOff(left) => {
+                history.cut_off_left = Some(left);
+                break "cut_off";
+            }
             SendOutcome::Lost => history.may_have_run = true,
             SendOutcome::Failed(parts, body) => {
                 history.may_have_run = true;
@@ -168,6 +180,10 @@
                 .quarantine_left
                 .unwrap_or_default()
                 .max(RETRY_AFTER_MIN),
+            "cut_off" => history
+                .cut_off_left
+                .unwrap_or_default()
+                .max(RETRY_AFTER_MIN),
             "paused" => history.pause_left.unwrap_or_default().max(RETRY_AFTER_MIN),
             "needs_quiet" => left.mul_f64(IDLE_ENGINES_RETRY_SHARE).max(RETRY_AFTER_MIN),
             _ => RETRY_AFTER_MIN,
@@ -267,11 +283,14 @@
             .as_millis(),
         job.prompt_label(),
     );
-    let mut connection = match attempt.connect(gateway, job).await {
+    let mut connection = match attempt.connect(gateway, job, history.sends == 0).await {
         Ok(connection) => connection,
         Err(error) => {
-            attempt.record_failure(gateway, job, &format!("connect: {error}"));
-            return SendOutcome::NotSent;
+            attempt.record_unconnected(gateway, job, &error);
+            return match error {
+                ConnectError::Upstream(_) => SendOutcome::NotSent,
+                ConnectError::NoHelper(retry_after) => SendOutcome::CutOff(retry_after),
+            };
         }
     };
     history.sends += 1;
@@ -286,7 +305,16 @@
         }
     };
     let limit = answer_timeout(gateway, job, placement.time_to_prefill, history);
-    let response = match gateway.clock.timeout(limit, connection.send(request)).await {
+    let is_reused = connection.reused;
+    let watch = async {
+        if is_reused {
+            gateway.clock.sleep(job.route.latency_goal).await;
+            suspect_cut(gateway, &job.service, Some(&attempt.upstream));
+        }
+        std::future::pending().await
+    };
+    let sending = or(connection.send(request), watch);
+    let response = match gateway.clock.timeout(limit, sending).await {
         Some(Ok(response)) => response,
         Some(Err(ExchangeError::NotSent(error))) => {
             attempt.record_failure(gateway, job, &error);
@@ -297,7 +325,7 @@
             return SendOutcome::Lost;
         }
         None => {
-            attempt.record_failure(gateway, job, "silent");
+            attempt.record_silence(gateway, job, "silent");
             return SendOutcome::Lost;
         }
     };
--- a/components/gateway/src/client.rs
+++ b/components/gateway/src/client.rs
@@ -9,6 +9,7 @@
 };
 
 use bytes::Bytes;
+use futures_lite::{AsyncRead, AsyncWrite};
 use http::{Request, Response, header};
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::{
@@ -21,11 +22,12 @@
 };
 use smol::{Async, LocalExecutor, Task};
 use smol_hyper::rt::FuturesIo;
+use types::NodeId;
 
-use crate::{PlainCall, state::Gateway};
+use crate::{PlainCall, state::Gateway, tunnel::TunnelStream};
 
 /// Read buffer of a connection: the smallest that hyper accepts.
-const READ_BUFFER_BYTES: usize = 8 << 10;
+pub(crate) const READ_BUFFER_BYTES: usize = 8 << 10;
 /// Largest body of an answer to a plain call: what the store sends at most, with
 /// room for its encoding.
 const ANSWER_MAX_BYTES: usize = 2 << 20;
@@ -43,6 +45,8 @@
     address: SocketAddr,
     /// Whether the connection was taken from the pool.
     pub(crate) reused: bool,
+    /// Node that passes the bytes on; `None` for a connection of this node's own.
+    pub(crate) helper: Option<NodeId>,
 }
 
 /// Why a request got no answer head, and whether it may have reached the peer.
@@ -64,9 +68,28 @@
     ) -> io::Result<Self> {
         let socket = connect_from(source, address).await?;
         socket.get_ref().set_nodelay(true)?;
+        Self::drive(executor, address, socket, None).await
+    }
+
+    /// Uses the tunnel through `helper` to the upstream at `address`.
+    pub(crate) async fn over_tunnel(
+        executor: &LocalExecutor<'static>,
+        address: SocketAddr,
+        stream: TunnelStream,
+        helper: &NodeId,
+    ) -> io::Result<Self> {
+        Self::drive(executor, address, stream, Some(helper.clone())).await
+    }
+
+    async fn drive(
+        executor: &LocalExecutor<'static>,
+        address: SocketAddr,
+        stream: impl AsyncRead + AsyncWrite + Unpin + 'static,
+        helper: Option<NodeId>,
+    ) -> io::Result<Self> {
         let (sender, connection) = Builder::new()
             .max_buf_size(READ_BUFFER_BYTES)
-            .handshake(FuturesIo::new(socket))
+            .handshake(FuturesIo::new(stream))
             .await
             .map_err(io::Error::other)?;
         let driver = executor.spawn(async move {
@@ -79,6 +102,7 @@
             _driver: driver,
             address,
             reused: false,
+            helper,
         })
     }
 
@@ -102,6 +126,26 @@
         })
     }
 
+    /// Makes a plain call and returns the whole answer.
+    pub(crate) async fn call(&mut self, call: PlainCall) -> io::Result<Response<Bytes>> {
+        let request = Request::builder()
+            .method(call.method)
+            .uri(call.target)
+            .header(header::HOST, self.address.to_string())
+            .header(header::CONTENT_TYPE, "application/json")
+            .body(Full::new(call.body))
+            .map_err(io::Error::other)?;
+        let response = self.send(request).await.map_err(|error| match error {
+            ExchangeError::NotSent(text) | ExchangeError::Sent(text) => io::Error::other(text),
+        })?;
+        let (head, body) = response.into_parts();
+        let body = Limited::new(body, ANSWER_MAX_BYTES)
+            .collect()
+            .await
+            .map_err(io::Error::other)?;
+        Ok(Response::from_parts(head, body.to_bytes()))
+    }
+
     fn is_open(&self) -> bool {
         !self.sender.is_closed()
     }
@@ -155,14 +199,15 @@
     }
 
     /// Adds a connection whose answer has been read to the end. It expires after
-    /// `idle_timeout`.
+    /// `idle_timeout`. One through another node is closed instead, so that it doesn't
+    /// outlive the cut or the helper's stop.
     pub(crate) fn put(
         &mut self,
         now: Instant,
         connection: ClientConnection,
         idle_timeout: Duration,
     ) {
-        if !connection.is_open() || idle_timeout.is_zero() {
+        if !connection.is_open() || idle_timeout.is_zero() || connection.helper.is_some() {
             return;
         }
         let pooled = self.idle.entry(connection.address).or_default();
@@ -213,25 +258,8 @@
             Some(connection) => connection,
             None => ClientConnection::open(&self.executor, self.source, self.address).await?,
         };
-        let request = Request::builder()
-            .method(call.method)
-            .uri(call.target)
-            .header(header::HOST, self.address.to_string())
-            .header(header::CONTENT_TYPE, "application/json")
-            .body(Full::new(call.body))
-            .map_err(io::Error::other)?;
-        let response = connection
-            .send(request)
-            .await
-            .map_err(|error| match error {
-                ExchangeError::NotSent(text) | ExchangeError::Sent(text) => io::Error::other(text),
-            })?;
-        let (head, body) = response.into_parts();
-        let body = Limited::new(body, ANSWER_MAX_BYTES)
-            .collect()
-            .await
-            .map_err(io::Error::other)?;
+        let answer = connection.call(call).await?;
         self.connection = Some(connection);
-        Ok(Response::from_parts(head, body.to_bytes()))
+        Ok(answer)
     }
 }
--- a/components/gateway/src/daemon.rs
+++ b/components/gateway/src/daemon.rs
@@ -9,7 +9,6 @@
 
 use async_signal::{Signal, Signals};
 use futures_lite::StreamExt;
-use kernel::ClockSource;
 use smol::{Async, LocalExecutor, channel};
 
 use crate::{
@@ -70,17 +69,17 @@
         settings.callers,
         settings.store,
     );
+    let socket = Rc::new(Async::<UdpSocket>::bind(settings.peers)?);
     let gateway = Rc::new(Gateway::new(
         settings,
         dialect,
         Rc::clone(&executor),
-        ClockSource::System,
         incarnation,
+        Rc::clone(&socket),
         outbox,
         idle_close_receiver,
     ));
     let mut signals = Signals::new([Signal::Term, Signal::Hup])?;
-    let socket = Rc::new(Async::<UdpSocket>::bind(gateway.settings.peers)?);
     spawn_listeners(&gateway)?;
     for table in [
         WatchedTable::Desired,
@@ -203,7 +202,7 @@
 
 /// Removes this node from address answers at once and keeps serving callers that
 /// still use an older address answer. Waits until [`is_closing`] holds, then until no
-/// caller is connected or [`FORCED_END_SHARE`] of the grace period has passed since the
+/// caller is connected and no connection is held for another node, or [`FORCED_END_SHARE`] of the grace period has passed since the
 /// stop began.
 async fn stop_gracefully(gateway: &Rc<Gateway>, idle_close_sender: channel::Sender<()>) {
     let stop_started = gateway.now();
@@ -220,15 +219,16 @@
     }
     drop(idle_close_sender);
     let longest_stop = gateway.settings.grace_period.mul_f64(FORCED_END_SHARE);
-    while gateway.open_connections.get() > 0
+    while (gateway.open_connections.get() > 0 || gateway.tunnels.get() > 0)
         && gateway.now().saturating_duration_since(stop_started) < longest_stop
     {
         gateway.clock.sleep(STOP_CHECK_PAUSE).await;
     }
     log::info!(
-        "event=stopped node={} open_connections={}",
+        "event=stopped node={} open_connections={} tunnels={}",
         gateway.settings.node,
-        gateway.open_connections.get()
+        gateway.open_connections.get(),
+        gateway.tunnels.get()
     );
 }
 
--- a/components/gateway/src/datagrams.rs
+++ b/components/gateway/src/datagrams.rs
@@ -16,6 +16,7 @@
     crashes::{receive_crash, receive_standing},
     news::{RelayNews, handle_news, record_leaving},
     rates::receive_rate,
+    reach::{ReachAnswer, ReachQuestion, receive_answer, receive_question},
     reports::{NodeReport, handle_report, handle_sums, is_relay},
     state::Gateway,
 };
@@ -56,6 +57,10 @@
     /// The sender is stopping; the number is its incarnation: its start time in Unix
     /// milliseconds.
     NodeLeft(NodeId, u64),
+    /// Asks which upstreams the receiver reaches.
+    ReachQuestion(ReachQuestion),
+    /// Answer to such a question.
+    ReachAnswer(ReachAnswer),
 }
 
 /// Sends the datagrams that other tasks queue to the relays, and repeats all but the
@@ -213,6 +218,8 @@
         PeerDatagram::UpstreamLeaving(upstream, started_ms) => {
             record_leaving(gateway, &upstream, started_ms, "peer");
         }
+        PeerDatagram::ReachQuestion(question) => receive_question(gateway, from, question),
+        PeerDatagram::ReachAnswer(answer) => receive_answer(gateway, answer),
         PeerDatagram::NodeLeft(node, incarnation) => {
             let mut fleet = gateway.fleet.borrow_mut();
             if fleet.roster_mut().remove_left(&node, incarnation) {
--- a/components/gateway/src/leg.rs
+++ b/components/gateway/src/leg.rs
@@ -15,22 +15,22 @@
 use http::{HeaderMap, Request, Uri, header};
 use http_body_util::Full;
 use rand::RngExt;
-use types::{TokenCount, UpstreamId};
+use types::{ServiceName, TokenCount, UpstreamId};
 
 use crate::{
     ForwardHead, UpstreamWish,
     client::{ClientConnection, DEFAULT_IDLE_TIMEOUT},
+    connect::{ConnectError, ConnectTarget, connect_upstream},
     crashes::{BrokenAttempt, check_upstream, record_sound_answer},
     datagrams::PeerDatagram,
     forward::ForwardJob,
     news::record_leaving,
     place::prompt_goals,
+    reach::{is_cut_suspected, suspect_cut},
     state::{Gateway, InFlightGuard},
     tickets::ReservationSet,
 };
 
-/// Timeout of a connection attempt to an upstream.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
 /// Expected time to first token in addition to the prefill: two forward passes
 /// of a busy engine.
 const FIRST_EVENT_OVERHEAD: Duration = Duration::from_millis(150);
@@ -51,6 +51,7 @@
 /// One attempt of a request at one upstream.
 pub(crate) struct UpstreamAttempt {
     pub(crate) upstream: UpstreamId,
+    service: ServiceName,
     pub(crate) address: SocketAddr,
     /// Start of the upstream's process, in Unix milliseconds, if it publishes it.
     pub(crate) started_ms: Option<u64>,
@@ -122,6 +123,7 @@
         }
         Some(Self {
             upstream: placement.upstream.clone(),
+            service: job.service.clone(),
             address,
             started_ms,
             helpers,
@@ -154,29 +156,38 @@
         Ok(())
     }
 
-    /// Takes a pooled connection for an idempotent request if there is one. Any other
-    /// request gets a new connection, since the upstream may close a pooled one just as
-    /// the request is sent.
+    /// Takes a pooled connection for the first attempt of an idempotent request if there is
+    /// one. Any other attempt gets a new connection: the upstream may close a pooled one
+    /// just as the request is sent, and if one was silent, all may hang.
     pub(crate) async fn connect(
         &self,
-        gateway: &Gateway,
+        gateway: &Rc<Gateway>,
         job: &ForwardJob,
-    ) -> std::io::Result<ClientConnection> {
-        if job.route.call_kind == CallKind::Idempotent {
+        is_first: bool,
+    ) -> Result<ClientConnection, ConnectError> {
+        let is_idempotent = job.route.call_kind == CallKind::Idempotent;
+        if is_idempotent && is_first && !is_cut_suspected(gateway, &self.service) {
             let pooled = gateway.pool.borrow_mut().take(gateway.now(), self.address);
             if let Some(pooled) = pooled {
                 return Ok(pooled);
             }
         }
         let left = job.time_left(gateway.now());
-        let opening = ClientConnection::open(&gateway.executor, gateway.source(), self.address);
-        let connection = gateway
-            .clock
-            .timeout(CONNECT_TIMEOUT.min(left), opening)
-            .await
-            .unwrap_or_else(|| Err(std::io::ErrorKind::TimedOut.into()));
-        gateway.metrics.record_connect(&connection);
-        connection
+        let target = ConnectTarget {
+            upstream: self.upstream.clone(),
+            service: self.service.clone(),
+            address: self.address,
+        };
+        let connection = connect_upstream(gateway, &target, left).await?;
+        if let Some(helper) = &connection.helper {
+            gateway.metrics.helped.inc();
+            log::info!(
+                "event=passed_on request={} upstream={} helper={helper}",
+                job.request.caller_attempt_id,
+                self.upstream
+            );
+        }
+        Ok(connection)
     }
 
     /// Builds the request as it is sent to this upstream.
@@ -313,10 +324,35 @@
         self.back_off(gateway);
     }
 
+    /// Logs an attempt that got no answer, backs off from the upstream and begins to find
+    /// out whether this node is cut off.
+    pub(crate) fn record_silence(&self, gateway: &Rc<Gateway>, job: &ForwardJob, reason: &str) {
+        self.record_failure(gateway, job, reason);
+        suspect_cut(gateway, &self.service, Some(&self.upstream));
+    }
+
+    /// Logs that there is no connection. An upstream that this node can't ask at all is not
+    /// to blame.
+    pub(crate) fn record_unconnected(
+        &self,
+        gateway: &Gateway,
+        job: &ForwardJob,
+        error: &ConnectError,
+    ) {
+        match error {
+            ConnectError::Upstream(_) => self.record_failure(gateway, job, &error.to_string()),
+            ConnectError::NoHelper(_) => log::warn!(
+                "event=no_helper request={} upstream={}",
+                job.request.caller_attempt_id,
+                self.upstream
+            ),
+        }
+    }
+
     /// Records that the connection broke while the upstream may have been running the
     /// request, and begins to find out whether the upstream has ended.
     pub(crate) fn record_broken(&self, gateway: &Rc<Gateway>, job: &Rc<ForwardJob>, reason: &str) {
-        self.record_failure(gateway, job, reason);
+        self.record_silence(gateway, job, reason);
         let now = gateway.now();
         let together_with = gateway
             .quarantine
--- a/components/gateway/src/lib.rs
+++ b/components/gateway/src/lib.rs
@@ -5,8 +5,10 @@
 //! decisions, and [`WireDialect`] hides the platform's wire format.
 
 mod answer;
+mod assist;
 mod attempt;
 mod client;
+mod connect;
 mod crashes;
 mod daemon;
 mod datagrams;
@@ -20,12 +22,14 @@
 mod peers;
 mod place;
 mod rates;
+mod reach;
 mod relay;
 mod reports;
 mod settings;
 mod state;
 mod sync;
 mod tickets;
+mod tunnel;
 
 pub use daemon::run_gateway;
 pub use edge::{
--- a/components/gateway/src/listen.rs
+++ b/components/gateway/src/listen.rs
@@ -30,6 +30,9 @@
 /// period to complete.
 const CLOSING_START_SHARE: f64 = 0.45;
 
+/// Time after which an idle connection of another node is closed.
+const PEER_IDLE_TIMEOUT: Duration = Duration::from_secs(10);
+
 /// Purpose of a listener.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub(crate) enum ListenRole {
@@ -54,8 +57,13 @@
                 if role == ListenRole::Callers && is_closing(&gateway) {
                     return;
                 }
-                let serving = serve_connection(Rc::clone(&gateway), socket, role);
-                gateway.executor.spawn(serving).detach();
+                if role == ListenRole::Peers {
+                    let serving = serve_peer(Rc::clone(&gateway), socket);
+                    gateway.executor.spawn(serving).detach();
+                } else {
+                    let serving = serve_connection(Rc::clone(&gateway), socket, role);
+                    gateway.executor.spawn(serving).detach();
+                }
             }
             Err(error) => {
                 log::warn!("event=accept_failed role={role:?} error=\"{error}\"");
@@ -113,6 +121,27 @@
     }
 }
 
+/// Serves another node, whose connection may become one to an upstream.
+async fn serve_peer(gateway: Rc<Gateway>, socket: Async<TcpStream>) {
+    if let Err(error) = socket.get_ref().set_nodelay(true) {
+        log::debug!("event=option_failed error=\"{error}\"");
+    }
+    let service = service_fn(move |request| {
+        let gateway = Rc::clone(&gateway);
+        async move { Ok::<_, Infallible>(answer_peer(gateway, request).await) }
+    });
+    let connection = Builder::new()
+        .timer(SmolTimer::new())
+        .header_read_timeout(PEER_IDLE_TIMEOUT)
+        .max_buf_size(READ_BUFFER_MIN_BYTES)
+        .auto_date_header(false)
+        .serve_connection(FuturesIo::new(socket), service)
+        .with_upgrades();
+    if let Err(error) = connection.await {
+        log::debug!("event=peer_connection_ended error=\"{error}\"");
+    }
+}
+
 /// Waits until the stopping gateway closes idle connections.
 async fn wait_for_idle_close(gateway: &Gateway) {
     gateway.idle_close_receiver.recv().await.ok();
@@ -127,7 +156,7 @@
         ListenRole::Callers => forward_request(gateway, request).await,
         ListenRole::Readiness => answer_readiness(&gateway, &request),
         ListenRole::Directory => answer_addresses(&gateway, &request),
-        ListenRole::Peers => answer_peer(&gateway, &request),
+        ListenRole::Peers => answer_peer(gateway, request).await,
         ListenRole::Metrics => answer_metrics(&gateway),
     }
 }
--- a/components/gateway/src/metrics.rs
+++ b/components/gateway/src/metrics.rs
@@ -46,6 +46,10 @@
     pub(crate) retries: Counter,
     /// Attempts to connect to an upstream, by outcome.
     pub(crate) connects: Family<ConnectLabels, Counter>,
+    /// Connections to upstreams that this node has opened for others.
+    pub(crate) tunnels: Counter,
+    /// Connections to upstreams that other nodes have opened for this one.
+    pub(crate) helped: Counter,
 }
 
 impl GatewayMetrics {
@@ -67,12 +71,26 @@
             "Attempts to connect to an upstream",
             connects.clone(),
         );
+        let tunnels = Counter::default();
+        let helped = Counter::default();
+        registry.register(
+            "tunnels",
+            "Connections to upstreams opened for other nodes",
+            tunnels.clone(),
+        );
+        registry.register(
+            "helped",
+            "Connections to upstreams opened through other nodes",
+            helped.clone(),
+        );
         Self {
             registry,
             requests,
             answer_seconds,
             retries,
             connects,
+            tunnels,
+            helped,
         }
     }
 
--- a/components/gateway/src/peers.rs
+++ b/components/gateway/src/peers.rs
@@ -1,5 +1,5 @@
 //! Calls between nodes: the desired state for nodes that can't get it from the
-//! store, or need not.
+//! store, or need not, and connections to upstreams for nodes that are cut off.
 
 use std::{net::SocketAddr, rc::Rc, time::Duration};
 
@@ -10,7 +10,8 @@
 use serde::{Deserialize, Serialize};
 
 use crate::{
-    PlainCall, answer::AnswerBody, client::PlainCaller, state::Gateway, sync::apply_desired,
+    PlainCall, answer::AnswerBody, assist::accept_tunnel, client::PlainCaller, state::Gateway,
+    sync::apply_desired, tunnel::TUNNEL_PATH,
 };
 
 /// Timeout of a call that fetches the desired state from another node.
@@ -59,8 +60,20 @@
     }
 }
 
-/// Answers calls of other nodes with this node's copy of the desired state.
-pub(crate) fn answer_peer(gateway: &Gateway, request: &Request<Incoming>) -> Response<AnswerBody> {
+/// Answers calls of other nodes.
+pub(crate) async fn answer_peer(
+    gateway: Rc<Gateway>,
+    request: Request<Incoming>,
+) -> Response<AnswerBody> {
+    if request.uri().path() == TUNNEL_PATH {
+        accept_tunnel(&gateway, request).await
+    } else {
+        answer_desired(&gateway, &request)
+    }
+}
+
+/// Answers with this node's copy of the desired state.
+fn answer_desired(gateway: &Gateway, request: &Request<Incoming>) -> Response<AnswerBody> {
     let row = gateway.desired_row.borrow();
     let found = row
         .as_ref()
--- a/components/gateway/src/relay.rs
+++ b/components/gateway/src/relay.rs
@@ -203,7 +203,7 @@
                     return Err(io::ErrorKind::UnexpectedEof.into());
                 }
                 None => {
-                    self.attempt.record_failure(
+                    self.attempt.record_silence(
                         &self.gateway,
                         &self.job,
                         "no data on the event stream within the limit",
@@ -273,10 +273,10 @@
         let Ok(request) = attempt.build_request(&self.gateway, &self.job, last.as_deref()) else {
             return false;
         };
-        let mut connection = match attempt.connect(&self.gateway, &self.job).await {
+        let mut connection = match attempt.connect(&self.gateway, &self.job, false).await {
             Ok(connection) => connection,
             Err(error) => {
-                attempt.record_failure(&self.gateway, &self.job, &error.to_string());
+                attempt.record_unconnected(&self.gateway, &self.job, &error);
                 return false;
             }
         };
@@ -293,7 +293,7 @@
                 return false;
             }
             None => {
-                attempt.record_failure(
+                attempt.record_silence(
                     &self.gateway,
                     &self.job,
                     "no answer head in time when resuming the stream",
--- a/components/gateway/src/state.rs
+++ b/components/gateway/src/state.rs
@@ -2,25 +2,26 @@
 
 use std::{
     cell::{Cell, RefCell},
+    collections::HashMap,
     hash::RandomState,
-    net::IpAddr,
+    net::{IpAddr, UdpSocket},
     rc::Rc,
     time::{Duration, Instant},
 };
 
 use bytes::Bytes;
 use dispatch::{
-    FleetView, InFlightId, LoadTracker, QuarantineList, RetryBudget, RosterEntry, RouteTable,
-    TableFreshness, UpstreamTable,
+    FleetView, InFlightId, LoadTracker, QuarantineList, ReachTable, RetryBudget, RosterEntry,
+    RouteTable, TableFreshness, UpstreamTable,
 };
 use kernel::ClockSource;
 use rand::{SeedableRng, rngs::SmallRng};
-use smol::LocalExecutor;
+use smol::{Async, LocalExecutor};
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::{
     GatewaySettings, RevokePolicy, WireDialect, client::ConnectionPool, datagrams::PeerDatagram,
-    metrics::GatewayMetrics,
+    metrics::GatewayMetrics, reach::ReachAnswer,
 };
 
 /// Hash of a node's id, in datagrams.
@@ -54,6 +55,15 @@
     pub(crate) retry_budget: RefCell<RetryBudget>,
     pub(crate) quarantine: RefCell<QuarantineList>,
     pub(crate) pool: RefCell<ConnectionPool>,
+    /// Services from which this node is cut off, and the nodes that help it.
+    pub(crate) reach: RefCell<ReachTable>,
+    /// Questions to other nodes that wait for answers, by their number.
+    pub(crate) reach_questions: RefCell<HashMap<u64, smol::channel::Sender<ReachAnswer>>>,
+    /// Questions of other nodes that are being answered.
+    pub(crate) reach_answers: Cell<u32>,
+    /// Connections that this node holds for others.
+    pub(crate) tunnels: Cell<u32>,
+    pub(crate) socket: Rc<Async<UdpSocket>>,
     /// Queue of datagrams for the relays, sent by a task of its own.
     pub(crate) outbox: smol::channel::Sender<PeerDatagram>,
     /// Number of the last aggregate that this node sent, in a range of its own.
@@ -78,8 +88,8 @@
         settings: GatewaySettings,
         dialect: Rc<dyn WireDialect>,
         executor: Rc<LocalExecutor<'static>>,
-        clock: ClockSource,
         incarnation: u64,
+        socket: Rc<Async<UdpSocket>>,
         outbox: smol::channel::Sender<PeerDatagram>,
         idle_close_receiver: smol::channel::Receiver<()>,
     ) -> Self {
@@ -93,7 +103,7 @@
             settings,
             dialect,
             executor,
-            clock,
+            clock: ClockSource::System,
             incarnation,
             hasher: RandomState::new(),
             rng: RefCell::new(SmallRng::seed_from_u64(rand::random())),
@@ -108,6 +118,11 @@
             retry_budget: RefCell::new(retry_budget),
             quarantine: RefCell::default(),
             pool: RefCell::default(),
+            reach: RefCell::default(),
+            reach_questions: RefCell::default(),
+            reach_answers: Cell::default(),
+            tunnels: Cell::default(),
+            socket,
             outbox,
             last_aggregate: Cell::new(u64::from(rand::random::<u32>()) << u32::BITS),
             relisted_at: Cell::default(),
--- a/components/gateway/src/tickets.rs
+++ b/components/gateway/src/tickets.rs
@@ -10,7 +10,11 @@
 use smol::{Task, stream};
 use types::{TokenCount, UpstreamId};
 
-use crate::{EngineCall, client::PlainCaller, state::Gateway};
+use crate::{
+    EngineCall,
+    connect::{ConnectTarget, connect_upstream},
+    state::Gateway,
+};
 
 /// Lifetime of a reservation after each renewal. An engine must have its memory back
 /// four seconds after the request, even if this node dies right after a renewal.
@@ -37,7 +41,7 @@
 struct EngineReservation {
     id: String,
     engine: UpstreamId,
-    address: SocketAddr,
+    target: ConnectTarget,
     tokens: TokenCount,
 }
 
@@ -69,7 +73,7 @@
             set.reservations.push(EngineReservation {
                 id: format!("{request}-{:x}-{number}", gateway.incarnation),
                 engine: engine.clone(),
-                address: view.entry.address,
+                target: ConnectTarget::from(&view.entry),
                 tokens: *tokens,
             });
         }
@@ -101,7 +105,7 @@
     pub(crate) fn helper_targets(&self) -> Vec<(SocketAddr, Option<String>)> {
         let reservations = self.reservations.iter();
         reservations
-            .map(|reservation| (reservation.address, Some(reservation.id.clone())))
+            .map(|reservation| (reservation.target.address, Some(reservation.id.clone())))
             .collect()
     }
 }
@@ -161,15 +165,15 @@
     reservation: &EngineReservation,
     call: &EngineCall<'_>,
 ) -> Result<StatusCode, String> {
-    let mut caller = PlainCaller::new(gateway, reservation.address);
     let call = gateway.dialect.engine_call(call);
-    match gateway
-        .clock
-        .timeout(ORDER_TIMEOUT, caller.call(call))
-        .await
-    {
-        Some(Ok(answer)) => Ok(answer.status()),
-        Some(Err(error)) => Err(error.to_string()),
-        None => Err("no answer in time".to_owned()),
-    }
+    let exchange = async {
+        let connecting = connect_upstream(gateway, &reservation.target, ORDER_TIMEOUT);
+        let mut connection = connecting.await.map_err(|error| error.to_string())?;
+        let answer = connection.call(call).await;
+        answer
+            .map(|answer| answer.status())
+            .map_err(|error| error.to_string())
+    };
+    let answer = gateway.clock.timeout(ORDER_TIMEOUT, exchange).await;
+    answer.unwrap_or_else(|| Err("no answer in time".to_owned()))
 }
