Take no crash for proven by a node that is cut off

Callers of a prompt part would be refused for ten minutes, at all nodes, for servers that had not crashed on it: a node whose links are cut, with connections refused, saw each broken stream as the end of a process and told the others.

Cause: the same as there. A refused connection counted as the end of a process whatever else the node reached.

Now it counts only if the node reaches another upstream at that moment, and no node that it asks reaches this one. A node that can't tell takes the word of others, to whom the same applies, so that a crash which a cut node sees is not lost.

A connection that is refused to one node only could not be made with the means of the tests; nodes that are cut off are tested with servers that end.

--- a/components/gateway/src/crashes.rs
+++ b/components/gateway/src/crashes.rs
@@ -2,29 +2,19 @@
 //! keeps quarantines in the store, so that they outlast the nodes.
 
 use std::{
-    io,
-    net::SocketAddr,
     rc::Rc,
     time::{Duration, SystemTime, UNIX_EPOCH},
 };
 
 use bytes::Bytes;
-use dispatch::{CrashReport, NewsItem, PartStanding, QuarantineRow, SuspectPart};
+use dispatch::{CrashReport, NewsItem, PartStanding, ProbeOutcome, QuarantineRow, SuspectPart};
 use types::{PromptPartId, UpstreamId};
 
 use crate::{
-    TableChange, WatchedTable,
-    client::{PlainCaller, connect_from},
-    datagrams::PeerDatagram,
-    forward::ForwardJob,
-    reports::is_relay,
-    state::Gateway,
-    sync::is_store_poller,
+    TableChange, WatchedTable, client::PlainCaller, datagrams::PeerDatagram, forward::ForwardJob,
+    reach::find_outcome, reports::is_relay, state::Gateway, sync::is_store_poller,
 };
 
-/// Time after which an upstream that neither accepts nor refuses a connection counts as
-/// out of reach.
-const CHECK_TIMEOUT: Duration = Duration::from_millis(400);
 /// Pause between two judgements of the known crashes.
 const JUDGE_PAUSE: Duration = Duration::from_millis(250);
 /// Timeout of a call that changes a row.
@@ -33,9 +23,9 @@
 /// Whether the process of an upstream still listens.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 enum ProcessState {
-    /// Its host refuses connections.
+    /// Its host refuses connections of a node that reaches others.
     Ended,
-    /// It accepts a connection, so only an earlier one broke.
+    /// It accepts a connection, of this node or of another, so only an earlier one broke.
     Alive,
     /// No answer, as when its host or the network is lost.
     OutOfReach,
@@ -45,7 +35,6 @@
 #[derive(Clone, Debug)]
 pub(crate) struct BrokenAttempt {
     pub(crate) upstream: UpstreamId,
-    pub(crate) address: SocketAddr,
     /// Start of the upstream's process, in Unix milliseconds, if it publishes it.
     pub(crate) started_ms: Option<u64>,
     /// Another upstream that this node lost at the same moment, if any.
@@ -69,7 +58,11 @@
         .upstreams
         .borrow()
         .is_staying(&broken.upstream, broken.started_ms);
-    let state = check_process(&gateway, broken.address).await;
+    let state = match find_outcome(&gateway, &broken.upstream).await {
+        ProbeOutcome::Reached => ProcessState::Alive,
+        ProbeOutcome::Refused => ProcessState::Ended,
+        ProbeOutcome::Unknown => ProcessState::OutOfReach,
+    };
     log::warn!(
         "event=connection_broken request={} upstream={} process={state:?} staying={was_staying} \
          answered_ms={} {}",
@@ -91,15 +84,6 @@
     }
 }
 
-async fn check_process(gateway: &Gateway, address: SocketAddr) -> ProcessState {
-    let connecting = connect_from(gateway.source(), address);
-    match gateway.clock.timeout(CHECK_TIMEOUT, connecting).await {
-        Some(Ok(_)) => ProcessState::Alive,
-        Some(Err(error)) if error.kind() == io::ErrorKind::ConnectionRefused => ProcessState::Ended,
-        Some(Err(_)) | None => ProcessState::OutOfReach,
-    }
-}
-
 fn build_report(gateway: &Gateway, job: &ForwardJob, broken: BrokenAttempt) -> CrashReport {
     let now = gateway.now();
     let quarantine = gateway.quarantine.borrow();
--- a/components/gateway/src/leg.rs
+++ b/components/gateway/src/leg.rs
@@ -362,7 +362,6 @@
         let answered_for = self.answered_for(now);
         let broken = BrokenAttempt {
             upstream: self.upstream.clone(),
-            address: self.address,
             started_ms: self.started_ms,
             together_with,
             answered_for,
--- a/components/gateway/src/reach.rs
+++ b/components/gateway/src/reach.rs
@@ -10,7 +10,7 @@
 
 use dispatch::{HelperNode, ProbeOutcome, ReachCheck, ReachVerdict, RosterEntry, select_sample};
 use futures_lite::{StreamExt, future::or};
-use rand::RngExt;
+use rand::{RngExt, seq::IndexedRandom};
 use serde::{Deserialize, Serialize};
 use smol::{
     channel::{Receiver, Sender, bounded},
@@ -35,14 +35,15 @@
 const ASK_ROUNDS: usize = 3;
 /// Nodes asked in one round.
 const ASKED_NODES: usize = 4;
-/// Time that a node which is asked gets for its answer: a probe and the way.
-const ANSWER_TIMEOUT: Duration = Duration::from_millis(200);
+/// Time that a node which is asked gets for its answer: a probe, one more to prove that it
+/// reaches others, and the way.
+const ANSWER_TIMEOUT: Duration = Duration::from_millis(350);
 /// Age up to which a connection proves that an upstream is reached, without a probe.
 const CONTACT_AGE_MAX: Duration = Duration::from_millis(100);
 /// The same where it is only asked whether a helper still helps.
 const HELPER_CONTACT_AGE_MAX: Duration = Duration::from_secs(1);
-/// Upstreams that a node tries for one question.
-const ANSWERED_UPSTREAMS: usize = 4;
+/// Other upstreams that a node tries to prove that it reaches any.
+const PROOF_SAMPLE: usize = 4;
 /// Mean pause between two probes of a node that is cut off.
 const CUT_PROBE_PAUSE: Duration = Duration::from_millis(300);
 /// The same after a probe that succeeded.
@@ -65,6 +66,8 @@
     upstreams: Vec<UpstreamId>,
     /// Age in milliseconds up to which a connection needs no probe.
     contact_age_ms: u32,
+    /// Whether the node that is asked has to prove a refusal.
+    needs_proof: bool,
 }
 
 /// Answer to a [`ReachQuestion`].
@@ -94,6 +97,7 @@
             number: rand::random(),
             upstreams,
             contact_age_ms: u32::try_from(contact_age.as_millis()).unwrap_or(u32::MAX),
+            needs_proof: false,
         };
         let mut questions = gateway.reach_questions.borrow_mut();
         questions.insert(question.number, sender);
@@ -308,6 +312,75 @@
     }
 }
 
+/// Connects to an upstream. A refusal counts only if this node reaches another upstream
+/// right then: behind a cut, connections are refused as well.
+async fn probe_with_proof(gateway: &Rc<Gateway>, id: &UpstreamId) -> ProbeOutcome {
+    let started = gateway.now();
+    let outcome = probe_upstream(gateway, id).await;
+    if outcome != ProbeOutcome::Refused || reaches_another(gateway, id, started).await {
+        outcome
+    } else {
+        ProbeOutcome::Unknown
+    }
+}
+
+/// Returns whether this node has reached an upstream other than `id` since `since`, or
+/// reaches one now.
+async fn reaches_another(gateway: &Rc<Gateway>, id: &UpstreamId, since: Instant) -> bool {
+    let others: Vec<UpstreamId> = {
+        let upstreams = gateway.upstreams.borrow();
+        let others = upstreams.ids().filter(|other| *other != id);
+        let others: Vec<&UpstreamId> = others.collect();
+        if others
+            .iter()
+            .any(|other| upstreams.is_reached_since(other, since))
+        {
+            return true;
+        }
+        let mut rng = gateway.rng.borrow_mut();
+        let sample = others.sample(&mut *rng, PROOF_SAMPLE);
+        sample.map(|other| (*other).clone()).collect()
+    };
+    let (sender, probed) = bounded(others.len().max(1));
+    for other in others {
+        let probing = report_probe(Rc::clone(gateway), other, sender.clone());
+        gateway.executor.spawn(probing).detach();
+    }
+    drop(sender);
+    while let Ok((_, outcome)) = probed.recv().await {
+        if outcome == ProbeOutcome::Reached {
+            return true;
+        }
+    }
+    false
+}
+
+/// Finds out what became of an upstream whose connection broke: from this node, and from
+/// others if this one doesn't reach it.
+pub(crate) async fn find_outcome(gateway: &Rc<Gateway>, id: &UpstreamId) -> ProbeOutcome {
+    let own = probe_with_proof(gateway, id).await;
+    if own == ProbeOutcome::Reached {
+        return own;
+    }
+    let mut question = OpenQuestion::new(gateway, vec![id.clone()], Duration::ZERO);
+    question.question.needs_proof = true;
+    question.ask_others().await;
+    let mut found = own;
+    let ends_at = gateway.now() + ANSWER_TIMEOUT;
+    for _ in 0..question.asked.len() {
+        let left = ends_at.saturating_duration_since(gateway.now());
+        let Some((_, outcomes)) = question.next_answer(left).await else {
+            break;
+        };
+        match outcomes.first() {
+            Some(ProbeOutcome::Reached) => return ProbeOutcome::Reached,
+            Some(ProbeOutcome::Refused) => found = ProbeOutcome::Refused,
+            Some(ProbeOutcome::Unknown) | None => {}
+        }
+    }
+    found
+}
+
 /// Answers another node's question.
 pub(crate) fn receive_question(gateway: &Rc<Gateway>, from: SocketAddr, question: ReachQuestion) {
     if gateway.reach_answers.get() >= ANSWERS_MAX {
@@ -320,14 +393,10 @@
 
 async fn answer_question(gateway: Rc<Gateway>, from: SocketAddr, question: ReachQuestion) {
     gateway.reach_answers.set(gateway.reach_answers.get() + 1);
-    let probes = question
-        .upstreams
-        .iter()
-        .take(ANSWERED_UPSTREAMS)
-        .map(|id| {
-            let answering = find_own_outcome(Rc::clone(&gateway), id.clone(), question.clone());
-            gateway.executor.spawn(answering)
-        });
+    let probes = question.upstreams.iter().take(PROOF_SAMPLE).map(|id| {
+        let answering = find_own_outcome(Rc::clone(&gateway), id.clone(), question.clone());
+        gateway.executor.spawn(answering)
+    });
     let probes: Vec<_> = probes.collect();
     let outcomes = stream::iter(probes).then(|probe| probe).collect().await;
     let answer = ReachAnswer {
@@ -359,6 +428,8 @@
     };
     if is_lost {
         ProbeOutcome::Unknown
+    } else if question.needs_proof {
+        probe_with_proof(&gateway, &id).await
     } else {
         probe_upstream(&gateway, &id).await
     }
