--- a/components/dispatch/src/upstreams.rs
+++ b/components/dispatch/src/upstreams.rs
@@ -543,11 +543,20 @@
         }
     }
 
-    /// Whether the upstream has accepted a connection of this node since `since`.
+    /// Whether an upstream of `service`, or of any service, other than `excluded` has
+    /// accepted a connection of this node since `since`.
     #[must_use]
-    pub fn is_reached_since(&self, id: &str, since: Instant) -> bool {
-        let health = self.upstreams.get(id);
-        health.is_some_and(|health| health.reached_at >= Some(since))
+    pub fn is_reached_since(
+        &self,
+        since: Instant,
+        service: Option<&str>,
+        excluded: Option<&UpstreamId>,
+    ) -> bool {
+        self.upstreams.values().any(|health| {
+            health.reached_at >= Some(since)
+                && service.is_none_or(|service| health.entry.service == service)
+                && Some(&health.entry.id) != excluded
+        })
     }
 
     /// Takes back the failures of the upstreams of `service`, whose cause was this node.
--- a/components/gateway/src/reach.rs
+++ b/components/gateway/src/reach.rs
@@ -35,12 +35,15 @@
 const ASK_ROUNDS: usize = 3;
 /// Nodes asked in one round.
 const ASKED_NODES: usize = 4;
+/// Nodes asked whether an upstream has ended.
+const ASKED_WITNESSES: usize = 2;
 /// Time that a node which is asked gets for its answer: a probe, one more to prove that it
 /// reaches others, and the way.
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(350);
 /// Age up to which a connection proves that an upstream is reached, without a probe.
 const CONTACT_AGE_MAX: Duration = Duration::from_millis(100);
-/// The same where it is only asked whether a helper still helps.
+/// Age up to which a connection to any upstream of a service proves that a helper still
+/// reaches the service.
 const HELPER_CONTACT_AGE_MAX: Duration = Duration::from_secs(1);
 /// Other upstreams that a node tries to prove that it reaches any.
 const PROOF_SAMPLE: usize = 4;
@@ -64,7 +67,8 @@
     /// Tells questions of one node apart.
     number: u64,
     upstreams: Vec<UpstreamId>,
-    /// Age in milliseconds up to which a connection needs no probe.
+    /// Age in milliseconds up to which a connection to any upstream of the same service
+    /// needs no probe; 0 for a probe in any case.
     contact_age_ms: u32,
     /// Whether the node that is asked has to prove a refusal.
     needs_proof: bool,
@@ -117,8 +121,8 @@
         self.asked.extend(nodes);
     }
 
-    /// Asks nodes that were not asked before, of other zones if possible.
-    async fn ask_others(&mut self) {
+    /// Asks `count` nodes that were not asked before, of other zones if possible.
+    async fn ask_others(&mut self, count: usize) {
         let asked: Vec<NodeId> = self.asked.iter().map(|entry| entry.node.clone()).collect();
         let nodes = {
             let fleet = self.gateway.fleet.borrow();
@@ -126,7 +130,7 @@
             let zone = &self.gateway.settings.zone;
             let now = self.gateway.now();
             let roster = fleet.roster();
-            roster.nodes_to_ask(now, zone, &asked, ASKED_NODES, &mut *rng)
+            roster.nodes_to_ask(now, zone, &asked, count, &mut *rng)
         };
         self.ask(nodes).await;
     }
@@ -169,15 +173,9 @@
 pub(crate) fn suspect_cut(gateway: &Rc<Gateway>, service: &str, upstream: Option<&UpstreamId>) {
     let now = gateway.now();
     let since = now.checked_sub(CONTACT_AGE_MAX).unwrap_or(now);
-    let is_in_touch = {
-        let upstreams = gateway.upstreams.borrow();
-        let mut entries = upstreams.entries();
-        entries.any(|entry| {
-            entry.service == service
-                && Some(&entry.id) != upstream
-                && upstreams.is_reached_since(&entry.id, since)
-        })
-    };
+    let upstreams = gateway.upstreams.borrow();
+    let is_in_touch = upstreams.is_reached_since(since, Some(service), upstream);
+    drop(upstreams);
     if is_in_touch || !gateway.reach.borrow_mut().begin_check(now, service) {
         return;
     }
@@ -240,7 +238,7 @@
             break;
         }
         if rounds < ASK_ROUNDS && (all_answered || gateway.now() >= ask_at) {
-            question.ask_others().await;
+            question.ask_others(ASKED_NODES).await;
             rounds += 1;
             ask_at = gateway.now() + ASK_PAUSE;
             continue;
@@ -329,14 +327,10 @@
 async fn reaches_another(gateway: &Rc<Gateway>, id: &UpstreamId, since: Instant) -> bool {
     let others: Vec<UpstreamId> = {
         let upstreams = gateway.upstreams.borrow();
-        let others = upstreams.ids().filter(|other| *other != id);
-        let others: Vec<&UpstreamId> = others.collect();
-        if others
-            .iter()
-            .any(|other| upstreams.is_reached_since(other, since))
-        {
+        if upstreams.is_reached_since(since, None, Some(id)) {
             return true;
         }
+        let others: Vec<&UpstreamId> = upstreams.ids().filter(|other| *other != id).collect();
         let mut rng = gateway.rng.borrow_mut();
         let sample = others.sample(&mut *rng, PROOF_SAMPLE);
         sample.map(|other| (*other).clone()).collect()
@@ -364,7 +358,7 @@
     }
     let mut question = OpenQuestion::new(gateway, vec![id.clone()], Duration::ZERO);
     question.question.needs_proof = true;
-    question.ask_others().await;
+    question.ask_others(ASKED_WITNESSES).await;
     let mut found = own;
     let ends_at = gateway.now() + ANSWER_TIMEOUT;
     for _ in 0..question.asked.len() {
@@ -418,17 +412,20 @@
     let now = gateway.now();
     let contact_age = Duration::from_millis(question.contact_age_ms.into());
     let since = now.checked_sub(contact_age).unwrap_or(now);
-    let is_lost = {
+    {
         let upstreams = gateway.upstreams.borrow();
-        if !contact_age.is_zero() && upstreams.is_reached_since(&id, since) {
+        let Some(health) = upstreams.get(&id) else {
+            return ProbeOutcome::Unknown;
+        };
+        let service = &health.entry.service;
+        if is_cut_off(&gateway, service) {
+            return ProbeOutcome::Unknown;
+        }
+        if !contact_age.is_zero() && upstreams.is_reached_since(since, Some(service), None) {
             return ProbeOutcome::Reached;
         }
-        let entry = upstreams.get(&id).map(|health| &health.entry);
-        entry.is_none_or(|entry| is_cut_off(&gateway, &entry.service))
-    };
-    if is_lost {
-        ProbeOutcome::Unknown
-    } else if question.needs_proof {
+    }
+    if question.needs_proof {
         probe_with_proof(&gateway, &id).await
     } else {
         probe_upstream(&gateway, &id).await
@@ -512,6 +509,7 @@
         pause = CUT_PROBE_PAUSE;
         failed_probes += 1;
         if failed_probes % PROBES_PER_QUESTION == 0 {
+            let sample = sample.into_iter().take(1).collect();
             refresh_helpers(&gateway, &service, sample).await;
         }
         if !is_cut_off(&gateway, &service) {
@@ -541,9 +539,7 @@
     let mut question = OpenQuestion::new(gateway, sample, HELPER_CONTACT_AGE_MAX);
     let missing = ASKED_NODES.saturating_sub(known.len());
     question.ask(known).await;
-    if missing > 0 {
-        question.ask_others().await;
-    }
+    question.ask_others(missing).await;
     let ends_at = gateway.now() + ANSWER_TIMEOUT;
     for _ in 0..question.asked.len() {
         let left = ends_at.saturating_duration_since(gateway.now());
