Resume a stream that sends parts of an event and never a whole one

Operators of similar systems named it: stalled streams that sent a byte now and then never ended. Here they ended at the request's deadline, and were not resumed before: each part of an event began the wait for a stalled stream anew.

The wait now runs from the last whole event. The new test failed before: one event in 2.5 s, then the end. It passes; a pause that the route allows still ends no stream.

--- a/components/gateway/src/relay.rs
+++ b/components/gateway/src/relay.rs
@@ -168,12 +168,16 @@
     }
 
     /// Returns the next complete events of this upstream; `None` at the end of the
-    /// stream.
+    /// stream. Parts of an event don't prolong the wait.
     async fn next_events(&mut self) -> io::Result<Option<Bytes>> {
+        let silent_since = self.gateway.now();
         loop {
             let left = self.time_left();
             let limit = if can_retry(&self.gateway, &self.job, self.sends) {
-                stream_read_timeout(&self.job).min(left)
+                let silent_for = self.gateway.now().saturating_duration_since(silent_since);
+                stream_read_timeout(&self.job)
+                    .saturating_sub(silent_for)
+                    .min(left)
             } else {
                 left
             };
