Break off callers that take no bytes for ten seconds

A caller that vanished or stopped reading in the middle of a stream was kept for as long as the system retransmits, and its work at the upstream with it: the deadline is checked when the next event is written, which never came.

Accepted sockets now have a TCP_USER_TIMEOUT. No keep-alive probes are in use that it could affect.

--- a/components/gateway/src/listen.rs
+++ b/components/gateway/src/listen.rs
@@ -2,6 +2,7 @@
 
 use std::{
     convert::Infallible,
+    io,
     net::{TcpListener, TcpStream},
     pin::pin,
     rc::Rc,
@@ -12,6 +13,7 @@
 use futures_lite::future::{or, poll_fn};
 use http::{Request, Response, StatusCode, header};
 use hyper::{body::Incoming, server::conn::http1::Builder, service::service_fn};
+use rustix::net::sockopt::set_tcp_user_timeout;
 use smol::Async;
 use smol_hyper::rt::{FuturesIo, SmolTimer};
 
@@ -30,6 +32,10 @@
 /// period to complete.
 const CLOSING_START_SHARE: f64 = 0.45;
 
+/// Time for which bytes may wait for a peer that acknowledges none or has no room for
+/// them, before the connection is broken off and its request cancelled. Callers give a
+/// stream up much earlier. No keep-alive probes are sent, so it affects none.
+const SILENT_PEER_TIMEOUT: Duration = Duration::from_secs(10);
 /// Time after which an idle connection of another node is closed.
 const PEER_IDLE_TIMEOUT: Duration = Duration::from_secs(10);
 
@@ -83,9 +89,7 @@
 }
 
 async fn serve_connection(gateway: Rc<Gateway>, socket: Async<TcpStream>, role: ListenRole) {
-    if let Err(error) = socket.get_ref().set_nodelay(true) {
-        log::debug!("event=option_failed error=\"{error}\"");
-    }
+    set_options(&socket);
     let limits = gateway.routes.borrow().state().limits;
     let answering = Rc::clone(&gateway);
     let service = service_fn(move |request| {
@@ -121,11 +125,18 @@
     }
 }
 
-/// Serves another node, whose connection may become one to an upstream.
-async fn serve_peer(gateway: Rc<Gateway>, socket: Async<TcpStream>) {
-    if let Err(error) = socket.get_ref().set_nodelay(true) {
+/// Sets the limits of an accepted connection.
+fn set_options(socket: &Async<TcpStream>) {
+    let timeout = u32::try_from(SILENT_PEER_TIMEOUT.as_millis()).unwrap_or(u32::MAX);
+    let limited = set_tcp_user_timeout(socket, timeout).map_err(io::Error::from);
+    if let Err(error) = limited.and_then(|()| socket.get_ref().set_nodelay(true)) {
         log::debug!("event=option_failed error=\"{error}\"");
     }
+}
+
+/// Serves another node, whose connection may become one to an upstream.
+async fn serve_peer(gateway: Rc<Gateway>, socket: Async<TcpStream>) {
+    set_options(&socket);
     let service = service_fn(move |request| {
         let gateway = Rc::clone(&gateway);
         async move { Ok::<_, Infallible>(answer_peer(gateway, request).await) }
