--- a/components/gateway/src/assist.rs
+++ b/components/gateway/src/assist.rs
@@ -14,7 +14,7 @@
     answer::AnswerBody,
     client::connect_from,
     connect::{CONNECT_TIMEOUT, ConnectTarget},
-    reach::{is_cut_off, suspect_cut},
+    reach::suspect_cut,
     state::Gateway,
     tunnel::{TUNNEL_LIFETIME, TUNNEL_PROTOCOL, TUNNEL_UPSTREAM},
 };
@@ -53,7 +53,7 @@
     let Some(target) = target else {
         return answer(StatusCode::NOT_FOUND);
     };
-    if is_cut_off(gateway, &target.service) {
+    if gateway.is_cut_off(&target.service) {
         return answer(StatusCode::SERVICE_UNAVAILABLE);
     }
     let guard = TunnelGuard::new(gateway);
--- a/components/gateway/src/attempt.rs
+++ b/components/gateway/src/attempt.rs
@@ -6,8 +6,8 @@
 use bytes::Bytes;
 use dispatch::{CallKind, Placement, PlacementRefusal};
 use futures_lite::future::or;
-use http::{Response, StatusCode, header};
-use http_body_util::{BodyExt, Limited};
+use http::{Request, Response, StatusCode, header};
+use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
 use types::UpstreamId;
 
@@ -305,15 +305,7 @@
         }
     };
     let limit = answer_timeout(gateway, job, placement.time_to_prefill, history);
-    let is_reused = connection.reused;
-    let watch = async {
-        if is_reused {
-            gateway.clock.sleep(job.route.latency_goal).await;
-            suspect_cut(gateway, &job.service, Some(&attempt.upstream));
-        }
-        std::future::pending().await
-    };
-    let sending = or(connection.send(request), watch);
+    let sending = send_watched(gateway, job, &attempt, &mut connection, request);
     let response = match gateway.clock.timeout(limit, sending).await {
         Some(Ok(response)) => response,
         Some(Err(ExchangeError::NotSent(error))) => {
@@ -332,6 +324,27 @@
     handle_answer(gateway, job, attempt, connection, response, history.sends).await
 }
 
+/// Sends a request on a connection and returns the head of the answer. If that takes longer
+/// than the latency goal on a reused connection, begins to find out whether this node is cut
+/// off; a new connection has just shown that it isn't.
+async fn send_watched(
+    gateway: &Rc<Gateway>,
+    job: &ForwardJob,
+    attempt: &UpstreamAttempt,
+    connection: &mut ClientConnection,
+    request: Request<Full<Bytes>>,
+) -> Result<Response<Incoming>, ExchangeError> {
+    let is_reused = connection.reused;
+    let watch = async {
+        if is_reused {
+            gateway.clock.sleep(job.route.latency_goal).await;
+            suspect_cut(gateway, &job.service, Some(&attempt.upstream));
+        }
+        std::future::pending().await
+    };
+    or(connection.send(request), watch).await
+}
+
 /// Returns how long to wait for the head of the answer: until the deadline if
 /// no retry is possible.
 fn answer_timeout(
--- a/components/gateway/src/connect.rs
+++ b/components/gateway/src/connect.rs
@@ -9,7 +9,7 @@
 
 use crate::{
     client::ClientConnection,
-    reach::{is_cut_off, suspect_cut, wait_for_check, wait_for_cut},
+    reach::{suspect_cut, wait_for_check, wait_for_cut},
     state::Gateway,
     tunnel::{TunnelError, open_tunnel},
 };
@@ -70,7 +70,7 @@
     time_left: Duration,
 ) -> Result<ClientConnection, ConnectError> {
     let started = gateway.now();
-    if !is_cut_off(gateway, &target.service) {
+    if !gateway.is_cut_off(&target.service) {
         let connecting = connect_directly(gateway, target, time_left);
         let cut = async {
             wait_for_cut(gateway, &target.service).await;
@@ -78,7 +78,7 @@
         };
         match or(connecting, cut).await {
             Ok(connection) => return Ok(connection),
-            Err(error) if !is_cut_off(gateway, &target.service) => {
+            Err(error) if !gateway.is_cut_off(&target.service) => {
                 return Err(ConnectError::Upstream(error));
             }
             Err(_) => {}
--- a/components/gateway/src/datagrams.rs
+++ b/components/gateway/src/datagrams.rs
@@ -15,8 +15,8 @@
 use crate::{
     crashes::{receive_crash, receive_standing},
     news::{RelayNews, handle_news, record_leaving},
+    question::{ReachAnswer, ReachQuestion, receive_answer, receive_question},
     rates::receive_rate,
-    reach::{ReachAnswer, ReachQuestion, receive_answer, receive_question},
     reports::{NodeReport, handle_report, handle_sums, is_relay},
     state::Gateway,
 };
--- a/components/gateway/src/lib.rs
+++ b/components/gateway/src/lib.rs
@@ -21,6 +21,8 @@
 mod news;
 mod peers;
 mod place;
+mod probe;
+mod question;
 mod rates;
 mod reach;
 mod relay;
--- a/components/gateway/src/reach.rs
+++ b/components/gateway/src/reach.rs
@@ -1,32 +1,23 @@
-//! Finds out whether this node is cut off from upstreams that other nodes reach, and tells
-//! other nodes which ones it reaches.
+//! Finds out whether this node is cut off from upstreams that other nodes reach, and keeps
+//! the nodes that help it until it isn't.
 
 use std::{
-    io,
-    net::SocketAddr,
     rc::Rc,
     time::{Duration, Instant},
 };
 
 use dispatch::{HelperNode, ProbeOutcome, ReachCheck, ReachVerdict, RosterEntry, select_sample};
-use futures_lite::{StreamExt, future::or};
-use rand::{RngExt, seq::IndexedRandom};
-use serde::{Deserialize, Serialize};
-use smol::{
-    channel::{Receiver, Sender, bounded},
-    stream,
-};
+use futures_lite::future::or;
+use rand::RngExt;
+use smol::channel::bounded;
 use types::{NodeId, ServiceName, UpstreamId};
 
 use crate::{
-    client::connect_from,
-    datagrams::{PeerDatagram, send_datagram},
+    probe::{probe_upstream, probe_with_proof, report_probe},
+    question::OpenQuestion,
     state::Gateway,
 };
 
-/// Time after which an upstream that has not accepted a probe counts as not reached;
-/// several round trips between regions.
-const PROBE_TIMEOUT: Duration = Duration::from_millis(150);
 /// Time after which other nodes are asked although probes of this node's own are open.
 const OWN_PROBE_WAIT: Duration = Duration::from_millis(50);
 /// Time after which other nodes are asked that were not asked before.
@@ -45,8 +36,6 @@
 /// Age up to which a connection to any upstream of a service proves that a helper still
 /// reaches the service.
 const HELPER_CONTACT_AGE_MAX: Duration = Duration::from_secs(1);
-/// Other upstreams that a node tries to prove that it reaches any.
-const PROOF_SAMPLE: usize = 4;
 /// Mean pause between two probes of a node that is cut off.
 const CUT_PROBE_PAUSE: Duration = Duration::from_millis(300);
 /// The same after a probe that succeeded.
@@ -56,116 +45,11 @@
 const PAUSE_SPREAD: f64 = 0.25;
 /// Failed probes after which a node that is cut off asks for helpers again.
 const PROBES_PER_QUESTION: u32 = 3;
-/// Questions of other nodes that are answered at the same time; further ones are not
-/// answered.
-const ANSWERS_MAX: u32 = 32;
-
-/// Asks which upstreams a node reaches.
-#[derive(Clone, Debug)]
-#[derive(Deserialize, Serialize)]
-pub(crate) struct ReachQuestion {
-    /// Tells questions of one node apart.
-    number: u64,
-    upstreams: Vec<UpstreamId>,
-    /// Age in milliseconds up to which a connection to any upstream of the same service
-    /// needs no probe; 0 for a probe in any case.
-    contact_age_ms: u32,
-    /// Whether the node that is asked has to prove a refusal.
-    needs_proof: bool,
-}
-
-/// Answer to a [`ReachQuestion`].
-#[derive(Clone, Debug)]
-#[derive(Deserialize, Serialize)]
-pub(crate) struct ReachAnswer {
-    number: u64,
-    node: NodeId,
-    /// What became of each upstream, in the order of the question.
-    outcomes: Vec<ProbeOutcome>,
-    /// Connections that the node holds for others.
-    tunnels: u32,
-}
-
-/// Question that waits for answers until it is dropped.
-struct OpenQuestion {
-    gateway: Rc<Gateway>,
-    question: ReachQuestion,
-    answers: Receiver<ReachAnswer>,
-    asked: Vec<RosterEntry>,
-}
-
-impl OpenQuestion {
-    fn new(gateway: &Rc<Gateway>, upstreams: Vec<UpstreamId>, contact_age: Duration) -> Self {
-        let (sender, answers) = bounded(ASKED_NODES * ASK_ROUNDS);
-        let question = ReachQuestion {
-            number: rand::random(),
-            upstreams,
-            contact_age_ms: u32::try_from(contact_age.as_millis()).unwrap_or(u32::MAX),
-            needs_proof: false,
-        };
-        let mut questions = gateway.reach_questions.borrow_mut();
-        questions.insert(question.number, sender);
-        Self {
-            gateway: Rc::clone(gateway),
-            question,
-            answers,
-            asked: Vec::new(),
-        }
-    }
-
-    /// Asks `nodes`.
-    async fn ask(&mut self, nodes: Vec<RosterEntry>) {
-        let addresses: Vec<SocketAddr> = nodes.iter().map(|entry| entry.peer_address).collect();
-        let datagram = PeerDatagram::ReachQuestion(self.question.clone());
-        send_datagram(&self.gateway.socket, &addresses, &datagram).await;
-        self.asked.extend(nodes);
-    }
-
-    /// Asks `count` nodes that were not asked before, of other zones if possible.
-    async fn ask_others(&mut self, count: usize) {
-        let asked: Vec<NodeId> = self.asked.iter().map(|entry| entry.node.clone()).collect();
-        let nodes = {
-            let fleet = self.gateway.fleet.borrow();
-            let mut rng = self.gateway.rng.borrow_mut();
-            let zone = &self.gateway.settings.zone;
-            let now = self.gateway.now();
-            let roster = fleet.roster();
-            roster.nodes_to_ask(now, zone, &asked, count, &mut *rng)
-        };
-        self.ask(nodes).await;
-    }
-
-    /// Returns the next answer, and the node that gave it; `None` after `limit`.
-    async fn next_answer(&self, limit: Duration) -> Option<(HelperNode, Vec<ProbeOutcome>)> {
-        let answer = self.gateway.clock.timeout(limit, self.answers.recv()).await;
-        let answer = answer?.ok()?;
-        let entry = self.asked.iter().find(|entry| entry.node == answer.node)?;
-        let helper = HelperNode {
-            node: answer.node,
-            zone: entry.zone.clone(),
-            address: entry.peer_address,
-            tunnels: answer.tunnels,
-        };
-        Some((helper, answer.outcomes))
-    }
-}
-
-impl Drop for OpenQuestion {
-    fn drop(&mut self) {
-        let mut questions = self.gateway.reach_questions.borrow_mut();
-        questions.remove(&self.question.number);
-    }
-}
-
-/// Returns whether this node is cut off from the service while other nodes reach it.
-pub(crate) fn is_cut_off(gateway: &Gateway, service: &str) -> bool {
-    gateway.reach.borrow().is_cut_off(gateway.now(), service)
-}
 
 /// Returns whether this node is cut off from the service, or is finding out.
 pub(crate) fn is_cut_suspected(gateway: &Gateway, service: &str) -> bool {
     let is_checking = gateway.reach.borrow().is_checking(gateway.now(), service);
-    is_checking || is_cut_off(gateway, service)
+    is_checking || gateway.is_cut_off(service)
 }
 
 /// Begins to find out whether this node is cut off from the service, since an upstream of
@@ -194,7 +78,7 @@
 /// Waits until this node counts as cut off from the service.
 pub(crate) async fn wait_for_cut(gateway: &Gateway, service: &str) {
     const CHECK_INTERVAL: Duration = Duration::from_millis(20);
-    while !is_cut_off(gateway, service) {
+    while !gateway.is_cut_off(service) {
         gateway.clock.sleep(CHECK_INTERVAL).await;
     }
 }
@@ -277,78 +161,6 @@
     Peer(HelperNode, Vec<ProbeOutcome>),
 }
 
-async fn report_probe(
-    gateway: Rc<Gateway>,
-    id: UpstreamId,
-    sender: Sender<(UpstreamId, ProbeOutcome)>,
-) {
-    let outcome = probe_upstream(&gateway, &id).await;
-    // The check may have ended.
-    sender.send((id, outcome)).await.ok();
-}
-
-/// Connects to an upstream and closes the connection again.
-async fn probe_upstream(gateway: &Gateway, id: &UpstreamId) -> ProbeOutcome {
-    let address = {
-        let upstreams = gateway.upstreams.borrow();
-        upstreams.get(id).map(|health| health.entry.address)
-    };
-    let Some(address) = address else {
-        return ProbeOutcome::Unknown;
-    };
-    let connecting = connect_from(gateway.source(), address);
-    match gateway.clock.timeout(PROBE_TIMEOUT, connecting).await {
-        Some(Ok(_)) => {
-            let now = gateway.now();
-            gateway.upstreams.borrow_mut().record_contact(now, id);
-            ProbeOutcome::Reached
-        }
-        Some(Err(error)) if error.kind() == io::ErrorKind::ConnectionRefused => {
-            ProbeOutcome::Refused
-        }
-        Some(Err(_)) | None => ProbeOutcome::Unknown,
-    }
-}
-
-/// Connects to an upstream. A refusal counts only if this node reaches another upstream
-/// right then: behind a cut, connections are refused as well.
-async fn probe_with_proof(gateway: &Rc<Gateway>, id: &UpstreamId) -> ProbeOutcome {
-    let started = gateway.now();
-    let outcome = probe_upstream(gateway, id).await;
-    if outcome != ProbeOutcome::Refused || reaches_another(gateway, id, started).await {
-        outcome
-    } else {
-        ProbeOutcome::Unknown
-    }
-}
-
-/// Returns whether this node has reached an upstream other than `id` since `since`, or
-/// reaches one now.
-async fn reaches_another(gateway: &Rc<Gateway>, id: &UpstreamId, since: Instant) -> bool {
-    let others: Vec<UpstreamId> = {
-        let upstreams = gateway.upstreams.borrow();
-        if upstreams.is_reached_since(since, None, Some(id)) {
-            return true;
-        }
-        let others: Vec<&UpstreamId> = upstreams.ids().filter(|other| *other != id).collect();
-        let mut rng = gateway.rng.borrow_mut();
-        let sample = others.sample(&mut *rng, PROOF_SAMPLE);
-        sample.map(|other| (*other).clone()).collect()
-    };
-    let (sender, probed) = bounded(others.len().max(1));
-    for other in others {
-        let probing = report_probe(Rc::clone(gateway), other, sender.clone());
-        gateway.executor.spawn(probing).detach();
-    }
-    drop(sender);
-    while let Ok((_, outcome)) = probed.recv().await {
-        if outcome == ProbeOutcome::Reached {
-            return true;
-        }
-    }
-    false
-}
-
 /// Finds out what became of an upstream whose connection broke: from this node, and from
 /// others if this one doesn't reach it.
 pub(crate) async fn find_outcome(gateway: &Rc<Gateway>, id: &UpstreamId) -> ProbeOutcome {
@@ -356,8 +168,8 @@
     if own == ProbeOutcome::Reached {
         return own;
     }
-    let mut question = OpenQuestion::new(gateway, vec![id.clone()], Duration::ZERO);
-    question.question.needs_proof = true;
+    let question = OpenQuestion::new(gateway, vec![id.clone()], Duration::ZERO);
+    let mut question = question.with_proof();
     question.ask_others(ASKED_WITNESSES).await;
     let mut found = own;
     let ends_at = gateway.now() + ANSWER_TIMEOUT;
@@ -375,72 +187,6 @@
     found
 }
 
-/// Answers another node's question.
-pub(crate) fn receive_question(gateway: &Rc<Gateway>, from: SocketAddr, question: ReachQuestion) {
-    if gateway.reach_answers.get() >= ANSWERS_MAX {
-        log::warn!("event=reach_question_dropped peer={from}");
-        return;
-    }
-    let answering = answer_question(Rc::clone(gateway), from, question);
-    gateway.executor.spawn(answering).detach();
-}
-
-async fn answer_question(gateway: Rc<Gateway>, from: SocketAddr, question: ReachQuestion) {
-    gateway.reach_answers.set(gateway.reach_answers.get() + 1);
-    let probes = question.upstreams.iter().take(PROOF_SAMPLE).map(|id| {
-        let answering = find_own_outcome(Rc::clone(&gateway), id.clone(), question.clone());
-        gateway.executor.spawn(answering)
-    });
-    let probes: Vec<_> = probes.collect();
-    let outcomes = stream::iter(probes).then(|probe| probe).collect().await;
-    let answer = ReachAnswer {
-        number: question.number,
-        node: gateway.settings.node.clone(),
-        outcomes,
-        tunnels: gateway.tunnels.get(),
-    };
-    send_datagram(&gateway.socket, &[from], &PeerDatagram::ReachAnswer(answer)).await;
-    gateway.reach_answers.set(gateway.reach_answers.get() - 1);
-}
-
-/// Returns whether this node reaches an upstream that another node asks for.
-async fn find_own_outcome(
-    gateway: Rc<Gateway>,
-    id: UpstreamId,
-    question: ReachQuestion,
-) -> ProbeOutcome {
-    let now = gateway.now();
-    let contact_age = Duration::from_millis(question.contact_age_ms.into());
-    let since = now.checked_sub(contact_age).unwrap_or(now);
-    {
-        let upstreams = gateway.upstreams.borrow();
-        let Some(health) = upstreams.get(&id) else {
-            return ProbeOutcome::Unknown;
-        };
-        let service = &health.entry.service;
-        if is_cut_off(&gateway, service) {
-            return ProbeOutcome::Unknown;
-        }
-        if !contact_age.is_zero() && upstreams.is_reached_since(since, Some(service), None) {
-            return ProbeOutcome::Reached;
-        }
-    }
-    if question.needs_proof {
-        probe_with_proof(&gateway, &id).await
-    } else {
-        probe_upstream(&gateway, &id).await
-    }
-}
-
-/// Passes another node's answer to the question that waits for it.
-pub(crate) fn receive_answer(gateway: &Gateway, answer: ReachAnswer) {
-    let questions = gateway.reach_questions.borrow();
-    let waiting = questions.get(&answer.number);
-    if waiting.is_none_or(|sender| sender.try_send(answer).is_err()) {
-        log::debug!("event=reach_answer_dropped reason=no_question");
-    }
-}
-
 /// Takes other nodes' help for the service until it is reached again, and checks the other
 /// services at once.
 fn begin_cut(gateway: &Rc<Gateway>, service: ServiceName, suspected_at: Instant) {
@@ -512,7 +258,7 @@
             let sample = sample.into_iter().take(1).collect();
             refresh_helpers(&gateway, &service, sample).await;
         }
-        if !is_cut_off(&gateway, &service) {
+        if !gateway.is_cut_off(&service) {
             log::warn!("event=upstreams_unreached service={service} after=cut_off");
             gateway.reach.borrow_mut().end_cut(&service);
             return;
--- a/components/gateway/src/state.rs
+++ b/components/gateway/src/state.rs
@@ -21,7 +21,7 @@
 
 use crate::{
     GatewaySettings, RevokePolicy, WireDialect, client::ConnectionPool, datagrams::PeerDatagram,
-    metrics::GatewayMetrics, reach::ReachAnswer,
+    metrics::GatewayMetrics, question::ReachAnswer,
 };
 
 /// Hash of a node's id, in datagrams.
@@ -139,6 +139,11 @@
         self.clock.now()
     }
 
+    /// Returns whether this node is cut off from the service while other nodes reach it.
+    pub(crate) fn is_cut_off(&self, service: &str) -> bool {
+        self.reach.borrow().is_cut_off(self.now(), service)
+    }
+
     /// Returns the address from which this node connects to others.
     pub(crate) fn source(&self) -> IpAddr {
         self.settings.peers.ip()
