Keep requests out of zones that the operator evacuates

The operator's row that evacuates a zone was ignored, so requests went on reaching its upstreams. Store pollers now read it beside the desired state, and tell the other nodes by supplements: typed records that follow a datagram, which nodes of an older version pass over. Nothing new is sent to upstreams of an evacuated zone; if it is all there is, requests are refused at once as not run.

--- a/components/dispatch/src/lib.rs
+++ b/components/dispatch/src/lib.rs
@@ -8,6 +8,7 @@
 mod crash_log;
 mod desired;
 mod engine;
+mod evacuation;
 mod fleet;
 mod freshness;
 mod load;
@@ -32,6 +33,7 @@
     ServiceSpec, ServiceWeight,
 };
 pub use engine::{PromptSize, prefill_time};
+pub use evacuation::{EvacuationNotice, EvacuationTable};
 pub use fleet::{FleetView, ReportPlan, ReportTarget};
 pub use freshness::{TableFreshness, VersionSource};
 pub use load::{
--- a/components/dispatch/src/load.rs
+++ b/components/dispatch/src/load.rs
@@ -283,6 +283,12 @@
             .estimate_unreported(now, self.own_strict_count(), others)
     }
 
+    /// Number of this node's requests in flight that an engine answers.
+    #[must_use]
+    pub fn own_requests(&self, engine: &str) -> u32 {
+        self.own_loads.get(engine).map_or(0, EngineLoad::running)
+    }
+
     fn own_strict_count(&self) -> u32 {
         self.own_loads.values().map(|load| load.strict).sum()
     }
--- a/components/dispatch/src/placement.rs
+++ b/components/dispatch/src/placement.rs
@@ -101,6 +101,8 @@
     NoUpstream,
     /// All upstreams that could be selected asked for no requests for this time.
     Paused(Duration),
+    /// All upstreams of the service are in evacuated zones.
+    Evacuated,
     /// No upstream has enough free slots and memory, or the prompt would not be
     /// prefilled soon enough; it may be placed later.
     Full,
--- a/components/dispatch/src/upstreams.rs
+++ b/components/dispatch/src/upstreams.rs
@@ -13,7 +13,7 @@
 use types::{NodeId, ServiceName, UpstreamId, ZoneId};
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
-use crate::{RateNotice, rate_limit::RateLimit};
+use crate::{EvacuationTable, RateNotice, rate_limit::RateLimit};
 
 /// Time for which an upstream is ejected after its first failure since a
 /// success.
@@ -114,6 +114,8 @@
     paused: HashMap<UpstreamId, Instant>,
     /// Rates of processes that the directory does not list yet.
     early_rates: HashMap<UpstreamId, (Instant, RateNotice)>,
+    /// Zones whose upstreams get nothing new.
+    evacuations: EvacuationTable,
 }
 
 impl UpstreamHealth {
@@ -325,12 +327,50 @@
         health.is_none_or(|health| health.rate_limit.take_send(now))
     }
 
-    /// Whether no request may be sent to the upstream now: it leaves, or asked for a
-    /// pause.
+    /// The zones that the operator has evacuated.
+    #[must_use]
+    pub fn evacuations(&self) -> &EvacuationTable {
+        &self.evacuations
+    }
+
+    /// The evacuated zones, to record what the operator or other nodes say.
+    pub fn evacuations_mut(&mut self) -> &mut EvacuationTable {
+        &mut self.evacuations
+    }
+
+    /// Whether nothing new may be sent to the upstream, as its zone is evacuated.
+    #[must_use]
+    pub fn is_evacuated(&self, id: &str) -> bool {
+        let health = self.upstreams.get(id);
+        health.is_some_and(|health| self.evacuations.is_evacuated(&health.entry.zone))
+    }
+
+    /// Whether no request may be sent to the upstream now: it leaves, asked for a
+    /// pause, or its zone is evacuated.
     #[must_use]
     pub fn is_barred(&self, now: Instant, id: &str) -> bool {
         let entry = self.upstreams.get(id).map(|health| &health.entry);
-        entry.is_some_and(|entry| self.is_leaving(entry)) || self.is_paused(now, id)
+        entry.is_some_and(|entry| self.is_leaving(entry))
+            || self.is_paused(now, id)
+            || self.is_evacuated(id)
+    }
+
+    /// Whether `service` has upstreams that would take new work, all of them in
+    /// evacuated zones.
+    #[must_use]
+    pub fn is_wholly_evacuated(&self, service: &str) -> bool {
+        let mut staying = self.staying(service).peekable();
+        staying.peek().is_some()
+            && staying.all(|health| self.evacuations.is_evacuated(&health.entry.zone))
+    }
+
+    /// Upstreams of `service` that don't leave.
+    fn staying(&self, service: &str) -> impl Iterator<Item = &UpstreamHealth> {
+        self.upstreams.values().filter(move |health| {
+            health.entry.service == service
+                && health.entry.state == UpstreamState::Ready
+                && !self.is_leaving(&health.entry)
+        })
     }
 
     fn is_paused(&self, now: Instant, id: &str) -> bool {
@@ -341,12 +381,10 @@
     /// one may now, or none ever.
     #[must_use]
     pub fn pause_left(&self, now: Instant, service: &str) -> Option<Duration> {
-        let staying = self.upstreams.values().filter(|health| {
-            health.entry.service == service
-                && health.entry.state == UpstreamState::Ready
-                && !self.is_leaving(&health.entry)
-        });
-        let ends = staying.map(|health| {
+        let open = self
+            .staying(service)
+            .filter(|health| !self.evacuations.is_evacuated(&health.entry.zone));
+        let ends = open.map(|health| {
             let paused_until = self.paused.get(&health.entry.id).copied();
             let due = health.rate_limit.time_left(now).map(|left| now + left);
             paused_until.max(due).unwrap_or(now)
@@ -491,8 +529,8 @@
     }
 
     /// Upstreams of `service` that may get new work, sorted by id, without those
-    /// in `excluded`, those that say they leave, those that asked for a pause, and those
-    /// of whose rate this node has no request left.
+    /// in `excluded`, those that say they leave, those that asked for a pause, those in
+    /// evacuated zones, and those of whose rate this node has no request left.
     /// Ejected ones are left out while any is healthy; those with a
     /// high failure share or slow first events, while at least half are healthy.
     #[must_use]
--- a/components/gateway/src/assist.rs
+++ b/components/gateway/src/assist.rs
@@ -53,6 +53,11 @@
     let Some(target) = target else {
         return answer(StatusCode::NOT_FOUND);
     };
+    // The node that asks may not know yet.
+    if gateway.upstreams.borrow().is_evacuated(&id) {
+        log::info!("event=tunnel_denied upstream={id} reason=evacuated");
+        return answer(StatusCode::FORBIDDEN);
+    }
     if gateway.is_cut_off(&target.service) {
         return answer(StatusCode::SERVICE_UNAVAILABLE);
     }
--- a/components/gateway/src/daemon.rs
+++ b/components/gateway/src/daemon.rs
@@ -16,6 +16,7 @@
     client::PlainCaller,
     crashes::keep_quarantine,
     datagrams::{PeerDatagram, receive_datagrams, send_queued_datagrams},
+    evacuation::expire_evacuations,
     listen::{ListenRole, is_closing, listen},
     reports::{is_relay, send_reports},
     state::Gateway,
@@ -190,6 +191,7 @@
         gateway.clock.sleep(EXPIRY_PAUSE).await;
         let now = gateway.now();
         gateway.pool.borrow_mut().expire(now);
+        expire_evacuations(&gateway, now);
         for id in gateway.upstreams.borrow_mut().remove_expired(now) {
             log::info!("event=upstream_gone upstream={id} lapsed=true");
             gateway.loads.borrow_mut().remove_prefill_queue(&id);
--- a/components/gateway/src/datagrams.rs
+++ b/components/gateway/src/datagrams.rs
@@ -19,6 +19,7 @@
     rates::receive_rate,
     reports::{NodeReport, handle_report, handle_sums, is_relay},
     state::Gateway,
+    supplements::{DatagramTrailer, Supplement, receive_supplements},
 };
 
 /// Number of other nodes up to which a notice of a prefill goes straight to all of them.
@@ -29,7 +30,8 @@
 /// well, with a warning; receivers accept up to four times this size.
 pub(crate) const PACKET_PAYLOAD_BYTES: usize = 1400;
 
-/// Datagram between nodes.
+/// Datagram between nodes, which may be of an older or a newer version: fields and the
+/// order of variants stay as they are, and what is new goes into [`Supplement`]s.
 #[derive(Clone, Debug)]
 #[derive(Deserialize, Serialize)]
 pub(crate) enum PeerDatagram {
@@ -149,15 +151,41 @@
     targets: &[SocketAddr],
     datagram: &PeerDatagram,
 ) {
-    let Ok(bytes) = postcard::to_stdvec(datagram) else {
-        log::error!("event=news_unencodable");
+    if let Some(bytes) = encode_datagram(datagram) {
+        send_bytes(socket, targets, &bytes).await;
+    }
+}
+
+/// Sends a datagram with all of `supplements`, as [`send_datagram`] does.
+pub(crate) async fn send_supplemented(
+    socket: &Async<UdpSocket>,
+    targets: &[SocketAddr],
+    datagram: &PeerDatagram,
+    supplements: Vec<Supplement>,
+) {
+    let Some(mut bytes) = encode_datagram(datagram) else {
         return;
     };
+    DatagramTrailer::new(supplements).append_to(&mut bytes);
+    send_bytes(socket, targets, &bytes).await;
+}
+
+pub(crate) fn encode_datagram(datagram: &PeerDatagram) -> Option<Vec<u8>> {
+    match postcard::to_stdvec(datagram) {
+        Ok(bytes) => Some(bytes),
+        Err(error) => {
+            log::error!("event=news_unencodable error=\"{error}\"");
+            None
+        }
+    }
+}
+
+pub(crate) async fn send_bytes(socket: &Async<UdpSocket>, targets: &[SocketAddr], bytes: &[u8]) {
     if bytes.len() > PACKET_PAYLOAD_BYTES {
         log::warn!("event=news_too_long bytes={}", bytes.len());
     }
     for target in targets {
-        if let Err(error) = socket.send_to(&bytes, *target).await {
+        if let Err(error) = socket.send_to(bytes, *target).await {
             log::debug!("event=datagram_failed peer={target} error=\"{error}\"");
         }
     }
@@ -175,8 +203,11 @@
                 continue;
             }
         };
-        match postcard::from_bytes::<PeerDatagram>(&buffer[..size]) {
-            Ok(datagram) => handle_datagram(&gateway, &socket, from, datagram).await,
+        match postcard::take_from_bytes::<PeerDatagram>(&buffer[..size]) {
+            Ok((datagram, rest)) => {
+                let trailer = DatagramTrailer::decode(from, rest);
+                handle_datagram(&gateway, &socket, from, datagram, trailer).await;
+            }
             Err(error) => log::warn!("event=datagram_unreadable peer={from} error=\"{error}\""),
         }
     }
@@ -187,8 +218,12 @@
     socket: &Async<UdpSocket>,
     from: SocketAddr,
     datagram: PeerDatagram,
+    trailer: Option<DatagramTrailer>,
 ) {
     let now = gateway.now();
+    if let Some(trailer) = trailer {
+        receive_supplements(gateway, from, trailer);
+    }
     match datagram {
         PeerDatagram::Report(report) => handle_report(gateway, socket, from, report).await,
         PeerDatagram::Sums(sums) => handle_sums(gateway, sums),
--- a/components/gateway/src/edge.rs
+++ b/components/gateway/src/edge.rs
@@ -5,7 +5,7 @@
 use bytes::Bytes;
 use dispatch::{DesiredState, PromptSize, UpstreamEntry};
 use http::{HeaderMap, Method, Response, StatusCode, Uri, request::Parts};
-use types::{OrganisationId, PromptPartId, UpstreamId};
+use types::{OrganisationId, PromptPartId, UpstreamId, ZoneId};
 
 /// Translates between a deployment's wire format and the gateway's types. It
 /// makes no decisions and does no I/O.
@@ -60,6 +60,10 @@
     /// Describes the part of the row that can't be decoded.
     fn decode_desired(&self, key: &str, value: &[u8]) -> Result<Option<DesiredState>, String>;
 
+    /// Returns the availability zone that the operator evacuates by the presence of the
+    /// row `key` of [`WatchedTable::Desired`]; `None` for a row that holds something else.
+    fn evacuated_zone(&self, key: &str) -> Option<ZoneId>;
+
     /// Decodes an upstream from a row of [`WatchedTable::Upstreams`].
     ///
     /// # Errors
@@ -79,7 +83,7 @@
 /// Tables of the store that the gateway watches.
 #[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
 pub enum WatchedTable {
-    /// The desired state that the operator writes.
+    /// The desired state that the operator writes, and the zones that it evacuates.
     Desired,
     /// Upstreams, each registered by itself.
     Upstreams,
--- a/components/gateway/src/listen.rs
+++ b/components/gateway/src/listen.rs
@@ -17,7 +17,10 @@
 use smol::Async;
 use smol_hyper::rt::{FuturesIo, SmolTimer};
 
-use crate::{answer::AnswerBody, forward::forward_request, peers::answer_peer, state::Gateway};
+use crate::{
+    answer::AnswerBody, evacuation::requests_in_evacuated_zones, forward::forward_request,
+    peers::answer_peer, state::Gateway,
+};
 
 /// Smallest read buffer that hyper accepts.
 const READ_BUFFER_MIN_BYTES: usize = 8 << 10;
@@ -206,7 +209,8 @@
 }
 
 fn answer_metrics(gateway: &Gateway) -> Response<AnswerBody> {
-    let text = gateway.metrics.encode();
+    let running = requests_in_evacuated_zones(gateway);
+    let text = gateway.metrics.encode(&running);
     Response::new(AnswerBody::from(Bytes::from(text)))
 }
 
--- a/components/gateway/src/metrics.rs
+++ b/components/gateway/src/metrics.rs
@@ -7,10 +7,12 @@
     metrics::{
         counter::Counter,
         family::Family,
+        gauge::Gauge,
         histogram::{Histogram, exponential_buckets},
     },
     registry::Registry,
 };
+use types::ZoneId;
 
 /// Labels of the counter of answered requests.
 #[derive(Clone, Debug, Eq, Hash, PartialEq)]
@@ -33,6 +35,14 @@
     pub(crate) outcome: &'static str,
 }
 
+/// Labels of the gauge of requests in evacuated zones.
+#[derive(Clone, Debug, Eq, Hash, PartialEq)]
+#[derive(EncodeLabelSet)]
+pub(crate) struct ZoneLabels {
+    /// Name of the zone.
+    pub(crate) zone: String,
+}
+
 /// All metrics of a gateway and their registry.
 #[derive(Debug)]
 pub(crate) struct GatewayMetrics {
@@ -50,6 +60,8 @@
     pub(crate) tunnels: Counter,
     /// Connections to upstreams that other nodes have opened for this one.
     pub(crate) helped: Counter,
+    /// This node's requests in flight at upstreams of each evacuated zone.
+    evacuated_requests: Family<ZoneLabels, Gauge>,
 }
 
 impl GatewayMetrics {
@@ -83,6 +95,12 @@
             "Connections to upstreams opened through other nodes",
             helped.clone(),
         );
+        let evacuated_requests = Family::<ZoneLabels, Gauge>::default();
+        registry.register(
+            "evacuated_zone_requests",
+            "Requests in flight at upstreams of an evacuated zone",
+            evacuated_requests.clone(),
+        );
         Self {
             registry,
             requests,
@@ -91,6 +109,7 @@
             connects,
             tunnels,
             helped,
+            evacuated_requests,
         }
     }
 
@@ -125,7 +144,14 @@
         self.answer_seconds.observe(time.as_secs_f64());
     }
 
-    pub(crate) fn encode(&self) -> String {
+    /// Encodes all metrics. `evacuated` are the requests in flight in each evacuated zone;
+    /// zones that are not among them are not evacuated, and are left out.
+    pub(crate) fn encode(&self, evacuated: &[(ZoneId, i64)]) -> String {
+        self.evacuated_requests.clear();
+        for (zone, running) in evacuated {
+            let labels = ZoneLabels { zone: zone.clone() };
+            self.evacuated_requests.get_or_create(&labels).set(*running);
+        }
         let mut text = String::new();
         if let Err(error) = encode(&mut text, &self.registry) {
             log::error!("event=metrics_unencodable error=\"{error}\"");
--- a/components/gateway/src/news.rs
+++ b/components/gateway/src/news.rs
@@ -18,11 +18,12 @@
 use crate::{
     WatchedTable,
     crashes::{receive_crash, receive_standing},
-    datagrams::{PACKET_PAYLOAD_BYTES, PeerDatagram, send_datagram},
+    datagrams::{PACKET_PAYLOAD_BYTES, PeerDatagram, encode_datagram, send_bytes},
     peers::begin_fetch_desired,
     rates::receive_rate,
     reports::millis,
     state::{Gateway, NodeKey},
+    supplements::{DatagramTrailer, answer_supplements},
     sync::is_store_poller,
 };
 
@@ -69,16 +70,27 @@
         &gateway.upstreams.borrow(),
     );
     let mut cursor = cursor;
+    let mut supplements = answer_supplements(gateway, now);
     for _ in 0..PAGES_MAX {
         let page = gateway.fleet.borrow().news_after(cursor, PAGE_BYTES);
         let complete = page.complete;
         cursor = page.next_cursor(cursor);
-        let news = own_news(gateway, now, page);
-        send_datagram(socket, &[to], &PeerDatagram::News(news)).await;
-        if complete {
+        let news = PeerDatagram::News(own_news(gateway, now, page));
+        let Some(mut bytes) = encode_datagram(&news) else {
+            return;
+        };
+        // What doesn't fit beside the last page follows with empty ones.
+        let room = PACKET_PAYLOAD_BYTES.saturating_sub(bytes.len());
+        DatagramTrailer::fill(&mut supplements, room).append_to(&mut bytes);
+        send_bytes(socket, &[to], &bytes).await;
+        if complete && supplements.is_empty() {
             return;
         }
     }
+    log::debug!(
+        "event=answer_cut peer={to} supplements_left={}",
+        supplements.len()
+    );
 }
 
 fn own_news(gateway: &Gateway, now: Instant, page: NewsPage) -> RelayNews {
--- a/components/gateway/src/place.rs
+++ b/components/gateway/src/place.rs
@@ -106,6 +106,9 @@
     let spec = routes.state().services.get(&job.service);
     let upstreams = gateway.upstreams.borrow();
     let usable = upstreams.selectable(now, &job.service, tried);
+    if usable.is_empty() && upstreams.is_wholly_evacuated(&job.service) {
+        return Err(PlacementRefusal::Evacuated);
+    }
     if usable.is_empty()
         && let Some(left) = upstreams.pause_left(now, &job.service)
     {
--- a/components/gateway/src/reports.rs
+++ b/components/gateway/src/reports.rs
@@ -16,10 +16,11 @@
 
 use crate::{
     crashes::repeat_own_reports,
-    datagrams::{PeerDatagram, send_datagram},
+    datagrams::{PeerDatagram, send_datagram, send_supplemented},
     news::answer_news,
     rates::share_rates,
     state::Gateway,
+    supplements::report_supplements,
 };
 
 /// Bytes a second that a node receives in sums. In a fleet of many engines it asks for
@@ -86,7 +87,9 @@
                 question,
                 ..report.clone()
             };
-            send_datagram(&socket, &[target.address], &PeerDatagram::Report(report)).await;
+            let datagram = PeerDatagram::Report(report);
+            let supplements = report_supplements(&gateway);
+            send_supplemented(&socket, &[target.address], &datagram, supplements).await;
         }
         gateway.clock.sleep(pause).await;
     }
--- a/components/gateway/src/state.rs
+++ b/components/gateway/src/state.rs
@@ -44,6 +44,8 @@
     pub(crate) desired_row: RefCell<Option<(String, Bytes)>>,
     /// Version and age of the known desired state.
     pub(crate) desired_freshness: RefCell<TableFreshness>,
+    /// Store version and age of what is known of evacuated zones.
+    pub(crate) evacuation_freshness: RefCell<TableFreshness>,
     pub(crate) upstreams: RefCell<UpstreamTable>,
     /// Version and age of the known upstreams.
     pub(crate) upstream_freshness: RefCell<TableFreshness>,
@@ -110,6 +112,7 @@
             routes: RefCell::default(),
             desired_row: RefCell::default(),
             desired_freshness: RefCell::default(),
+            evacuation_freshness: RefCell::default(),
             upstreams: RefCell::default(),
             upstream_freshness: RefCell::default(),
             loads: RefCell::default(),
--- a/components/gateway/src/sync.rs
+++ b/components/gateway/src/sync.rs
@@ -13,8 +13,12 @@
 use types::UpstreamId;
 
 use crate::{
-    FeedAnswer, PlainCall, TableChange, WatchedTable, client::PlainCaller,
-    crashes::apply_quarantine_rows, reports::is_relay, state::Gateway,
+    FeedAnswer, PlainCall, TableChange, WatchedTable,
+    client::PlainCaller,
+    crashes::apply_quarantine_rows,
+    evacuation::{apply_evacuation_rows, has_store_poller},
+    reports::is_relay,
+    state::Gateway,
 };
 
 /// Longest long poll for changes of the desired state. It is short because a dead
@@ -172,7 +176,9 @@
     let goes_on = upstreams.polls_store(now) && source > Some(gateway.own_key());
     match table {
         WatchedTable::Desired => {
-            !goes_on && gateway.desired_freshness.borrow().has_store_poller(now)
+            !goes_on
+                && gateway.desired_freshness.borrow().has_store_poller(now)
+                && has_store_poller(gateway, now)
         }
         WatchedTable::Upstreams => !goes_on && upstreams.has_store_poller(now),
         // Other nodes don't need these rows.
@@ -292,7 +298,13 @@
 fn record_failure(gateway: &Gateway, table: WatchedTable) {
     let now = gateway.now();
     match table {
-        WatchedTable::Desired => gateway.desired_freshness.borrow_mut().record_failure(now),
+        WatchedTable::Desired => {
+            gateway.desired_freshness.borrow_mut().record_failure(now);
+            gateway
+                .evacuation_freshness
+                .borrow_mut()
+                .record_failure(now);
+        }
         WatchedTable::Upstreams => gateway.upstream_freshness.borrow_mut().record_failure(now),
         WatchedTable::Nodes | WatchedTable::Quarantine => {}
     }
@@ -307,6 +319,7 @@
 ) {
     match table {
         WatchedTable::Desired => {
+            apply_evacuation_rows(gateway, &changes, complete, version);
             for change in changes {
                 if let Some(value) = change.value {
                     apply_desired(gateway, &change.key, &value, VersionSource::Store);
