--- a/components/dispatch/src/desired.rs
+++ b/components/dispatch/src/desired.rs
@@ -5,6 +5,8 @@
 
 use types::{OrganisationId, ServiceName, TokenCount};
 
+use crate::HomeRegions;
+
 /// One version of the operator's settings.
 #[derive(Clone, Debug, Default)]
 pub struct DesiredState {
@@ -47,6 +49,8 @@
     pub max_upstreams: u32,
     /// Whether callers may send requests without an API key.
     pub anonymous: bool,
+    /// Regions that the route's requests may not leave.
+    pub homes: HomeRegions,
 }
 
 /// A service's share of a route.
@@ -154,4 +158,6 @@
     /// Priority of its requests, which overrides the route's; 0 is the most
     /// urgent.
     pub priority: Option<u8>,
+    /// Regions that its requests may not leave.
+    pub homes: HomeRegions,
 }
--- a/components/dispatch/src/lib.rs
+++ b/components/dispatch/src/lib.rs
@@ -11,6 +11,7 @@
 mod evacuation;
 mod fleet;
 mod freshness;
+mod homes;
 mod load;
 mod load_sums;
 mod news;
@@ -36,6 +37,7 @@
 pub use evacuation::{EvacuationNotice, EvacuationTable};
 pub use fleet::{FleetView, ReportPlan, ReportTarget};
 pub use freshness::{TableFreshness, VersionSource};
+pub use homes::{HomeRegions, RegionMap};
 pub use load::{
     AggregateChunk, EngineKey, EngineLoad, InFlightId, InFlightRequest, LoadTracker, MemoryShare,
     PrefillNotice, ReportedLoad, engine_key,
--- a/components/dispatch/src/placement.rs
+++ b/components/dispatch/src/placement.rs
@@ -103,6 +103,8 @@
     Paused(Duration),
     /// All upstreams of the service are in evacuated zones.
     Evacuated,
+    /// The service has upstreams, but none in a region that the request may not leave.
+    OutsideHomes,
     /// No upstream has enough free slots and memory, or the prompt would not be
     /// prefilled soon enough; it may be placed later.
     Full,
--- a/components/dispatch/src/roster.rs
+++ b/components/dispatch/src/roster.rs
@@ -247,16 +247,25 @@
     /// Addresses for a caller: `own`, when this node takes callers, and those of
     /// the live nodes that do, at most `MAX_ADDRESSES`. In a larger fleet, those in
     /// `zone` come first, and the rest is a random choice, so that no node is left out
-    /// by its name.
+    /// by its name. Only nodes in zones for which `is_allowed` holds are named, unless
+    /// none is up there: a node elsewhere can still refuse with a reason.
     #[must_use]
     pub fn addresses(
         &self,
         now: Instant,
         own: Option<SocketAddr>,
         zone: &str,
+        is_allowed: impl Fn(&ZoneId) -> bool,
         rng: &mut impl Rng,
     ) -> Vec<SocketAddr> {
         let mut others: Vec<&RosterEntry> = self.live(now).filter(|entry| entry.ready).collect();
+        let own_allowed = own.filter(|_| is_allowed(&zone.to_owned()));
+        let has_allowed =
+            own_allowed.is_some() || others.iter().any(|entry| is_allowed(&entry.zone));
+        let own = if has_allowed { own_allowed } else { own };
+        if has_allowed {
+            others.retain(|entry| is_allowed(&entry.zone));
+        }
         if others.len() + own.iter().len() > MAX_ADDRESSES {
             others.shuffle(rng);
             others.sort_by_key(|entry| entry.zone != zone);
--- a/components/dispatch/src/routes.rs
+++ b/components/dispatch/src/routes.rs
@@ -9,7 +9,7 @@
 
 use types::ServiceName;
 
-use crate::{DesiredState, ForwardRoute, OrganisationEntry};
+use crate::{DesiredState, ForwardRoute, HomeRegions, OrganisationEntry};
 
 /// A desired state, indexed by host and path prefix, and by API key.
 #[derive(Debug, Default)]
@@ -19,6 +19,8 @@
     keys: HashMap<String, usize>,
     /// Shortest event gap that any route of a service sets.
     shortest_gaps: HashMap<ServiceName, Duration>,
+    /// Regions that no request of a host may leave.
+    host_homes: HashMap<String, HomeRegions>,
 }
 
 /// Result of looking up a request's route and organisation.
@@ -37,8 +39,11 @@
     #[must_use]
     pub fn new(state: DesiredState) -> Self {
         let mut hosts: HashMap<String, HashMap<String, usize>> = HashMap::new();
+        let mut host_homes: HashMap<String, HomeRegions> = HashMap::new();
         for (index, route) in state.routes.iter().enumerate() {
             let host = route.host.to_ascii_lowercase();
+            let homes = host_homes.entry(host.clone()).or_default();
+            *homes = homes.intersect(&route.homes);
             hosts
                 .entry(host)
                 .or_default()
@@ -65,9 +70,18 @@
             hosts,
             keys,
             shortest_gaps,
+            host_homes,
         }
     }
 
+    /// Regions in which every request to `host` may be handled; callers are sent to
+    /// nodes there. A port in `host` is ignored.
+    #[must_use]
+    pub fn host_homes(&self, host: &str) -> HomeRegions {
+        let homes = self.host_homes.get(&host_name(host));
+        homes.cloned().unwrap_or_default()
+    }
+
     /// Shortest event gap that any route of `service` sets; `None` when none of its
     /// routes sets one.
     #[must_use]
@@ -101,8 +115,7 @@
     }
 
     fn route(&self, host: &str, path: &str) -> Option<&Arc<ForwardRoute>> {
-        let name = host.rsplit_once(':').map_or(host, |(name, _)| name);
-        let prefixes = self.hosts.get(&name.to_ascii_lowercase())?;
+        let prefixes = self.hosts.get(&host_name(host))?;
         let slashes = path
             .char_indices()
             .filter(|(_, character)| *character == '/');
@@ -114,6 +127,12 @@
     }
 }
 
+/// Name of a host without a port, in lower case.
+fn host_name(host: &str) -> String {
+    let name = host.rsplit_once(':').map_or(host, |(name, _)| name);
+    name.to_ascii_lowercase()
+}
+
 impl ForwardRoute {
     /// Picks a service for the attempt id `attempt`, in proportion to the
     /// weights: the first service when all weights are 0, and `None` without
--- a/components/dispatch/src/upstreams.rs
+++ b/components/dispatch/src/upstreams.rs
@@ -364,6 +364,12 @@
             && staying.all(|health| self.evacuations.is_evacuated(&health.entry.zone))
     }
 
+    /// Whether an upstream of `service` that doesn't leave satisfies `condition`.
+    #[must_use]
+    pub fn has_staying(&self, service: &str, condition: impl Fn(&UpstreamEntry) -> bool) -> bool {
+        self.staying(service).any(|health| condition(&health.entry))
+    }
+
     /// Upstreams of `service` that don't leave.
     fn staying(&self, service: &str) -> impl Iterator<Item = &UpstreamHealth> {
         self.upstreams.values().filter(move |health| {
@@ -539,12 +545,26 @@
         now: Instant,
         service: &str,
         excluded: &[UpstreamId],
+    ) -> Vec<&UpstreamHealth> {
+        self.selectable_where(now, service, excluded, |_| true)
+    }
+
+    /// Those of the [`selectable`](Self::selectable) upstreams for which `is_allowed`
+    /// holds; the health of others doesn't count.
+    #[must_use]
+    pub fn selectable_where(
+        &self,
+        now: Instant,
+        service: &str,
+        excluded: &[UpstreamId],
+        is_allowed: impl Fn(&UpstreamEntry) -> bool,
     ) -> Vec<&UpstreamHealth> {
         let mut ready: Vec<&UpstreamHealth> = self
             .upstreams
             .values()
             .filter(|health| health.entry.service == service)
             .filter(|health| health.entry.state == UpstreamState::Ready)
+            .filter(|health| is_allowed(&health.entry))
             .filter(|health| !self.is_barred(now, &health.entry.id))
             .filter(|health| health.rate_limit.time_left(now).is_none())
             .filter(|health| !excluded.contains(&health.entry.id))
--- a/components/dispatch/tests/known_state.rs
+++ b/components/dispatch/tests/known_state.rs
@@ -288,7 +288,7 @@
     let now = Instant::now();
     let mut roster = NodeRoster::default();
     let addresses = |roster: &NodeRoster, now| {
-        roster.addresses(now, None, "sault", &mut StdRng::seed_from_u64(1))
+        roster.addresses(now, None, "sault", |_| true, &mut StdRng::seed_from_u64(1))
     };
     roster.record_listing(now, node("listed", 1, true));
     assert!(
@@ -326,7 +326,7 @@
     let mut rng = StdRng::seed_from_u64(27);
     let mut named = BTreeSet::new();
     for _ in 0..200 {
-        let answer = roster.addresses(now, None, "zone-4", &mut rng);
+        let answer = roster.addresses(now, None, "zone-4", |_| true, &mut rng);
         assert_eq!(answer.len(), 64);
         let index = |address: &SocketAddr| match address.ip() {
             IpAddr::V4(ip) => u16::from_be_bytes([ip.octets()[2], ip.octets()[3]]),
--- a/components/dispatch/tests/routes.rs
+++ b/components/dispatch/tests/routes.rs
@@ -3,7 +3,8 @@
 use std::{hash::RandomState, sync::Arc, time::Duration};
 
 use dispatch::{
-    CallKind, DesiredState, ForwardRoute, OrganisationEntry, RouteMatch, RouteTable, ServiceWeight,
+    CallKind, DesiredState, ForwardRoute, HomeRegions, OrganisationEntry, RouteMatch, RouteTable,
+    ServiceWeight,
 };
 
 fn route(name: &str, host: &str, prefix: &str, anonymous: bool) -> Arc<ForwardRoute> {
@@ -28,6 +29,7 @@
         ],
         max_upstreams: 2,
         anonymous,
+        homes: HomeRegions::Anywhere,
     })
 }
 
@@ -43,6 +45,7 @@
             id: "duluth".to_owned(),
             keys: vec!["key-1".to_owned()],
             priority: None,
+            homes: HomeRegions::Anywhere,
         }]),
         ..DesiredState::default()
     })
@@ -125,3 +128,29 @@
     assert_eq!(table.shortest_event_gap("few"), shortest);
     assert_eq!(table.shortest_event_gap("none"), None);
 }
+
+/// Callers look a host up before they choose a path, so they are sent to nodes in
+/// regions that every route of the host allows.
+#[test]
+fn the_homes_of_a_host_are_those_that_all_its_routes_allow() {
+    let bound = |prefix: &str, regions: &[&str]| {
+        let homes = regions.iter().map(|region| (*region).to_owned()).collect();
+        Arc::new(ForwardRoute {
+            homes: HomeRegions::from_list(homes),
+            ..Arc::unwrap_or_clone(route("bound", "Ash.example", prefix, false))
+        })
+    };
+    let table = RouteTable::new(DesiredState {
+        routes: vec![
+            bound("/one/", &["lakes", "plains"]),
+            bound("/two/", &["plains", "coast"]),
+            route("free", "ash.example", "/free/", false),
+            route("other", "other.example", "/", false),
+        ],
+        ..DesiredState::default()
+    });
+    let plains = HomeRegions::from_list(vec!["plains".to_owned()]);
+    assert_eq!(table.host_homes("ash.example:8080"), plains);
+    assert_eq!(table.host_homes("other.example"), HomeRegions::Anywhere);
+    assert_eq!(table.host_homes("unknown.example"), HomeRegions::Anywhere);
+}
--- a/components/gateway/src/attempt.rs
+++ b/components/gateway/src/attempt.rs
@@ -45,8 +45,9 @@
 /// Shortest time after which a refused caller is told to retry.
 const RETRY_AFTER_MIN: Duration = Duration::from_millis(150);
 /// Time after which a caller is told to retry while all upstreams of its service are in
-/// evacuated zones: an operator has to take one back, which takes seconds at least.
-const EVACUATED_RETRY_AFTER: Duration = Duration::from_secs(2);
+/// evacuated zones, or outside its homes: an operator has to change that, which takes
+/// seconds at least.
+const BARRED_RETRY_AFTER: Duration = Duration::from_secs(2);
 /// Time after which the caller of a prompt that needs idle engines is told to
 /// retry, as a share of the time until its deadline.
 const IDLE_ENGINES_RETRY_SHARE: f64 = 0.33;
@@ -124,6 +125,7 @@
                 history.pause_left = Some(left);
                 break "paused";
             }
+            Err(PlacementRefusal::OutsideHomes) => break "outside_homes",
             Err(PlacementRefusal::Evacuated) => break "evacuated",
             Err(PlacementRefusal::Full) => break "full",
             Err(PlacementRefusal::NeedsIdleEngines) => break "needs_quiet",
@@ -189,7 +191,7 @@
                 .unwrap_or_default()
                 .max(RETRY_AFTER_MIN),
             "paused" => history.pause_left.unwrap_or_default().max(RETRY_AFTER_MIN),
-            "evacuated" => EVACUATED_RETRY_AFTER,
+            "evacuated" | "outside_homes" => BARRED_RETRY_AFTER,
             "needs_quiet" => left.mul_f64(IDLE_ENGINES_RETRY_SHARE).max(RETRY_AFTER_MIN),
             _ => RETRY_AFTER_MIN,
         })
--- a/components/gateway/src/connect.rs
+++ b/components/gateway/src/connect.rs
@@ -3,7 +3,7 @@
 
 use std::{io, net::SocketAddr, rc::Rc, time::Duration};
 
-use dispatch::UpstreamEntry;
+use dispatch::{HomeRegions, UpstreamEntry};
 use futures_lite::future::or;
 use types::{NodeId, ServiceName, UpstreamId};
 
@@ -31,6 +31,8 @@
     pub(crate) upstream: UpstreamId,
     pub(crate) service: ServiceName,
     pub(crate) address: SocketAddr,
+    /// Regions of nodes that may hold the connection for this one.
+    pub(crate) homes: HomeRegions,
 }
 
 impl From<&UpstreamEntry> for ConnectTarget {
@@ -39,6 +41,7 @@
             upstream: entry.id.clone(),
             service: entry.service.clone(),
             address: entry.address,
+            homes: HomeRegions::Anywhere,
         }
     }
 }
@@ -119,13 +122,13 @@
     target: &ConnectTarget,
     time_left: Duration,
 ) -> Result<ClientConnection, ConnectError> {
-    let mut tried: Vec<NodeId> = Vec::new();
-    while tried.len() < HELPERS_TRIED_MAX {
+    let mut excluded = helpers_outside(gateway, target);
+    for _ in 0..HELPERS_TRIED_MAX {
         let helper = gateway.reach.borrow_mut().pick_helper(
             gateway.now(),
             &target.service,
             &gateway.settings.zone,
-            &tried,
+            &excluded,
             &mut *gateway.rng.borrow_mut(),
         );
         let Some(helper) = helper else {
@@ -144,9 +147,20 @@
                     let mut reach = gateway.reach.borrow_mut();
                     reach.remove_helper(&target.service, &helper.node);
                 }
-                tried.push(helper.node);
+                excluded.push(helper.node);
             }
         }
     }
     Err(ConnectError::NoHelper(NO_HELPER_RETRY_AFTER))
 }
+
+/// Returns the helpers that must not see what goes to the target.
+fn helpers_outside(gateway: &Gateway, target: &ConnectTarget) -> Vec<NodeId> {
+    let regions = &gateway.settings.regions;
+    let reach = gateway.reach.borrow();
+    let helpers = reach.helpers(gateway.now(), &target.service);
+    helpers
+        .filter(|helper| !regions.is_home(&target.homes, &helper.zone))
+        .map(|helper| helper.node.clone())
+        .collect()
+}
--- a/components/gateway/src/edge.rs
+++ b/components/gateway/src/edge.rs
@@ -5,7 +5,7 @@
 use bytes::Bytes;
 use dispatch::{DesiredState, PromptSize, UpstreamEntry};
 use http::{HeaderMap, Method, Response, StatusCode, Uri, request::Parts};
-use types::{OrganisationId, PromptPartId, UpstreamId, ZoneId};
+use types::{OrganisationId, PromptPartId, RegionId, UpstreamId, ZoneId};
 
 /// Translates between a deployment's wire format and the gateway's types. It
 /// makes no decisions and does no I/O.
@@ -23,8 +23,8 @@
     /// Returns whether a request is the platform's readiness check.
     fn is_readiness_request(&self, uri: &Uri) -> bool;
 
-    /// Returns whether a request looks up the addresses of nodes.
-    fn is_address_request(&self, uri: &Uri) -> bool;
+    /// Decodes a request that looks up the addresses of nodes; `None` for any other.
+    fn decode_address_request(&self, uri: &Uri) -> Option<AddressQuery>;
 
     /// Encodes the answer to an address lookup as JSON; `lifetime` is its time to
     /// live.
@@ -80,6 +80,15 @@
     fn engine_call(&self, call: &EngineCall<'_>) -> PlainCall;
 }
 
+/// What a caller that looks up addresses says of itself.
+#[derive(Clone, Debug, Default)]
+pub struct AddressQuery {
+    /// Host that it will send requests to; `None` if it names none.
+    pub host: Option<String>,
+    /// Region in which it is; `None` if it names none.
+    pub region: Option<RegionId>,
+}
+
 /// Tables of the store that the gateway watches.
 #[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
 pub enum WatchedTable {
--- a/components/gateway/src/forward.rs
+++ b/components/gateway/src/forward.rs
@@ -8,7 +8,7 @@
 };
 
 use bytes::Bytes;
-use dispatch::{CrashFingerprint, ForwardRoute, RouteMatch};
+use dispatch::{CrashFingerprint, ForwardRoute, HomeRegions, RouteMatch};
 use http::{Request, Response, header, request::Parts};
 use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::Incoming;
@@ -38,6 +38,8 @@
     pub(crate) service: ServiceName,
     pub(crate) organisation: Option<OrganisationId>,
     pub(crate) priority: u8,
+    /// Regions that the request may not leave.
+    pub(crate) homes: HomeRegions,
     pub(crate) fingerprint: CrashFingerprint,
     pub(crate) arrived: Instant,
     /// When the caller's timeout or the route's time limit ends, whichever is first.
@@ -135,6 +137,10 @@
         priority: organisation
             .and_then(|entry| entry.priority)
             .unwrap_or(route.priority),
+        homes: match organisation {
+            Some(entry) => route.homes.intersect(&entry.homes),
+            None => route.homes.clone(),
+        },
         route: Arc::clone(route),
         service,
         organisation: organisation_id,
--- a/components/gateway/src/leg.rs
+++ b/components/gateway/src/leg.rs
@@ -177,6 +177,7 @@
             upstream: self.upstream.clone(),
             service: self.service.clone(),
             address: self.address,
+            homes: job.homes.clone(),
         };
         let connection = connect_upstream(gateway, &target, left).await?;
         if let Some(helper) = &connection.helper {
--- a/components/gateway/src/lib.rs
+++ b/components/gateway/src/lib.rs
@@ -37,8 +37,8 @@
 
 pub use daemon::run_gateway;
 pub use edge::{
-    AnswerHead, EngineCall, FeedAnswer, ForwardHead, PlainCall, RateStatement, RequestHead,
-    TableChange, UpstreamWish, WatchedTable, WireDialect,
+    AddressQuery, AnswerHead, EngineCall, FeedAnswer, ForwardHead, PlainCall, RateStatement,
+    RequestHead, TableChange, UpstreamWish, WatchedTable, WireDialect,
 };
 pub use events::{EventCursor, EventError};
 pub use settings::{GatewaySettings, RevokePolicy};
--- a/components/gateway/src/listen.rs
+++ b/components/gateway/src/listen.rs
@@ -16,6 +16,7 @@
 use rustix::net::sockopt::set_tcp_user_timeout;
 use smol::Async;
 use smol_hyper::rt::{FuturesIo, SmolTimer};
+use types::ZoneId;
 
 use crate::{
     answer::AnswerBody, evacuation::requests_in_evacuated_zones, forward::forward_request,
@@ -187,14 +188,21 @@
 }
 
 fn answer_addresses(gateway: &Gateway, request: &Request<Incoming>) -> Response<AnswerBody> {
-    if !gateway.dialect.is_address_request(request.uri()) {
+    let Some(query) = gateway.dialect.decode_address_request(request.uri()) else {
         return empty_response(StatusCode::NOT_FOUND);
-    }
+    };
+    let homes = gateway
+        .routes
+        .borrow()
+        .host_homes(query.host.as_deref().unwrap_or_default());
+    let regions = &gateway.settings.regions;
+    let may_receive = |zone: &ZoneId| regions.may_receive(&homes, query.region.as_deref(), zone);
     let own = gateway.ready().then_some(gateway.settings.callers);
     let addresses = gateway.fleet.borrow().roster().addresses(
         gateway.now(),
         own,
         &gateway.settings.zone,
+        may_receive,
         &mut *gateway.rng.borrow_mut(),
     );
     if addresses.is_empty() {
--- a/components/gateway/src/place.rs
+++ b/components/gateway/src/place.rs
@@ -4,8 +4,8 @@
 use std::{rc::Rc, time::Duration};
 
 use dispatch::{
-    LatencyGoals, Placement, PlacementRefusal, PlacementRequest, PlacementWait, UpstreamHealth,
-    place_plain_request, place_prompt,
+    LatencyGoals, Placement, PlacementRefusal, PlacementRequest, PlacementWait, UpstreamEntry,
+    UpstreamHealth, place_plain_request, place_prompt,
 };
 use types::UpstreamId;
 
@@ -105,7 +105,14 @@
     let routes = gateway.routes.borrow();
     let spec = routes.state().services.get(&job.service);
     let upstreams = gateway.upstreams.borrow();
-    let usable = upstreams.selectable(now, &job.service, tried);
+    let is_home = |entry: &UpstreamEntry| gateway.settings.regions.is_home(&job.homes, &entry.zone);
+    let usable = upstreams.selectable_where(now, &job.service, tried, is_home);
+    if usable.is_empty()
+        && upstreams.has_staying(&job.service, |_| true)
+        && !upstreams.has_staying(&job.service, is_home)
+    {
+        return Err(PlacementRefusal::OutsideHomes);
+    }
     if usable.is_empty() && upstreams.is_wholly_evacuated(&job.service) {
         return Err(PlacementRefusal::Evacuated);
     }
--- a/components/gateway/src/settings.rs
+++ b/components/gateway/src/settings.rs
@@ -2,6 +2,7 @@
 
 use std::{net::SocketAddr, time::Duration};
 
+use dispatch::RegionMap;
 use types::{NodeId, ZoneId};
 
 /// Settings that a gateway gets at its start.
@@ -11,6 +12,8 @@
     pub node: NodeId,
     /// Availability zone of the entry host.
     pub zone: ZoneId,
+    /// Region of each zone; nothing outside a request's homes serves it.
+    pub regions: RegionMap,
     /// Processor and network share of the entry host; nodes with more of it gather and
     /// pass on what others report.
     pub capacity: u32,
