Hold back load from upstreams that warm up

An upstream that comes back was sent its full load at once: what its row and its answers say of its warm-up was dropped. All nodes together now send it no more in any second than its service and the settings allow, by the division that also serves named rates; the stricter of the two binds. Claims count by age, whichever their source; a new process is cold until its row says otherwise. Load comes back in two steps, and warm upstreams go first. Nodes tell each other by a supplement. Nodes that have just started send nothing to a cold upstream; those that were frozen or out of touch send a quarter of their share.

rate_limits.rs and mixed_placement.rs only follow the new parameter of share_rates.

--- a/components/dispatch/src/desired.rs
+++ b/components/dispatch/src/desired.rs
@@ -5,7 +5,7 @@
 
 use types::{OrganisationId, ServiceName, TokenCount};
 
-use crate::HomeRegions;
+use crate::{ColdSpec, HomeRegions};
 
 /// One version of the operator's settings.
 #[derive(Clone, Debug, Default)]
@@ -96,6 +96,8 @@
 pub struct ServiceSpec {
     /// Speed and size of its model engines; `None` for plain services.
     pub engine: Option<EngineSpec>,
+    /// How its upstreams warm up; `None` if they take any load from their start.
+    pub cold: Option<ColdSpec>,
 }
 
 /// Speed and size of a service's model engines, from which their prefill and
--- a/components/dispatch/src/lib.rs
+++ b/components/dispatch/src/lib.rs
@@ -5,6 +5,8 @@
 //! event, and returns a decision.
 
 mod budget;
+mod cold;
+mod contact;
 mod crash_log;
 mod desired;
 mod engine;
@@ -28,6 +30,8 @@
 mod upstreams;
 
 pub use budget::RetryBudget;
+pub use cold::{ColdChange, ColdClaim, ColdSource, ColdSpec, ColdTolerance};
+pub use contact::FleetContact;
 pub use crash_log::{CrashFingerprint, CrashLog, CrashReport, SuspectPart};
 pub use desired::{
     CallKind, DesiredState, EngineSpec, ForwardRoute, OrganisationEntry, RequestLimits,
@@ -48,7 +52,7 @@
     place_plain_request, place_prompt,
 };
 pub use quarantine::{PartStanding, QuarantineList, QuarantineRow};
-pub use rate_limit::RateNotice;
+pub use rate_limit::{FleetShare, FleetStanding, RateNotice};
 pub use reach::{HelperNode, ProbeOutcome, ReachCheck, ReachTable, ReachVerdict, select_sample};
 pub use relays::{RelayWatch, find_lost_relays, is_better_relay, select_relays};
 pub use roster::{NodeRoster, RosterEntry};
--- a/components/dispatch/src/placement.rs
+++ b/components/dispatch/src/placement.rs
@@ -194,7 +194,9 @@
         let running = loads.engine_load(now, &health.entry.id).running();
         let busy = 1000 * running / health.entry.slots.max(1);
         let failing = truncate_to_u64(health.failure_share(now) * 10.0);
-        (failing, busy, rng.random::<u32>())
+        // A cold upstream is slower, but one with a free slot goes before a warm queue.
+        let preference = (busy >= 1000, health.is_cold(now));
+        (failing, preference, busy, rng.random::<u32>())
     });
     let health = least_busy.ok_or(PlacementRefusal::NoUpstream)?;
     Ok(health.entry.id.clone())
@@ -204,7 +206,8 @@
 /// id.
 ///
 /// An engine that limits the rate of its requests counts a long prompt like a short one,
-/// so long prompts go there first, and strict requests elsewhere.
+/// so long prompts go there first, and strict requests elsewhere. A cold engine is used
+/// only if no placement on warm ones keeps the event gaps.
 ///
 /// # Errors
 ///
@@ -216,6 +219,27 @@
     upstreams: &[&UpstreamHealth],
     loads: &LoadTracker,
     rng: &mut impl Rng,
+) -> Result<Placement, PlacementRefusal> {
+    let (cold, warm): (Vec<&UpstreamHealth>, Vec<&UpstreamHealth>) =
+        upstreams.iter().partition(|health| health.is_cold(now));
+    if !cold.is_empty() && !warm.is_empty() {
+        let placement = place_by_rate(now, spec, request, &warm, loads, rng);
+        if let Ok(placement) = placement
+            && placement.keeps_event_gaps
+        {
+            return Ok(placement);
+        }
+    }
+    place_by_rate(now, spec, request, upstreams, loads, rng)
+}
+
+fn place_by_rate(
+    now: Instant,
+    spec: &EngineSpec,
+    request: &PlacementRequest,
+    upstreams: &[&UpstreamHealth],
+    loads: &LoadTracker,
+    rng: &mut impl Rng,
 ) -> Result<Placement, PlacementRefusal> {
     let (limited, unlimited): (Vec<&UpstreamHealth>, Vec<&UpstreamHealth>) = upstreams
         .iter()
--- a/components/dispatch/src/upstreams.rs
+++ b/components/dispatch/src/upstreams.rs
@@ -10,10 +10,13 @@
 };
 
 use serde::{Deserialize, Serialize};
-use types::{NodeId, ServiceName, UpstreamId, ZoneId};
+use types::{ServiceName, UpstreamId, ZoneId};
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
-use crate::{EvacuationTable, RateNotice, rate_limit::RateLimit};
+use crate::{
+    ColdChange, ColdClaim, ColdSpec, ColdTolerance, EvacuationTable, FleetShare, RateNotice,
+    cold::ColdRecord, rate_limit::RateLimit,
+};
 
 /// Time for which an upstream is ejected after its first failure since a
 /// success.
@@ -39,6 +42,9 @@
 const REMOVAL_MEMORY: Duration = Duration::from_mins(2);
 /// Time for which the rate of an unlisted process is remembered; entries lag far less.
 const EARLY_RATE_MEMORY: Duration = Duration::from_mins(1);
+/// Time after its first upstream in which a table fills; an upstream whose start is not
+/// known, and which appears later, counts as new.
+const FILL_TIME: Duration = Duration::from_secs(2);
 /// Weight of the newest answer in the moving average of the slowdown.
 const SLOWDOWN_WEIGHT: f64 = 0.4;
 
@@ -96,6 +102,8 @@
     grace_until: Option<Instant>,
     /// Rate of requests that the upstream takes from all nodes.
     rate_limit: RateLimit,
+    /// What is known of its warm-up.
+    cold: ColdRecord,
     /// When it last accepted a connection of this node.
     reached_at: Option<Instant>,
 }
@@ -116,6 +124,15 @@
     early_rates: HashMap<UpstreamId, (Instant, RateNotice)>,
     /// Zones whose upstreams get nothing new.
     evacuations: EvacuationTable,
+    /// Claims of processes that the directory does not list yet, by [`process_key`].
+    early_claims: HashMap<u64, (Instant, ColdClaim)>,
+    /// When the first upstream was examined.
+    filled_since: Option<Instant>,
+}
+
+/// Hash of the id of an upstream and the start of its process.
+fn process_key(entry: &UpstreamEntry) -> u64 {
+    xxh3_64_with_seed(entry.id.as_bytes(), entry.started_ms.unwrap_or_default())
 }
 
 impl UpstreamHealth {
@@ -130,6 +147,7 @@
             ejected_until: None,
             grace_until: None,
             rate_limit: RateLimit::default(),
+            cold: ColdRecord::default(),
             reached_at: None,
         }
     }
@@ -140,6 +158,12 @@
         self.rate_limit.limit().is_some()
     }
 
+    /// Whether the upstream is cold.
+    #[must_use]
+    pub fn is_cold(&self, now: Instant) -> bool {
+        self.cold.is_cold(now)
+    }
+
     /// Whether the upstream is to be asked whether its limit still holds.
     #[must_use]
     pub fn is_recheck_due(&self, now: Instant) -> bool {
@@ -313,13 +337,117 @@
         })
     }
 
-    /// Divides the rates that upstreams take among `nodes`, which include `own`.
-    pub fn share_rates(&mut self, now: Instant, own: &NodeId, nodes: &[&NodeId]) {
+    /// Records what an upstream's process, or its row, says of its warm-up; returns whether
+    /// it is new.
+    pub fn record_cold(&mut self, id: &str, started_ms: Option<u64>, claim: ColdClaim) -> bool {
+        match self.upstreams.get_mut(id) {
+            Some(health) if health.entry.started_ms == started_ms => health.cold.record(claim),
+            _ => false,
+        }
+    }
+
+    /// Takes over what another node knows of the warm-up of the process `key`; it counts
+    /// once the process is listed. Returns whether it is new.
+    pub fn apply_cold(&mut self, now: Instant, key: u64, claim: ColdClaim) -> bool {
+        let mut upstreams = self.upstreams.values_mut();
+        if let Some(health) = upstreams.find(|health| process_key(&health.entry) == key) {
+            return health.cold.record(claim);
+        }
+        self.early_claims
+            .retain(|_, (at, _)| now.saturating_duration_since(*at) < EARLY_RATE_MEMORY);
+        self.early_claims.insert(key, (now, claim));
+        false
+    }
+
+    /// What other nodes are to be told of upstreams that warm up, by [`process_key`].
+    pub fn cold_claims(&self, now: Instant) -> impl Iterator<Item = (u64, ColdClaim)> {
+        self.upstreams.values().filter_map(move |health| {
+            let claim = health.cold.recent_claim(now)?;
+            Some((process_key(&health.entry), claim))
+        })
+    }
+
+    /// Number of upstreams that are cold.
+    #[must_use]
+    pub fn cold_count(&self, now: Instant) -> usize {
+        let upstreams = self.upstreams.values();
+        upstreams.filter(|health| health.is_cold(now)).count()
+    }
+
+    /// Determines which upstreams are cold and what they take, by how their service warms
+    /// up; `unix_ms` is the time of day. Returns what has changed, for the log. To be
+    /// followed by [`share_rates`](Self::share_rates).
+    pub fn update_cold<'a>(
+        &mut self,
+        now: Instant,
+        unix_ms: u64,
+        tolerance: &ColdTolerance,
+        spec_of: impl Fn(&str) -> Option<&'a ColdSpec>,
+    ) -> Vec<(UpstreamId, ColdChange)> {
+        let filled_since = *self.filled_since.get_or_insert(now);
+        let is_filled = now.saturating_duration_since(filled_since) >= FILL_TIME;
+        let mut changes = Vec::new();
         for (id, health) in &mut self.upstreams {
-            health.rate_limit.set_share(now, id, own, nodes);
+            let spec = spec_of(&health.entry.service);
+            let Some((spec, bound)) = spec.and_then(|spec| Some((spec, spec.bound(tolerance)?)))
+            else {
+                health.rate_limit.set_cold_bound(None);
+                continue;
+            };
+            if let Some((_, claim)) = self.early_claims.remove(&process_key(&health.entry)) {
+                health.cold.record(claim);
+            }
+            let age = match health.entry.started_ms {
+                Some(started_ms) => Duration::from_millis(unix_ms.saturating_sub(started_ms)),
+                None if is_filled => Duration::ZERO,
+                None => Duration::MAX,
+            };
+            health.cold.examine_start(now, age, spec);
+            changes.extend(
+                health
+                    .cold
+                    .take_change(now)
+                    .map(|change| (id.clone(), change)),
+            );
+            let factor = health.cold.rate_factor(now);
+            health
+                .rate_limit
+                .set_cold_bound(factor.map(|factor| bound * factor));
+        }
+        changes
+    }
+
+    /// Whether any upstream takes a limited rate of requests.
+    #[must_use]
+    pub fn has_limits(&self) -> bool {
+        let mut upstreams = self.upstreams.values();
+        upstreams.any(|health| health.rate_limit.is_limited())
+    }
+
+    /// Divides the rates that upstreams take among the nodes.
+    pub fn share_rates(&mut self, now: Instant, share: &FleetShare<'_>) {
+        for (id, health) in &mut self.upstreams {
+            health.rate_limit.set_share(now, id, share);
+        }
+    }
+
+    /// Gives back a request that the upstream does not count, as it was meant for another.
+    pub fn return_send(&mut self, id: &str) {
+        if let Some(health) = self.upstreams.get_mut(id) {
+            health.rate_limit.return_send();
         }
     }
 
+    /// Whether the warm-up of the upstream leaves this node no request now.
+    #[must_use]
+    pub fn is_held_by_cold(&self, now: Instant, service: &str) -> bool {
+        self.upstreams.values().any(|health| {
+            health.entry.service == service
+                && health.is_cold(now)
+                && health.rate_limit.time_left(now).is_some()
+        })
+    }
+
     /// Takes one request from this node's share of the upstream's rate; returns `false` if
     /// none is left.
     pub fn take_send(&mut self, now: Instant, id: &str) -> bool {
@@ -498,10 +626,7 @@
                 && health.entry.state == UpstreamState::Ready
                 && is_included(&health.entry.id)
         });
-        let hashes = ready.map(|health| {
-            let started = health.entry.started_ms.unwrap_or_default();
-            xxh3_64_with_seed(health.entry.id.as_bytes(), started)
-        });
+        let hashes = ready.map(|health| process_key(&health.entry));
         hashes.fold(0, u64::wrapping_add)
     }
 
--- a/components/dispatch/tests/mixed_placement.rs
+++ b/components/dispatch/tests/mixed_placement.rs
@@ -9,9 +9,9 @@
 };
 
 use dispatch::{
-    EngineLoad, InFlightRequest, LatencyGoals, LoadTracker, MemoryShare, Placement,
-    PlacementRefusal, PlacementRequest, PlacementWait, PrefillNotice, PromptSize, ReportedLoad,
-    UpstreamTable, engine_key, place_prompt, prefill_time,
+    EngineLoad, FleetShare, FleetStanding, InFlightRequest, LatencyGoals, LoadTracker, MemoryShare,
+    Placement, PlacementRefusal, PlacementRequest, PlacementWait, PrefillNotice, PromptSize,
+    ReportedLoad, UpstreamTable, engine_key, place_prompt, prefill_time,
 };
 use rand::{SeedableRng, rngs::SmallRng};
 
@@ -556,7 +556,12 @@
             .table
             .observe_rate(now, engine, None, now, Some(1_000));
     }
-    fleet.table.share_rates(fleet.now, &own, &[&own]);
+    let share = FleetShare {
+        own: &own,
+        nodes: &[&own],
+        standing: FleetStanding::Settled,
+    };
+    fleet.table.share_rates(fleet.now, &share);
     fleet.now += Duration::from_secs(1);
     let strict = LatencyGoals {
         first_event: Duration::from_millis(300),
--- a/components/dispatch/tests/rate_limits.rs
+++ b/components/dispatch/tests/rate_limits.rs
@@ -3,7 +3,9 @@
 
 use std::time::{Duration, Instant};
 
-use dispatch::{RateNotice, UpstreamEntry, UpstreamState, UpstreamTable};
+use dispatch::{
+    FleetShare, FleetStanding, RateNotice, UpstreamEntry, UpstreamState, UpstreamTable,
+};
 use rand::{RngExt, SeedableRng, rngs::StdRng};
 use types::{NodeId, UpstreamId};
 
@@ -98,7 +100,12 @@
             let is_seen = |other: &usize| *other == node || *other != lost || self.step >= until;
             let seen = (0..self.names.len()).filter(is_seen);
             let seen: Vec<&NodeId> = seen.map(|other| &self.names[other]).collect();
-            self.tables[node].share_rates(self.now, &self.names[node], &seen);
+            let share = FleetShare {
+                own: &self.names[node],
+                nodes: &seen,
+                standing: FleetStanding::Settled,
+            };
+            self.tables[node].share_rates(self.now, &share);
         }
     }
 
@@ -283,7 +290,12 @@
     let mut table = table_with_upstream();
     let own = NodeId::from("node-0");
     table.observe_rate(now, "engine", Some(1), now, Some(500));
-    table.share_rates(now, &own, &[&own]);
+    let share = FleetShare {
+        own: &own,
+        nodes: &[&own],
+        standing: FleetStanding::Settled,
+    };
+    table.share_rates(now, &share);
     assert!(table.take_send(now, "engine"));
     assert!(table.selectable(now, "models", &[]).is_empty());
     let left = table.pause_left(now, "models").unwrap();
--- a/components/gateway/src/attempt.rs
+++ b/components/gateway/src/attempt.rs
@@ -15,6 +15,7 @@
     AnswerHead,
     answer::{AnswerBody, GatewayAnswer},
     client::{ClientConnection, ExchangeError},
+    cold::record_answer,
     connect::ConnectError,
     crashes::record_sound_answer,
     forward::ForwardJob,
@@ -398,6 +399,7 @@
         return SendOutcome::Lost;
     }
     record_rate(gateway, &attempt, &head);
+    record_answer(gateway, &attempt, status, &head);
     if head.not_run {
         log::info!(
             "event=not_run request={} upstream={} status={} at_fault={}",
--- a/components/gateway/src/datagrams.rs
+++ b/components/gateway/src/datagrams.rs
@@ -156,17 +156,19 @@
     }
 }
 
-/// Sends a datagram with all of `supplements`, as [`send_datagram`] does.
+/// Sends a datagram with those of `supplements` that fit beside it, as [`send_datagram`]
+/// does. The others have their turn with a later one.
 pub(crate) async fn send_supplemented(
     socket: &Async<UdpSocket>,
     targets: &[SocketAddr],
     datagram: &PeerDatagram,
-    supplements: Vec<Supplement>,
+    mut supplements: Vec<Supplement>,
 ) {
     let Some(mut bytes) = encode_datagram(datagram) else {
         return;
     };
-    DatagramTrailer::new(supplements).append_to(&mut bytes);
+    let room = PACKET_PAYLOAD_BYTES.saturating_sub(bytes.len());
+    DatagramTrailer::fill(&mut supplements, room).append_to(&mut bytes);
     send_bytes(socket, targets, &bytes).await;
 }
 
@@ -221,6 +223,9 @@
     trailer: Option<DatagramTrailer>,
 ) {
     let now = gateway.now();
+    if let PeerDatagram::Report(_) | PeerDatagram::Sums(_) | PeerDatagram::News(_) = &datagram {
+        gateway.contact.borrow_mut().record_heard(now);
+    }
     if let Some(trailer) = trailer {
         receive_supplements(gateway, from, trailer);
     }
--- a/components/gateway/src/edge.rs
+++ b/components/gateway/src/edge.rs
@@ -69,12 +69,8 @@
     /// # Errors
     ///
     /// Describes the part of the row that can't be decoded.
-    fn decode_upstream(
-        &self,
-        key: &str,
-        version: u64,
-        value: &[u8],
-    ) -> Result<UpstreamEntry, String>;
+    fn decode_upstream(&self, key: &str, version: u64, value: &[u8])
+    -> Result<UpstreamRow, String>;
 
     /// Builds the call that carries an order to an engine.
     fn engine_call(&self, call: &EngineCall<'_>) -> PlainCall;
@@ -205,6 +201,29 @@
     pub wish: Option<UpstreamWish>,
     /// What the upstream says of the requests that it takes.
     pub rate: RateStatement,
+    /// What the upstream says of its warm-up.
+    pub cold: ColdStatement,
+}
+
+/// A row by which an upstream registers itself.
+#[derive(Clone, Debug)]
+pub struct UpstreamRow {
+    /// What nodes tell each other of it.
+    pub entry: UpstreamEntry,
+    /// What it says of its warm-up.
+    pub cold: ColdStatement,
+}
+
+/// What an upstream says of its warm-up.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub enum ColdStatement {
+    /// Nothing.
+    #[default]
+    Silent,
+    /// It is cold for this time; it is warm if that is zero.
+    Remaining(Duration),
+    /// Something that can't be decoded, or makes no sense.
+    Unclear(String),
 }
 
 /// How many requests an upstream takes from all nodes together, as an answer says.
--- a/components/gateway/src/lib.rs
+++ b/components/gateway/src/lib.rs
@@ -8,6 +8,7 @@
 mod assist;
 mod attempt;
 mod client;
+mod cold;
 mod connect;
 mod crashes;
 mod daemon;
@@ -37,8 +38,8 @@
 
 pub use daemon::run_gateway;
 pub use edge::{
-    AddressQuery, AnswerHead, EngineCall, FeedAnswer, ForwardHead, PlainCall, RateStatement,
-    RequestHead, TableChange, UpstreamWish, WatchedTable, WireDialect,
+    AddressQuery, AnswerHead, ColdStatement, EngineCall, FeedAnswer, ForwardHead, PlainCall,
+    RateStatement, RequestHead, TableChange, UpstreamRow, UpstreamWish, WatchedTable, WireDialect,
 };
 pub use events::{EventCursor, EventError};
 pub use settings::{GatewaySettings, RevokePolicy};
--- a/components/gateway/src/metrics.rs
+++ b/components/gateway/src/metrics.rs
@@ -60,6 +60,10 @@
     pub(crate) tunnels: Counter,
     /// Connections to upstreams that other nodes have opened for this one.
     pub(crate) helped: Counter,
+    /// Upstreams that are cold now.
+    pub(crate) cold_upstreams: Gauge,
+    /// Placements that had to leave out a cold upstream, as its rate was used up.
+    pub(crate) cold_holds: Counter,
     /// This node's requests in flight at upstreams of each evacuated zone.
     evacuated_requests: Family<ZoneLabels, Gauge>,
 }
@@ -90,6 +94,18 @@
             "Connections to upstreams opened for other nodes",
             tunnels.clone(),
         );
+        let cold_upstreams = Gauge::default();
+        let cold_holds = Counter::default();
+        registry.register(
+            "cold_upstreams",
+            "Upstreams that are cold",
+            cold_upstreams.clone(),
+        );
+        registry.register(
+            "cold_holds",
+            "Placements without a cold upstream whose rate was used up",
+            cold_holds.clone(),
+        );
         registry.register(
             "helped",
             "Connections to upstreams opened through other nodes",
@@ -109,6 +125,8 @@
             connects,
             tunnels,
             helped,
+            cold_upstreams,
+            cold_holds,
             evacuated_requests,
         }
     }
--- a/components/gateway/src/news.rs
+++ b/components/gateway/src/news.rs
@@ -20,7 +20,7 @@
     crashes::{receive_crash, receive_standing},
     datagrams::{PACKET_PAYLOAD_BYTES, PeerDatagram, encode_datagram, send_bytes},
     peers::begin_fetch_desired,
-    rates::receive_rate,
+    rates::{receive_rate, share_rates},
     reports::millis,
     state::{Gateway, NodeKey},
     supplements::{DatagramTrailer, answer_supplements},
@@ -138,9 +138,16 @@
     else {
         return;
     };
+    let names_upstreams = items
+        .iter()
+        .any(|item| matches!(item, NewsItem::Upstream(_)));
     for item in items {
         apply_item(gateway, now, item);
     }
+    if names_upstreams {
+        // A process that has just started is cold before anything is sent to it.
+        share_rates(gateway);
+    }
     let at = |age_ms: u32| now.checked_sub(Duration::from_millis(age_ms.into()));
     if let Some(listing) = listing
         && news.upstreams_age_ms.is_some()
--- a/components/gateway/src/place.rs
+++ b/components/gateway/src/place.rs
@@ -107,6 +107,9 @@
     let upstreams = gateway.upstreams.borrow();
     let is_home = |entry: &UpstreamEntry| gateway.settings.regions.is_home(&job.homes, &entry.zone);
     let usable = upstreams.selectable_where(now, &job.service, tried, is_home);
+    if gateway.metrics.cold_upstreams.get() > 0 && upstreams.is_held_by_cold(now, &job.service) {
+        gateway.metrics.cold_holds.inc();
+    }
     if usable.is_empty()
         && upstreams.has_staying(&job.service, |_| true)
         && !upstreams.has_staying(&job.service, is_home)
--- a/components/gateway/src/rates.rs
+++ b/components/gateway/src/rates.rs
@@ -1,11 +1,12 @@
 //! Request rates that upstreams name: learned from answers, told to all nodes, and
 //! divided among them.
 
-use dispatch::{NewsItem, RateNotice};
+use dispatch::{FleetShare, NewsItem, RateNotice};
 use types::{NodeId, UpstreamId};
 
 use crate::{
-    AnswerHead, RateStatement, datagrams::PeerDatagram, leg::UpstreamAttempt, state::Gateway,
+    AnswerHead, RateStatement, cold::update_cold, datagrams::PeerDatagram, leg::UpstreamAttempt,
+    state::Gateway,
 };
 
 /// Records what an answer says of the requests that its upstream takes, and tells all
@@ -61,15 +62,24 @@
     }
 }
 
-/// Divides the rates among the nodes that this one knows of.
+/// Divides the rates among the nodes that this one knows of, several times a second and
+/// whenever more is known of a rate or of an upstream that warms up.
 pub(crate) fn share_rates(gateway: &Gateway) {
-    if gateway.upstreams.borrow().rate_notices().next().is_none() {
-        return;
-    }
     let now = gateway.now();
+    update_cold(gateway, now);
     let own = &gateway.settings.node;
     let fleet = gateway.fleet.borrow();
     let others = fleet.roster().recent(now).map(|entry| &entry.node);
-    let nodes: Vec<&NodeId> = others.filter(|node| *node != own).chain([own]).collect();
-    gateway.upstreams.borrow_mut().share_rates(now, own, &nodes);
+    let known = others.filter(|node| *node != own).chain([own]).cloned();
+    let (nodes, standing) = gateway.contact.borrow_mut().tick(now, known.collect());
+    if !gateway.upstreams.borrow().has_limits() {
+        return;
+    }
+    let nodes: Vec<&NodeId> = nodes.iter().collect();
+    let share = FleetShare {
+        own,
+        nodes: &nodes,
+        standing,
+    };
+    gateway.upstreams.borrow_mut().share_rates(now, &share);
 }
--- a/components/gateway/src/relay.rs
+++ b/components/gateway/src/relay.rs
@@ -19,6 +19,7 @@
     answer::AnswerBody,
     attempt::{SendOutcome, can_retry, quarantine_left, stream_read_timeout, take_resume_retry},
     client::{ClientConnection, ExchangeError},
+    cold::record_answer,
     crashes::record_sound_answer,
     forward::ForwardJob,
     leg::{UpstreamAttempt, is_framed, remove_hop_by_hop_headers},
@@ -315,6 +316,7 @@
             caller_attempt_id.is_none_or(|id| *id == self.job.request.caller_attempt_id);
         if matches_request {
             record_rate(&self.gateway, &attempt, &head);
+            record_answer(&self.gateway, &attempt, response.status(), &head);
         }
         if !response.status().is_success() || !head.signed || !matches_request {
             attempt.back_off(&self.gateway);
--- a/components/gateway/src/reports.rs
+++ b/components/gateway/src/reports.rs
@@ -88,7 +88,7 @@
                 ..report.clone()
             };
             let datagram = PeerDatagram::Report(report);
-            let supplements = report_supplements(&gateway);
+            let supplements = report_supplements(&gateway, now);
             send_supplemented(&socket, &[target.address], &datagram, supplements).await;
         }
         gateway.clock.sleep(pause).await;
--- a/components/gateway/src/settings.rs
+++ b/components/gateway/src/settings.rs
@@ -2,7 +2,7 @@
 
 use std::{net::SocketAddr, time::Duration};
 
-use dispatch::RegionMap;
+use dispatch::{ColdTolerance, RegionMap};
 use types::{NodeId, ZoneId};
 
 /// Settings that a gateway gets at its start.
@@ -44,6 +44,9 @@
     pub retry_allowance: f64,
     /// Whether requests are still served while the desired state can't be confirmed.
     pub revoke_policy: RevokePolicy,
+    /// How far the load of upstreams that warm up may exceed their rate; `None` if it is
+    /// not limited.
+    pub cold_tolerance: Option<ColdTolerance>,
     /// Longest time for which an engine holds a memory reservation.
     pub reservation_lifetime_max: Duration,
 }
--- a/components/gateway/src/state.rs
+++ b/components/gateway/src/state.rs
@@ -2,7 +2,7 @@
 
 use std::{
     cell::{Cell, RefCell},
-    collections::HashMap,
+    collections::{HashMap, HashSet},
     hash::RandomState,
     net::{IpAddr, UdpSocket},
     rc::Rc,
@@ -11,12 +11,13 @@
 
 use bytes::Bytes;
 use dispatch::{
-    FleetView, InFlightId, LoadTracker, QuarantineList, ReachTable, RetryBudget, RosterEntry,
-    RouteTable, TableFreshness, UpstreamTable,
+    FleetContact, FleetView, InFlightId, LoadTracker, QuarantineList, ReachTable, RetryBudget,
+    RosterEntry, RouteTable, TableFreshness, UpstreamTable,
 };
 use kernel::ClockSource;
 use rand::{SeedableRng, rngs::SmallRng};
 use smol::{Async, LocalExecutor};
+use types::UpstreamId;
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::{
@@ -52,6 +53,10 @@
     pub(crate) loads: RefCell<LoadTracker>,
     /// The other nodes, and the news between them and this one.
     pub(crate) fleet: RefCell<FleetView>,
+    /// How far this node can rely on the others seeing the same fleet.
+    pub(crate) contact: RefCell<FleetContact>,
+    /// Upstreams with a claim of their warm-up that can't be decoded, each logged once.
+    pub(crate) unclear_claims: RefCell<HashSet<UpstreamId>>,
     /// Node whose polls of the store the known upstreams come from.
     pub(crate) upstreams_source: Cell<Option<NodeKey>>,
     pub(crate) retry_budget: RefCell<RetryBudget>,
@@ -117,6 +122,8 @@
             upstream_freshness: RefCell::default(),
             loads: RefCell::default(),
             fleet: RefCell::new(fleet),
+            contact: RefCell::new(FleetContact::new(ClockSource::System.now())),
+            unclear_claims: RefCell::default(),
             upstreams_source: Cell::default(),
             retry_budget: RefCell::new(retry_budget),
             quarantine: RefCell::default(),
--- a/components/gateway/src/supplements.rs
+++ b/components/gateway/src/supplements.rs
@@ -15,6 +15,7 @@
 use serde::{Deserialize, Serialize, de::DeserializeOwned};
 
 use crate::{
+    cold::{cold_supplements, receive_cold},
     evacuation::{evacuation_supplements, receive_evacuations},
     state::Gateway,
 };
@@ -47,10 +48,12 @@
 pub(crate) enum SupplementKind {
     /// What is known of evacuated zones.
     Evacuations = 1,
+    /// What is known of upstreams that warm up.
+    ColdUpstreams = 2,
 }
 
 impl SupplementKind {
-    const ALL: [Self; 1] = [Self::Evacuations];
+    const ALL: [Self; 2] = [Self::Evacuations, Self::ColdUpstreams];
 
     fn from_number(number: u16) -> Option<Self> {
         Self::ALL.into_iter().find(|kind| *kind as u16 == number)
@@ -89,7 +92,7 @@
 }
 
 impl DatagramTrailer {
-    pub(crate) fn new(supplements: Vec<Supplement>) -> Self {
+    fn new(supplements: Vec<Supplement>) -> Self {
         Self {
             format: FORMAT,
             supplements,
@@ -132,13 +135,15 @@
 }
 
 /// Returns what this node adds to its reports to relays.
-pub(crate) fn report_supplements(_gateway: &Gateway) -> Vec<Supplement> {
-    Vec::new()
+pub(crate) fn report_supplements(gateway: &Gateway, now: Instant) -> Vec<Supplement> {
+    cold_supplements(gateway, now)
 }
 
 /// Returns what this node adds to its news for a node that asks.
 pub(crate) fn answer_supplements(gateway: &Gateway, now: Instant) -> Vec<Supplement> {
-    evacuation_supplements(gateway, now)
+    let mut supplements = evacuation_supplements(gateway, now);
+    supplements.extend(cold_supplements(gateway, now));
+    supplements
 }
 
 /// Takes over what another node added to a datagram.
@@ -154,6 +159,11 @@
                     receive_evacuations(gateway, knowledge);
                 }
             }
+            Some(SupplementKind::ColdUpstreams) => {
+                if let Some(knowledge) = supplement.decode(from) {
+                    receive_cold(gateway, knowledge);
+                }
+            }
             None => log::debug!(
                 "event=supplement_unknown peer={from} kind={} format={}",
                 supplement.kind,
--- a/components/gateway/src/sync.rs
+++ b/components/gateway/src/sync.rs
@@ -15,8 +15,10 @@
 use crate::{
     FeedAnswer, PlainCall, TableChange, WatchedTable,
     client::PlainCaller,
+    cold::record_row,
     crashes::apply_quarantine_rows,
     evacuation::{apply_evacuation_rows, has_store_poller},
+    rates::share_rates,
     reports::is_relay,
     state::Gateway,
 };
@@ -391,6 +393,7 @@
     // their rows may be missing, so they are kept until then.
     let expires_at = freshness.grace_until(now);
     let mut listed = Vec::new();
+    let mut claims = Vec::new();
     for change in changes {
         let entry = change.value.as_ref().map(|value| {
             gateway
@@ -398,11 +401,18 @@
                 .decode_upstream(&change.key, change.version, value)
         });
         match entry {
-            Some(Ok(entry)) if is_copy && upstreams.is_outdated(&entry) => {
-                log::info!("event=upstream_outdated upstream={}", entry.id);
+            Some(Ok(row)) if is_copy && upstreams.is_outdated(&row.entry) => {
+                log::info!("event=upstream_outdated upstream={}", row.entry.id);
+            }
+            Some(Ok(row)) => {
+                let entry = &row.entry;
+                claims.push((entry.id.clone(), entry.started_ms, entry.version, row.cold));
+                if complete {
+                    listed.push(row.entry);
+                } else {
+                    upstreams.upsert(row.entry);
+                }
             }
-            Some(Ok(entry)) if complete => listed.push(entry),
-            Some(Ok(entry)) => upstreams.upsert(entry),
             Some(Err(error)) => {
                 log::warn!(
                     "event=entry_unreadable upstream={} error=\"{error}\"",
@@ -442,6 +452,11 @@
     for id in upstreams.remove_expired(now) {
         gateway.loads.borrow_mut().remove_prefill_queue(&id);
     }
+    drop(upstreams);
+    for (id, started_ms, version, statement) in claims {
+        record_row(gateway, &id, started_ms, version, &statement);
+    }
+    share_rates(gateway);
 }
 
 fn apply_nodes(gateway: &Gateway, changes: Vec<TableChange>) {
