Renew reservations only while the answering engine is seen

Behind a cut, a node waited for the head of an answer and meanwhile renewed the memory reserved on other engines, up to 5.2 s after the answering engine had ended; 4 s are allowed. A renewal now needs data of the answer or a connection to that engine by this node or another; lifetime, pause and order timeout fit into freeMs. Releases outlast a stop, and are repeated after orders that were not answered.

Tests seen to fail with their rule taken out: the arm for Unseen engines renews, the is_recent guard, the has_lapsed arm; and with a lifetime of 0.8 of freeMs.

--- a/components/gateway/src/daemon.rs
+++ b/components/gateway/src/daemon.rs
@@ -204,8 +204,8 @@
 
 /// Removes this node from address answers at once and keeps serving callers that
 /// still use an older address answer. Waits until [`is_closing`] holds, then until no
-/// caller is connected and no connection is held for another node, or [`FORCED_END_SHARE`] of the grace period has passed since the
-/// stop began.
+/// caller is connected, no connection is held for another node and no reservation is being
+/// released, or [`FORCED_END_SHARE`] of the grace period has passed since the stop began.
 async fn stop_gracefully(gateway: &Rc<Gateway>, idle_close_sender: channel::Sender<()>) {
     let stop_started = gateway.now();
     gateway.stopping_since.set(Some(stop_started));
@@ -221,9 +221,12 @@
     }
     drop(idle_close_sender);
     let longest_stop = gateway.settings.grace_period.mul_f64(FORCED_END_SHARE);
-    while (gateway.open_connections.get() > 0 || gateway.tunnels.get() > 0)
-        && gateway.now().saturating_duration_since(stop_started) < longest_stop
-    {
+    let is_busy = || {
+        gateway.open_connections.get() > 0
+            || gateway.tunnels.get() > 0
+            || gateway.open_releases.get() > 0
+    };
+    while is_busy() && gateway.now().saturating_duration_since(stop_started) < longest_stop {
         gateway.clock.sleep(STOP_CHECK_PAUSE).await;
     }
     log::info!(
--- a/components/gateway/src/leg.rs
+++ b/components/gateway/src/leg.rs
@@ -28,7 +28,7 @@
     place::prompt_goals,
     reach::{is_cut_suspected, suspect_cut},
     state::{Gateway, InFlightGuard},
-    tickets::ReservationSet,
+    tickets::{AnsweringEngine, ReservationSet},
 };
 
 /// Expected time to first token in addition to the prefill: two forward passes
@@ -147,8 +147,13 @@
         if shares.is_empty() {
             return Ok(());
         }
-        let reservations =
-            ReservationSet::reserve(gateway, &job.request.caller_attempt_id, shares).await?;
+        let answering = AnsweringEngine {
+            upstream: self.upstream.clone(),
+            address: self.address,
+            started_ms: self.started_ms,
+        };
+        let request = &job.request.caller_attempt_id;
+        let reservations = ReservationSet::reserve(gateway, request, answering, shares).await?;
         let mut helper_targets = reservations.helper_targets();
         helper_targets.append(&mut self.helpers);
         self.helpers = helper_targets;
@@ -376,6 +381,9 @@
     /// after [`SOUND_ANSWER_TIME`] has not crashed on this prompt.
     pub(crate) fn record_events(&self, gateway: &Gateway, job: &ForwardJob) {
         let now = gateway.now();
+        if let Some(reservations) = &self.reservations {
+            reservations.record_data();
+        }
         if self.first_event_at.get().is_none() {
             self.first_event_at.set(Some(now));
             self.proof_due_at.set(Some(now + SOUND_ANSWER_TIME));
--- a/components/gateway/src/probe.rs
+++ b/components/gateway/src/probe.rs
@@ -2,6 +2,7 @@
 
 use std::{
     io,
+    net::SocketAddr,
     rc::Rc,
     time::{Duration, Instant},
 };
@@ -38,13 +39,20 @@
     let Some(address) = address else {
         return ProbeOutcome::Unknown;
     };
+    let outcome = probe_address(gateway, address).await;
+    if outcome == ProbeOutcome::Reached {
+        let now = gateway.now();
+        gateway.upstreams.borrow_mut().record_contact(now, id);
+    }
+    outcome
+}
+
+/// Connects to an address, which need not be that of a known upstream, and closes the
+/// connection again.
+pub(crate) async fn probe_address(gateway: &Gateway, address: SocketAddr) -> ProbeOutcome {
     let connecting = connect_from(gateway.source(), address);
     match gateway.clock.timeout(PROBE_TIMEOUT, connecting).await {
-        Some(Ok(_)) => {
-            let now = gateway.now();
-            gateway.upstreams.borrow_mut().record_contact(now, id);
-            ProbeOutcome::Reached
-        }
+        Some(Ok(_)) => ProbeOutcome::Reached,
         Some(Err(error)) if error.kind() == io::ErrorKind::ConnectionRefused => {
             ProbeOutcome::Refused
         }
--- a/components/gateway/src/settings.rs
+++ b/components/gateway/src/settings.rs
@@ -49,6 +49,8 @@
     pub cold_tolerance: Option<ColdTolerance>,
     /// Longest time for which an engine holds a memory reservation.
     pub reservation_lifetime_max: Duration,
+    /// Time after the last use of reserved memory within which engines must have it back.
+    pub memory_free_time: Duration,
 }
 
 /// What happens to requests while the store doesn't confirm the desired state, which
--- a/components/gateway/src/state.rs
+++ b/components/gateway/src/state.rs
@@ -70,6 +70,8 @@
     pub(crate) reach_answers: Cell<u32>,
     /// Connections that this node holds for others.
     pub(crate) tunnels: Cell<u32>,
+    /// Reservations of memory that are being released.
+    pub(crate) open_releases: Cell<usize>,
     pub(crate) socket: Rc<Async<UdpSocket>>,
     /// Queue of datagrams for the relays, sent by a task of its own.
     pub(crate) outbox: smol::channel::Sender<PeerDatagram>,
@@ -132,6 +134,7 @@
             reach_questions: RefCell::default(),
             reach_answers: Cell::default(),
             tunnels: Cell::default(),
+            open_releases: Cell::default(),
             socket,
             outbox,
             last_aggregate: Cell::new(u64::from(rand::random::<u32>()) << u32::BITS),
