--- a/components/dispatch/src/freshness.rs
+++ b/components/dispatch/src/freshness.rs
@@ -31,10 +31,11 @@
     peer_confirmed_at: Option<Instant>,
 }
 
-/// Age of a store poller's copy up to which this node relies on it. Covers the
-/// store poller's longest wait for a change in the store, two steps from relay to
-/// node, and a lost answer.
-const STORE_POLLER_TIMEOUT: Duration = Duration::from_millis(2200);
+/// Time after its last answer from the store for which a node counts as polling it.
+const OWN_POLL_TIMEOUT: Duration = Duration::from_millis(2200);
+/// Time by which a confirmation seems later when relays have told it each other: its age
+/// does not count the way, which would make copies look fresh that nobody confirms.
+const ECHO_TIME: Duration = Duration::from_millis(50);
 /// Time after an outage of the store during which missing entries may still
 /// come back.
 const RETURN_GRACE: Duration = Duration::from_millis(2200);
@@ -72,17 +73,20 @@
     }
 
     /// Records that a store poller was up to date at `at`; it would have announced
-    /// any change.
+    /// any change. A time that is hardly later than the known one is ignored.
     pub fn record_store_poller(&mut self, at: Instant) {
-        self.peer_confirmed_at = self.peer_confirmed_at.max(Some(at));
+        let known = self.peer_confirmed_at;
+        if known.is_none_or(|known| at.saturating_duration_since(known) > ECHO_TIME) {
+            self.peer_confirmed_at = Some(at);
+        }
     }
 
     /// Whether a store poller watches the table in the store, so that this node
-    /// need not poll it.
+    /// need not poll it. `timeout` is that of [`store_poller_timeout`].
     #[must_use]
-    pub fn has_store_poller(&self, now: Instant) -> bool {
+    pub fn has_store_poller(&self, now: Instant, timeout: Duration) -> bool {
         self.peer_confirmed_at
-            .is_some_and(|at| now.saturating_duration_since(at) < STORE_POLLER_TIMEOUT)
+            .is_some_and(|at| now.saturating_duration_since(at) < timeout)
     }
 
     /// Time since the store itself last answered; `None` when it never did or
@@ -97,7 +101,7 @@
     #[must_use]
     pub fn polls_store(&self, now: Instant) -> bool {
         self.store_age(now)
-            .is_some_and(|age| age < STORE_POLLER_TIMEOUT)
+            .is_some_and(|age| age < OWN_POLL_TIMEOUT)
     }
 
     /// Time since the store last confirmed the copy, to this node or to a store poller
--- a/components/dispatch/src/lib.rs
+++ b/components/dispatch/src/lib.rs
@@ -27,6 +27,7 @@
 mod reservation;
 mod roster;
 mod routes;
+mod store_polls;
 mod unreported;
 mod upstreams;
 
@@ -59,4 +60,8 @@
 pub use reservation::{EngineSign, ORDER_TIMEOUT, RenewalPlan, RenewalStep, ReservationTerms};
 pub use roster::{NodeRoster, RosterEntry};
 pub use routes::{RouteMatch, RouteTable};
+pub use store_polls::{
+    DESIRED_WAIT, PROBES_PER_SECOND, UPSTREAM_PAUSE, UPSTREAM_WAIT, probe_pause,
+    store_poller_timeout,
+};
 pub use upstreams::{UpstreamEntry, UpstreamHealth, UpstreamState, UpstreamTable};
--- a/components/gateway/src/evacuation.rs
+++ b/components/gateway/src/evacuation.rs
@@ -8,10 +8,11 @@
 use types::ZoneId;
 
 use crate::{
-    TableChange,
+    TableChange, WatchedTable,
     reports::millis,
     state::Gateway,
     supplements::{Supplement, SupplementKind},
+    sync::poller_timeout,
 };
 
 /// Zones in one supplement, so that it fits into one packet: names of zones have at most
@@ -30,7 +31,9 @@
 
 /// Returns whether a node that tells this one watches the evacuations in the store.
 pub(crate) fn has_store_poller(gateway: &Gateway, now: Instant) -> bool {
-    gateway.evacuation_freshness.borrow().has_store_poller(now)
+    let timeout = poller_timeout(gateway, WatchedTable::Desired);
+    let freshness = gateway.evacuation_freshness.borrow();
+    freshness.has_store_poller(now, timeout)
 }
 
 /// Takes over rows of the operator's table: a zone is evacuated while its row exists.
--- a/components/gateway/src/news.rs
+++ b/components/gateway/src/news.rs
@@ -18,7 +18,9 @@
 use crate::{
     WatchedTable,
     crashes::{receive_crash, receive_standing},
-    datagrams::{PACKET_PAYLOAD_BYTES, PeerDatagram, encode_datagram, send_bytes},
+    datagrams::{
+        PACKET_PAYLOAD_BYTES, PeerDatagram, encode_datagram, send_bytes, send_supplemented,
+    },
     peers::begin_fetch_desired,
     rates::{receive_rate, share_rates},
     reports::millis,
@@ -125,6 +127,7 @@
 pub(crate) fn handle_news(gateway: &Rc<Gateway>, news: RelayNews) {
     let now = gateway.now();
     let peer = news.entry.peer_address;
+    apply_desired_age(gateway, now, &news);
     let accepted =
         gateway
             .fleet
@@ -165,8 +168,15 @@
         gateway.upstreams_source.set(news.upstreams_source);
         compare_digest(gateway, now, peer, news.upstreams_digest);
     }
+}
+
+/// Takes over how fresh the sender's desired state is, and fetches a newer one.
+fn apply_desired_age(gateway: &Rc<Gateway>, now: Instant, news: &RelayNews) {
     let known = gateway.desired_freshness.borrow().version();
-    if let Some(at) = news.desired_age_ms.and_then(at)
+    let age = news
+        .desired_age_ms
+        .map(|age| Duration::from_millis(age.into()));
+    if let Some(at) = age.and_then(|age| now.checked_sub(age))
         && news.desired == known
     {
         gateway
@@ -175,10 +185,32 @@
             .record_store_poller(at);
     }
     if news.desired > known {
-        begin_fetch_desired(gateway, peer);
+        begin_fetch_desired(gateway, news.entry.peer_address);
     }
 }
 
+/// Tells the relays which version of the desired state and which evacuations this node
+/// knows, since the store has confirmed them to this node while it turns away the store
+/// pollers. They don't ask
+/// other nodes, so they would learn a change late. Not repeated: each poll tells them again.
+pub(crate) async fn push_desired_version(gateway: &Gateway) {
+    let now = gateway.now();
+    // Belongs to no log, so that no reader goes on from it.
+    let page = NewsPage {
+        log: 0,
+        restarts: false,
+        after: 0,
+        until: 0,
+        complete: false,
+        items: Vec::new(),
+    };
+    let own = gateway.own_entry();
+    let relays = gateway.fleet.borrow().other_relays(now, &own);
+    let news = PeerDatagram::News(own_news(gateway, now, page));
+    let supplements = answer_supplements(gateway, now);
+    send_supplemented(&gateway.socket, &relays, &news, supplements).await;
+}
+
 fn apply_item(gateway: &Gateway, now: Instant, item: NewsItem) {
     match item {
         // `FleetView` has taken it over.
--- a/components/gateway/src/reports.rs
+++ b/components/gateway/src/reports.rs
@@ -15,12 +15,14 @@
 use types::NodeId;
 
 use crate::{
+    WatchedTable,
     crashes::repeat_own_reports,
     datagrams::{PeerDatagram, send_datagram, send_supplemented},
     news::answer_news,
     rates::share_rates,
     state::Gateway,
     supplements::report_supplements,
+    sync::poller_timeout,
 };
 
 /// Bytes a second that a node receives in sums. In a fleet of many engines it asks for
@@ -66,7 +68,7 @@
     loop {
         let now = gateway.now();
         let pause = gateway.fleet.borrow().report_pause(now);
-        let question_pause = question_pause(&gateway).max(pause);
+        let question_pause = question_pause(&gateway);
         let plan = plan_report(&gateway, now, question_pause);
         share_rates(&gateway);
         // Half a report early, so that a late timer doesn't skip a question.
@@ -95,16 +97,19 @@
     }
 }
 
-fn question_pause(gateway: &Gateway) -> Duration {
+/// Interval at which this node asks a relay.
+pub(crate) fn question_pause(gateway: &Gateway) -> Duration {
     let engines = gateway.upstreams.borrow().ids().count();
     let engines = u32::try_from(engines).unwrap_or(u32::MAX);
-    Duration::from_secs(1) * engines.saturating_mul(SUM_BYTES) / SUMS_BYTES_PER_SECOND
+    let sums = Duration::from_secs(1) * engines.saturating_mul(SUM_BYTES) / SUMS_BYTES_PER_SECOND;
+    sums.max(gateway.fleet.borrow().report_pause(gateway.now()))
 }
 
 fn plan_report(gateway: &Gateway, now: Instant, question_pause: Duration) -> ReportPlan {
     let own = gateway.own_entry();
     let freshness = gateway.upstream_freshness.borrow();
-    let stale_copy = !freshness.polls_store(now) && !freshness.has_store_poller(now);
+    let stale_copy = !freshness.polls_store(now)
+        && !freshness.has_store_poller(now, poller_timeout(gateway, WatchedTable::Upstreams));
     let plan = gateway.fleet.borrow_mut().plan_report(
         now,
         &own,
--- a/components/gateway/src/sync.rs
+++ b/components/gateway/src/sync.rs
@@ -8,7 +8,10 @@
 use std::{rc::Rc, time::Duration};
 
 use bytes::Bytes;
-use dispatch::{DesiredState, RosterEntry, RouteTable, VersionSource};
+use dispatch::{
+    DESIRED_WAIT, DesiredState, RosterEntry, RouteTable, UPSTREAM_PAUSE, UPSTREAM_WAIT,
+    VersionSource, store_poller_timeout,
+};
 use rand::RngExt;
 use types::UpstreamId;
 
@@ -18,19 +21,12 @@
     cold::record_row,
     crashes::apply_quarantine_rows,
     evacuation::{apply_evacuation_rows, has_store_poller},
+    news::push_desired_version,
     rates::share_rates,
-    reports::is_relay,
+    reports::{is_relay, question_pause},
     state::Gateway,
 };
 
-/// Longest long poll for changes of the desired state. It is short because a dead
-/// connection is noticed only when the poll times out.
-const DESIRED_WAIT: Duration = Duration::from_millis(1200);
-/// Longest long poll for changes of the upstreams.
-const UPSTREAM_WAIT: Duration = Duration::from_millis(800);
-/// Pause between long polls for upstreams: each upstream writes its row about once
-/// a second, and without a pause every write would end a poll.
-const UPSTREAM_PAUSE: Duration = Duration::from_millis(500);
 /// Longest long poll for changes of the quarantines. They are rare, and nodes mostly learn
 /// of them by news; the store tells nodes that have lost each other.
 const QUARANTINE_WAIT: Duration = Duration::from_secs(20);
@@ -42,13 +38,10 @@
 const CONTACT_WAIT: Duration = Duration::from_millis(400);
 /// Time that it gives them to tell it all they know, once it has heard of any.
 const FLEET_WAIT: Duration = Duration::from_millis(2500);
-/// Rate at which all nodes together, without the store pollers, try a store that does
-/// not answer.
-const PROBES_PER_SECOND: u32 = 20;
 /// Interval at which a node that starts checks whether others have told it.
 const FLEET_CHECK_PAUSE: Duration = Duration::from_millis(50);
 /// Interval at which a node checks that the store pollers still poll the store.
-const POLLER_CHECK_PAUSE: Duration = Duration::from_millis(250);
+const POLLER_CHECK_PAUSE: Duration = Duration::from_millis(50);
 /// Timeout of a call to the store, in addition to the wait of a long poll.
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(900);
 /// Shortest pause after a failed call; it doubles with each failure in a row.
@@ -95,6 +88,9 @@
         };
         let pause = match step {
             SyncStep::CaughtUp(newest) => {
+                if table == WatchedTable::Desired && !is_store_poller(&gateway, table) {
+                    push_desired_version(&gateway).await;
+                }
                 if retry_pause > RETRY_PAUSE_MIN {
                     log::info!("event=dependency_regained dependency=store table={table:?}");
                 }
@@ -178,18 +174,35 @@
     let goes_on = upstreams.polls_store(now) && source > Some(gateway.own_key());
     match table {
         WatchedTable::Desired => {
+            let timeout = poller_timeout(gateway, table);
             !goes_on
-                && gateway.desired_freshness.borrow().has_store_poller(now)
+                && gateway
+                    .desired_freshness
+                    .borrow()
+                    .has_store_poller(now, timeout)
                 && has_store_poller(gateway, now)
         }
-        WatchedTable::Upstreams => !goes_on && upstreams.has_store_poller(now),
+        WatchedTable::Upstreams => {
+            !goes_on && upstreams.has_store_poller(now, poller_timeout(gateway, table))
+        }
         // Other nodes don't need these rows.
         WatchedTable::Nodes | WatchedTable::Quarantine => true,
     }
 }
 
+/// Returns the age of the store pollers' copy up to which this node relies on it.
+pub(crate) fn poller_timeout(gateway: &Gateway, table: WatchedTable) -> Duration {
+    let poll_interval = match table {
+        WatchedTable::Desired => DESIRED_WAIT,
+        WatchedTable::Upstreams => UPSTREAM_WAIT + UPSTREAM_PAUSE,
+        WatchedTable::Nodes => NODES_POLL_PAUSE,
+        WatchedTable::Quarantine => QUARANTINE_WAIT,
+    };
+    store_poller_timeout(poll_interval, question_pause(gateway))
+}
+
 /// Returns how long this node waits for its turn to call the store: a random time, so
-/// that the nodes that know each other make [`PROBES_PER_SECOND`] together. A node that
+/// that the nodes that know each other make [`dispatch::PROBES_PER_SECOND`] together. A node that
 /// polls already, and a store poller, don't wait.
 fn probe_pause(gateway: &Gateway, table: WatchedTable) -> Duration {
     let now = gateway.now();
@@ -202,9 +215,7 @@
         return Duration::ZERO;
     }
     let nodes = gateway.fleet.borrow().roster().live(now).count();
-    let nodes = u32::try_from(nodes).unwrap_or(u32::MAX);
-    let pause = Duration::from_secs(1) * nodes / PROBES_PER_SECOND;
-    pause.mul_f64(gateway.rng.borrow_mut().random_range(0.0..2.0))
+    dispatch::probe_pause(nodes, gateway.rng.borrow_mut().random_range(0.0..2.0))
 }
 
 /// Outcome of one call that lists or polls a table.
