Check an upstream's leaving again once its connection is open

A request that was placed, or waited for reservations or a connection, was still sent to an upstream that the store meanwhile listed as draining or no longer: only what the upstream itself had said counted, and only before the connection was opened, which can take 0.4 s, and longer through another node.

The test is seen to fail without the check of the state in UpstreamTable::is_barred. No test covers the second check, after the connection.

--- a/components/dispatch/src/upstreams.rs
+++ b/components/dispatch/src/upstreams.rs
@@ -473,14 +473,14 @@
         health.is_some_and(|health| self.evacuations.is_evacuated(&health.entry.zone))
     }
 
-    /// Whether no request may be sent to the upstream now: it leaves, asked for a
-    /// pause, or its zone is evacuated.
+    /// Whether no request may be sent to the upstream now: it leaves or has left, as the
+    /// store or its process says, asked for a pause, or its zone is evacuated.
     #[must_use]
     pub fn is_barred(&self, now: Instant, id: &str) -> bool {
         let entry = self.upstreams.get(id).map(|health| &health.entry);
-        entry.is_some_and(|entry| self.is_leaving(entry))
-            || self.is_paused(now, id)
-            || self.is_evacuated(id)
+        let is_staying = entry
+            .is_some_and(|entry| entry.state == UpstreamState::Ready && !self.is_leaving(entry));
+        !is_staying || self.is_paused(now, id) || self.is_evacuated(id)
     }
 
     /// Whether `service` has upstreams that would take new work, all of them in
--- a/components/dispatch/tests/known_state.rs
+++ b/components/dispatch/tests/known_state.rs
@@ -397,6 +397,20 @@
     assert_eq!(selectable_ids(&table, now), ["a"]);
 }
 
+/// A request that was placed before is checked again right before it is sent.
+#[test]
+fn an_upstream_whose_leaving_the_store_has_told_is_barred() {
+    let now = Instant::now();
+    let mut table = UpstreamTable::default();
+    table.upsert(entry("a", 1, UpstreamState::Ready, 7));
+    table.upsert(entry("b", 2, UpstreamState::Ready, 7));
+    assert!(!table.is_barred(now, "a") && !table.is_barred(now, "b"));
+    table.upsert(entry("a", 3, UpstreamState::Draining, 7));
+    assert!(table.is_barred(now, "a"));
+    assert!(table.remove_at(now, "b", 4));
+    assert!(table.is_barred(now, "b"));
+}
+
 #[test]
 fn an_upstream_gets_no_requests_while_it_asks_for_a_pause() {
     let now = Instant::now();
--- a/components/gateway/src/attempt.rs
+++ b/components/gateway/src/attempt.rs
@@ -301,6 +301,9 @@
             };
         }
     };
+    if !attempt.may_send(gateway) {
+        return SendOutcome::NotSent;
+    }
     history.sends += 1;
     let request = match attempt.build_request(gateway, job, None) {
         Ok(request) => request,
--- a/components/gateway/src/leg.rs
+++ b/components/gateway/src/leg.rs
@@ -229,6 +229,19 @@
         Ok(request)
     }
 
+    /// Returns whether the request may still be sent now that its connection is open: that
+    /// can take longer than news of the upstream's leaving.
+    pub(crate) fn may_send(&self, gateway: &Gateway) -> bool {
+        let is_barred = gateway
+            .upstreams
+            .borrow()
+            .is_barred(gateway.now(), &self.upstream);
+        if is_barred {
+            log::info!("event=barred_while_connecting upstream={}", self.upstream);
+        }
+        !is_barred
+    }
+
     /// Records that the upstream answered.
     pub(crate) fn record_success(&self, gateway: &Gateway) {
         let now = gateway.now();
--- a/components/gateway/src/relay.rs
+++ b/components/gateway/src/relay.rs
@@ -285,6 +285,9 @@
                 return false;
             }
         };
+        if !attempt.may_send(&self.gateway) {
+            return false;
+        }
         let limit = (RESUME_TIMEOUT + placement.time_to_prefill * 2).min(self.time_left());
         let answer = self.gateway.clock.timeout(limit, connection.send(request));
         let response = match answer.await {
