--- a/components/gateway/src/lib.rs
+++ b/components/gateway/src/lib.rs
@@ -30,6 +30,7 @@
 mod relay;
 mod reports;
 mod settings;
+mod start;
 mod state;
 mod supplements;
 mod sync;
--- a/components/gateway/src/news.rs
+++ b/components/gateway/src/news.rs
@@ -24,6 +24,7 @@
     peers::begin_fetch_desired,
     rates::{receive_rate, share_rates},
     reports::millis,
+    start::StartPhase,
     state::{Gateway, NodeKey},
     supplements::{DatagramTrailer, answer_supplements},
     sync::is_store_poller,
@@ -128,6 +129,7 @@
     let now = gateway.now();
     let peer = news.entry.peer_address;
     apply_desired_age(gateway, now, &news);
+    gateway.record_start_phase(StartPhase::Members);
     let accepted =
         gateway
             .fleet
@@ -263,6 +265,7 @@
         Some(_) => {}
     }
     upstreams.upsert(entry);
+    gateway.record_start_phase(StartPhase::Upstreams);
 }
 
 /// Removes upstreams that are missing from a complete listing, unless this node polls
--- a/components/gateway/src/reports.rs
+++ b/components/gateway/src/reports.rs
@@ -20,6 +20,7 @@
     datagrams::{PeerDatagram, send_datagram, send_supplemented},
     news::answer_news,
     rates::share_rates,
+    start::StartPhase,
     state::Gateway,
     supplements::report_supplements,
     sync::poller_timeout,
@@ -161,6 +162,7 @@
     if node == gateway.settings.node {
         return;
     }
+    gateway.record_start_phase(StartPhase::Members);
     record_report(gateway, report.entry, report.store_age_ms, report.loads);
     let Some(question) = report.question else {
         return;
@@ -218,4 +220,5 @@
     let mut loads = gateway.loads.borrow_mut();
     loads.record_aggregate(gateway.now(), chunk);
     gateway.fleet.borrow_mut().record_answer();
+    gateway.record_start_phase(StartPhase::Loads);
 }
--- a/components/gateway/src/state.rs
+++ b/components/gateway/src/state.rs
@@ -21,8 +21,12 @@
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::{
-    GatewaySettings, RevokePolicy, WireDialect, client::ConnectionPool, datagrams::PeerDatagram,
-    metrics::GatewayMetrics, question::ReachAnswer,
+    GatewaySettings, RevokePolicy, WireDialect,
+    client::ConnectionPool,
+    datagrams::PeerDatagram,
+    metrics::GatewayMetrics,
+    question::ReachAnswer,
+    start::{StartPhase, StartTimes},
 };
 
 /// Hash of a node's id, in datagrams.
@@ -90,6 +94,7 @@
     /// The channel is closed when idle connections are to be closed.
     pub(crate) idle_close_receiver: smol::channel::Receiver<()>,
     pub(crate) metrics: GatewayMetrics,
+    start_times: StartTimes,
 }
 
 impl Gateway {
@@ -108,11 +113,13 @@
             settings.retry_ratio,
             settings.retry_allowance,
         );
+        let clock = ClockSource::System;
+        let start_times = StartTimes::new(clock.now());
         Self {
             settings,
             dialect,
             executor,
-            clock: ClockSource::System,
+            clock,
             incarnation,
             hasher: RandomState::new(),
             rng: RefCell::new(SmallRng::seed_from_u64(rand::random())),
@@ -145,6 +152,7 @@
             open_connections: Cell::new(0),
             idle_close_receiver,
             metrics: GatewayMetrics::new(),
+            start_times,
         }
     }
 
@@ -204,6 +212,12 @@
         number
     }
 
+    /// Records that a phase of the start has ended.
+    pub(crate) fn record_start_phase(&self, phase: StartPhase) {
+        self.start_times
+            .record(self.now(), phase, &self.settings.node);
+    }
+
     /// Returns the hash of this node's id.
     pub(crate) fn own_key(&self) -> NodeKey {
         xxh3_64(self.settings.node.as_bytes())
--- a/components/gateway/src/sync.rs
+++ b/components/gateway/src/sync.rs
@@ -24,6 +24,7 @@
     news::push_desired_version,
     rates::share_rates,
     reports::{is_relay, question_pause},
+    start::StartPhase,
     state::Gateway,
 };
 
@@ -376,6 +377,7 @@
         log_desired(&state, source);
         *gateway.routes.borrow_mut() = Rc::new(RouteTable::new(state));
         *gateway.desired_row.borrow_mut() = Some((key.to_owned(), value.clone()));
+        gateway.record_start_phase(StartPhase::Desired);
     }
 }
 
@@ -463,7 +465,11 @@
     for id in upstreams.remove_expired(now) {
         gateway.loads.borrow_mut().remove_prefill_queue(&id);
     }
+    let is_known = !upstreams.is_empty();
     drop(upstreams);
+    if is_known {
+        gateway.record_start_phase(StartPhase::Upstreams);
+    }
     for (id, started_ms, version, statement) in claims {
         record_row(gateway, &id, started_ms, version, &statement);
     }
