--- a/components/dispatch/src/fleet.rs
+++ b/components/dispatch/src/fleet.rs
@@ -10,7 +10,7 @@
     time::{Duration, Instant},
 };
 
-use rand::{Rng, seq::IndexedRandom};
+use rand::{Rng, RngExt, seq::IndexedRandom};
 use types::{NodeId, UpstreamId};
 
 use crate::{
@@ -62,6 +62,8 @@
     published_digest: u64,
     /// Number of reports in a row that were sent without knowing another node.
     isolated_reports: u32,
+    /// Position of the seed that is asked first.
+    first_seed: usize,
 }
 
 /// Where a report goes, and what changed since the last one.
@@ -77,6 +79,15 @@
     pub silent: Option<NodeId>,
 }
 
+/// What a node knows of others.
+#[derive(Clone, Copy, Debug)]
+pub struct ContactLevel {
+    /// Whether it knows no live node.
+    isolated: bool,
+    /// Number of known nodes, dead ones included.
+    known: usize,
+}
+
 /// A node that gets a report.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct ReportTarget {
@@ -102,6 +113,7 @@
             published_at: None,
             published_digest: 0,
             isolated_reports: 0,
+            first_seed: 0,
         }
     }
 
@@ -116,6 +128,24 @@
         &mut self.roster
     }
 
+    /// What this node knows of others, to see in [`report_is_urgent`](Self::report_is_urgent)
+    /// whether it has learnt of some.
+    #[must_use]
+    pub fn contact_level(&self, now: Instant) -> ContactLevel {
+        ContactLevel {
+            isolated: self.roster.live(now).next().is_none(),
+            known: self.roster.members().count(),
+        }
+    }
+
+    /// Whether the next report is due at once: a node that knew no live one at its last
+    /// report has heard of others since, by themselves or in the store.
+    #[must_use]
+    pub fn report_is_urgent(&self, now: Instant, before: ContactLevel) -> bool {
+        let level = self.contact_level(now);
+        before.isolated && (!level.isolated || level.known > before.known)
+    }
+
     /// Pause before the next report.
     #[must_use]
     pub fn report_pause(&self, now: Instant) -> Duration {
@@ -208,14 +238,23 @@
         };
         let mut chosen = None;
         let asked = if relays.is_empty() {
-            // One at a time, since all nodes may start at once and ask the same few
-            // seeds.
+            // One seed at a time, since all nodes may start at once and ask the same few,
+            // and each in turn, since some may be down; beside it one of the known nodes.
             self.source = None;
-            let others = addresses.iter().copied();
-            let others: Vec<SocketAddr> = others
-                .filter(|address| *address != own.peer_address)
+            let is_other = |address: &SocketAddr| *address != own.peer_address;
+            let seeds: Vec<SocketAddr> = self.seeds.iter().copied().filter(is_other).collect();
+            if self.isolated_reports == 1 {
+                self.first_seed = rng.random_range(0..seeds.len().max(1));
+            }
+            let turn = usize::try_from(self.isolated_reports).unwrap_or_default();
+            let seed = seeds
+                .get((self.first_seed + turn) % seeds.len().max(1))
+                .copied();
+            let known = addresses.iter().copied();
+            let known: Vec<SocketAddr> = known
+                .filter(|address| is_other(address) && !seeds.contains(address))
                 .collect();
-            others.choose(rng).copied().into_iter().collect()
+            seed.into_iter().chain(known.choose(rng).copied()).collect()
         } else if is_relay {
             self.source = None;
             let mut asked = addresses.clone();
--- a/components/dispatch/src/lib.rs
+++ b/components/dispatch/src/lib.rs
@@ -27,6 +27,7 @@
 mod reservation;
 mod roster;
 mod routes;
+mod row_schedule;
 mod store_polls;
 mod unreported;
 mod upstreams;
@@ -41,7 +42,7 @@
 };
 pub use engine::{PromptSize, prefill_time};
 pub use evacuation::{EvacuationNotice, EvacuationTable};
-pub use fleet::{FleetView, ReportPlan, ReportTarget};
+pub use fleet::{ContactLevel, FleetView, ReportPlan, ReportTarget};
 pub use freshness::{TableFreshness, VersionSource};
 pub use homes::{HomeRegions, RegionMap};
 pub use load::{
@@ -60,6 +61,7 @@
 pub use reservation::{EngineSign, ORDER_TIMEOUT, RenewalPlan, RenewalStep, ReservationTerms};
 pub use roster::{NodeRoster, RosterEntry};
 pub use routes::{RouteMatch, RouteTable};
+pub use row_schedule::{LISTING_PAUSE, RowSchedule};
 pub use store_polls::{
     DESIRED_WAIT, PROBES_PER_SECOND, UPSTREAM_PAUSE, UPSTREAM_WAIT, probe_pause,
     store_poller_timeout,
--- a/components/dispatch/src/load.rs
+++ b/components/dispatch/src/load.rs
@@ -18,6 +18,11 @@
 /// Age above which a report or an aggregate is ignored.
 const REPORT_LIFETIME: Duration = Duration::from_millis(1500);
 
+/// Longest time for which a node that has just started assumes that others load the engines
+/// as well. By then a relay has told it, or it is a relay and has heard several reports of
+/// each node.
+const ASSUMPTION_TIME: Duration = Duration::from_millis(1500);
+
 /// Time until an engine starts to prefill a shard: the time of a new connection and
 /// of a pass in progress that only prefills. On an engine that decodes answers,
 /// `decode_delay` is added.
@@ -160,6 +165,8 @@
     aggregate: Option<LoadSnapshot>,
     /// Chunks of a newer aggregate that have arrived so far.
     partial_aggregate: PartialAggregate,
+    /// Until when this node assumes a load of others that it has not been told.
+    assumes_until: Option<Instant>,
 }
 
 /// Part of the aggregate of all other nodes' loads, as large as a datagram.
@@ -243,6 +250,23 @@
 }
 
 impl LoadTracker {
+    /// Creates the tracker of a node that starts, and that others may have started with.
+    /// Until it is told the sums of the others' loads, it assumes some.
+    #[must_use]
+    pub fn starting(now: Instant) -> Self {
+        Self {
+            assumes_until: Some(now + ASSUMPTION_TIME),
+            ..Self::default()
+        }
+    }
+
+    /// Whether nobody has told this node yet what other nodes put on the engines, although
+    /// there may be such nodes.
+    #[must_use]
+    pub fn assumes_others(&self, now: Instant) -> bool {
+        self.aggregate.is_none() && self.assumes_until.is_some_and(|until| now < until)
+    }
+
     /// Records a request that is sent to its upstream; returns its id.
     pub fn record_start(&mut self, request: InFlightRequest) -> InFlightId {
         for (index, share) in request.memory_shares.iter().enumerate() {
--- a/components/dispatch/src/news.rs
+++ b/components/dispatch/src/news.rs
@@ -290,11 +290,16 @@
     pub listing: Option<HashSet<NewsSubject>>,
 }
 
+/// Most pages that wait for an earlier one; an answer has fewer.
+const EARLY_PAGES_MAX: usize = 16;
+
 /// Reads the log of one other node.
 #[derive(Debug, Default)]
 pub struct NewsReader {
     cursor: NewsCursor,
     listing: Option<HashSet<NewsSubject>>,
+    /// Pages that arrived before the one that they follow, by where they begin.
+    early: BTreeMap<u64, NewsPage>,
 }
 
 impl NewsReader {
@@ -304,22 +309,45 @@
         self.cursor
     }
 
-    /// Takes the next page; `None` for one that doesn't follow the last one, as after
-    /// a lost datagram. The next answer then begins at the known position.
+    /// Takes the next page and those that follow it and have arrived before; `None` for one
+    /// that doesn't follow the last one, as after a lost datagram. The next answer then
+    /// begins at the known position.
     pub fn accept(&mut self, page: NewsPage) -> Option<AcceptedNews> {
+        if !page.restarts && !self.is_next(&page) {
+            if self.early.len() < EARLY_PAGES_MAX {
+                self.early.insert(page.after, page);
+            }
+            return None;
+        }
+        let mut accepted = AcceptedNews::default();
+        let mut next = Some(page);
+        while let Some(page) = next {
+            self.read(page, &mut accepted);
+            next = self.early.remove(&self.cursor.sequence);
+            next = next.filter(|page| !accepted.caught_up && self.is_next(page));
+        }
+        if accepted.caught_up {
+            self.early.clear();
+        }
+        Some(accepted)
+    }
+
+    fn is_next(&self, page: &NewsPage) -> bool {
+        !page.restarts && (page.log, page.after) == (self.cursor.log, self.cursor.sequence)
+    }
+
+    fn read(&mut self, page: NewsPage, accepted: &mut AcceptedNews) {
         if page.restarts {
             self.listing = Some(HashSet::new());
-        } else if (page.log, page.after) != (self.cursor.log, self.cursor.sequence) {
-            return None;
         }
         if let Some(listing) = &mut self.listing {
             listing.extend(page.items.iter().map(NewsItem::subject));
         }
         self.cursor = page.next_cursor(self.cursor);
-        Some(AcceptedNews {
-            listing: page.complete.then(|| self.listing.take()).flatten(),
-            caught_up: page.complete,
-            items: page.items,
-        })
+        if page.complete {
+            accepted.listing = self.listing.take();
+        }
+        accepted.caught_up = page.complete;
+        accepted.items.extend(page.items);
     }
 }
--- a/components/dispatch/src/placement.rs
+++ b/components/dispatch/src/placement.rs
@@ -16,7 +16,7 @@
 
 use std::time::{Duration, Instant};
 
-use rand::{Rng, RngExt};
+use rand::{Rng, RngExt, seq::SliceRandom};
 use types::{TokenCount, UpstreamId};
 
 use crate::{
@@ -36,6 +36,9 @@
 /// delays them only briefly. Prompts with such shards may be answered beside
 /// strict requests.
 pub(crate) const SMALL_SHARD_TIME: Duration = Duration::from_millis(25);
+/// Share of the engines that strict requests are assumed to need while the others' loads are
+/// not known. The rest is left to long prompts.
+const ASSUMED_STRICT_SHARE: f64 = 0.5;
 /// After its wait has expired, a prompt is placed only if it is prefilled within
 /// this share of the first-event goal, including the wait for earlier shards and
 /// passes. Its answer will be late anyway; if it took longer, a later retry by the
@@ -280,14 +283,29 @@
     if candidates.is_empty() {
         return Err(PlacementRefusal::NoUpstream);
     }
+    let assumes_others = loads.assumes_others(now);
+    let request = &if assumes_others {
+        assume_others(spec, request, &candidates)
+    } else {
+        *request
+    };
     if request.goals.is_strict() {
+        if assumes_others {
+            // Nodes that know nothing would all break ties in the same way.
+            let strict_engines = assumed_strict_engines(candidates.len());
+            candidates[..strict_engines].shuffle(rng);
+        }
         let primary = pick_decode_engine(spec, request, &candidates, rng);
         let primary = primary.ok_or(PlacementRefusal::Full)?;
         let primary = candidates.swap_remove(primary);
         return Ok(place_with_helpers(spec, request, primary, candidates, rng));
     }
     let engine_limit = candidates.len().div_ceil(2);
-    exclude_reserved_engines(spec, &mut candidates);
+    if assumes_others {
+        exclude_assumed_engines(&mut candidates, rng);
+    } else {
+        exclude_reserved_engines(spec, &mut candidates);
+    }
     if request.size.kv_cache_tokens() > usable_memory(spec) {
         return place_on_idle_engines(spec, request, engine_limit, candidates, rng);
     }
@@ -315,6 +333,44 @@
     }
 }
 
+/// The request of a node that has just started, as if other nodes had started with it: if
+/// each of them assumed that it is alone, all would place their requests on the same few
+/// engines.
+fn assume_others(
+    spec: &EngineSpec,
+    request: &PlacementRequest,
+    candidates: &[Candidate<'_>],
+) -> PlacementRequest {
+    let engines = u32::try_from(candidates.len()).unwrap_or(u32::MAX);
+    let slots = f64::from(spec.slots) * f64::from(engines);
+    let strict = truncate_to_u64(slots * PACKING_TARGET * ASSUMED_STRICT_SHARE);
+    let strict = u32::try_from(strict).unwrap_or(u32::MAX);
+    // The request itself and what this node knows count among them.
+    let known: u32 = candidates.iter().map(|known| known.load.running()).sum();
+    let assumed = strict.saturating_sub(known + 1);
+    PlacementRequest {
+        unreported_strict: request.unreported_strict.max(assumed),
+        ..*request
+    }
+}
+
+fn assumed_strict_engines(engines: usize) -> usize {
+    let engines = u32::try_from(engines).unwrap_or(u32::MAX);
+    let strict = truncate_to_u64(f64::from(engines) * ASSUMED_STRICT_SHARE);
+    usize::try_from(strict).unwrap_or(usize::MAX)
+}
+
+/// Leaves the engines that strict requests are not assumed to need, in random order, so that
+/// nodes that start together don't all pick the same one.
+fn exclude_assumed_engines(candidates: &mut Vec<Candidate<'_>>, rng: &mut impl Rng) {
+    let strict_engines = assumed_strict_engines(candidates.len());
+    candidates.retain(|candidate| candidate.id_order >= strict_engines);
+    candidates.shuffle(rng);
+    for (order, candidate) in candidates.iter_mut().enumerate() {
+        candidate.id_order = order;
+    }
+}
+
 /// Removes engines that answer no request but are reserved for strict requests: the
 /// first by id, as many as `PACKING_TARGET` requires for the current number of
 /// requests. A long shard would block such an engine for seconds.
--- a/components/dispatch/src/roster.rs
+++ b/components/dispatch/src/roster.rs
@@ -14,8 +14,11 @@
 /// of address answers.
 const ALIVE_TIMEOUT: Duration = Duration::from_millis(1600);
 /// Time for which a node that did not answer is passed over, whatever a relay says. It
-/// doubles each time. Longer than a new relay needs until it hears all nodes.
-const SILENCE_TIME_MIN: Duration = Duration::from_secs(6);
+/// doubles each time. Longer than a new relay needs until it hears all nodes, also if some
+/// nodes that would go before it have to be found silent first, half a second each: a node
+/// that is passed over for less comes back as the relay before the new one is settled. One
+/// that lives counts again with its next report.
+const SILENCE_TIME_MIN: Duration = Duration::from_secs(10);
 /// Longest time for which a node is passed over.
 const SILENCE_TIME_MAX: Duration = Duration::from_mins(1);
 /// Time after which a node is removed, counted from the last heartbeat of its known
@@ -232,6 +235,12 @@
             .map(|member| &member.entry)
     }
 
+    /// Whether a live node serves callers, and so knows what a node that starts needs.
+    #[must_use]
+    pub fn has_ready(&self, now: Instant) -> bool {
+        self.live(now).any(|entry| entry.ready)
+    }
+
     /// Nodes that are alive or were lately: what they share is not divided anew whenever a
     /// heartbeat is late.
     pub fn recent(&self, now: Instant) -> impl Iterator<Item = &RosterEntry> {
--- a/components/gateway/src/daemon.rs
+++ b/components/gateway/src/daemon.rs
@@ -8,6 +8,7 @@
 };
 
 use async_signal::{Signal, Signals};
+use dispatch::RowSchedule;
 use futures_lite::StreamExt;
 use smol::{Async, LocalExecutor, channel};
 
@@ -20,7 +21,7 @@
     listen::{ListenRole, is_closing, listen},
     reports::{is_relay, send_reports},
     state::Gateway,
-    sync::{wait_for_fleet, watch_table},
+    sync::{ROW_WAIT, wait_for_fleet, watch_table},
 };
 
 /// Capacity of the queue of outgoing datagrams.
@@ -156,7 +157,7 @@
 /// Writes this node's row to the store while it is a relay, so that nodes that know no
 /// other find it. Writes it again if the store lost it.
 async fn keep_own_row(gateway: Rc<Gateway>) {
-    wait_for_fleet(&gateway).await;
+    wait_for_fleet(&gateway, ROW_WAIT).await;
     let entry = gateway.own_entry();
     let Ok(value) = postcard::to_stdvec(&entry) else {
         log::error!("event=row_unencodable node={}", entry.node);
@@ -164,7 +165,7 @@
     };
     let mut caller = PlainCaller::new(&gateway, gateway.settings.store);
     loop {
-        if gateway.row_written.get() || !is_relay(&gateway) {
+        if gateway.row_schedule.get().is_written() || !is_relay(&gateway) {
             gateway.clock.sleep(RELAY_CHECK_PAUSE).await;
             continue;
         }
@@ -176,7 +177,9 @@
             .timeout(ROW_CALL_TIMEOUT, caller.call(call))
             .await
         {
-            Some(Ok(answer)) if answer.status().is_success() => gateway.row_written.set(true),
+            Some(Ok(answer)) if answer.status().is_success() => {
+                gateway.update_row_schedule(RowSchedule::record_written);
+            }
             other => {
                 log::warn!("event=row_not_written node={} answer={other:?}", entry.node);
                 gateway.clock.sleep(ROW_RETRY_PAUSE).await;
@@ -212,7 +215,7 @@
     log::info!("event=stopping node={}", gateway.settings.node);
     let node = gateway.settings.node.clone();
     gateway.queue_datagram(PeerDatagram::NodeLeft(node, gateway.incarnation));
-    if gateway.row_written.get() {
+    if gateway.row_schedule.get().is_written() {
         let removal = remove_own_row(Rc::clone(gateway));
         gateway.executor.spawn(removal).detach();
     }
--- a/components/gateway/src/forward.rs
+++ b/components/gateway/src/forward.rs
@@ -25,6 +25,12 @@
 /// Time after which a caller is told to retry if this node has no desired state, or one
 /// too old to use: about the time that the store takes to answer.
 const NO_STATE_RETRY_AFTER: Duration = Duration::from_millis(300);
+/// Longest time for which a request waits while the node starts: the bound of a start in a
+/// fleet of 60 nodes, and of most in larger ones. A refused caller would come back to
+/// another node that starts as well.
+const START_HOLD_TIME: Duration = Duration::from_millis(500);
+/// Pause between two looks whether the node has started.
+const START_CHECK_PAUSE: Duration = Duration::from_millis(10);
 /// Timeout of a request whose caller sent none.
 const DEFAULT_TIMEOUT: Duration = Duration::from_mins(1);
 
@@ -102,6 +108,7 @@
     body: Incoming,
     request: RequestHead,
 ) -> Result<ForwardJob, GatewayAnswer> {
+    wait_for_start(gateway, arrived, request.timeout).await;
     if !gateway.has_valid_state() {
         return Err(GatewayAnswer::Refused(NO_STATE_RETRY_AFTER));
     }
@@ -152,6 +159,15 @@
     })
 }
 
+/// Waits while this node has just started and doesn't know yet what it needs to serve, for a
+/// part of the request's time.
+async fn wait_for_start(gateway: &Gateway, arrived: Instant, timeout: Option<Duration>) {
+    let limit = timeout.map_or(START_HOLD_TIME, |timeout| START_HOLD_TIME.min(timeout / 4));
+    while gateway.is_starting() && gateway.now().saturating_duration_since(arrived) < limit {
+        gateway.clock.sleep(START_CHECK_PAUSE).await;
+    }
+}
+
 /// Hashes path, organisation and body: the quarantine recognises a crash-causing
 /// prompt by this value.
 fn request_fingerprint(
--- a/components/gateway/src/peers.rs
+++ b/components/gateway/src/peers.rs
@@ -15,7 +15,7 @@
 };
 
 /// Timeout of a call that fetches the desired state from another node.
-const FETCH_TIMEOUT: Duration = Duration::from_millis(800);
+pub(crate) const FETCH_TIMEOUT: Duration = Duration::from_millis(800);
 /// Path under which nodes serve their copy of the desired state to each other.
 const DESIRED_PATH: &str = "/peers/desired";
 
--- a/components/gateway/src/reports.rs
+++ b/components/gateway/src/reports.rs
@@ -29,6 +29,8 @@
 /// Bytes a second that a node receives in sums. In a fleet of many engines it asks for
 /// them less often.
 const SUMS_BYTES_PER_SECOND: u32 = 40_000;
+/// Interval at which a node that knows no other checks whether it has heard of one.
+const CONTACT_CHECK_PAUSE: Duration = Duration::from_millis(20);
 /// Usual encoded size of one engine's sum.
 const SUM_BYTES: u32 = 18;
 /// Engines per datagram of sums, so that it fits into one packet of usual size.
@@ -94,7 +96,22 @@
             let supplements = report_supplements(&gateway, now);
             send_supplemented(&socket, &[target.address], &datagram, supplements).await;
         }
-        gateway.clock.sleep(pause).await;
+        wait_for_report(&gateway, pause).await;
+    }
+}
+
+/// Waits until the next report, which a node makes at once when it hears of others for the
+/// first time.
+async fn wait_for_report(gateway: &Gateway, pause: Duration) {
+    let began = gateway.now();
+    let before = gateway.fleet.borrow().contact_level(began);
+    loop {
+        let now = gateway.now();
+        let left = pause.saturating_sub(now.saturating_duration_since(began));
+        if left.is_zero() || gateway.fleet.borrow().report_is_urgent(now, before) {
+            return;
+        }
+        gateway.clock.sleep(left.min(CONTACT_CHECK_PAUSE)).await;
     }
 }
 
--- a/components/gateway/src/start.rs
+++ b/components/gateway/src/start.rs
@@ -19,6 +19,12 @@
     Loads,
 }
 
+/// Bound of a start in a fleet of 300 nodes. A node that needs longer lacks the store and
+/// all nodes that know what it holds, and refuses requests at once.
+const START_TIME_MAX: Duration = Duration::from_millis(1500);
+/// Phases without which no request can be served.
+const NEEDED: [StartPhase; 2] = [StartPhase::Desired, StartPhase::Upstreams];
+
 /// When each phase of the start ended.
 #[derive(Debug)]
 pub(crate) struct StartTimes {
@@ -47,8 +53,7 @@
             "event=start_phase node={node} phase={phase:?} since_start_ms={}",
             since_start.as_millis()
         );
-        let needed = [StartPhase::Desired, StartPhase::Upstreams];
-        if needed.contains(&phase) && needed.iter().all(|phase| self.time(*phase).is_some()) {
+        if NEEDED.contains(&phase) && self.is_serving() {
             log::info!(
                 "event=serving node={node} since_start_ms={} desired_ms={} upstreams_ms={} members_ms={}",
                 since_start.as_millis(),
@@ -59,6 +64,16 @@
         }
     }
 
+    /// Returns whether all that a node needs to serve has been known.
+    pub(crate) fn is_serving(&self) -> bool {
+        NEEDED.iter().all(|phase| self.time(*phase).is_some())
+    }
+
+    /// Returns whether the node has just started and still lacks what it needs to serve.
+    pub(crate) fn is_starting(&self, now: Instant) -> bool {
+        !self.is_serving() && now.saturating_duration_since(self.started) < START_TIME_MAX
+    }
+
     fn time(&self, phase: StartPhase) -> Option<Duration> {
         let ended = self.ended[phase as usize].get()?;
         Some(ended.saturating_duration_since(self.started))
--- a/components/gateway/src/state.rs
+++ b/components/gateway/src/state.rs
@@ -12,7 +12,7 @@
 use bytes::Bytes;
 use dispatch::{
     FleetContact, FleetView, InFlightId, LoadTracker, QuarantineList, ReachTable, RetryBudget,
-    RosterEntry, RouteTable, TableFreshness, UpstreamTable,
+    RosterEntry, RouteTable, RowSchedule, TableFreshness, UpstreamTable,
 };
 use kernel::ClockSource;
 use rand::{SeedableRng, rngs::SmallRng};
@@ -85,8 +85,8 @@
     pub(crate) relisted_at: Cell<Option<Instant>>,
     /// Start of the running call that fetches the desired state from another node.
     fetch_started: Cell<Option<Instant>>,
-    /// Whether this node's row is in the store.
-    pub(crate) row_written: Cell<bool>,
+    /// When this node's row was written, and when the rows of all nodes were listed.
+    pub(crate) row_schedule: Cell<RowSchedule>,
     /// When SIGTERM arrived.
     pub(crate) stopping_since: Cell<Option<Instant>>,
     /// Number of open connections from callers.
@@ -114,7 +114,7 @@
             settings.retry_allowance,
         );
         let clock = ClockSource::System;
-        let start_times = StartTimes::new(clock.now());
+        let started = clock.now();
         Self {
             settings,
             dialect,
@@ -129,9 +129,9 @@
             evacuation_freshness: RefCell::default(),
             upstreams: RefCell::default(),
             upstream_freshness: RefCell::default(),
-            loads: RefCell::default(),
+            loads: RefCell::new(LoadTracker::starting(started)),
             fleet: RefCell::new(fleet),
-            contact: RefCell::new(FleetContact::new(ClockSource::System.now())),
+            contact: RefCell::new(FleetContact::new(started)),
             unclear_claims: RefCell::default(),
             upstreams_source: Cell::default(),
             retry_budget: RefCell::new(retry_budget),
@@ -147,12 +147,12 @@
             last_aggregate: Cell::new(u64::from(rand::random::<u32>()) << u32::BITS),
             relisted_at: Cell::default(),
             fetch_started: Cell::new(None),
-            row_written: Cell::new(false),
+            row_schedule: Cell::default(),
             stopping_since: Cell::new(None),
             open_connections: Cell::new(0),
             idle_close_receiver,
             metrics: GatewayMetrics::new(),
-            start_times,
+            start_times: StartTimes::new(started),
         }
     }
 
@@ -192,14 +192,20 @@
     /// records its start. Only one runs at a time, since each answer of a relay names
     /// its version; one that began more than `limit` ago no longer counts.
     pub(crate) fn begin_fetch(&self, now: Instant, limit: Duration) -> bool {
-        let fetch_started = self.fetch_started.get();
-        if fetch_started.is_some_and(|since| now.saturating_duration_since(since) < limit) {
+        if self.is_fetching(limit) {
             return false;
         }
         self.fetch_started.set(Some(now));
         true
     }
 
+    /// Returns whether a fetch of the desired state that began at most `limit` ago is under
+    /// way.
+    pub(crate) fn is_fetching(&self, limit: Duration) -> bool {
+        let fetch_started = self.fetch_started.get();
+        fetch_started.is_some_and(|since| self.now().saturating_duration_since(since) < limit)
+    }
+
     /// Ends the fetch that [`begin_fetch`](Self::begin_fetch) allowed.
     pub(crate) fn end_fetch(&self) {
         self.fetch_started.set(None);
@@ -212,6 +218,18 @@
         number
     }
 
+    /// Returns whether this node has just started and still lacks what it needs to serve.
+    pub(crate) fn is_starting(&self) -> bool {
+        self.start_times.is_starting(self.now())
+    }
+
+    /// Records a step of this node's row.
+    pub(crate) fn update_row_schedule(&self, update: impl FnOnce(&mut RowSchedule, Instant)) {
+        let mut schedule = self.row_schedule.get();
+        update(&mut schedule, self.now());
+        self.row_schedule.set(schedule);
+    }
+
     /// Records that a phase of the start has ended.
     pub(crate) fn record_start_phase(&self, phase: StartPhase) {
         self.start_times
--- a/components/gateway/src/sync.rs
+++ b/components/gateway/src/sync.rs
@@ -5,12 +5,15 @@
 //! pollers, all nodes try it in turn, and one that it answers takes their place. The
 //! rows of the nodes are polled by relays only.
 
-use std::{rc::Rc, time::Duration};
+use std::{
+    rc::Rc,
+    time::{Duration, Instant},
+};
 
 use bytes::Bytes;
 use dispatch::{
-    DESIRED_WAIT, DesiredState, RosterEntry, RouteTable, UPSTREAM_PAUSE, UPSTREAM_WAIT,
-    VersionSource, store_poller_timeout,
+    DESIRED_WAIT, DesiredState, LISTING_PAUSE, RosterEntry, RouteTable, UPSTREAM_PAUSE,
+    UPSTREAM_WAIT, VersionSource, store_poller_timeout,
 };
 use rand::RngExt;
 use types::UpstreamId;
@@ -22,6 +25,7 @@
     crashes::apply_quarantine_rows,
     evacuation::{apply_evacuation_rows, has_store_poller},
     news::push_desired_version,
+    peers::FETCH_TIMEOUT,
     rates::share_rates,
     reports::{is_relay, question_pause},
     start::StartPhase,
@@ -31,16 +35,19 @@
 /// Longest long poll for changes of the quarantines. They are rare, and nodes mostly learn
 /// of them by news; the store tells nodes that have lost each other.
 const QUARANTINE_WAIT: Duration = Duration::from_secs(20);
-/// Pause between polls of the nodes' rows. Nodes mostly learn of each other by
-/// summaries.
-const NODES_POLL_PAUSE: Duration = Duration::from_secs(20);
-/// Time that a node which starts gives the others to answer at all, before it asks the
-/// store.
-const CONTACT_WAIT: Duration = Duration::from_millis(400);
-/// Time that it gives them to tell it all they know, once it has heard of any.
-const FLEET_WAIT: Duration = Duration::from_millis(2500);
+/// Time that a node which starts gives nodes that serve to answer, before it reads from the
+/// store what it needs to serve: a round trip between regions, and the time in which a
+/// small host answers. In a fleet that starts as a whole nobody serves yet.
+const CONTACT_WAIT: Duration = Duration::from_millis(60);
+/// Time that a node which starts gives others before it reads and writes the rows of nodes,
+/// which it doesn't need to serve. By then most nodes have found a seed, so that only relays
+/// go on.
+pub(crate) const ROW_WAIT: Duration = Duration::from_millis(400);
+/// Time that it gives nodes that serve to tell it all they know: several questions, and a
+/// large desired state over a small link.
+const FLEET_WAIT: Duration = Duration::from_secs(1);
 /// Interval at which a node that starts checks whether others have told it.
-const FLEET_CHECK_PAUSE: Duration = Duration::from_millis(50);
+const FLEET_CHECK_PAUSE: Duration = Duration::from_millis(20);
 /// Interval at which a node checks that the store pollers still poll the store.
 const POLLER_CHECK_PAUSE: Duration = Duration::from_millis(50);
 /// Timeout of a call to the store, in addition to the wait of a long poll.
@@ -50,9 +57,10 @@
 /// Longest pause after a failed call.
 const RETRY_PAUSE_MAX: Duration = Duration::from_millis(800);
 
-/// Waits until another node has told this one about the upstreams, for a short time
-/// while it hears of no other node. A seed does not wait, as the others ask it.
-pub(crate) async fn wait_for_fleet(gateway: &Gateway) {
+/// Waits until another node has told this one about the upstreams, and only for
+/// `contact_wait` while it hears of no node that serves. A seed does not wait, as the others
+/// ask it.
+pub(crate) async fn wait_for_fleet(gateway: &Gateway, contact_wait: Duration) {
     let settings = &gateway.settings;
     if settings.seeds.is_empty() || settings.seeds.contains(&settings.peers) {
         return;
@@ -60,11 +68,11 @@
     let started = gateway.now();
     while !polled_by_others(gateway, WatchedTable::Upstreams) {
         let now = gateway.now();
-        let hears_others = gateway.fleet.borrow().roster().live(now).next().is_some();
-        let limit = if hears_others {
+        let hears_ready = gateway.fleet.borrow().roster().has_ready(now);
+        let limit = if hears_ready {
             FLEET_WAIT
         } else {
-            CONTACT_WAIT
+            contact_wait
         };
         if now.saturating_duration_since(started) >= limit {
             return;
@@ -73,20 +81,55 @@
     }
 }
 
+/// Waits until this node reads `table` for the first time; returns whether nobody has told
+/// it yet what it needs to serve, so that it reads the table whoever polls it. Every node
+/// of a fleet that starts as a whole makes these two calls, and others only while nobody
+/// else does.
+async fn wait_for_start(gateway: &Gateway, table: WatchedTable) -> bool {
+    match table {
+        WatchedTable::Desired | WatchedTable::Upstreams => {
+            wait_for_fleet(gateway, CONTACT_WAIT).await;
+            if table == WatchedTable::Desired {
+                while gateway.is_fetching(FETCH_TIMEOUT) {
+                    gateway.clock.sleep(FLEET_CHECK_PAUSE).await;
+                }
+            }
+            match table {
+                WatchedTable::Desired => gateway.desired_row.borrow().is_none(),
+                _ => gateway.upstreams.borrow().is_empty(),
+            }
+        }
+        WatchedTable::Nodes | WatchedTable::Quarantine => {
+            wait_for_fleet(gateway, ROW_WAIT).await;
+            false
+        }
+    }
+}
+
 /// Lists `table` and then polls for its changes until the gateway ends.
 pub(crate) async fn watch_table(gateway: Rc<Gateway>, table: WatchedTable) {
-    wait_for_fleet(&gateway).await;
+    let mut reads_first = wait_for_start(&gateway, table).await;
     let mut caller = PlainCaller::new(&gateway, gateway.settings.store);
     let mut version = None;
     // Newest version that was ever reached.
     let mut reached: Option<u64> = None;
     let mut retry_pause = RETRY_PAUSE_MIN;
     loop {
-        wait_while_polled(&gateway, table).await;
+        if !reads_first {
+            wait_while_polled(&gateway, table).await;
+        }
+        let began = gateway.now();
+        let fetches = reads_first
+            && table == WatchedTable::Desired
+            && gateway.begin_fetch(began, ANSWER_TIMEOUT);
+        reads_first = false;
         let step = match version {
             None => list_table(&gateway, &mut caller, table).await,
             Some(version) => poll_changes(&gateway, &mut caller, table, version).await,
         };
+        if fetches {
+            gateway.end_fetch();
+        }
         let pause = match step {
             SyncStep::CaughtUp(newest) => {
                 if table == WatchedTable::Desired && !is_store_poller(&gateway, table) {
@@ -99,7 +142,7 @@
                     log::warn!(
                         "event=store_era_changed table={table:?} from={reached:?} to={newest}"
                     );
-                    gateway.row_written.set(false);
+                    gateway.update_row_schedule(|schedule, _| schedule.record_lost());
                 }
                 version = Some(newest);
                 reached = reached.max(version);
@@ -107,7 +150,10 @@
                 match table {
                     WatchedTable::Desired | WatchedTable::Quarantine => Duration::ZERO,
                     WatchedTable::Upstreams => UPSTREAM_PAUSE,
-                    WatchedTable::Nodes => NODES_POLL_PAUSE,
+                    WatchedTable::Nodes => {
+                        wait_for_listing(&gateway, began).await;
+                        Duration::ZERO
+                    }
                 }
             }
             SyncStep::HistoryGone => {
@@ -132,6 +178,23 @@
     }
 }
 
+/// Records a listing of the nodes' rows, and waits until the next one is due.
+async fn wait_for_listing(gateway: &Gateway, began: Instant) {
+    let knows_others = || {
+        let fleet = gateway.fleet.borrow();
+        fleet.roster().live(gateway.now()).next().is_some()
+    };
+    let known = knows_others();
+    gateway.update_row_schedule(|schedule, _| schedule.record_listing(began, known));
+    while !gateway
+        .row_schedule
+        .get()
+        .is_listing_due(gateway.now(), knows_others())
+    {
+        gateway.clock.sleep(POLLER_CHECK_PAUSE).await;
+    }
+}
+
 /// Waits while store pollers poll the table and tell this node, so that the number of
 /// calls to the store doesn't grow with the number of nodes. When they stop, each node
 /// waits for its turn, in which time one of the others may take their place.
@@ -196,7 +259,7 @@
     let poll_interval = match table {
         WatchedTable::Desired => DESIRED_WAIT,
         WatchedTable::Upstreams => UPSTREAM_WAIT + UPSTREAM_PAUSE,
-        WatchedTable::Nodes => NODES_POLL_PAUSE,
+        WatchedTable::Nodes => LISTING_PAUSE,
         WatchedTable::Quarantine => QUARANTINE_WAIT,
     };
     store_poller_timeout(poll_interval, question_pause(gateway))
