--- a/components/gateway/src/lib.rs
+++ b/components/gateway/src/lib.rs
@@ -16,6 +16,7 @@
 mod edge;
 mod evacuation;
 mod events;
+mod formats;
 mod forward;
 mod leg;
 mod listen;
@@ -43,4 +44,5 @@
     RateStatement, RequestHead, TableChange, UpstreamRow, UpstreamWish, WatchedTable, WireDialect,
 };
 pub use events::{EventCursor, EventError};
+pub use formats::{FORMAT, MessageKind, rewrite_message};
 pub use settings::{GatewaySettings, RevokePolicy};
--- a/components/gateway/src/peers.rs
+++ b/components/gateway/src/peers.rs
@@ -22,7 +22,7 @@
 /// The store's row with the desired state, as one node serves it to another.
 #[derive(Debug)]
 #[derive(Deserialize, Serialize)]
-struct DesiredRow {
+pub(crate) struct DesiredRow {
     key: String,
     value: Vec<u8>,
 }
--- a/components/gateway/src/supplements.rs
+++ b/components/gateway/src/supplements.rs
@@ -21,7 +21,7 @@
 };
 
 /// Format of the datagrams of this version. Format 1 has no trailer.
-const FORMAT: u16 = 2;
+pub const FORMAT: u16 = 2;
 /// Encoded size of a trailer without supplements, and of a supplement's kind and
 /// length, rounded up.
 const HEAD_BYTES: usize = 8;
