--- a/components/dispatch/src/roster.rs
+++ b/components/dispatch/src/roster.rs
@@ -93,6 +93,18 @@
         }
     }
 
+    /// Records a sign of life that says nothing else, such as a datagram that can't be read,
+    /// of the node at `address`, if it is known. Returns whether it is.
+    pub fn record_contact(&mut self, now: Instant, address: SocketAddr) -> bool {
+        let mut members = self.members.values_mut();
+        let Some(member) = members.find(|member| member.entry.peer_address == address) else {
+            return false;
+        };
+        member.last_heartbeat = Some(now);
+        member.last_seen = now;
+        true
+    }
+
     /// Stores a listing, an entry that did not come from the node itself but from
     /// the store, when the node is unknown or the entry has a newer incarnation.
     /// Does not count as a heartbeat.
--- a/components/dispatch/tests/known_state.rs
+++ b/components/dispatch/tests/known_state.rs
@@ -506,3 +506,18 @@
         }
     }
 }
+
+/// A node of a newer version sends what this one can't read. It lives all the same.
+#[test]
+fn a_node_whose_datagrams_are_not_read_is_not_dead() {
+    let start = Instant::now();
+    let mut roster = NodeRoster::default();
+    let newer = node("a", 2, true);
+    roster.record_heartbeat(start, newer.clone());
+    let later = start + Duration::from_secs(100);
+    assert!(!roster.is_alive(later, "a"));
+    assert!(roster.record_contact(later, newer.peer_address));
+    assert!(roster.is_alive(later, "a"));
+    assert!(roster.remove_expired(later).is_empty());
+    assert!(!roster.record_contact(later, ([10, 9, 9, 9], 9).into()));
+}
--- a/components/gateway/src/datagrams.rs
+++ b/components/gateway/src/datagrams.rs
@@ -2,6 +2,7 @@
 //! only; they tell the other nodes.
 
 use std::{
+    collections::HashSet,
     net::{SocketAddr, UdpSocket},
     rc::Rc,
     time::Duration,
@@ -26,6 +27,8 @@
 const DIRECT_NODES_MAX: usize = 16;
 /// Pauses before a datagram is sent for the second and the third time.
 const REPEAT_PAUSES: [Duration; 2] = [Duration::from_millis(150), Duration::from_millis(350)];
+/// Most senders whose unreadable datagrams are logged; there are no larger fleets.
+const LOGGED_PEERS_MAX: usize = 1000;
 /// Largest datagram that fits into one packet of usual size. A longer one is sent as
 /// well, with a warning; receivers accept up to four times this size.
 pub(crate) const PACKET_PAYLOAD_BYTES: usize = 1400;
@@ -196,6 +199,7 @@
 /// Receives and handles the datagrams of other nodes.
 pub(crate) async fn receive_datagrams(gateway: Rc<Gateway>, socket: Rc<Async<UdpSocket>>) {
     let mut buffer = vec![0; 4 * PACKET_PAYLOAD_BYTES];
+    let mut logged = HashSet::new();
     loop {
         let received = socket.recv_from(&mut buffer).await;
         let (size, from) = match received {
@@ -207,14 +211,38 @@
         };
         match postcard::take_from_bytes::<PeerDatagram>(&buffer[..size]) {
             Ok((datagram, rest)) => {
-                let trailer = DatagramTrailer::decode(from, rest);
+                // A trailer that can't be read counts as none, as that of an older node.
+                let trailer = DatagramTrailer::decode(rest).unwrap_or_else(|error| {
+                    record_unreadable(&gateway, &mut logged, from, "trailer", &error);
+                    None
+                });
                 handle_datagram(&gateway, &socket, from, datagram, trailer).await;
             }
-            Err(error) => log::warn!("event=datagram_unreadable peer={from} error=\"{error}\""),
+            Err(error) => {
+                record_unreadable(&gateway, &mut logged, from, "datagram", &error);
+                // Its sender lives, whatever it says.
+                let now = gateway.now();
+                let mut fleet = gateway.fleet.borrow_mut();
+                fleet.roster_mut().record_contact(now, from);
+            }
         }
     }
 }
 
+/// Counts what another node sent and this version can't read, and logs it once a node.
+fn record_unreadable(
+    gateway: &Gateway,
+    logged: &mut HashSet<SocketAddr>,
+    from: SocketAddr,
+    part: &str,
+    error: &postcard::Error,
+) {
+    gateway.metrics.datagrams_unreadable.inc();
+    if logged.len() < LOGGED_PEERS_MAX && logged.insert(from) {
+        log::warn!("event=datagram_unreadable peer={from} part={part} error=\"{error}\"");
+    }
+}
+
 async fn handle_datagram(
     gateway: &Rc<Gateway>,
     socket: &Async<UdpSocket>,
--- a/components/gateway/src/metrics.rs
+++ b/components/gateway/src/metrics.rs
@@ -56,6 +56,10 @@
     pub(crate) retries: Counter,
     /// Attempts to connect to an upstream, by outcome.
     pub(crate) connects: Family<ConnectLabels, Counter>,
+    /// Datagrams of other nodes that this version can't read.
+    pub(crate) datagrams_unreadable: Counter,
+    /// Supplements to datagrams of a kind that this version doesn't know.
+    pub(crate) supplements_unknown: Counter,
     /// Connections to upstreams that this node has opened for others.
     pub(crate) tunnels: Counter,
     /// Connections to upstreams that other nodes have opened for this one.
@@ -87,6 +91,18 @@
             "Attempts to connect to an upstream",
             connects.clone(),
         );
+        let datagrams_unreadable = Counter::default();
+        registry.register(
+            "datagrams_unreadable",
+            "Datagrams of other nodes, or what follows them, that this version can't read",
+            datagrams_unreadable.clone(),
+        );
+        let supplements_unknown = Counter::default();
+        registry.register(
+            "supplements_unknown",
+            "Supplements to datagrams of kinds that this version doesn't know",
+            supplements_unknown.clone(),
+        );
         let tunnels = Counter::default();
         let helped = Counter::default();
         registry.register(
@@ -123,6 +139,8 @@
             answer_seconds,
             retries,
             connects,
+            datagrams_unreadable,
+            supplements_unknown,
             tunnels,
             helped,
             cold_upstreams,
--- a/components/gateway/src/supplements.rs
+++ b/components/gateway/src/supplements.rs
@@ -118,19 +118,12 @@
         }
     }
 
-    /// Decodes what follows a datagram; `None` after one of format 1, and if it can't be
-    /// read, which is logged.
-    pub(crate) fn decode(from: SocketAddr, rest: &[u8]) -> Option<Self> {
+    /// Decodes what follows a datagram; `None` after one of format 1.
+    pub(crate) fn decode(rest: &[u8]) -> Result<Option<Self>, postcard::Error> {
         if rest.is_empty() {
-            return None;
-        }
-        match postcard::from_bytes(rest) {
-            Ok(trailer) => Some(trailer),
-            Err(error) => {
-                log::warn!("event=trailer_unreadable peer={from} error=\"{error}\"");
-                None
-            }
+            return Ok(None);
         }
+        postcard::from_bytes(rest).map(Some)
     }
 }
 
@@ -164,11 +157,14 @@
                     receive_cold(gateway, knowledge);
                 }
             }
-            None => log::debug!(
-                "event=supplement_unknown peer={from} kind={} format={}",
-                supplement.kind,
-                trailer.format
-            ),
+            None => {
+                gateway.metrics.supplements_unknown.inc();
+                log::debug!(
+                    "event=supplement_unknown peer={from} kind={} format={}",
+                    supplement.kind,
+                    trailer.format
+                );
+            }
         }
     }
 }
--- a/components/gateway/tests/formats.rs
+++ b/components/gateway/tests/formats.rs
@@ -9,7 +9,7 @@
 #[path = "formats/frozen.rs"]
 mod frozen;
 
-use std::{net::SocketAddr, time::Duration};
+use std::{fmt::Write, net::SocketAddr, time::Duration};
 
 use gateway::{FORMAT, MessageKind, rewrite_message};
 use serde::{Deserialize, Serialize};
@@ -218,7 +218,10 @@
 }
 
 fn to_hex(bytes: &[u8]) -> String {
-    bytes.iter().map(|byte| format!("{byte:02x}")).collect()
+    bytes.iter().fold(String::new(), |mut digits, byte| {
+        write!(digits, "{byte:02x}").unwrap();
+        digits
+    })
 }
 
 fn from_hex(digits: &str) -> Vec<u8> {
