Send nothing to a process whose address a later one has

After a cold return the entries of the ended processes lapse only seconds later. Of two processes at one address the one that started later stands.

Fails without `|| self.is_replaced(entry)`: a_process_whose_address_a_later_one_has_gets_nothing.

--- a/components/dispatch/src/upstreams.rs
+++ b/components/dispatch/src/upstreams.rs
@@ -124,12 +124,20 @@
     early_rates: HashMap<UpstreamId, (Instant, RateNotice)>,
     /// Zones whose upstreams get nothing new.
     evacuations: EvacuationTable,
+    /// The latest process at each address.
+    occupants: HashMap<SocketAddr, UpstreamId>,
     /// Claims of processes that the directory does not list yet, by [`process_key`].
     early_claims: HashMap<u64, (Instant, ColdClaim)>,
     /// When the first upstream was examined.
     filled_since: Option<Instant>,
 }
 
+/// Whether the process of `entry` started later than that of `other`, as both say.
+fn is_later(entry: &UpstreamEntry, other: &UpstreamEntry) -> bool {
+    let starts = entry.started_ms.zip(other.started_ms);
+    starts.is_some_and(|(started_ms, other_ms)| started_ms > other_ms)
+}
+
 /// Hash of the id of an upstream and the start of its process.
 fn process_key(entry: &UpstreamEntry) -> u64 {
     xxh3_64_with_seed(entry.id.as_bytes(), entry.started_ms.unwrap_or_default())
@@ -227,6 +235,7 @@
                 let id = entry.id.clone();
                 self.upstreams
                     .insert(id.clone(), UpstreamHealth::new(entry));
+                self.record_occupant(&id);
                 if let Some((at, notice)) = self.early_rates.remove(&id) {
                     self.apply_rate(at, &id, notice);
                 }
@@ -282,11 +291,39 @@
         })
     }
 
-    /// Whether the process of `entry` said that it leaves.
+    /// Whether the process of `entry` said that it leaves, or a later process has its
+    /// address.
     fn is_leaving(&self, entry: &UpstreamEntry) -> bool {
-        self.leaving
-            .get(&entry.id)
-            .is_some_and(|(_, started_ms)| *started_ms == entry.started_ms)
+        let leaving = self.leaving.get(&entry.id);
+        leaving.is_some_and(|(_, started_ms)| *started_ms == entry.started_ms)
+            || self.is_replaced(entry)
+    }
+
+    /// Whether a process that started later, under another id, has the address of `entry`,
+    /// whose own process must have ended then.
+    fn is_replaced(&self, entry: &UpstreamEntry) -> bool {
+        let occupant = self.occupants.get(&entry.address);
+        let occupant = occupant.and_then(|id| self.upstreams.get(id));
+        occupant.is_some_and(|occupant| {
+            occupant.entry.id != entry.id && is_later(&occupant.entry, entry)
+        })
+    }
+
+    /// Notes which process has an address, if it started later than the one noted so far.
+    fn record_occupant(&mut self, id: &UpstreamId) {
+        let upstreams = &self.upstreams;
+        self.occupants.retain(|address, id| {
+            let occupant = upstreams.get(id);
+            occupant.is_some_and(|health| health.entry.address == *address)
+        });
+        let Some(health) = upstreams.get(id) else {
+            return;
+        };
+        let known = self.occupants.get(&health.entry.address);
+        let known = known.and_then(|known| upstreams.get(known));
+        if known.is_none_or(|known| is_later(&health.entry, &known.entry)) {
+            self.occupants.insert(health.entry.address, id.clone());
+        }
     }
 
     /// Records that an upstream asked this node for no requests until `until`.
