--- a/components/dispatch/src/load.rs
+++ b/components/dispatch/src/load.rs
@@ -167,6 +167,8 @@
     partial_aggregate: PartialAggregate,
     /// Until when this node assumes a load of others that it has not been told.
     assumes_until: Option<Instant>,
+    /// Whether it joins a fleet that has been running.
+    joins_fleet: bool,
 }
 
 /// Part of the aggregate of all other nodes' loads, as large as a datagram.
@@ -260,11 +262,19 @@
         }
     }
 
-    /// Whether nobody has told this node yet what other nodes put on the engines, although
-    /// there may be such nodes.
+    /// Records that the fleet has been running for longer than this node, so that its first
+    /// sums are complete.
+    pub fn record_running_fleet(&mut self) {
+        self.joins_fleet = true;
+    }
+
+    /// Whether this node doesn't know yet what other nodes put on the engines, although there
+    /// may be such nodes. In a fleet that starts as a whole the first sums tell little, and
+    /// the callers of the outage come back together in the first second.
     #[must_use]
     pub fn assumes_others(&self, now: Instant) -> bool {
-        self.aggregate.is_none() && self.assumes_until.is_some_and(|until| now < until)
+        let is_told = self.joins_fleet && self.aggregate.is_some();
+        !is_told && self.assumes_until.is_some_and(|until| now < until)
     }
 
     /// Records a request that is sent to its upstream; returns its id.
--- a/components/dispatch/tests/starts.rs
+++ b/components/dispatch/tests/starts.rs
@@ -98,7 +98,7 @@
     assert!(memory <= spec().kv_cache_tokens, "{placed:?}");
 }
 
-/// A node that is told the loads, or that hears nobody for long, packs its requests onto few
+/// A node that is told the loads of a running fleet, or that hears nobody for long, packs its requests onto few
 /// engines as before.
 #[test]
 fn the_assumption_ends_with_the_first_sums_or_after_a_while() {
@@ -114,6 +114,8 @@
             loads: Vec::new(),
         },
     );
+    assert!(told.assumes_others(now), "all others may have just started");
+    told.record_running_fleet();
     assert!(!told.assumes_others(now));
     let alone = LoadTracker::starting(now);
     assert!(!alone.assumes_others(now + Duration::from_secs(2)));
--- a/components/gateway/src/news.rs
+++ b/components/gateway/src/news.rs
@@ -129,7 +129,7 @@
     let now = gateway.now();
     let peer = news.entry.peer_address;
     apply_desired_age(gateway, now, &news);
-    gateway.record_start_phase(StartPhase::Members);
+    gateway.record_member(&news.entry);
     let accepted =
         gateway
             .fleet
--- a/components/gateway/src/reports.rs
+++ b/components/gateway/src/reports.rs
@@ -179,7 +179,7 @@
     if node == gateway.settings.node {
         return;
     }
-    gateway.record_start_phase(StartPhase::Members);
+    gateway.record_member(&report.entry);
     record_report(gateway, report.entry, report.store_age_ms, report.loads);
     let Some(question) = report.question else {
         return;
--- a/components/gateway/src/state.rs
+++ b/components/gateway/src/state.rs
@@ -32,6 +32,10 @@
 /// Hash of a node's id, in datagrams.
 pub(crate) type NodeKey = u64;
 
+/// Time by which a node has to be older than this one to have run before it: hosts of a fleet
+/// that starts as a whole start within less, and their clocks differ little.
+const START_MARGIN: Duration = Duration::from_secs(5);
+
 /// State of one gateway.
 pub(crate) struct Gateway {
     pub(crate) settings: GatewaySettings,
@@ -223,6 +227,16 @@
         self.start_times.is_starting(self.now())
     }
 
+    /// Records that another node was heard, which says by its start time whether the whole
+    /// fleet has just started.
+    pub(crate) fn record_member(&self, entry: &RosterEntry) {
+        self.record_start_phase(StartPhase::Members);
+        let margin = u64::try_from(START_MARGIN.as_millis()).unwrap_or(u64::MAX);
+        if entry.ready && entry.incarnation.saturating_add(margin) < self.incarnation {
+            self.loads.borrow_mut().record_running_fleet();
+        }
+    }
+
     /// Records a step of this node's row.
     pub(crate) fn update_row_schedule(&self, update: impl FnOnce(&mut RowSchedule, Instant)) {
         let mut schedule = self.row_schedule.get();
