--- a/components/admission/src/queue.rs
+++ b/components/admission/src/queue.rs
@@ -1,14 +1,13 @@
 //! Queue of the prompts that wait on a node, in fair order.
 
 use std::{
-    cmp::Reverse,
-    collections::{BTreeMap, BTreeSet, BinaryHeap, HashMap},
+    collections::{BTreeMap, HashMap},
     time::{Duration, Instant},
 };
 
 use types::{AttemptId, PlanKind, PromptJob, RequestId, TokenCount};
 
-use crate::{LengthClass, OrganisationIndex, ShareTable, VirtualTokens};
+use crate::{LengthClass, OrganisationIndex, ShareTable, lane::FairLane};
 
 /// Index of a pool: the engines that serve the same model, version and adapter.
 pub type PoolIndex = u32;
@@ -86,15 +85,9 @@
 }
 
 /// Queued jobs of one pool, class and plan.
-///
-/// The counters in `heap` may be outdated; they are updated when they reach the
-/// top.
 #[derive(Debug, Default)]
 struct QueueLane {
-    heap: BinaryHeap<Reverse<(VirtualTokens, OrganisationIndex)>>,
-    in_heap: BTreeSet<OrganisationIndex>,
-    jobs: HashMap<OrganisationIndex, BTreeMap<JobKey, QueuedJob>>,
-    count: usize,
+    jobs: FairLane<JobKey, QueuedJob>,
     prefill_time: Duration,
 }
 
@@ -144,7 +137,7 @@
     pub fn prefill_time_of(&self, request: &RequestId) -> Option<Duration> {
         let location = self.locations.get(request)?;
         let lane = self.lanes.get(&location.lane)?;
-        let job = lane.jobs.get(&location.organisation)?.get(&location.key)?;
+        let job = lane.jobs.get(location.organisation, location.key)?;
         Some(job.prefill_time)
     }
 
@@ -244,7 +237,7 @@
             PlanKind::Trial
         };
         let key = LaneKey { pool, class, plan };
-        self.lanes.get_mut(&key)?.head(shares)
+        self.lanes.get_mut(&key)?.jobs.head(shares)
     }
 
     /// Removes a job in order to start it, and charges its cost to its
@@ -266,7 +259,7 @@
             .remove(&(location.latest_start, location.key.sequence));
         let lane = self.lanes.get_mut(&location.lane)?;
         let job = lane.remove(location.organisation, location.key)?;
-        if lane.count == 0 {
+        if lane.jobs.len() == 0 {
             self.lanes.remove(&location.lane);
         }
         self.tokens = self.tokens.saturating_sub(job.job.prompt_tokens);
@@ -287,7 +280,7 @@
     /// Removes and returns an arbitrary job of a pool; `None` when it has none.
     pub fn take_any(&mut self, pool: PoolIndex, shares: &mut ShareTable) -> Option<QueuedJob> {
         let lane = self.lanes.iter().find(|(lane, _)| lane.pool == pool)?.1;
-        let job = lane.jobs.values().next()?.values().next()?;
+        let job = lane.jobs.any()?;
         let request = job.job.request.clone();
         self.remove(&request, shares)
     }
@@ -300,9 +293,9 @@
             .lanes
             .iter()
             .filter(|(lane, _)| lane.plan == plan)
-            .filter_map(|(lane, queue)| Some((*lane, queue.last_key(organisation)?)))
+            .filter_map(|(lane, queue)| Some((*lane, queue.jobs.last_key(organisation)?)))
             .max_by_key(|(_, key)| *key)?;
-        let job = self.lanes.get(&lane)?.jobs.get(&organisation)?.get(&key)?;
+        let job = self.lanes.get(&lane)?.jobs.get(organisation, key)?;
         let request = job.job.request.clone();
         self.remove(&request, shares)
     }
@@ -323,54 +316,20 @@
         shares: &ShareTable,
     ) -> Option<Duration> {
         let key = LaneKey { pool, class, plan };
-        let job = self.lanes.get_mut(&key)?.head(shares)?;
+        let job = self.lanes.get_mut(&key)?.jobs.head(shares)?;
         Some(job.prefill_time)
     }
 }
 
 impl QueueLane {
     fn push(&mut self, key: JobKey, job: QueuedJob, shares: &ShareTable) {
-        let organisation = job.organisation;
-        self.count += 1;
         self.prefill_time += job.prefill_time;
-        self.jobs.entry(organisation).or_default().insert(key, job);
-        if self.in_heap.insert(organisation) {
-            let counter = shares.counter(organisation);
-            self.heap.push(Reverse((counter, organisation)));
-        }
-    }
-
-    fn head(&mut self, shares: &ShareTable) -> Option<&QueuedJob> {
-        loop {
-            let Reverse((counter, organisation)) = self.heap.peek().copied()?;
-            if !self.jobs.contains_key(&organisation) {
-                self.heap.pop();
-                self.in_heap.remove(&organisation);
-                continue;
-            }
-            let current = shares.counter(organisation);
-            if current == counter {
-                let jobs = self.jobs.get(&organisation)?;
-                return jobs.first_key_value().map(|(_, job)| job);
-            }
-            self.heap.pop();
-            self.heap.push(Reverse((current, organisation)));
-        }
+        self.jobs.push(job.organisation, key, job, shares);
     }
 
     fn remove(&mut self, organisation: OrganisationIndex, key: JobKey) -> Option<QueuedJob> {
-        let jobs = self.jobs.get_mut(&organisation)?;
-        let job = jobs.remove(&key)?;
-        if jobs.is_empty() {
-            self.jobs.remove(&organisation);
-        }
-        self.count -= 1;
+        let job = self.jobs.remove(organisation, key)?;
         self.prefill_time = self.prefill_time.saturating_sub(job.prefill_time);
         Some(job)
     }
-
-    fn last_key(&self, organisation: OrganisationIndex) -> Option<JobKey> {
-        let jobs = self.jobs.get(&organisation)?;
-        jobs.last_key_value().map(|(key, _)| *key)
-    }
 }
