Let requests wait in line where organisations are configured

Nodes tell each other of their lines, refuse on arrival whose turn comes too late, and let plain requests wait for a slot.

Seen to fail: both tests of platform/tests/path/lines.rs without the condition !has_plain_room in try_placement; that of the caller that leaves also without LinePlace::drop.

--- a/components/dispatch/src/lib.rs
+++ b/components/dispatch/src/lib.rs
@@ -50,9 +50,10 @@
     PrefillNotice, ReportedLoad, engine_key,
 };
 pub use news::{AcceptedNews, NewsCursor, NewsItem, NewsLog, NewsPage, NewsReader, NewsSubject};
+pub use pick::fastest_prefill;
 pub use placement::{
-    LatencyGoals, Placement, PlacementRefusal, PlacementRequest, PlacementWait,
-    place_plain_request, place_prompt,
+    LatencyGoals, Placement, PlacementRefusal, PlacementRequest, PlacementWait, has_plain_room,
+    needs_several_engines, place_plain_request, place_prompt,
 };
 pub use quarantine::{PartStanding, QuarantineList, QuarantineRow};
 pub use rate_limit::{FleetShare, FleetStanding, RateNotice};
--- a/components/dispatch/src/load.rs
+++ b/components/dispatch/src/load.rs
@@ -505,6 +505,15 @@
         load
     }
 
+    /// Age of the newest report that the known load of other nodes comes from; `None`
+    /// before the first one.
+    #[must_use]
+    pub fn known_age(&self, now: Instant) -> Option<Duration> {
+        let aggregate = self.aggregate.as_ref().map(|sums| sums.received_at);
+        let newest = aggregate.max(self.last_report_at)?;
+        Some(now.saturating_duration_since(newest))
+    }
+
     /// Whether any report still counts. Older ones among them are removed at intervals.
     fn hears_reports(&self, now: Instant) -> bool {
         self.last_report_at
--- a/components/dispatch/src/pick.rs
+++ b/components/dispatch/src/pick.rs
@@ -8,6 +8,7 @@
 
 use crate::{
     EngineLoad, EngineSpec, Placement, PlacementRefusal, PlacementRequest, PlacementWait,
+    PromptSize,
     placement::{Candidate, PACKING_TARGET, SMALL_SHARD_TIME, truncate_to_u64},
     prefill_time,
 };
@@ -134,13 +135,23 @@
 /// Most engines that shorten the prefill of a prompt; with more of them the
 /// shards get too short.
 pub(crate) fn max_useful_engines(spec: &EngineSpec, request: &PlacementRequest) -> usize {
-    let single_engine_time = prefill_time(spec, request.size.prompt, 1);
+    useful_engines(spec, request.size)
+}
+
+fn useful_engines(spec: &EngineSpec, size: PromptSize) -> usize {
+    let single_engine_time = prefill_time(spec, size.prompt, 1);
     let useful = truncate_to_u64(single_engine_time.as_secs_f64() / MIN_SHARD_TIME.as_secs_f64());
     usize::try_from(useful)
         .unwrap_or(usize::MAX)
         .clamp(1, MAX_PREFILL_ENGINES)
 }
 
+/// Time to prefill a prompt on as many idle engines as shorten it.
+#[must_use]
+pub fn fastest_prefill(spec: &EngineSpec, size: PromptSize) -> Duration {
+    prefill_time(spec, size.prompt, useful_engines(spec, size))
+}
+
 /// Delay of a shard by decoding, in addition to the prefill queued before it: an
 /// engine that decodes has a pass in progress, and runs another one while it
 /// prefills the shard.
--- a/components/dispatch/src/placement.rs
+++ b/components/dispatch/src/placement.rs
@@ -205,6 +205,27 @@
     Ok(health.entry.id.clone())
 }
 
+/// Requests that may queue at an upstream of a plain service, as a share of its slots:
+/// enough that a slot that becomes free is taken at once although reports lag.
+const PLAIN_QUEUE_SHARE: f64 = 0.5;
+
+/// Whether any upstream of a plain service has a free slot or a place in a short queue,
+/// as far as this node knows.
+#[must_use]
+pub fn has_plain_room(now: Instant, upstreams: &[&UpstreamHealth], loads: &LoadTracker) -> bool {
+    upstreams.iter().any(|health| {
+        let running = loads.engine_load(now, &health.entry.id).running();
+        let slots = f64::from(health.entry.slots.max(1));
+        f64::from(running) < slots * (1.0 + PLAIN_QUEUE_SHARE)
+    })
+}
+
+/// Whether a prompt needs the KV cache memory of several engines.
+#[must_use]
+pub fn needs_several_engines(spec: &EngineSpec, size: PromptSize) -> bool {
+    size.kv_cache_tokens() > usable_memory(spec)
+}
+
 /// Picks the engines that prefill and answer a prompt. `upstreams` are sorted by
 /// id.
 ///
@@ -306,7 +327,7 @@
     } else {
         exclude_reserved_engines(spec, &mut candidates);
     }
-    if request.size.kv_cache_tokens() > usable_memory(spec) {
+    if needs_several_engines(spec, request.size) {
         return place_on_idle_engines(spec, request, engine_limit, candidates, rng);
     }
     let engines = max_useful_engines(spec, request).min(candidates.len());
--- a/components/gateway/src/attempt.rs
+++ b/components/gateway/src/attempt.rs
@@ -4,7 +4,7 @@
 use std::{rc::Rc, time::Duration};
 
 use bytes::Bytes;
-use dispatch::{CallKind, Placement, PlacementRefusal};
+use dispatch::{CallKind, PlacementRefusal};
 use futures_lite::future::or;
 use http::{Request, Response, StatusCode, header};
 use http_body_util::{BodyExt, Full, Limited};
@@ -20,7 +20,7 @@
     crashes::record_sound_answer,
     forward::ForwardJob,
     leg::{UpstreamAttempt, is_framed, pool_connection, remove_hop_by_hop_headers},
-    place::{PLACEMENT_RETRY_PAUSE, find_placement},
+    place::{PLACEMENT_RETRY_PAUSE, PlacedRequest, find_placement},
     rates::record_rate,
     reach::suspect_cut,
     relay::{StreamForwarder, stream_plain_answer},
@@ -75,6 +75,8 @@
     pause_left: Option<Duration>,
     /// Time after which another node may take the request, if this one is cut off.
     cut_off_left: Option<Duration>,
+    /// Time after which the line has room for the request.
+    line_left: Option<Duration>,
     /// Time until the request's quarantine ends, if it has crashed upstreams.
     quarantine_left: Option<Duration>,
 }
@@ -119,24 +121,29 @@
         if history.sends > 0 && !take_retry_if_allowed(gateway, &job, &history) {
             break "not_repeatable";
         }
-        let placement = match find_placement(gateway, &job, &history.tried).await {
-            Ok(placement) => placement,
-            Err(PlacementRefusal::NoUpstream) => break "no_upstream",
-            Err(PlacementRefusal::Paused(left)) => {
-                history.pause_left = Some(left);
-                break "paused";
+        let placed = match find_placement(gateway, &job, &history.tried).await {
+            Ok(placed) => placed,
+            Err(refusal) => {
+                history.line_left = refusal.return_after;
+                match refusal.reason {
+                    PlacementRefusal::NoUpstream => break "no_upstream",
+                    PlacementRefusal::Paused(left) => {
+                        history.pause_left = Some(left);
+                        break "paused";
+                    }
+                    PlacementRefusal::OutsideHomes => break "outside_homes",
+                    PlacementRefusal::Evacuated => break "evacuated",
+                    PlacementRefusal::Full => break "full",
+                    PlacementRefusal::NeedsIdleEngines => break "needs_quiet",
+                    PlacementRefusal::TooLarge => break "too_large",
+                }
             }
-            Err(PlacementRefusal::OutsideHomes) => break "outside_homes",
-            Err(PlacementRefusal::Evacuated) => break "evacuated",
-            Err(PlacementRefusal::Full) => break "full",
-            Err(PlacementRefusal::NeedsIdleEngines) => break "needs_quiet",
-            Err(PlacementRefusal::TooLarge) => break "too_large",
         };
         if gateway.now() + ANSWER_MARGIN >= job.deadline {
             break "deadline";
         }
-        let upstream = placement.upstream.clone();
-        let outcome = send_once(gateway, &job, placement, &mut history).await;
+        let upstream = placed.placement.upstream.clone();
+        let outcome = send_once(gateway, &job, *placed, &mut history).await;
         if !matches!(outcome, SendOutcome::NotReserved) {
             history.tried.push(upstream);
         }
@@ -193,6 +200,9 @@
                 .max(RETRY_AFTER_MIN),
             "paused" => history.pause_left.unwrap_or_default().max(RETRY_AFTER_MIN),
             "evacuated" | "outside_homes" => BARRED_RETRY_AFTER,
+            "full" | "needs_quiet" if history.line_left.is_some() => {
+                history.line_left.unwrap_or_default().min(left)
+            }
             "needs_quiet" => left.mul_f64(IDLE_ENGINES_RETRY_SHARE).max(RETRY_AFTER_MIN),
             _ => RETRY_AFTER_MIN,
         })
@@ -251,16 +261,17 @@
     taken
 }
 
-/// Sends the request once, to the upstream of `placement`.
+/// Sends the request once, to the upstream where it is placed.
 async fn send_once(
     gateway: &Rc<Gateway>,
     job: &Rc<ForwardJob>,
-    placement: Placement,
+    placed: PlacedRequest,
     history: &mut AttemptHistory,
 ) -> SendOutcome {
-    let Some(mut attempt) = UpstreamAttempt::register(gateway, job, &placement) else {
-        return SendOutcome::NotSent;
-    };
+    let PlacedRequest {
+        placement,
+        mut attempt,
+    } = placed;
     if let Err(refused) = attempt
         .reserve(gateway, job, &placement.memory_shares)
         .await
--- a/components/gateway/src/leg.rs
+++ b/components/gateway/src/leg.rs
@@ -33,7 +33,7 @@
 
 /// Expected time to first token in addition to the prefill: two forward passes
 /// of a busy engine.
-const FIRST_EVENT_OVERHEAD: Duration = Duration::from_millis(150);
+pub(crate) const FIRST_EVENT_OVERHEAD: Duration = Duration::from_millis(150);
 /// Share of the keep-alive time announced by an upstream for which its connections
 /// stay in the pool, so that none is used while the upstream closes it.
 const KEEP_ALIVE_SHARE: f64 = 0.6;
--- a/components/gateway/src/lib.rs
+++ b/components/gateway/src/lib.rs
@@ -19,6 +19,7 @@
 mod formats;
 mod forward;
 mod leg;
+mod line;
 mod listen;
 mod metrics;
 mod news;
--- a/components/gateway/src/place.rs
+++ b/components/gateway/src/place.rs
@@ -1,15 +1,23 @@
 //! Finds the upstream of a request, and waits for a better one while the
 //! request's latency goal allows it.
 
-use std::{rc::Rc, time::Duration};
+use std::{
+    rc::Rc,
+    time::{Duration, Instant},
+};
 
 use dispatch::{
     LatencyGoals, Placement, PlacementRefusal, PlacementRequest, PlacementWait, UpstreamEntry,
-    UpstreamHealth, place_plain_request, place_prompt,
+    UpstreamHealth, has_plain_room, place_plain_request, place_prompt,
 };
 use types::UpstreamId;
 
-use crate::{forward::ForwardJob, state::Gateway};
+use crate::{
+    forward::ForwardJob,
+    leg::UpstreamAttempt,
+    line::{is_in_line, wait_in_line},
+    state::Gateway,
+};
 
 /// Pause between two placement attempts.
 pub(crate) const PLACEMENT_RETRY_PAUSE: Duration = Duration::from_millis(25);
@@ -32,35 +40,99 @@
 /// before its caller is told to retry later.
 const IDLE_ENGINES_WAIT_SHARE: f64 = 0.125;
 
+/// Placement of a request that counts in the load of its engines.
+pub(crate) struct PlacedRequest {
+    pub(crate) placement: Placement,
+    pub(crate) attempt: UpstreamAttempt,
+}
+
+/// Outcome of one look for a placement.
+pub(crate) enum PlacementStep {
+    Placed(Box<PlacedRequest>),
+    Refused(PlacementRefusal),
+    /// A later look may find a better placement.
+    Wait,
+}
+
+/// Why a request is not placed after all, and when its caller should return if the line
+/// tells that.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct WaitRefusal {
+    pub(crate) reason: PlacementRefusal,
+    pub(crate) return_after: Option<Duration>,
+}
+
+impl From<PlacementRefusal> for WaitRefusal {
+    fn from(reason: PlacementRefusal) -> Self {
+        Self {
+            reason,
+            return_after: None,
+        }
+    }
+}
+
 /// Waits for a placement that doesn't slow down other requests, and accepts any
 /// other once the request has waited as long as its goal allows.
 pub(crate) async fn find_placement(
     gateway: &Rc<Gateway>,
-    job: &ForwardJob,
+    job: &Rc<ForwardJob>,
     tried: &[UpstreamId],
-) -> Result<Placement, PlacementRefusal> {
+) -> Result<Box<PlacedRequest>, WaitRefusal> {
+    if is_in_line(gateway) {
+        return wait_in_line(gateway, job, tried).await;
+    }
+    loop {
+        match try_to_place(gateway, job, tried) {
+            PlacementStep::Placed(placed) => return Ok(placed),
+            PlacementStep::Refused(refusal) => return Err(refusal.into()),
+            PlacementStep::Wait => gateway.clock.sleep(PLACEMENT_RETRY_PAUSE).await,
+        }
+    }
+}
+
+/// Longest time from its arrival for which a request may wait for a better placement.
+pub(crate) fn longest_wait(job: &ForwardJob) -> Duration {
     let time_limit = job.deadline.saturating_duration_since(job.arrived);
     let longest_wait = job.route.latency_goal.mul_f64(PLACEMENT_WAIT_SHARE);
-    let longest_wait = longest_wait.min(time_limit.mul_f64(PLACEMENT_DEADLINE_SHARE));
+    longest_wait.min(time_limit.mul_f64(PLACEMENT_DEADLINE_SHARE))
+}
+
+/// What a request accepts after the time that it has waited.
+pub(crate) fn wait_limits(job: &ForwardJob, now: Instant) -> PlacementWait {
+    let waited = now.saturating_duration_since(job.arrived);
+    if waited >= longest_wait(job) {
+        PlacementWait::Expired
+    } else {
+        prefill_limits(job.route.latency_goal, waited)
+    }
+}
+
+/// Looks for a placement that the request accepts now, and counts it as load.
+pub(crate) fn try_to_place(
+    gateway: &Rc<Gateway>,
+    job: &ForwardJob,
+    tried: &[UpstreamId],
+) -> PlacementStep {
+    let now = gateway.now();
+    let wait_limits = wait_limits(job, now);
+    let late = wait_limits == PlacementWait::Expired;
+    let waited = now.saturating_duration_since(job.arrived);
     let idle_engines_wait = job.route.latency_goal.mul_f64(IDLE_ENGINES_WAIT_SHARE);
-    loop {
-        let waited = gateway.now().saturating_duration_since(job.arrived);
-        let late = waited >= longest_wait;
-        let wait_limits = if late {
-            PlacementWait::Expired
-        } else {
-            prefill_limits(job.route.latency_goal, waited)
-        };
-        match try_placement(gateway, job, tried, wait_limits) {
-            Ok(placement) if placement.keeps_event_gaps || late => return Ok(placement),
-            Err(PlacementRefusal::NeedsIdleEngines) if late || waited >= idle_engines_wait => {
-                return Err(PlacementRefusal::NeedsIdleEngines);
-            }
-            Ok(_) | Err(PlacementRefusal::Full | PlacementRefusal::NeedsIdleEngines) if !late => {
-                gateway.clock.sleep(PLACEMENT_RETRY_PAUSE).await;
-            }
-            other => return other,
+    match try_placement(gateway, job, tried, wait_limits) {
+        Ok(placement) if placement.keeps_event_gaps || late => {
+            let Some(attempt) = UpstreamAttempt::register(gateway, job, &placement) else {
+                return PlacementStep::Refused(PlacementRefusal::NoUpstream);
+            };
+            PlacementStep::Placed(Box::new(PlacedRequest { placement, attempt }))
+        }
+        Err(PlacementRefusal::NeedsIdleEngines) if late || waited >= idle_engines_wait => {
+            PlacementStep::Refused(PlacementRefusal::NeedsIdleEngines)
         }
+        Ok(_) => PlacementStep::Wait,
+        Err(PlacementRefusal::Full | PlacementRefusal::NeedsIdleEngines) if !late => {
+            PlacementStep::Wait
+        }
+        Err(refusal) => PlacementStep::Refused(refusal),
     }
 }
 
@@ -139,6 +211,13 @@
                 };
                 place_prompt(now, engine, &ask, upstreams, &loads, &mut *rng)
             }
+            _ if wait_limits != PlacementWait::Expired
+                && is_in_line(gateway)
+                && !upstreams.is_empty()
+                && !has_plain_room(now, upstreams, &loads) =>
+            {
+                Err(PlacementRefusal::Full)
+            }
             _ => place_plain_request(now, upstreams, &loads, &mut *rng)
                 .map(Placement::single_upstream),
         }
--- a/components/gateway/src/supplements.rs
+++ b/components/gateway/src/supplements.rs
@@ -17,6 +17,7 @@
 use crate::{
     cold::{cold_supplements, receive_cold},
     evacuation::{evacuation_supplements, receive_evacuations},
+    line::{own_line_supplement, receive_lines},
     state::Gateway,
 };
 
@@ -50,10 +51,12 @@
     Evacuations = 1,
     /// What is known of upstreams that warm up.
     ColdUpstreams = 2,
+    /// Requests that wait in line, at one node or at all others.
+    WaitingLines = 3,
 }
 
 impl SupplementKind {
-    const ALL: [Self; 2] = [Self::Evacuations, Self::ColdUpstreams];
+    const ALL: [Self; 3] = [Self::Evacuations, Self::ColdUpstreams, Self::WaitingLines];
 
     fn from_number(number: u16) -> Option<Self> {
         Self::ALL.into_iter().find(|kind| *kind as u16 == number)
@@ -129,10 +132,12 @@
 
 /// Returns what this node adds to its reports to relays.
 pub(crate) fn report_supplements(gateway: &Gateway, now: Instant) -> Vec<Supplement> {
-    cold_supplements(gateway, now)
+    let mut supplements = cold_supplements(gateway, now);
+    supplements.extend(own_line_supplement(gateway));
+    supplements
 }
 
-/// Returns what this node adds to its news for a node that asks.
+/// Returns what this node adds to its news.
 pub(crate) fn answer_supplements(gateway: &Gateway, now: Instant) -> Vec<Supplement> {
     let mut supplements = evacuation_supplements(gateway, now);
     supplements.extend(cold_supplements(gateway, now));
@@ -157,6 +162,11 @@
                     receive_cold(gateway, knowledge);
                 }
             }
+            Some(SupplementKind::WaitingLines) => {
+                if let Some(content) = supplement.decode(from) {
+                    receive_lines(gateway, from, content);
+                }
+            }
             None => {
                 gateway.metrics.supplements_unknown.inc();
                 log::debug!(
