--- a/components/gateway/src/line.rs
+++ b/components/gateway/src/line.rs
@@ -138,10 +138,10 @@
     }
 }
 
-/// Returns whether requests wait in line order: where organisations are configured,
-/// callers compete for room.
+/// Returns whether requests wait in line order: where the settings ask for it and
+/// organisations are configured, whose callers compete for room.
 pub(crate) fn is_in_line(gateway: &Gateway) -> bool {
-    gateway.routes.borrow().state().organisations.is_some()
+    gateway.settings.waiting_line && gateway.routes.borrow().state().organisations.is_some()
 }
 
 /// Places a request at once if nobody waits before it and there is room, or else waits
