Divide the retry budget by the nodes that exist, not by those heard

Cause: a node divided the fixed number of retries by the nodes that it had heard of lately. A node that has read no list yet takes nothing of the fixed number, only its part by requests.

--- a/components/dispatch/src/budget.rs
+++ b/components/dispatch/src/budget.rs
@@ -1,8 +1,9 @@
 //! Retry budget: limits how often a node sends a request to another upstream.
 //!
 //! The limit applies to all nodes together. Each node divides the fixed number
-//! of retries by the largest fleet size that it has seen recently, so that
-//! nodes in a network partition don't each use the whole budget.
+//! of retries by the number of nodes that it knows to exist, heard or not, so that
+//! nodes that start together or are in a network partition don't each use the whole
+//! budget. A node that has read no list of all nodes takes none of the fixed number.
 
 use std::{
     collections::{HashMap, VecDeque},
@@ -52,19 +53,19 @@
         sends.expire(now, window);
     }
 
-    /// Whether this node's share of the budget, in a fleet of `nodes`, allows a
-    /// retry.
-    pub fn allows_retry(&mut self, now: Instant, service: &str, nodes: usize) -> bool {
+    /// Whether this node's share of the budget allows a retry, in a fleet of `nodes`;
+    /// `None` if their number is not known yet.
+    pub fn allows_retry(&mut self, now: Instant, service: &str, nodes: Option<usize>) -> bool {
         let window = self.window;
         let sends = self.services.entry(service.to_owned()).or_default();
         sends.expire(now, window);
-        let share = self.extra_retries / to_f64(nodes.max(1));
+        let share = nodes.map_or(0.0, |nodes| self.extra_retries / to_f64(nodes.max(1)));
         let bound = BUDGET_SHARE * (self.ratio * to_f64(sends.first_sends.len()) + share);
         to_f64(sends.retries.len()) + 1.0 <= bound
     }
 
     /// Uses one retry of the budget; returns `false` when none is left.
-    pub fn take_retry(&mut self, now: Instant, service: &str, nodes: usize) -> bool {
+    pub fn take_retry(&mut self, now: Instant, service: &str, nodes: Option<usize>) -> bool {
         if !self.allows_retry(now, service, nodes) {
             return false;
         }
--- a/components/dispatch/src/fleet.rs
+++ b/components/dispatch/src/fleet.rs
@@ -402,6 +402,9 @@
                 self.roster.record_told(now, entry.clone(), *alive);
             }
         }
+        if accepted.listing.is_some() {
+            self.roster.record_whole_listing();
+        }
         if let Some(listing) = &accepted.listing
             && self.source.is_some()
         {
--- a/components/dispatch/src/roster.rs
+++ b/components/dispatch/src/roster.rs
@@ -74,6 +74,8 @@
     recent_sizes: Vec<(Instant, usize)>,
     /// Whether this node hears all others itself, and doesn't need to be told.
     hears_all: bool,
+    /// Whether this node has read a list of all nodes.
+    is_listed: bool,
 }
 
 impl NodeRoster {
@@ -147,6 +149,12 @@
         }
     }
 
+    /// Records that the known nodes include all of a list: the rows of the store, or what a
+    /// relay tells.
+    pub fn record_whole_listing(&mut self) {
+        self.is_listed = true;
+    }
+
     /// Passes over a node that did not answer, for [`SILENCE_TIME_MIN`] at first.
     pub fn record_silence(&mut self, now: Instant, node: &str) {
         if let Some(member) = self.members.get_mut(node) {
@@ -333,18 +341,18 @@
         })
     }
 
-    /// Records the present number of live nodes, this one included, and returns
-    /// the largest number recorded in the last 30 s.
-    pub fn recent_fleet_size(&mut self, now: Instant) -> usize {
-        let size = self.live(now).count() + 1;
+    /// Records the present number of known nodes, dead ones and this one included, and
+    /// returns the largest number recorded in the last 30 s; `None` while this node has
+    /// read no list of all nodes.
+    pub fn recent_fleet_size(&mut self, now: Instant) -> Option<usize> {
+        if !self.is_listed {
+            return None;
+        }
+        let size = self.members.len() + 1;
         self.recent_sizes
             .retain(|(seen, old)| now.duration_since(*seen) < FLEET_SIZE_WINDOW && *old > size);
         self.recent_sizes.push((now, size));
-        self.recent_sizes
-            .iter()
-            .map(|(_, size)| *size)
-            .max()
-            .unwrap_or(1)
+        self.recent_sizes.iter().map(|(_, size)| *size).max()
     }
 
     fn counts_as_alive(&self, now: Instant, member: &RosterMember) -> bool {
--- a/components/dispatch/tests/known_state.rs
+++ b/components/dispatch/tests/known_state.rs
@@ -237,7 +237,7 @@
             budget.record_request(now, "models");
             requests.push(millis);
         }
-        if budget.take_retry(now, "models", NODES) {
+        if budget.take_retry(now, "models", Some(NODES)) {
             retries.push(millis);
         }
     }
@@ -257,6 +257,40 @@
     }
 }
 
+/// Sixty nodes start together, and each has heard of another number of them by the time
+/// that all have retries to make. Those that have read the rows of the store know of all.
+#[test]
+fn nodes_that_have_heard_of_few_others_stay_within_the_budget_together() {
+    const NODES: usize = 60;
+    const EXTRA_RETRIES: f64 = 100.0;
+    let now = Instant::now();
+    let names: Vec<String> = (0..NODES).map(|index| format!("node-{index}")).collect();
+    for read_rows in 0..=NODES {
+        let mut taken = 0.0;
+        for heard in 0..NODES {
+            let mut roster = NodeRoster::default();
+            for name in names.iter().take(heard) {
+                roster.record_heartbeat(now, node(name, 1, true));
+            }
+            if heard < read_rows {
+                for name in names.iter().take(NODES - 1) {
+                    roster.record_listing(now, node(name, 1, true));
+                }
+                roster.record_whole_listing();
+            }
+            let mut budget = RetryBudget::new(Duration::from_secs(10), 0.2, EXTRA_RETRIES);
+            let nodes = roster.recent_fleet_size(now);
+            while budget.take_retry(now, "models", nodes) {
+                taken += 1.0;
+            }
+        }
+        assert!(
+            taken <= EXTRA_RETRIES,
+            "{taken} with {read_rows} nodes that know all"
+        );
+    }
+}
+
 fn node(name: &str, incarnation: u64, ready: bool) -> RosterEntry {
     RosterEntry {
         node: name.to_owned(),
@@ -477,9 +511,16 @@
     for name in ["a", "b", "c"] {
         roster.record_heartbeat(now, node(name, 1, true));
     }
-    assert_eq!(roster.recent_fleet_size(now), 4);
-    assert_eq!(roster.recent_fleet_size(now + Duration::from_secs(5)), 4);
-    assert_eq!(roster.recent_fleet_size(now + Duration::from_mins(1)), 1);
+    assert_eq!(roster.recent_fleet_size(now), None, "there may be others");
+    roster.record_whole_listing();
+    assert_eq!(roster.recent_fleet_size(now), Some(4));
+    assert_eq!(
+        roster.recent_fleet_size(now + Duration::from_secs(5)),
+        Some(4)
+    );
+    let later = now + Duration::from_mins(1);
+    roster.remove_expired(later);
+    assert_eq!(roster.recent_fleet_size(later), Some(1));
 }
 
 proptest! {
--- a/components/gateway/src/attempt.rs
+++ b/components/gateway/src/attempt.rs
@@ -253,9 +253,10 @@
         gateway.metrics.retries.inc();
     } else {
         log::warn!(
-            "event=retry_denied request={} service={} nodes={nodes}",
+            "event=retry_denied request={} service={} nodes={}",
             job.request.caller_attempt_id,
-            job.service
+            job.service,
+            nodes.unwrap_or_default()
         );
     }
     taken
--- a/components/gateway/src/sync.rs
+++ b/components/gateway/src/sync.rs
@@ -410,7 +410,7 @@
             }
         }
         WatchedTable::Upstreams => apply_upstreams(gateway, changes, complete, version),
-        WatchedTable::Nodes => apply_nodes(gateway, changes),
+        WatchedTable::Nodes => apply_nodes(gateway, changes, complete),
         WatchedTable::Quarantine => apply_quarantine_rows(gateway, changes, complete),
     }
 }
@@ -539,7 +539,7 @@
     share_rates(gateway);
 }
 
-fn apply_nodes(gateway: &Gateway, changes: Vec<TableChange>) {
+fn apply_nodes(gateway: &Gateway, changes: Vec<TableChange>, complete: bool) {
     let now = gateway.now();
     let mut fleet = gateway.fleet.borrow_mut();
     for change in changes {
@@ -557,4 +557,7 @@
             }
         }
     }
+    if complete {
+        fleet.roster_mut().record_whole_listing();
+    }
 }
