Ask other nodes for news at once while the relay does not answer

Change: once the answer is overdue (150 ms), a node asks one further node, then two, four and so on every 100 ms, other relays first, and takes the news of whichever answers; until it has read all of it, it asks for the next pages as soon as those of an answer have arrived. Sums still come from the relay.

--- a/components/dispatch/src/fleet.rs
+++ b/components/dispatch/src/fleet.rs
@@ -10,13 +10,16 @@
     time::{Duration, Instant},
 };
 
-use rand::{Rng, RngExt, seq::IndexedRandom};
+use rand::{
+    Rng, RngExt,
+    seq::{IndexedRandom, SliceRandom},
+};
 use types::{NodeId, UpstreamId};
 
 use crate::{
     AcceptedNews, NewsCursor, NewsItem, NewsLog, NewsPage, NewsReader, NewsSubject, NodeRoster,
     RosterEntry, UpstreamTable,
-    relays::{RelayWatch, find_lost_relays, is_better_relay, select_relays},
+    relays::{RelayWatch, StandIns, find_lost_relays, is_better_relay, select_relays},
 };
 
 /// Shortest pause between two reports. A fully loaded engine starts to decode another
@@ -40,6 +43,9 @@
 /// Shortest pause between two updates of the log, which a relay that answers hundreds
 /// of nodes would otherwise make for each of them.
 const PUBLISH_PAUSE: Duration = Duration::from_millis(30);
+/// Pause after a page of news before a node that has lost its relay asks for the rest: the
+/// pages of one answer arrive together.
+const NEXT_PAGES_PAUSE: Duration = Duration::from_millis(20);
 /// Number of relays that always poll the store.
 const STORE_POLLERS: usize = 3;
 
@@ -52,6 +58,13 @@
     /// What this node has read of the logs of others, by their address.
     readers: HashMap<SocketAddr, NewsReader>,
     watch: RelayWatch,
+    /// Nodes that are asked while the answer of the relay is overdue.
+    stand_ins: StandIns,
+    /// Whether the relay has not answered, and this node has not read all news of another
+    /// one since.
+    is_behind: bool,
+    /// When the last page arrived, if it was not the last of the log.
+    partial_page_at: Option<Instant>,
     /// Node whose news this node takes over; `None` for a relay, which takes over those
     /// of all relays.
     source: Option<SocketAddr>,
@@ -77,6 +90,8 @@
     pub chosen: Option<RosterEntry>,
     /// A relay that did not answer and is passed over for a while.
     pub silent: Option<NodeId>,
+    /// Whether the questions are due now, since the relay does not answer.
+    pub asks_now: bool,
 }
 
 /// What a node knows of others.
@@ -108,6 +123,9 @@
             log: NewsLog::new(log_id),
             readers: HashMap::new(),
             watch: RelayWatch::default(),
+            stand_ins: StandIns::default(),
+            is_behind: false,
+            partial_page_at: None,
             source: None,
             relay_since: None,
             published_at: None,
@@ -139,11 +157,23 @@
     }
 
     /// Whether the next report is due at once: a node that knew no live one at its last
-    /// report has heard of others since, by themselves or in the store.
+    /// report has heard of others since, by themselves or in the store; or the relay does
+    /// not answer, and others are to be asked.
     #[must_use]
     pub fn report_is_urgent(&self, now: Instant, before: ContactLevel) -> bool {
         let level = self.contact_level(now);
         before.isolated && (!level.isolated || level.known > before.known)
+            || self.needs_stand_ins(now)
+            || self.needs_next_pages(now)
+    }
+
+    fn needs_stand_ins(&self, now: Instant) -> bool {
+        self.source.is_some() && self.watch.is_overdue(now) && self.stand_ins.are_due(now)
+    }
+
+    fn needs_next_pages(&self, now: Instant) -> bool {
+        let is_past = |at| now.saturating_duration_since(at) >= NEXT_PAGES_PAUSE;
+        self.source.is_some() && self.is_behind && self.partial_page_at.is_some_and(is_past)
     }
 
     /// Pause before the next report.
@@ -203,10 +233,13 @@
         stale_copy: bool,
         rng: &mut impl Rng,
     ) -> ReportPlan {
+        let needs_stand_ins = self.needs_stand_ins(now);
+        let asks_now = needs_stand_ins || self.needs_next_pages(now);
         let silent = self.watch.take_silent(now, question_pause);
         if let Some(relay) = &silent {
             self.roster.record_silence(now, relay);
         }
+        self.is_behind |= needs_stand_ins || silent.is_some();
         let is_relay = self.is_relay(now, own);
         self.relay_since = is_relay.then(|| self.relay_since.unwrap_or(now));
         let settled = self
@@ -268,15 +301,28 @@
                 chosen = Some(relay.clone());
             }
             if self.source != Some(relay.peer_address) {
-                // What other nodes told meanwhile is not in this node's reading.
-                self.readers.clear();
+                // What other nodes told meanwhile is not in this node's reading; listings
+                // that stand-ins have begun go on.
+                let stand_ins = self.stand_ins.asked();
+                self.readers.retain(|address, reader| {
+                    stand_ins.contains(address)
+                        && (reader.cursor().listing || *address != relay.peer_address)
+                });
                 self.source = Some(relay.peer_address);
             }
+            if needs_stand_ins {
+                let others = self.nodes_beside(now, &relay, &relays, rng);
+                self.stand_ins.add_round(now, others.into_iter());
+            }
+            if asks_now {
+                self.partial_page_at = None;
+            }
             // A relay of this zone that was passed over is asked as well: it is chosen
             // again once it answers.
             let passed_over = lost.iter().filter(|entry| entry.zone == own.zone);
             let mut asked: Vec<SocketAddr> = passed_over.map(|entry| entry.peer_address).collect();
             asked.push(relay.peer_address);
+            asked.extend(self.stand_ins.asked());
             asked
         };
         addresses.extend(&asked);
@@ -292,9 +338,32 @@
             wants_sums: !is_relay,
             chosen,
             silent,
+            asks_now,
         }
     }
 
+    /// Addresses of the nodes that may stand in for `relay`: the other relays first, and
+    /// then all others in random order, so that they share the questions.
+    fn nodes_beside(
+        &self,
+        now: Instant,
+        relay: &RosterEntry,
+        relays: &[&RosterEntry],
+        rng: &mut impl Rng,
+    ) -> Vec<SocketAddr> {
+        let is_relay = |entry: &RosterEntry| relays.iter().any(|relay| relay.node == entry.node);
+        let mut others: Vec<SocketAddr> = self
+            .roster
+            .live(now)
+            .filter(|entry| !is_relay(entry))
+            .map(|entry| entry.peer_address)
+            .collect();
+        others.shuffle(rng);
+        let relays = relays.iter().filter(|other| other.node != relay.node);
+        let relays = relays.map(|other| other.peer_address);
+        relays.chain(others).collect()
+    }
+
     /// The relay of this node's zone. The node that replaces a silent relay may not
     /// hear all others yet, so a relay of another zone is asked for the time being.
     fn relay_to_ask<'a>(
@@ -318,6 +387,12 @@
     /// Records that the relay has answered.
     pub fn record_answer(&mut self) {
         self.watch.record_answer();
+        for stand_in in self.stand_ins.asked() {
+            if Some(*stand_in) != self.source {
+                self.readers.remove(stand_in);
+            }
+        }
+        self.stand_ins = StandIns::default();
     }
 
     /// Brings the log up to date with the nodes and upstreams that this node knows, at
@@ -390,10 +465,12 @@
     ) -> Option<AcceptedNews> {
         let address = from.peer_address;
         self.roster.record_heartbeat(now, from);
-        if self.source.is_some_and(|source| source != address) {
+        if self.source.is_none_or(|source| source == address) {
+            self.record_answer();
+        } else if !self.stand_ins.asked().contains(&address) {
             return None;
         }
-        self.record_answer();
+        self.partial_page_at = (!page.complete).then_some(now);
         let accepted = self.readers.entry(address).or_default().accept(page)?;
         for item in &accepted.items {
             if let NewsItem::Node(entry, alive) = item
@@ -402,11 +479,14 @@
                 self.roster.record_told(now, entry.clone(), *alive);
             }
         }
+        if accepted.caught_up && self.source == Some(address) {
+            self.is_behind = false;
+        }
         if accepted.listing.is_some() {
             self.roster.record_whole_listing();
         }
         if let Some(listing) = &accepted.listing
-            && self.source.is_some()
+            && self.source == Some(address)
         {
             let is_listed = |node: &NodeId| listing.contains(&NewsSubject::Node(node.clone()));
             self.roster.retain_told(is_listed);
--- a/components/dispatch/src/relays.rs
+++ b/components/dispatch/src/relays.rs
@@ -5,6 +5,7 @@
 use std::{
     cmp::Reverse,
     collections::BTreeMap,
+    net::SocketAddr,
     time::{Duration, Instant},
 };
 
@@ -16,6 +17,8 @@
 const QUESTIONS_MAX: u32 = 2;
 /// Longest time that an answer usually takes.
 const ANSWER_TIME: Duration = Duration::from_millis(150);
+/// Pause between two rounds in which further nodes are asked beside a relay that is late.
+const STAND_IN_PAUSE: Duration = Duration::from_millis(100);
 
 /// Whether `one` is a better relay than `other`. All nodes agree on this order, so
 /// they report to the same few.
@@ -82,6 +85,13 @@
         self.asked_at = None;
     }
 
+    /// Whether the relay has not answered for longer than an answer usually takes.
+    #[must_use]
+    pub fn is_overdue(&self, now: Instant) -> bool {
+        self.asked_at
+            .is_some_and(|asked_at| now.saturating_duration_since(asked_at) >= ANSWER_TIME)
+    }
+
     /// Returns the relay that was asked and has not answered in time, once;
     /// `question_pause` is the interval between questions.
     pub fn take_silent(&mut self, now: Instant, question_pause: Duration) -> Option<NodeId> {
@@ -93,3 +103,39 @@
         self.relay.take()
     }
 }
+
+/// Nodes that are asked for news beside a relay whose answer is overdue. Each round asks
+/// twice as many as the one before, so that some node answers soon although many relays
+/// are frozen.
+#[derive(Debug, Default)]
+pub struct StandIns {
+    asked: Vec<SocketAddr>,
+    /// When the last round was asked.
+    round_at: Option<Instant>,
+}
+
+impl StandIns {
+    /// Whether the next round is due.
+    #[must_use]
+    pub fn are_due(&self, now: Instant) -> bool {
+        self.round_at
+            .is_none_or(|at| now.saturating_duration_since(at) >= STAND_IN_PAUSE)
+    }
+
+    /// Begins a round, with the first of `others` that have not been asked.
+    pub fn add_round(&mut self, now: Instant, others: impl Iterator<Item = SocketAddr>) {
+        self.round_at = Some(now);
+        let count = self.asked.len() + 1;
+        let new: Vec<SocketAddr> = others
+            .filter(|address| !self.asked.contains(address))
+            .take(count)
+            .collect();
+        self.asked.extend(new);
+    }
+
+    /// Addresses of all nodes that were asked.
+    #[must_use]
+    pub fn asked(&self) -> &[SocketAddr] {
+        &self.asked
+    }
+}
--- a/components/dispatch/tests/fleet.rs
+++ b/components/dispatch/tests/fleet.rs
@@ -9,11 +9,13 @@
 };
 
 use dispatch::{
-    ContactLevel, FleetView, NewsCursor, NewsPage, RosterEntry, RowSchedule, UpstreamEntry,
-    UpstreamState, UpstreamTable,
+    ContactLevel, FleetView, NewsCursor, NewsItem, NewsPage, NewsSubject, RosterEntry, RowSchedule,
+    UpstreamEntry, UpstreamState, UpstreamTable, select_relays,
 };
 use rand::{RngExt, SeedableRng, rngs::StdRng};
 
+/// Upstream that leaves in some tests.
+const LEAVING: &str = "leaving";
 const PAGE_BYTES: usize = 1_250;
 const PAGES_MAX: usize = 10;
 const ZONES: usize = 5;
@@ -40,6 +42,8 @@
     /// What the node knew of others at its last report.
     reported: ContactLevel,
     up: bool,
+    /// Whether it knows that the upstream [`LEAVING`] is gone.
+    knows_gone: bool,
     sent: usize,
     received: usize,
 }
@@ -119,6 +123,7 @@
             started: start_time(index),
             next_report: start_time(index),
             up: true,
+            knows_gone: false,
             sent: 0,
             received: 0,
         });
@@ -264,7 +269,14 @@
             }
             Datagram::News(sender, page) => {
                 let node = &mut self.nodes[index];
-                node.view.accept_news(now, &node.entry, sender, page);
+                let accepted = node.view.accept_news(now, &node.entry, sender, page);
+                let Some(accepted) = accepted else {
+                    return;
+                };
+                let subject = NewsSubject::Upstream(LEAVING.to_owned());
+                let mut items = accepted.items.iter();
+                node.knows_gone |= items.any(|item| matches!(item, NewsItem::UpstreamGone(..)))
+                    || accepted.listing.is_some_and(|all| !all.contains(&subject));
             }
         }
     }
@@ -565,3 +577,40 @@
     }
     assert!((6..=12).contains(&listings), "{listings}");
 }
+
+/// Half of the machines freeze in the moment in which an upstream leaves, those first that
+/// the others ask. The others have to know of it in half of the two seconds after which
+/// nothing more may be sent to it.
+#[test]
+fn a_leaving_is_learnt_in_time_although_the_first_relays_are_frozen() {
+    const NODES: usize = 20;
+    for frozen in 0..=NODES / 2 {
+        let mut fleet = Fleet::new(NODES, u64::try_from(frozen).unwrap());
+        for index in 0..300 {
+            fleet
+                .upstreams
+                .upsert(upstream(&format!("engine-{index}"), 1));
+        }
+        fleet.upstreams.upsert(upstream(LEAVING, 1));
+        fleet.run(Duration::from_secs(5));
+        for _ in 0..frozen {
+            let running = fleet.nodes.iter().filter(|node| node.up);
+            let relays = select_relays(running.map(|node| &node.entry));
+            let first = index_of(relays[0].peer_address);
+            fleet.nodes[first].up = false;
+        }
+        assert!(
+            fleet
+                .upstreams
+                .remove_at(fleet.start + fleet.now, LEAVING, 2)
+        );
+        for node in &mut fleet.nodes {
+            node.knows_gone = false;
+        }
+        fleet.run(Duration::from_secs(1));
+        let unaware: Vec<usize> = (0..NODES)
+            .filter(|index| fleet.nodes[*index].up && !fleet.nodes[*index].knows_gone)
+            .collect();
+        assert!(unaware.is_empty(), "{frozen} frozen, unaware: {unaware:?}");
+    }
+}
--- a/components/gateway/src/reports.rs
+++ b/components/gateway/src/reports.rs
@@ -75,7 +75,7 @@
         let plan = plan_report(&gateway, now, question_pause);
         share_rates(&gateway);
         // Half a report early, so that a late timer doesn't skip a question.
-        let asks = now + pause / 2 >= next_question;
+        let asks = plan.asks_now || now + pause / 2 >= next_question;
         if asks {
             next_question = now + question_pause;
         }
