Remove the waiting line

Hypothesis: requests that wait in one line by priority, fair shares and forecasts are served better. Number 3 of the supplements to datagrams is not used again; older nodes that send it are passed over.

--- a/components/admission/src/gate.rs
+++ b/components/admission/src/gate.rs
@@ -55,25 +55,17 @@
     /// wait multiplied by `wait_margin`.
     #[must_use]
     pub fn check(&self, now: Instant, job: &PromptJob, estimate: WaitEstimate) -> GateVerdict {
-        let lateness = self.lateness(now, job.deadline, estimate);
-        if lateness.is_zero() {
+        let remaining = job.deadline.saturating_duration_since(now);
+        let wait = estimate.wait.mul_f64(self.wait_margin.max(1.0));
+        let needed = wait.saturating_add(estimate.service);
+        if needed <= remaining {
             return GateVerdict::Admit;
         }
         GateVerdict::Refuse {
-            retry_after: Self::retry_after(lateness),
+            retry_after: Self::retry_after(needed.saturating_sub(remaining)),
         }
     }
 
-    /// Time by which an answer is expected to miss `deadline`, with the wait multiplied by
-    /// `wait_margin`; zero if it is in time.
-    #[must_use]
-    pub fn lateness(&self, now: Instant, deadline: Instant, estimate: WaitEstimate) -> Duration {
-        let remaining = deadline.saturating_duration_since(now);
-        let wait = estimate.wait.mul_f64(self.wait_margin.max(1.0));
-        let needed = wait.saturating_add(estimate.service);
-        needed.saturating_sub(remaining)
-    }
-
     /// Retry delay for a caller whose answer would be `excess` late: 1 second to
     /// 2 minutes.
     #[must_use]
--- a/components/admission/src/shares.rs
+++ b/components/admission/src/shares.rs
@@ -322,14 +322,6 @@
             .map_or(0, |entry| entry.counter)
     }
 
-    /// Amount by which a charge of `tokens` raises the organisation's counter.
-    #[must_use]
-    pub fn virtual_cost(&self, index: OrganisationIndex, tokens: TokenCount) -> VirtualTokens {
-        let entry = self.entries.get(index as usize);
-        let weight = entry.map_or(1, |entry| entry.weight);
-        tokens.saturating_mul(WEIGHT_SCALE) / weight
-    }
-
     /// Id of an organisation; `None` for an index that is not in the table.
     #[must_use]
     pub fn organisation_id(&self, index: OrganisationIndex) -> Option<&OrganisationId> {
--- a/components/dispatch/src/lib.rs
+++ b/components/dispatch/src/lib.rs
@@ -52,7 +52,7 @@
 pub use news::{AcceptedNews, NewsCursor, NewsItem, NewsLog, NewsPage, NewsReader, NewsSubject};
 pub use pick::fastest_prefill;
 pub use placement::{
-    LatencyGoals, Placement, PlacementRefusal, PlacementRequest, PlacementWait, has_plain_room,
+    LatencyGoals, Placement, PlacementRefusal, PlacementRequest, PlacementWait,
     needs_several_engines, place_plain_request, place_prompt,
 };
 pub use quarantine::{PartStanding, QuarantineList, QuarantineRow};
--- a/components/dispatch/src/placement.rs
+++ b/components/dispatch/src/placement.rs
@@ -205,21 +205,6 @@
     Ok(health.entry.id.clone())
 }
 
-/// Requests that may queue at an upstream of a plain service, as a share of its slots:
-/// enough that a slot that becomes free is taken at once although reports lag.
-const PLAIN_QUEUE_SHARE: f64 = 0.5;
-
-/// Whether any upstream of a plain service has a free slot or a place in a short queue,
-/// as far as this node knows.
-#[must_use]
-pub fn has_plain_room(now: Instant, upstreams: &[&UpstreamHealth], loads: &LoadTracker) -> bool {
-    upstreams.iter().any(|health| {
-        let running = loads.engine_load(now, &health.entry.id).running();
-        let slots = f64::from(health.entry.slots.max(1));
-        f64::from(running) < slots * (1.0 + PLAIN_QUEUE_SHARE)
-    })
-}
-
 /// Whether a prompt needs the KV cache memory of several engines.
 #[must_use]
 pub fn needs_several_engines(spec: &EngineSpec, size: PromptSize) -> bool {
--- a/components/gateway/src/attempt.rs
+++ b/components/gateway/src/attempt.rs
@@ -75,8 +75,6 @@
     pause_left: Option<Duration>,
     /// Time after which another node may take the request, if this one is cut off.
     cut_off_left: Option<Duration>,
-    /// Time after which the line has room for the request.
-    line_left: Option<Duration>,
     /// Time until the request's quarantine ends, if it has crashed upstreams.
     quarantine_left: Option<Duration>,
 }
@@ -124,8 +122,7 @@
         let placed = match find_placement(gateway, &job, &history.tried).await {
             Ok(placed) => placed,
             Err(refusal) => {
-                history.line_left = refusal.return_after;
-                match refusal.reason {
+                match refusal {
                     PlacementRefusal::NoUpstream => break "no_upstream",
                     PlacementRefusal::Paused(left) => {
                         history.pause_left = Some(left);
@@ -200,9 +197,6 @@
                 .max(RETRY_AFTER_MIN),
             "paused" => history.pause_left.unwrap_or_default().max(RETRY_AFTER_MIN),
             "evacuated" | "outside_homes" => BARRED_RETRY_AFTER,
-            "full" | "needs_quiet" if history.line_left.is_some() => {
-                history.line_left.unwrap_or_default().min(left)
-            }
             "needs_quiet" => left.mul_f64(IDLE_ENGINES_RETRY_SHARE).max(RETRY_AFTER_MIN),
             _ => RETRY_AFTER_MIN,
         })
--- a/components/gateway/src/daemon.rs
+++ b/components/gateway/src/daemon.rs
@@ -18,7 +18,6 @@
     crashes::keep_quarantine,
     datagrams::{PeerDatagram, receive_datagrams, send_queued_datagrams},
     evacuation::expire_evacuations,
-    line::keep_lines,
     listen::{ListenRole, is_closing, listen},
     reports::{is_relay, send_reports},
     state::Gateway,
@@ -107,7 +106,6 @@
     executor
         .spawn(send_reports(Rc::clone(&gateway), Rc::clone(&socket)))
         .detach();
-    executor.spawn(keep_lines(Rc::clone(&gateway))).detach();
     executor.spawn(keep_own_row(Rc::clone(&gateway))).detach();
     executor
         .spawn(keep_quarantine(Rc::clone(&gateway)))
--- a/components/gateway/src/lib.rs
+++ b/components/gateway/src/lib.rs
@@ -19,7 +19,6 @@
 mod formats;
 mod forward;
 mod leg;
-mod line;
 mod listen;
 mod metrics;
 mod news;
--- a/components/gateway/src/metrics.rs
+++ b/components/gateway/src/metrics.rs
@@ -2,7 +2,6 @@
 
 use std::{io, time::Duration};
 
-use admission::LengthClass;
 use prometheus_client::{
     encoding::{EncodeLabelSet, text::encode},
     metrics::{
@@ -44,26 +43,6 @@
     pub(crate) zone: String,
 }
 
-/// Labels of the gauge of requests that wait in line.
-#[derive(Clone, Debug, Eq, Hash, PartialEq)]
-#[derive(EncodeLabelSet)]
-pub(crate) struct LineLabels {
-    /// Service that the requests wait for.
-    pub(crate) service: String,
-    /// `short`, `medium`, `long` or `gang`.
-    pub(crate) class: &'static str,
-}
-
-/// Labels of the counter of requests that were refused in line.
-#[derive(Clone, Debug, Eq, Hash, PartialEq)]
-#[derive(EncodeLabelSet)]
-pub(crate) struct RefusalLabels {
-    /// Service that the request waited for.
-    pub(crate) service: String,
-    /// Why there was no room.
-    pub(crate) reason: &'static str,
-}
-
 /// All metrics of a gateway and their registry.
 #[derive(Debug)]
 pub(crate) struct GatewayMetrics {
@@ -91,12 +70,6 @@
     pub(crate) cold_holds: Counter,
     /// This node's requests in flight at upstreams of each evacuated zone.
     evacuated_requests: Family<ZoneLabels, Gauge>,
-    /// Requests that wait in line, by service and class.
-    pub(crate) line_length: Family<LineLabels, Gauge>,
-    /// Seconds that requests waited in line until they were placed or refused.
-    pub(crate) line_wait_seconds: Histogram,
-    /// Requests refused in line, by service and reason.
-    pub(crate) line_refusals: Family<RefusalLabels, Counter>,
 }
 
 impl GatewayMetrics {
@@ -160,24 +133,6 @@
             "Requests in flight at upstreams of an evacuated zone",
             evacuated_requests.clone(),
         );
-        let line_length = Family::<LineLabels, Gauge>::default();
-        let line_wait_seconds = Histogram::new(exponential_buckets(0.005, 2.0, 12));
-        let line_refusals = Family::<RefusalLabels, Counter>::default();
-        registry.register(
-            "line_length",
-            "Requests that wait in line",
-            line_length.clone(),
-        );
-        registry.register(
-            "line_wait_seconds",
-            "Time in line until a request was placed or refused",
-            line_wait_seconds.clone(),
-        );
-        registry.register(
-            "line_refusals",
-            "Requests refused in line",
-            line_refusals.clone(),
-        );
         Self {
             registry,
             requests,
@@ -191,34 +146,9 @@
             cold_upstreams,
             cold_holds,
             evacuated_requests,
-            line_length,
-            line_wait_seconds,
-            line_refusals,
         }
     }
 
-    pub(crate) fn record_line_length(&self, service: &str, class: LengthClass, length: usize) {
-        let labels = LineLabels {
-            service: service.to_owned(),
-            class: match class {
-                LengthClass::Short => "short",
-                LengthClass::Medium => "medium",
-                LengthClass::Long => "long",
-                LengthClass::Gang => "gang",
-            },
-        };
-        let length = i64::try_from(length).unwrap_or(i64::MAX);
-        self.line_length.get_or_create(&labels).set(length);
-    }
-
-    pub(crate) fn record_line_refusal(&self, service: &str, reason: &'static str) {
-        let labels = RefusalLabels {
-            service: service.to_owned(),
-            reason,
-        };
-        self.line_refusals.get_or_create(&labels).inc();
-    }
-
     /// Counts an attempt to connect to an upstream.
     pub(crate) fn record_connect<T>(&self, result: &io::Result<T>) {
         let outcome = match result {
--- a/components/gateway/src/news.rs
+++ b/components/gateway/src/news.rs
@@ -21,7 +21,6 @@
     datagrams::{
         PACKET_PAYLOAD_BYTES, PeerDatagram, encode_datagram, send_bytes, send_supplemented,
     },
-    line::other_lines_supplement,
     peers::begin_fetch_desired,
     rates::{receive_rate, share_rates},
     reports::millis,
@@ -75,7 +74,6 @@
     );
     let mut cursor = cursor;
     let mut supplements = answer_supplements(gateway, now);
-    supplements.extend(other_lines_supplement(gateway, now, to));
     for _ in 0..PAGES_MAX {
         let page = gateway.fleet.borrow().news_after(cursor, PAGE_BYTES);
         let complete = page.complete;
--- a/components/gateway/src/place.rs
+++ b/components/gateway/src/place.rs
@@ -8,14 +8,13 @@
 
 use dispatch::{
     LatencyGoals, Placement, PlacementRefusal, PlacementRequest, PlacementWait, UpstreamEntry,
-    UpstreamHealth, has_plain_room, place_plain_request, place_prompt,
+    UpstreamHealth, place_plain_request, place_prompt,
 };
 use types::UpstreamId;
 
 use crate::{
     forward::ForwardJob,
     leg::UpstreamAttempt,
-    line::{is_in_line, wait_in_line},
     state::Gateway,
 };
 
@@ -47,58 +46,38 @@
 }
 
 /// Outcome of one look for a placement.
-pub(crate) enum PlacementStep {
+enum PlacementStep {
     Placed(Box<PlacedRequest>),
     Refused(PlacementRefusal),
     /// A later look may find a better placement.
     Wait,
 }
 
-/// Why a request is not placed after all, and when its caller should return if the line
-/// tells that.
-#[derive(Clone, Copy, Debug)]
-pub(crate) struct WaitRefusal {
-    pub(crate) reason: PlacementRefusal,
-    pub(crate) return_after: Option<Duration>,
-}
-
-impl From<PlacementRefusal> for WaitRefusal {
-    fn from(reason: PlacementRefusal) -> Self {
-        Self {
-            reason,
-            return_after: None,
-        }
-    }
-}
-
 /// Waits for a placement that doesn't slow down other requests, and accepts any
 /// other once the request has waited as long as its goal allows.
 pub(crate) async fn find_placement(
     gateway: &Rc<Gateway>,
     job: &Rc<ForwardJob>,
     tried: &[UpstreamId],
-) -> Result<Box<PlacedRequest>, WaitRefusal> {
-    if is_in_line(gateway) {
-        return wait_in_line(gateway, job, tried).await;
-    }
+) -> Result<Box<PlacedRequest>, PlacementRefusal> {
     loop {
         match try_to_place(gateway, job, tried) {
             PlacementStep::Placed(placed) => return Ok(placed),
-            PlacementStep::Refused(refusal) => return Err(refusal.into()),
+            PlacementStep::Refused(refusal) => return Err(refusal),
             PlacementStep::Wait => gateway.clock.sleep(PLACEMENT_RETRY_PAUSE).await,
         }
     }
 }
 
 /// Longest time from its arrival for which a request may wait for a better placement.
-pub(crate) fn longest_wait(job: &ForwardJob) -> Duration {
+fn longest_wait(job: &ForwardJob) -> Duration {
     let time_limit = job.deadline.saturating_duration_since(job.arrived);
     let longest_wait = job.route.latency_goal.mul_f64(PLACEMENT_WAIT_SHARE);
     longest_wait.min(time_limit.mul_f64(PLACEMENT_DEADLINE_SHARE))
 }
 
 /// What a request accepts after the time that it has waited.
-pub(crate) fn wait_limits(job: &ForwardJob, now: Instant) -> PlacementWait {
+fn wait_limits(job: &ForwardJob, now: Instant) -> PlacementWait {
     let waited = now.saturating_duration_since(job.arrived);
     if waited >= longest_wait(job) {
         PlacementWait::Expired
@@ -108,7 +87,7 @@
 }
 
 /// Looks for a placement that the request accepts now, and counts it as load.
-pub(crate) fn try_to_place(
+fn try_to_place(
     gateway: &Rc<Gateway>,
     job: &ForwardJob,
     tried: &[UpstreamId],
@@ -211,13 +190,6 @@
                 };
                 place_prompt(now, engine, &ask, upstreams, &loads, &mut *rng)
             }
-            _ if wait_limits != PlacementWait::Expired
-                && is_in_line(gateway)
-                && !upstreams.is_empty()
-                && !has_plain_room(now, upstreams, &loads) =>
-            {
-                Err(PlacementRefusal::Full)
-            }
             _ => place_plain_request(now, upstreams, &loads, &mut *rng)
                 .map(Placement::single_upstream),
         }
--- a/components/gateway/src/reports.rs
+++ b/components/gateway/src/reports.rs
@@ -238,5 +238,4 @@
     loads.record_aggregate(gateway.now(), chunk);
     gateway.fleet.borrow_mut().record_answer();
     gateway.record_start_phase(StartPhase::Loads);
-    gateway.lines.wake();
 }
--- a/components/gateway/src/settings.rs
+++ b/components/gateway/src/settings.rs
@@ -47,8 +47,6 @@
     /// How far the load of upstreams that warm up may exceed their rate; `None` if it is
     /// not limited.
     pub cold_tolerance: Option<ColdTolerance>,
-    /// Whether requests wait in one line where the desired state names organisations.
-    pub waiting_line: bool,
     /// Longest time for which an engine holds a memory reservation.
     pub reservation_lifetime_max: Duration,
     /// Time after the last use of reserved memory within which engines must have it back.
--- a/components/gateway/src/state.rs
+++ b/components/gateway/src/state.rs
@@ -24,7 +24,6 @@
     GatewaySettings, RevokePolicy, WireDialect,
     client::ConnectionPool,
     datagrams::PeerDatagram,
-    line::ServiceLines,
     metrics::GatewayMetrics,
     question::ReachAnswer,
     start::{StartPhase, StartTimes},
@@ -60,8 +59,6 @@
     /// Version and age of the known upstreams.
     pub(crate) upstream_freshness: RefCell<TableFreshness>,
     pub(crate) loads: RefCell<LoadTracker>,
-    /// Requests that wait for room.
-    pub(crate) lines: ServiceLines,
     /// The other nodes, and the news between them and this one.
     pub(crate) fleet: RefCell<FleetView>,
     /// How far this node can rely on the others seeing the same fleet.
@@ -137,7 +134,6 @@
             upstreams: RefCell::default(),
             upstream_freshness: RefCell::default(),
             loads: RefCell::new(LoadTracker::starting(started)),
-            lines: ServiceLines::default(),
             fleet: RefCell::new(fleet),
             contact: RefCell::new(FleetContact::new(started)),
             unclear_claims: RefCell::default(),
@@ -306,6 +302,5 @@
             .loads
             .borrow_mut()
             .record_end(self.in_flight_id);
-        self.gateway.lines.wake();
     }
 }
--- a/components/gateway/src/supplements.rs
+++ b/components/gateway/src/supplements.rs
@@ -17,7 +17,6 @@
 use crate::{
     cold::{cold_supplements, receive_cold},
     evacuation::{evacuation_supplements, receive_evacuations},
-    line::{own_line_supplement, receive_lines},
     state::Gateway,
 };
 
@@ -43,7 +42,8 @@
     content: Vec<u8>,
 }
 
-/// What a supplement holds. The numbers are part of the format and never change.
+/// What a supplement holds. The numbers are part of the format and never change;
+/// 3 belonged to lines of waiting requests, and is not used again.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 #[repr(u16)]
 pub(crate) enum SupplementKind {
@@ -51,12 +51,10 @@
     Evacuations = 1,
     /// What is known of upstreams that warm up.
     ColdUpstreams = 2,
-    /// Requests that wait in line, at one node or at all others.
-    WaitingLines = 3,
 }
 
 impl SupplementKind {
-    const ALL: [Self; 3] = [Self::Evacuations, Self::ColdUpstreams, Self::WaitingLines];
+    const ALL: [Self; 2] = [Self::Evacuations, Self::ColdUpstreams];
 
     fn from_number(number: u16) -> Option<Self> {
         Self::ALL.into_iter().find(|kind| *kind as u16 == number)
@@ -132,9 +130,7 @@
 
 /// Returns what this node adds to its reports to relays.
 pub(crate) fn report_supplements(gateway: &Gateway, now: Instant) -> Vec<Supplement> {
-    let mut supplements = cold_supplements(gateway, now);
-    supplements.extend(own_line_supplement(gateway));
-    supplements
+    cold_supplements(gateway, now)
 }
 
 /// Returns what this node adds to its news.
@@ -162,11 +158,6 @@
                     receive_cold(gateway, knowledge);
                 }
             }
-            Some(SupplementKind::WaitingLines) => {
-                if let Some(content) = supplement.decode(from) {
-                    receive_lines(gateway, from, content);
-                }
-            }
             None => {
                 gateway.metrics.supplements_unknown.inc();
                 log::debug!(
