--- a/components/dispatch/tests/cold_upstreams.rs
+++ b/components/dispatch/tests/cold_upstreams.rs
@@ -639,6 +639,7 @@
             node.update(20);
             while node.table.take_send(node.now, "engine") {
                 sent += 1;
+                assert!(sent <= 200, "no rate binds");
             }
         }
         sent
--- a/components/gateway/src/metrics.rs
+++ b/components/gateway/src/metrics.rs
@@ -60,6 +60,8 @@
     pub(crate) datagrams_unreadable: Counter,
     /// Supplements to datagrams of a kind that this version doesn't know.
     pub(crate) supplements_unknown: Counter,
+    /// Seconds by which timers of the runtime fired late, on a host that is too busy.
+    pub(crate) timer_delay_seconds: Histogram,
     /// Connections to upstreams that this node has opened for others.
     pub(crate) tunnels: Counter,
     /// Connections to upstreams that other nodes have opened for this one.
@@ -79,6 +81,12 @@
         let answer_seconds = Histogram::new(exponential_buckets(0.004, 2.0, 13));
         let retries = Counter::default();
         let connects = Family::<ConnectLabels, Counter>::default();
+        let timer_delay_seconds = Histogram::new(exponential_buckets(0.004, 2.0, 13));
+        registry.register(
+            "timer_delay_seconds",
+            "Time by which timers fired late",
+            timer_delay_seconds.clone(),
+        );
         registry.register("requests", "Requests answered", requests.clone());
         registry.register(
             "answer_seconds",
@@ -141,6 +149,7 @@
             connects,
             datagrams_unreadable,
             supplements_unknown,
+            timer_delay_seconds,
             tunnels,
             helped,
             cold_upstreams,
--- a/components/gateway/src/reports.rs
+++ b/components/gateway/src/reports.rs
@@ -31,6 +31,9 @@
 const SUMS_BYTES_PER_SECOND: u32 = 40_000;
 /// Interval at which a node that knows no other checks whether it has heard of one.
 const CONTACT_CHECK_PAUSE: Duration = Duration::from_millis(20);
+/// Delay of a timer from which on it is logged: a good part of the time that callers of
+/// short prompts give.
+const LOGGED_TIMER_DELAY: Duration = Duration::from_millis(200);
 /// Usual encoded size of one engine's sum.
 const SUM_BYTES: u32 = 18;
 /// Engines per datagram of sums, so that it fits into one packet of usual size.
@@ -111,7 +114,20 @@
         if left.is_zero() || gateway.fleet.borrow().report_is_urgent(now, before) {
             return;
         }
-        gateway.clock.sleep(left.min(CONTACT_CHECK_PAUSE)).await;
+        let pause = left.min(CONTACT_CHECK_PAUSE);
+        gateway.clock.sleep(pause).await;
+        record_timer_delay(gateway, now + pause);
+    }
+}
+
+/// Records by how much a timer fired late, as all others do meanwhile: requests wait then
+/// for the host, not for a decision.
+fn record_timer_delay(gateway: &Gateway, due: Instant) {
+    let delay = gateway.now().saturating_duration_since(due);
+    let metric = &gateway.metrics.timer_delay_seconds;
+    metric.observe(delay.as_secs_f64());
+    if delay >= LOGGED_TIMER_DELAY {
+        log::warn!("event=timer_late late_ms={}", delay.as_millis());
     }
 }
 
