--- a/components/gateway/src/attempt.rs
+++ b/components/gateway/src/attempt.rs
@@ -121,20 +121,18 @@
         }
         let placed = match find_placement(gateway, &job, &history.tried).await {
             Ok(placed) => placed,
-            Err(refusal) => {
-                match refusal {
-                    PlacementRefusal::NoUpstream => break "no_upstream",
-                    PlacementRefusal::Paused(left) => {
-                        history.pause_left = Some(left);
-                        break "paused";
-                    }
-                    PlacementRefusal::OutsideHomes => break "outside_homes",
-                    PlacementRefusal::Evacuated => break "evacuated",
-                    PlacementRefusal::Full => break "full",
-                    PlacementRefusal::NeedsIdleEngines => break "needs_quiet",
-                    PlacementRefusal::TooLarge => break "too_large",
+            Err(refusal) => match refusal {
+                PlacementRefusal::NoUpstream => break "no_upstream",
+                PlacementRefusal::Paused(left) => {
+                    history.pause_left = Some(left);
+                    break "paused";
                 }
-            }
+                PlacementRefusal::OutsideHomes => break "outside_homes",
+                PlacementRefusal::Evacuated => break "evacuated",
+                PlacementRefusal::Full => break "full",
+                PlacementRefusal::NeedsIdleEngines => break "needs_quiet",
+                PlacementRefusal::TooLarge => break "too_large",
+            },
         };
         if gateway.now() + ANSWER_MARGIN >= job.deadline {
             break "deadline";
--- a/components/gateway/src/place.rs
+++ b/components/gateway/src/place.rs
@@ -12,11 +12,7 @@
 };
 use types::UpstreamId;
 
-use crate::{
-    forward::ForwardJob,
-    leg::UpstreamAttempt,
-    state::Gateway,
-};
+use crate::{forward::ForwardJob, leg::UpstreamAttempt, state::Gateway};
 
 /// Pause between two placement attempts.
 pub(crate) const PLACEMENT_RETRY_PAUSE: Duration = Duration::from_millis(25);
@@ -87,11 +83,7 @@
 }
 
 /// Looks for a placement that the request accepts now, and counts it as load.
-fn try_to_place(
-    gateway: &Rc<Gateway>,
-    job: &ForwardJob,
-    tried: &[UpstreamId],
-) -> PlacementStep {
+fn try_to_place(gateway: &Rc<Gateway>, job: &ForwardJob, tried: &[UpstreamId]) -> PlacementStep {
     let now = gateway.now();
     let wait_limits = wait_limits(job, now);
     let late = wait_limits == PlacementWait::Expired;
