Count an answer as overdue from the question that was sent

Reports go out up to four times as often as questions in a large fleet, and each planned one: a relay that had answered counted as overdue 150 ms after the next report, although it had not been asked again, and others were asked for nothing. The watch now knows when a question was sent. Found by reading; the test fails with the time of the plan instead.

--- a/components/dispatch/src/fleet.rs
+++ b/components/dispatch/src/fleet.rs
@@ -384,6 +384,11 @@
         reader.map(NewsReader::cursor).unwrap_or_default()
     }
 
+    /// Records that the questions of a plan are sent.
+    pub fn record_sent(&mut self, now: Instant) {
+        self.watch.record_sent(now);
+    }
+
     /// Records that the relay has answered.
     pub fn record_answer(&mut self) {
         self.watch.record_answer();
--- a/components/dispatch/src/relays.rs
+++ b/components/dispatch/src/relays.rs
@@ -63,8 +63,11 @@
 #[derive(Debug, Default)]
 pub struct RelayWatch {
     relay: Option<NodeId>,
-    /// When the relay was first asked since its last answer.
+    /// When the relay was first to be asked since its last answer.
     asked_at: Option<Instant>,
+    /// When the first question since its last answer was sent. Reports go out more often
+    /// than questions.
+    sent_at: Option<Instant>,
 }
 
 impl RelayWatch {
@@ -75,21 +78,28 @@
         if is_new {
             self.relay = Some(relay.clone());
             self.asked_at = None;
+            self.sent_at = None;
         }
         self.asked_at.get_or_insert(now);
         is_new
     }
 
+    /// Records that a question to the relay is sent.
+    pub fn record_sent(&mut self, now: Instant) {
+        self.sent_at.get_or_insert(now);
+    }
+
     /// Records that an answer has arrived.
     pub fn record_answer(&mut self) {
         self.asked_at = None;
+        self.sent_at = None;
     }
 
     /// Whether the relay has not answered for longer than an answer usually takes.
     #[must_use]
     pub fn is_overdue(&self, now: Instant) -> bool {
-        self.asked_at
-            .is_some_and(|asked_at| now.saturating_duration_since(asked_at) >= ANSWER_TIME)
+        self.sent_at
+            .is_some_and(|sent_at| now.saturating_duration_since(sent_at) >= ANSWER_TIME)
     }
 
     /// Returns the relay that was asked and has not answered in time, once;
@@ -100,6 +110,7 @@
             return None;
         }
         self.asked_at = None;
+        self.sent_at = None;
         self.relay.take()
     }
 }
--- a/components/dispatch/tests/fleet.rs
+++ b/components/dispatch/tests/fleet.rs
@@ -234,6 +234,7 @@
         let plan = node
             .view
             .plan_report(now, &node.entry, pause, false, &mut self.rng);
+        node.view.record_sent(now);
         node.next_report = self.now + pause;
         node.reported = node.view.contact_level(now);
         let entry = node.entry.clone();
--- a/components/dispatch/tests/shared_loads.rs
+++ b/components/dispatch/tests/shared_loads.rs
@@ -112,6 +112,15 @@
     assert_eq!(watch.take_silent(silent, pause), Some("a".to_owned()));
     assert_eq!(watch.take_silent(silent, pause), None);
 
+    // A relay is overdue by the questions that were sent to it, and not by those planned.
+    watch.record_question(silent, &"a".to_owned());
+    assert!(!watch.is_overdue(silent + Duration::from_secs(1)));
+    watch.record_sent(silent + Duration::from_secs(1));
+    assert!(!watch.is_overdue(silent + Duration::from_millis(1_100)));
+    assert!(watch.is_overdue(silent + Duration::from_millis(1_200)));
+    watch.record_answer();
+    assert!(!watch.is_overdue(silent + Duration::from_secs(2)));
+
     // The timeout of another relay begins with its own first question.
     watch.record_question(silent, &"a".to_owned());
     let next = silent + Duration::from_millis(300);
--- a/components/gateway/src/reports.rs
+++ b/components/gateway/src/reports.rs
@@ -81,6 +81,7 @@
         let asks = plan.asks_now || now + pause / 2 >= next_question;
         if asks {
             next_question = now + question_pause;
+            gateway.fleet.borrow_mut().record_sent(now);
         }
         let report = own_report(&gateway, now);
         for target in plan.targets {
