Ask only the first stand-in that answers further

When most nodes are lost at once, each of the rest asked all known ones again every 0.1 s, and read the listings of all that answered. A round now asks only new nodes, the first that answers is the only one that is read and asked for more, and rounds go on only if it falls silent.

--- a/components/dispatch/src/fleet.rs
+++ b/components/dispatch/src/fleet.rs
@@ -322,7 +322,7 @@
             let passed_over = lost.iter().filter(|entry| entry.zone == own.zone);
             let mut asked: Vec<SocketAddr> = passed_over.map(|entry| entry.peer_address).collect();
             asked.push(relay.peer_address);
-            asked.extend(self.stand_ins.asked());
+            asked.extend(self.stand_ins.targets());
             asked
         };
         addresses.extend(&asked);
@@ -472,7 +472,7 @@
         self.roster.record_heartbeat(now, from);
         if self.source.is_none_or(|source| source == address) {
             self.record_answer();
-        } else if !self.stand_ins.asked().contains(&address) {
+        } else if !self.stand_ins.record_news(now, address) {
             return None;
         }
         self.partial_page_at = (!page.complete).then_some(now);
--- a/components/dispatch/src/relays.rs
+++ b/components/dispatch/src/relays.rs
@@ -117,25 +117,35 @@
 
 /// Nodes that are asked for news beside a relay whose answer is overdue. Each round asks
 /// twice as many as the one before, so that some node answers soon although many relays
-/// are frozen.
+/// are frozen; once one does, only that one is asked further.
 #[derive(Debug, Default)]
 pub struct StandIns {
     asked: Vec<SocketAddr>,
+    /// Where the last round begins in `asked`.
+    round_start: usize,
     /// When the last round was asked.
     round_at: Option<Instant>,
+    /// The node that has answered, and when it did last.
+    answering: Option<(SocketAddr, Instant)>,
 }
 
 impl StandIns {
-    /// Whether the next round is due.
+    /// Whether the next round is due: nobody has answered for as long as an answer usually
+    /// takes.
     #[must_use]
     pub fn are_due(&self, now: Instant) -> bool {
-        self.round_at
-            .is_none_or(|at| now.saturating_duration_since(at) >= STAND_IN_PAUSE)
+        let is_past = |at: Instant, pause| now.saturating_duration_since(at) >= pause;
+        self.round_at.is_none_or(|at| is_past(at, STAND_IN_PAUSE))
+            && self
+                .answering
+                .is_none_or(|(_, at)| is_past(at, ANSWER_TIME))
     }
 
     /// Begins a round, with the first of `others` that have not been asked.
     pub fn add_round(&mut self, now: Instant, others: impl Iterator<Item = SocketAddr>) {
         self.round_at = Some(now);
+        self.round_start = self.asked.len();
+        self.answering = None;
         let count = self.asked.len() + 1;
         let new: Vec<SocketAddr> = others
             .filter(|address| !self.asked.contains(address))
@@ -144,9 +154,29 @@
         self.asked.extend(new);
     }
 
+    /// Addresses of the nodes to ask: the one that answers, or else those of the last round.
+    #[must_use]
+    pub fn targets(&self) -> &[SocketAddr] {
+        match &self.answering {
+            Some((address, _)) => std::slice::from_ref(address),
+            None => &self.asked[self.round_start..],
+        }
+    }
+
     /// Addresses of all nodes that were asked.
     #[must_use]
     pub fn asked(&self) -> &[SocketAddr] {
         &self.asked
     }
+
+    /// Records that news has arrived from the node at `address`; returns whether it is to be
+    /// read, since this node was asked and is the first that answers.
+    pub fn record_news(&mut self, now: Instant, address: SocketAddr) -> bool {
+        let is_first = self.answering.is_none_or(|(first, _)| first == address);
+        let is_read = is_first && self.asked.contains(&address);
+        if is_read {
+            self.answering = Some((address, now));
+        }
+        is_read
+    }
 }
