Believe a stand-in about upstreams only, not about other nodes

Cause: a node that is asked while the relay is late may not have heard yet that another one died; its word made the dead node count as alive, and the relay, which tells only what changes, never took it back. Change: news of nodes is taken from the relay alone; when a stand-in becomes the relay to ask, its listing is read from the start. Test: a stand-in that names a dead node does not bring it back; fails without.

--- a/components/dispatch/src/fleet.rs
+++ b/components/dispatch/src/fleet.rs
@@ -301,12 +301,11 @@
                 chosen = Some(relay.clone());
             }
             if self.source != Some(relay.peer_address) {
-                // What other nodes told meanwhile is not in this node's reading; listings
-                // that stand-ins have begun go on.
+                // What other nodes told meanwhile is not in this node's reading; stand-ins are
+                // read on.
                 let stand_ins = self.stand_ins.asked();
-                self.readers.retain(|address, reader| {
-                    stand_ins.contains(address)
-                        && (reader.cursor().listing || *address != relay.peer_address)
+                self.readers.retain(|address, _| {
+                    stand_ins.contains(address) && *address != relay.peer_address
                 });
                 self.source = Some(relay.peer_address);
             }
@@ -470,7 +469,8 @@
     ) -> Option<AcceptedNews> {
         let address = from.peer_address;
         self.roster.record_heartbeat(now, from);
-        if self.source.is_none_or(|source| source == address) {
+        let is_source = self.source.is_none_or(|source| source == address);
+        if is_source {
             self.record_answer();
         } else if !self.stand_ins.record_news(now, address) {
             return None;
@@ -478,8 +478,11 @@
         self.partial_page_at = (!page.complete).then_some(now);
         let accepted = self.readers.entry(address).or_default().accept(page)?;
         for item in &accepted.items {
+            // A stand-in may know a dead node as alive still, and its word would not be taken
+            // back by the relay, which tells only what changes.
             if let NewsItem::Node(entry, alive) = item
                 && entry.node != own.node
+                && is_source
             {
                 self.roster.record_told(now, entry.clone(), *alive);
             }
@@ -487,7 +490,7 @@
         if accepted.caught_up && self.source == Some(address) {
             self.is_behind = false;
         }
-        if accepted.listing.is_some() {
+        if accepted.listing.is_some() && is_source {
             self.roster.record_whole_listing();
         }
         if let Some(listing) = &accepted.listing
--- a/components/dispatch/tests/fleet.rs
+++ b/components/dispatch/tests/fleet.rs
@@ -9,8 +9,8 @@
 };
 
 use dispatch::{
-    ContactLevel, FleetView, NewsCursor, NewsItem, NewsPage, NewsSubject, RosterEntry, RowSchedule,
-    UpstreamEntry, UpstreamState, UpstreamTable, select_relays,
+    ContactLevel, FleetView, NewsCursor, NewsItem, NewsLog, NewsPage, NewsSubject, RosterEntry,
+    RowSchedule, UpstreamEntry, UpstreamState, UpstreamTable, select_relays,
 };
 use rand::{RngExt, SeedableRng, rngs::StdRng};
 
@@ -615,3 +615,41 @@
         assert!(unaware.is_empty(), "{frozen} frozen, unaware: {unaware:?}");
     }
 }
+
+/// A node that is asked while the relay is late has not heard yet that another one died. The
+/// relay has told so before, and does not say it again.
+#[test]
+fn a_stand_in_does_not_bring_back_a_dead_node() {
+    let start = Instant::now();
+    let mut rng = StdRng::seed_from_u64(1);
+    let [own, relay, other_relay, dead] = [ZONES, 0, 1, 2].map(|index| entry(index, 1));
+    let news = |id, dead_alive| {
+        let mut log = NewsLog::new(id);
+        for (entry, alive) in [(&relay, true), (&other_relay, true), (&dead, dead_alive)] {
+            log.publish(start, NewsItem::Node(entry.clone(), alive));
+        }
+        log.page_after(NewsCursor::default(), PAGE_BYTES)
+    };
+    let pause = Duration::from_millis(100);
+    let mut view = FleetView::new(7, Vec::new());
+    view.roster_mut().record_heartbeat(start, relay.clone());
+    view.plan_report(start, &own, pause, false, &mut rng);
+    view.record_sent(start);
+    view.accept_news(start, &own, relay.clone(), news(1, false));
+    assert!(view.roster().is_alive(start, &other_relay.node));
+
+    view.plan_report(start, &own, pause, false, &mut rng);
+    view.record_sent(start);
+    let late = start + Duration::from_millis(200);
+    let plan = view.plan_report(late, &own, pause, false, &mut rng);
+    let asked: Vec<SocketAddr> = plan
+        .targets
+        .iter()
+        .filter(|target| target.question.is_some())
+        .map(|target| target.address)
+        .collect();
+    assert!(asked.contains(&other_relay.peer_address), "{asked:?}");
+    let accepted = view.accept_news(late, &own, other_relay.clone(), news(2, true));
+    assert!(accepted.is_some());
+    assert!(!view.roster().is_alive(late, &dead.node));
+}
