Count only what the relay itself sends as its answer

The log shows no relay_silent for the relay that was removed: stand-ins were asked for sums as well, and sums of any node counted as an answer of the relay, so that a dead one was asked, and named to callers, for ever. Change: an answer counts by its sender, and stand-ins are asked for news only. Test: a stand-in's answer leaves the relay overdue until it is passed over; fails with the comparison of senders taken out.

--- a/components/dispatch/src/fleet.rs
+++ b/components/dispatch/src/fleet.rs
@@ -84,8 +84,6 @@
 pub struct ReportPlan {
     /// Nodes to report to.
     pub targets: Vec<ReportTarget>,
-    /// Whether this node wants the sums of the others' loads with its news.
-    pub wants_sums: bool,
     /// The relay that this node asks from now on, if it asked another one before.
     pub chosen: Option<RosterEntry>,
     /// A relay that did not answer and is passed over for a while.
@@ -110,6 +108,8 @@
     pub address: SocketAddr,
     /// Up to where this node knows its news, if it is asked for more.
     pub question: Option<NewsCursor>,
+    /// Whether it is asked for the sums of the others' loads as well.
+    pub wants_sums: bool,
 }
 
 impl FleetView {
@@ -331,10 +331,10 @@
         let targets = addresses.into_iter().map(|address| ReportTarget {
             address,
             question: asked.contains(&address).then(|| self.cursor(address)),
+            wants_sums: !is_relay && !self.stand_ins.targets().contains(&address),
         });
         ReportPlan {
             targets: targets.collect(),
-            wants_sums: !is_relay,
             chosen,
             silent,
             asks_now,
@@ -388,8 +388,11 @@
         self.watch.record_sent(now);
     }
 
-    /// Records that the relay has answered.
-    pub fn record_answer(&mut self) {
+    /// Records an answer of the node at `address`, which counts if it is the relay's.
+    pub fn record_answer(&mut self, address: SocketAddr) {
+        if self.source.is_some_and(|source| source != address) {
+            return;
+        }
         self.watch.record_answer();
         for stand_in in self.stand_ins.asked() {
             if Some(*stand_in) != self.source {
@@ -471,7 +474,7 @@
         self.roster.record_heartbeat(now, from);
         let is_source = self.source.is_none_or(|source| source == address);
         if is_source {
-            self.record_answer();
+            self.record_answer(address);
         } else if !self.stand_ins.record_news(now, address) {
             return None;
         }
--- a/components/dispatch/tests/fleet.rs
+++ b/components/dispatch/tests/fleet.rs
@@ -652,4 +652,10 @@
     let accepted = view.accept_news(late, &own, other_relay.clone(), news(2, true));
     assert!(accepted.is_some());
     assert!(!view.roster().is_alive(late, &dead.node));
+
+    // Nor does what it sends count as an answer of the relay.
+    view.record_answer(other_relay.peer_address);
+    let later = start + Duration::from_millis(500);
+    let plan = view.plan_report(later, &own, pause, false, &mut rng);
+    assert_eq!(plan.silent, Some(relay.node.clone()));
 }
--- a/components/gateway/src/datagrams.rs
+++ b/components/gateway/src/datagrams.rs
@@ -259,7 +259,7 @@
     }
     match datagram {
         PeerDatagram::Report(report) => handle_report(gateway, socket, from, report).await,
-        PeerDatagram::Sums(sums) => handle_sums(gateway, sums),
+        PeerDatagram::Sums(sums) => handle_sums(gateway, from, sums),
         PeerDatagram::News(news) => handle_news(gateway, news),
         PeerDatagram::PrefillStarted {
             node,
--- a/components/gateway/src/reports.rs
+++ b/components/gateway/src/reports.rs
@@ -89,7 +89,7 @@
                 .question
                 .filter(|_| asks)
                 .map(|cursor| RelayQuestion {
-                    wants_sums: plan.wants_sums,
+                    wants_sums: target.wants_sums,
                     cursor,
                 });
             let report = NodeReport {
@@ -250,9 +250,9 @@
 }
 
 /// Records the sums that a relay sent.
-pub(crate) fn handle_sums(gateway: &Gateway, chunk: AggregateChunk) {
+pub(crate) fn handle_sums(gateway: &Gateway, from: SocketAddr, chunk: AggregateChunk) {
     let mut loads = gateway.loads.borrow_mut();
     loads.record_aggregate(gateway.now(), chunk);
-    gateway.fleet.borrow_mut().record_answer();
+    gateway.fleet.borrow_mut().record_answer(from);
     gateway.record_start_phase(StartPhase::Loads);
 }
