--- a/components/dispatch/src/budget.rs
+++ b/components/dispatch/src/budget.rs
@@ -26,6 +26,17 @@
     services: HashMap<ServiceName, ServiceSends>,
 }
 
+/// Whether a retry was allowed, and by which figures.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct RetryVerdict {
+    /// Whether the retry may be sent.
+    pub is_allowed: bool,
+    /// Retries of this node in the window, this one included if it is allowed.
+    pub used: usize,
+    /// Retries that this node may have used in the window.
+    pub bound: f64,
+}
+
 #[derive(Debug, Default)]
 struct ServiceSends {
     first_sends: VecDeque<Instant>,
@@ -56,22 +67,37 @@
     /// Whether this node's share of the budget allows a retry, in a fleet of `nodes`;
     /// `None` if their number is not known yet.
     pub fn allows_retry(&mut self, now: Instant, service: &str, nodes: Option<usize>) -> bool {
+        self.judge_retry(now, service, nodes).is_allowed
+    }
+
+    /// Uses one retry of the budget, if one is left.
+    pub fn take_retry(
+        &mut self,
+        now: Instant,
+        service: &str,
+        nodes: Option<usize>,
+    ) -> RetryVerdict {
+        let mut verdict = self.judge_retry(now, service, nodes);
+        if verdict.is_allowed {
+            let sends = self.services.entry(service.to_owned()).or_default();
+            sends.retries.push_back(now);
+            verdict.used += 1;
+        }
+        verdict
+    }
+
+    fn judge_retry(&mut self, now: Instant, service: &str, nodes: Option<usize>) -> RetryVerdict {
         let window = self.window;
         let sends = self.services.entry(service.to_owned()).or_default();
         sends.expire(now, window);
         let share = nodes.map_or(0.0, |nodes| self.extra_retries / to_f64(nodes.max(1)));
         let bound = BUDGET_SHARE * (self.ratio * to_f64(sends.first_sends.len()) + share);
-        to_f64(sends.retries.len()) + 1.0 <= bound
-    }
-
-    /// Uses one retry of the budget; returns `false` when none is left.
-    pub fn take_retry(&mut self, now: Instant, service: &str, nodes: Option<usize>) -> bool {
-        if !self.allows_retry(now, service, nodes) {
-            return false;
+        let used = sends.retries.len();
+        RetryVerdict {
+            is_allowed: to_f64(used) + 1.0 <= bound,
+            used,
+            bound,
         }
-        let sends = self.services.entry(service.to_owned()).or_default();
-        sends.retries.push_back(now);
-        true
     }
 }
 
--- a/components/dispatch/tests/known_state.rs
+++ b/components/dispatch/tests/known_state.rs
@@ -237,7 +237,7 @@
             budget.record_request(now, "models");
             requests.push(millis);
         }
-        if budget.take_retry(now, "models", Some(NODES)) {
+        if budget.take_retry(now, "models", Some(NODES)).is_allowed {
             retries.push(millis);
         }
     }
@@ -280,7 +280,7 @@
             }
             let mut budget = RetryBudget::new(Duration::from_secs(10), 0.2, EXTRA_RETRIES);
             let nodes = roster.recent_fleet_size(now);
-            while budget.take_retry(now, "models", nodes) {
+            while budget.take_retry(now, "models", nodes).is_allowed {
                 taken += 1.0;
             }
         }
--- a/components/gateway/src/attempt.rs
+++ b/components/gateway/src/attempt.rs
@@ -237,21 +237,28 @@
         .borrow_mut()
         .roster_mut()
         .recent_fleet_size(now);
-    let taken = gateway
+    let verdict = gateway
         .retry_budget
         .borrow_mut()
         .take_retry(now, &job.service, nodes);
-    if taken {
-        gateway.metrics.retries.inc();
+    gateway
+        .metrics
+        .record_retry(&job.service, verdict.is_allowed);
+    let figures = format!(
+        "request={} service={} used={} bound={:.1} nodes={} running_ms={}",
+        job.request.caller_attempt_id,
+        job.service,
+        verdict.used,
+        verdict.bound,
+        nodes.unwrap_or_default(),
+        gateway.running_time().as_millis(),
+    );
+    if verdict.is_allowed {
+        log::info!("event=retry_allowed {figures}");
     } else {
-        log::warn!(
-            "event=retry_denied request={} service={} nodes={}",
-            job.request.caller_attempt_id,
-            job.service,
-            nodes.unwrap_or_default()
-        );
+        log::warn!("event=retry_denied {figures}");
     }
-    taken
+    verdict.is_allowed
 }
 
 /// Sends the request once, to the upstream where it is placed.
--- a/components/gateway/src/metrics.rs
+++ b/components/gateway/src/metrics.rs
@@ -35,6 +35,14 @@
     pub(crate) outcome: &'static str,
 }
 
+/// Labels of the counters of retries.
+#[derive(Clone, Debug, Eq, Hash, PartialEq)]
+#[derive(EncodeLabelSet)]
+pub(crate) struct RetryLabels {
+    /// Service whose budget the retry draws on.
+    pub(crate) service: String,
+}
+
 /// Labels of the gauge of requests in evacuated zones.
 #[derive(Clone, Debug, Eq, Hash, PartialEq)]
 #[derive(EncodeLabelSet)]
@@ -53,7 +61,9 @@
     /// request that was rejected before forwarding.
     pub(crate) answer_seconds: Histogram,
     /// Retries taken from the budget, whether or not another upstream was then found.
-    pub(crate) retries: Counter,
+    retries: Family<RetryLabels, Counter>,
+    /// Retries that the budget did not allow.
+    retries_denied: Family<RetryLabels, Counter>,
     /// Attempts to connect to an upstream, by outcome.
     pub(crate) connects: Family<ConnectLabels, Counter>,
     /// Datagrams of other nodes that this version can't read.
@@ -79,7 +89,8 @@
         let mut registry = Registry::with_prefix("gentiantally_gateway");
         let requests = Family::<OutcomeLabels, Counter>::default();
         let answer_seconds = Histogram::new(exponential_buckets(0.004, 2.0, 13));
-        let retries = Counter::default();
+        let retries = Family::<RetryLabels, Counter>::default();
+        let retries_denied = Family::<RetryLabels, Counter>::default();
         let connects = Family::<ConnectLabels, Counter>::default();
         let timer_delay_seconds = Histogram::new(exponential_buckets(0.004, 2.0, 13));
         registry.register(
@@ -94,6 +105,11 @@
             answer_seconds.clone(),
         );
         registry.register("retries", "Sends to a further upstream", retries.clone());
+        registry.register(
+            "retries_denied",
+            "Sends to a further upstream that the retry budget did not allow",
+            retries_denied.clone(),
+        );
         registry.register(
             "connects",
             "Attempts to connect to an upstream",
@@ -146,6 +162,7 @@
             requests,
             answer_seconds,
             retries,
+            retries_denied,
             connects,
             datagrams_unreadable,
             supplements_unknown,
@@ -158,6 +175,19 @@
         }
     }
 
+    /// Counts a retry that the budget allowed or denied.
+    pub(crate) fn record_retry(&self, service: &str, is_allowed: bool) {
+        let counters = if is_allowed {
+            &self.retries
+        } else {
+            &self.retries_denied
+        };
+        let labels = RetryLabels {
+            service: service.to_owned(),
+        };
+        counters.get_or_create(&labels).inc();
+    }
+
     /// Counts an attempt to connect to an upstream.
     pub(crate) fn record_connect<T>(&self, result: &io::Result<T>) {
         let outcome = match result {
--- a/components/gateway/src/start.rs
+++ b/components/gateway/src/start.rs
@@ -48,7 +48,7 @@
             return;
         }
         ended.set(Some(now));
-        let since_start = now.saturating_duration_since(self.started);
+        let since_start = self.running_time(now);
         log::info!(
             "event=start_phase node={node} phase={phase:?} since_start_ms={}",
             since_start.as_millis()
@@ -69,9 +69,14 @@
         NEEDED.iter().all(|phase| self.time(*phase).is_some())
     }
 
+    /// Returns for how long the process has been running.
+    pub(crate) fn running_time(&self, now: Instant) -> Duration {
+        now.saturating_duration_since(self.started)
+    }
+
     /// Returns whether the node has just started and still lacks what it needs to serve.
     pub(crate) fn is_starting(&self, now: Instant) -> bool {
-        !self.is_serving() && now.saturating_duration_since(self.started) < START_TIME_MAX
+        !self.is_serving() && self.running_time(now) < START_TIME_MAX
     }
 
     fn time(&self, phase: StartPhase) -> Option<Duration> {
--- a/components/gateway/src/state.rs
+++ b/components/gateway/src/state.rs
@@ -222,6 +222,11 @@
         number
     }
 
+    /// Returns for how long this process has been running.
+    pub(crate) fn running_time(&self) -> Duration {
+        self.start_times.running_time(self.now())
+    }
+
     /// Returns whether this node has just started and still lacks what it needs to serve.
     pub(crate) fn is_starting(&self) -> bool {
         self.start_times.is_starting(self.now())
