Count nodes that fell silent as sharing the retry budget for ten minutes

A node that hears nothing of another for 40 s forgets it, and divided the fixed number of retries among the rest 30 s later.

A node that was removed since it fell silent now counts for ten minutes more, unless it said that it leaves or is heard again.

--- a/components/dispatch/src/roster.rs
+++ b/components/dispatch/src/roster.rs
@@ -26,6 +26,10 @@
 const REMOVAL_TIMEOUT: Duration = Duration::from_secs(40);
 /// Time after a node was last heard for which it keeps its share of what nodes divide.
 const RECENT_TIME: Duration = Duration::from_secs(10);
+/// Time for which a node that fell silent still counts in the fleet's size after it was
+/// removed: it may be cut off, and use its share. Longer than links between zones are usually
+/// lost.
+const LOST_NODE_TIME: Duration = Duration::from_mins(10);
 /// Most addresses in an answer; callers accept no more.
 const MAX_ADDRESSES: usize = 64;
 /// Time for which the largest fleet size is remembered.
@@ -71,6 +75,8 @@
 #[derive(Debug, Default)]
 pub struct NodeRoster {
     members: BTreeMap<NodeId, RosterMember>,
+    /// Nodes that were removed since they fell silent, and when.
+    lost: BTreeMap<NodeId, Instant>,
     recent_sizes: Vec<(Instant, usize)>,
     /// Whether this node hears all others itself, and doesn't need to be told.
     hears_all: bool,
@@ -193,6 +199,7 @@
     /// Removes a node when `incarnation` of it announced that it leaves; returns
     /// whether the node was known in this or an older incarnation.
     pub fn remove_left(&mut self, node: &str, incarnation: u64) -> bool {
+        self.lost.remove(node);
         let member = self.members.get(node);
         let known = member.is_some_and(|member| member.entry.incarnation <= incarnation);
         if known {
@@ -217,6 +224,9 @@
             }
             !is_silent
         });
+        for entry in &removed {
+            self.lost.insert(entry.node.clone(), now);
+        }
         removed
     }
 
@@ -341,14 +351,16 @@
         })
     }
 
-    /// Records the present number of known nodes, dead ones and this one included, and
-    /// returns the largest number recorded in the last 30 s; `None` while this node has
-    /// read no list of all nodes.
+    /// Records the present number of known nodes, dead ones and this one included, with those
+    /// lost in the last ten minutes, and returns the largest number recorded in the last 30 s;
+    /// `None` while this node has read no list of all nodes.
     pub fn recent_fleet_size(&mut self, now: Instant) -> Option<usize> {
         if !self.is_listed {
             return None;
         }
-        let size = self.members.len() + 1;
+        self.lost
+            .retain(|_, lost_at| now.saturating_duration_since(*lost_at) < LOST_NODE_TIME);
+        let size = self.members.len() + self.lost.len() + 1;
         self.recent_sizes
             .retain(|(seen, old)| now.duration_since(*seen) < FLEET_SIZE_WINDOW && *old > size);
         self.recent_sizes.push((now, size));
@@ -371,6 +383,7 @@
             store_confirmed_at: None,
             entry,
         };
+        self.lost.remove(&member.entry.node);
         self.members.insert(member.entry.node.clone(), member);
     }
 }
