Pass on nothing but events in a stream of events

Callers could see: a stream broke off, and the next server answered with 200 and a signature, but with the head and text of an error. They were passed on in the middle of the stream, which then ended as if it were whole.

Cause: text up to an empty line without an id was taken for an event, whatever it was, and the type of the answer that continues a stream was not looked at. Errors with a status of their own and unsigned answers never got that far.

A stream now breaks off at a line that is no comment and no field, and only a stream of events continues another.

--- a/components/gateway/src/events.rs
+++ b/components/gateway/src/events.rs
@@ -22,6 +22,8 @@
     OutOfOrder,
     /// An incomplete event exceeds the size limit.
     TooLong,
+    /// A line is none of an event, such as that of an error's head.
+    NotAnEvent,
 }
 
 impl EventCursor {
@@ -40,8 +42,8 @@
     ///
     /// # Errors
     ///
-    /// Returns an error if an event's id is out of order or the incomplete event is
-    /// too long.
+    /// Returns an error if an event's id is out of order, a line has no field, or the
+    /// incomplete event is too long.
     pub fn push(&mut self, bytes: &[u8]) -> Result<Bytes, EventError> {
         self.pending.extend_from_slice(bytes);
         let mut events = BytesMut::new();
@@ -81,6 +83,9 @@
     /// resume, events whose id was already forwarded are skipped; events without an
     /// id are always forwarded.
     fn accept_event(&mut self, event: &[u8]) -> Result<bool, EventError> {
+        if !event.split(|byte| *byte == b'\n').all(is_event_line) {
+            return Err(EventError::NotAnEvent);
+        }
         let Some(id) = parse_event_id(event) else {
             return Ok(true);
         };
@@ -101,6 +106,18 @@
     ends.into_iter().flatten().min()
 }
 
+/// Returns whether a line is empty, a comment, or a field: a name, which may have a value
+/// after a colon. The names of the standard may stand alone.
+fn is_event_line(line: &[u8]) -> bool {
+    let line = line.strip_suffix(b"\r").unwrap_or(line);
+    let name = line.split(|byte| *byte == b':').next().unwrap_or_default();
+    if name.len() == line.len() {
+        return matches!(name, b"" | b"data" | b"event" | b"id" | b"retry");
+    }
+    let is_name = |byte: &u8| byte.is_ascii_alphanumeric() || matches!(byte, b'-' | b'_' | b'.');
+    name.iter().all(is_name)
+}
+
 fn parse_event_id(event: &[u8]) -> Option<u64> {
     let text = std::str::from_utf8(event).ok()?;
     let id = text.lines().find_map(|line| line.strip_prefix("id:"))?;
--- a/components/gateway/src/relay.rs
+++ b/components/gateway/src/relay.rs
@@ -9,7 +9,7 @@
 
 use bytes::Bytes;
 use futures_lite::stream;
-use http::{Response, header, response::Parts};
+use http::{HeaderMap, Response, header, response::Parts};
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use types::UpstreamId;
@@ -325,6 +325,11 @@
             attempt.back_off(&self.gateway);
             return false;
         }
+        if !is_event_stream(response.headers()) {
+            let reason = "what was to continue a stream is no event stream";
+            attempt.record_failure(&self.gateway, &self.job, reason);
+            return false;
+        }
         log::info!(
             "event=stream_resumed request={} upstream={} last_event={last:?}",
             self.job.request.caller_attempt_id,
@@ -343,6 +348,14 @@
     }
 }
 
+/// Returns whether an answer with these headers is a stream of events, or doesn't say.
+fn is_event_stream(headers: &HeaderMap) -> bool {
+    headers.get(header::CONTENT_TYPE).is_none_or(|value| {
+        let value = value.as_bytes();
+        value.starts_with(b"text/event-stream")
+    })
+}
+
 /// Streams a large plain answer to the caller until `deadline`.
 pub(crate) fn stream_plain_answer(
     gateway: Rc<Gateway>,
--- a/components/gateway/tests/events.rs
+++ b/components/gateway/tests/events.rs
@@ -58,3 +58,25 @@
     assert_eq!(cursor.push(stream).unwrap().as_ref(), stream);
     assert_eq!(cursor.last(), Some(2));
 }
+
+/// Guards against the text of an error that is passed on in the middle of a stream.
+#[test]
+fn what_is_no_event_is_an_error() {
+    for text in [
+        "HTTP/1.1 500 error\r\ncontent-length: 5\r\n\r\nerror",
+        "error\n\n",
+        "{\"error\": \"busy\"}\n\n",
+        "id: 2\n<p>error</p>\n\n",
+    ] {
+        let mut cursor = EventCursor::new(None);
+        cursor.push(event(1).as_bytes()).unwrap();
+        assert_eq!(
+            cursor.push(text.as_bytes()),
+            Err(EventError::NotAnEvent),
+            "{text:?}"
+        );
+    }
+    let mut cursor = EventCursor::new(None);
+    let fields = ": wait\n\nevent: token\nx-weight-versions: 3\nid: 1\ndata\ndata: a b: c\n\n";
+    assert_eq!(cursor.push(fields.as_bytes()).unwrap(), fields.as_bytes());
+}
