--- a/components/gateway/src/relay.rs
+++ b/components/gateway/src/relay.rs
@@ -350,10 +350,8 @@
 
 /// Returns whether an answer with these headers is a stream of events, or doesn't say.
 fn is_event_stream(headers: &HeaderMap) -> bool {
-    headers.get(header::CONTENT_TYPE).is_none_or(|value| {
-        let value = value.as_bytes();
-        value.starts_with(b"text/event-stream")
-    })
+    let content_type = headers.get(header::CONTENT_TYPE);
+    content_type.is_none_or(|value| value.as_bytes().starts_with(b"text/event-stream"))
 }
 
 /// Streams a large plain answer to the caller until `deadline`.
--- a/components/gateway/src/retries.rs
+++ b/components/gateway/src/retries.rs
@@ -14,6 +14,9 @@
 /// rest is left to serve it.
 const LINE_WAIT_SHARE: f64 = 0.25;
 
+/// Longest pause between two looks of a request that waits.
+const LOOK_PAUSE_MAX: Duration = Duration::from_millis(100);
+
 /// Place in the line, which ends when it is dropped.
 struct LinePlace {
     gateway: Rc<Gateway>,
@@ -118,16 +121,9 @@
         let left = limit.saturating_duration_since(now);
         let foreseen = time_to_retry(gateway, &job.service, before, left);
         let Some(foreseen) = foreseen.filter(|_| !left.is_zero()) else {
-            let verdict = judge_retry(gateway, &job.service);
-            let is_allowed = false;
-            record_verdict(
-                gateway,
-                job,
-                RetryVerdict {
-                    is_allowed,
-                    ..verdict
-                },
-            );
+            let mut verdict = judge_retry(gateway, &job.service);
+            verdict.is_allowed = false;
+            record_verdict(gateway, job, verdict);
             return false;
         };
         if !is_logged {
@@ -139,6 +135,7 @@
                 foreseen.as_millis(),
             );
         }
-        gateway.clock.sleep(PLACEMENT_RETRY_PAUSE).await;
+        let pause = foreseen.clamp(PLACEMENT_RETRY_PAUSE, LOOK_PAUSE_MAX);
+        gateway.clock.sleep(pause).await;
     }
 }
