Review case 3: a store back from a copy revives a leaving server

Cause: news of a gateway that has started since carries versions of the new history, so another gateway's own first listing of it no longer counts as one from a copy, and its outdated row replaces what the gateway knew. Case: review/3, a store that comes back from a copy while one of three gateways starts; the cases of crashes become 4 and 5.

--- a/review/standin/cases.rs
+++ b/review/standin/cases.rs
@@ -2,6 +2,7 @@
 
 use std::{
     io,
+    net::IpAddr,
     path::PathBuf,
     sync::{
         Arc, Mutex,
@@ -560,3 +561,93 @@
     record.line(&format!("{broken} requests lost"));
     Ok(broken == 0)
 }
+
+/// DRAIN: the store comes back from a copy in which a server that leaves is still ready, and a
+/// gateway is killed and started again meanwhile. The others know that the server leaves.
+pub fn returned_copy(context: &Context) -> Outcome {
+    const DRAIN_TIMEOUT: Duration = Duration::from_millis(2000);
+    let store = Store::start();
+    let record = &context.record;
+    let arrivals: Arc<Mutex<Vec<(Instant, String, IpAddr)>>> = Arc::default();
+    let handler: Handler = Arc::new({
+        let arrivals = Arc::clone(&arrivals);
+        move |server: &Server, head: &Head, wire: &mut Wire| {
+            let from = wire.socket.peer_addr()?.ip();
+            arrivals
+                .lock()
+                .unwrap()
+                .push((Instant::now(), server.id.clone(), from));
+            thread::sleep(Duration::from_millis(10));
+            let receipt = server.receipt(head);
+            wire.send(&format!(
+                "HTTP/1.1 200 OK\r\n{receipt}Content-Length: 4\r\n\r\nfine"
+            ))
+        }
+    });
+    let servers: Vec<Server> = (1..=4)
+        .map(|number| {
+            // Their pings don't come together.
+            thread::sleep(Duration::from_millis(300));
+            let id = format!("i-desk-{number}");
+            Server::start(
+                &store,
+                record,
+                &id,
+                ("desk", ZONES[number % 3], 6),
+                None,
+                Arc::clone(&handler),
+            )
+        })
+        .collect();
+    let mut gateways = start_fleet(context, &store, 3)?;
+    let stopping = Arc::new(AtomicBool::new(false));
+    let served: Vec<_> = (0..4)
+        .map(|_| start_other_reads(&gateways, &stopping))
+        .collect();
+    thread::sleep(Duration::from_millis(2000));
+    let copy = store.copy();
+    thread::sleep(Duration::from_millis(500));
+    let leaving = &servers[3];
+    leaving.drain();
+    let drained_at = Instant::now();
+    thread::sleep(Duration::from_millis(3000));
+    if context.trouble {
+        store.go_away();
+        record.line("the store goes away");
+        gateways[0].signal("KILL");
+        while !gateways[0].has_ended() {
+            thread::sleep(Duration::from_millis(5));
+        }
+        thread::sleep(Duration::from_millis(500));
+        store.come_back(&copy);
+        record.line("the store comes back from a copy that is 4 s old");
+        gateways[0].start_again();
+    }
+    thread::sleep(Duration::from_millis(4000));
+    stopping.store(true, Ordering::SeqCst);
+    thread::sleep(Duration::from_millis(1500));
+    let restarted = gateways[0].callers.ip();
+    let mut late = 0;
+    for (at, id, from) in arrivals.lock().unwrap().iter() {
+        let after = at.saturating_duration_since(drained_at);
+        if *id != leaving.id || *at < drained_at {
+            continue;
+        }
+        let is_late = after > DRAIN_TIMEOUT && *from != restarted;
+        late += usize::from(is_late);
+        record.line(&format!(
+            "request from {from} reached {id} {} ms after its leaving was confirmed{}",
+            after.as_millis(),
+            if is_late { ", LATE" } else { "" }
+        ));
+    }
+    let served: usize = served
+        .iter()
+        .map(|count| count.load(Ordering::SeqCst))
+        .sum();
+    record.line(&format!("{served} requests served; {late} reached the leaving server late, from gateways that were not killed"));
+    if served < 50 {
+        return Err("too few requests were served".to_owned());
+    }
+    Ok(late == 0)
+}
--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -45,6 +45,7 @@
     let outcome = match case.as_str() {
         "missing-piece" => cases::missing_piece(&context),
         "late-stop" => cases::late_stop(&context),
+        "returned-copy" => cases::returned_copy(&context),
         "crash-midway" => cases::crash_midway(&context),
         "crash-forgotten" => cases::crash_forgotten(&context),
         _ => Err(format!("no case {case}")),
--- a/review/standin/server.rs
+++ b/review/standin/server.rs
@@ -34,6 +34,7 @@
     born: u128,
     sequence: Arc<AtomicU64>,
     ended: Arc<AtomicBool>,
+    draining: Arc<AtomicBool>,
     sockets: Arc<Mutex<Vec<TcpStream>>>,
     store: Store,
     record: Record,
@@ -65,6 +66,7 @@
                 .as_millis(),
             sequence: Arc::default(),
             ended: Arc::default(),
+            draining: Arc::default(),
             sockets: Arc::default(),
             store: store.clone(),
             record: record.clone(),
@@ -88,13 +90,23 @@
 
     fn ping(&self) {
         let sequence = self.sequence.fetch_add(1, Ordering::SeqCst);
+        let is_draining = self.draining.load(Ordering::SeqCst);
+        let state = if is_draining { "draining" } else { "ready" };
         let row = format!(
-            "{{\"service\":\"{}\",\"address\":\"{}\",\"zone\":\"{}\",\"version\":\"v1\",\"slots\":{},\"state\":\"ready\",\"coldRemainingMs\":0,\"sequence\":{sequence},\"born\":{}}}",
+            "{{\"service\":\"{}\",\"address\":\"{}\",\"zone\":\"{}\",\"version\":\"v1\",\"slots\":{},\"state\":\"{state}\",\"coldRemainingMs\":0,\"sequence\":{sequence},\"born\":{}}}",
             self.service, self.address, self.zone, self.slots, self.born
         );
         self.store.put("servers", &self.id, &row);
     }
 
+    /// Reports that the server is draining, at once and in all later rows.
+    pub fn drain(&self) {
+        self.draining.store(true, Ordering::SeqCst);
+        self.ping();
+        self.record
+            .line(&format!("server {} reports draining", self.id));
+    }
+
     /// Ends the process: its address refuses connections, and open ones are closed. Its row
     /// lapses after three ping intervals.
     pub fn crash(&self) {
--- a/review/standin/store.rs
+++ b/review/standin/store.rs
@@ -3,15 +3,20 @@
 use std::{
     collections::BTreeMap,
     net::{SocketAddr, TcpListener},
-    sync::{Arc, Mutex},
+    sync::{
+        Arc, Mutex,
+        atomic::{AtomicBool, Ordering},
+    },
     thread,
     time::{Duration, Instant},
 };
 
 use crate::http::{Wire, encode_base64};
 
-#[derive(Default)]
-struct Rows {
+#[derive(Clone, Default)]
+pub struct Rows {
+    /// How often the store came back from a copy.
+    era: u64,
     version: u64,
     /// By table and key; the value in base64, `None` once removed.
     rows: BTreeMap<(String, String), (u64, Option<String>)>,
@@ -21,6 +26,8 @@
 pub struct Store {
     pub address: SocketAddr,
     rows: Arc<Mutex<Rows>>,
+    /// Whether all connections are closed and nothing is written.
+    away: Arc<AtomicBool>,
     started: Instant,
 }
 
@@ -30,6 +37,7 @@
         let store = Self {
             address: listener.local_addr().unwrap(),
             rows: Arc::default(),
+            away: Arc::default(),
             started: Instant::now(),
         };
         let serving = store.clone();
@@ -50,7 +58,34 @@
         self.write(table, key, None);
     }
 
+    /// Copies the rows as they are now.
+    pub fn copy(&self) -> Rows {
+        self.rows.lock().unwrap().clone()
+    }
+
+    /// Goes away: closes connections, and takes no writes.
+    pub fn go_away(&self) {
+        self.away.store(true, Ordering::SeqCst);
+    }
+
+    /// Comes back from a copy: later writes are lost, and versions are given out again.
+    pub fn come_back(&self, copy: &Rows) {
+        let mut rows = self.rows.lock().unwrap();
+        *rows = Rows {
+            era: rows.era + 1,
+            ..copy.clone()
+        };
+        self.away.store(false, Ordering::SeqCst);
+    }
+
+    fn is_away(&self) -> bool {
+        self.away.load(Ordering::SeqCst)
+    }
+
     fn write(&self, table: &str, key: &str, value: Option<String>) {
+        if self.is_away() {
+            return;
+        }
         let mut rows = self.rows.lock().unwrap();
         rows.version += 1;
         let version = rows.version;
@@ -68,8 +103,12 @@
                 return;
             }
             let (status, answer) = self.answer(head.word(1), &String::from_utf8_lossy(&body));
+            if self.is_away() {
+                return;
+            }
+            let era = self.rows.lock().unwrap().era;
             let text = format!(
-                "HTTP/1.1 {status} X\r\nContent-Type: application/json\r\nContent-Length: {}\r\n\r\n{answer}",
+                "HTTP/1.1 {status} X\r\nStore-Era: {era}\r\nContent-Type: application/json\r\nContent-Length: {}\r\n\r\n{answer}",
                 answer.len()
             );
             if wire.send(&text).is_err() {
@@ -97,9 +136,12 @@
                     .and_then(|text| text.parse().ok())
                     .unwrap_or(0);
                 let ends_at = Instant::now() + Duration::from_millis(wait);
-                while !self.has_news(&table, after) && Instant::now() < ends_at {
+                while !self.has_news(&table, after) && Instant::now() < ends_at && !self.is_away() {
                     thread::sleep(Duration::from_millis(4));
                 }
+                if after > self.version() {
+                    return (410, "{}".to_owned());
+                }
                 (200, self.list(&table, after, true))
             }
             "/-/rows-tx" => {
