Keep the events in front of malformed bytes of a stream

Cause: EventCursor::push moved its position with each event that it accepted, and dropped these events when a later one in the same bytes was malformed. The next upstream was asked to go on after an event that the caller never got.

Change: push returns the events beside the error; the forwarder passes them on and treats the error afterwards. It holds for events out of order and events that are too long as well.

--- a/components/gateway/src/events.rs
+++ b/components/gateway/src/events.rs
@@ -15,6 +15,15 @@
     resumed: bool,
 }
 
+/// Events that received bytes complete.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub struct EventBatch {
+    /// Whole events, which the cursor counts as forwarded.
+    pub events: Bytes,
+    /// Why nothing that follows these events can be forwarded.
+    pub error: Option<EventError>,
+}
+
 /// Why a stream can't be forwarded any further.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum EventError {
@@ -38,25 +47,16 @@
     }
 
     /// Appends received bytes and returns the events that are now complete; an
-    /// incomplete one stays buffered.
-    ///
-    /// # Errors
-    ///
-    /// Returns an error if an event's id is out of order, a line has no field, or the
-    /// incomplete event is too long.
-    pub fn push(&mut self, bytes: &[u8]) -> Result<Bytes, EventError> {
+    /// incomplete one stays buffered. Events in front of malformed bytes are returned
+    /// beside the error: another upstream continues after the last one of them.
+    pub fn push(&mut self, bytes: &[u8]) -> EventBatch {
         self.pending.extend_from_slice(bytes);
         let mut events = BytesMut::new();
-        while let Some(end) = find_event_end(&self.pending) {
-            let event = self.pending.split_to(end);
-            if self.accept_event(&event)? {
-                events.extend_from_slice(&event);
-            }
+        let error = self.accept_events(&mut events).err();
+        EventBatch {
+            events: events.freeze(),
+            error,
         }
-        if self.pending.len() > PENDING_EVENT_MAX_BYTES {
-            return Err(EventError::TooLong);
-        }
-        Ok(events.freeze())
     }
 
     /// Returns the id of the last event that the caller has, the one given to
@@ -79,6 +79,20 @@
         self.resumed = true;
     }
 
+    /// Moves the complete events to `events`, up to the first one that is malformed.
+    fn accept_events(&mut self, events: &mut BytesMut) -> Result<(), EventError> {
+        while let Some(end) = find_event_end(&self.pending) {
+            let event = self.pending.split_to(end);
+            if self.accept_event(&event)? {
+                events.extend_from_slice(&event);
+            }
+        }
+        if self.pending.len() > PENDING_EVENT_MAX_BYTES {
+            return Err(EventError::TooLong);
+        }
+        Ok(())
+    }
+
     /// Returns whether the event is to be forwarded, and records its id. After a
     /// resume, events whose id was already forwarded are skipped; events without an
     /// id are always forwarded.
--- a/components/gateway/src/lib.rs
+++ b/components/gateway/src/lib.rs
@@ -44,6 +44,6 @@
     AddressQuery, AnswerHead, ColdStatement, EngineCall, FeedAnswer, ForwardHead, PlainCall,
     RateStatement, RequestHead, TableChange, UpstreamRow, UpstreamWish, WatchedTable, WireDialect,
 };
-pub use events::{EventCursor, EventError};
+pub use events::{EventBatch, EventCursor, EventError};
 pub use formats::{FORMAT, MessageKind, rewrite_message};
 pub use settings::{GatewaySettings, RevokePolicy};
--- a/components/gateway/src/relay.rs
+++ b/components/gateway/src/relay.rs
@@ -15,7 +15,7 @@
 use types::UpstreamId;
 
 use crate::{
-    EventCursor,
+    EventBatch, EventCursor, EventError,
     answer::AnswerBody,
     attempt::{SendOutcome, can_retry, quarantine_left, stream_read_timeout, take_resume_retry},
     client::{ClientConnection, ExchangeError},
@@ -37,6 +37,8 @@
     gateway: Rc<Gateway>,
     job: Rc<ForwardJob>,
     cursor: EventCursor,
+    /// Why the upstream's bytes after the last returned events can't be forwarded.
+    malformed: Option<EventError>,
     /// Head of the answer until it is returned, with the first event, to the caller.
     response_head: Option<Parts>,
     body: Incoming,
@@ -86,6 +88,7 @@
         let last = job.request.resume_after.as_deref();
         Self {
             cursor: EventCursor::new(last.and_then(|id| id.parse().ok())),
+            malformed: None,
             gateway: Rc::clone(gateway),
             job: Rc::clone(job),
             response_head: Some(response_head),
@@ -173,6 +176,12 @@
     async fn next_events(&mut self) -> io::Result<Option<Bytes>> {
         let silent_since = self.gateway.now();
         loop {
+            if let Some(error) = self.malformed.take() {
+                let reason = format!("malformed event stream: {error:?}");
+                self.attempt
+                    .record_failure(&self.gateway, &self.job, &reason);
+                return Err(io::Error::other(reason));
+            }
             let left = self.time_left();
             let limit = if can_retry(&self.gateway, &self.job, self.sends) {
                 let silent_for = self.gateway.now().saturating_duration_since(silent_since);
@@ -219,12 +228,8 @@
             let Ok(data) = frame.into_data() else {
                 continue;
             };
-            let events = self.cursor.push(&data).map_err(|error| {
-                let reason = format!("malformed event stream: {error:?}");
-                self.attempt
-                    .record_failure(&self.gateway, &self.job, &reason);
-                io::Error::other(reason)
-            })?;
+            let EventBatch { events, error } = self.cursor.push(&data);
+            self.malformed = error;
             if !events.is_empty() {
                 self.record_events();
                 return Ok(Some(events));
