Write what precedes an error before the connection ends

A stream that breaks off right behind its first events reached its caller as a closed connection without status, head or event.

Cause: hyper ends a connection as soon as its body returns an error, with what it has not written yet. Events that come with the malformed bytes behind them are returned in the same poll as the error.

Change: a body yields once before it returns an error, so that hyper writes first.

Evidence: what_precedes_an_error_reaches_the_caller got status 0 before; now the head and events 1 to 3, and no proper end.

--- a/components/gateway/src/relay.rs
+++ b/components/gateway/src/relay.rs
@@ -8,7 +8,7 @@
 };
 
 use bytes::Bytes;
-use futures_lite::stream;
+use futures_lite::{future::yield_now, stream};
 use http::{HeaderMap, Response, header, response::Parts};
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
@@ -133,6 +133,9 @@
                 Ok(None) => None,
                 Err(error) => {
                     forwarder.ended = true;
+                    // An error ends the connection at once. What was returned before it is
+                    // written first.
+                    yield_now().await;
                     Some((Err(error), forwarder))
                 }
             }
@@ -377,7 +380,10 @@
                 Some((Ok(data), Some((gateway, body, attempt, connection))))
             }
             Some(None) => None,
-            Some(Some(Err(error))) => Some((Err(io::Error::other(error)), None)),
+            Some(Some(Err(error))) => {
+                yield_now().await;
+                Some((Err(io::Error::other(error)), None))
+            }
             None => Some((Err(io::ErrorKind::TimedOut.into()), None)),
         }
     }))
