Refuse in a planned stop what can't end before it

Cause: a stopping gateway took whatever came until it closed its listeners, 0.45 of the grace period after SIGTERM, and ended at 0.92 of it with requests open. Nothing compared a request with the time that was left for it.

The decision is made when a request is about to be sent, so it holds for connections that were open, bodies that come late and requests that waited.

--- a/components/dispatch/src/engine.rs
+++ b/components/dispatch/src/engine.rs
@@ -34,6 +34,15 @@
             + self.context_step_ms * thousands(context_tokens);
         Duration::from_secs_f64(step * f64::from(self.steps_per_pass) / 1e3)
     }
+
+    /// Time to decode `tokens` of one answer while all slots are in use, without the cost of
+    /// their contexts.
+    #[must_use]
+    pub fn decode_time(&self, tokens: TokenCount) -> Duration {
+        let passes = tokens.div_ceil(u64::from(self.steps_per_pass.max(1)));
+        let passes = u32::try_from(passes).unwrap_or(u32::MAX);
+        self.pass_time(self.slots, 0).saturating_mul(passes)
+    }
 }
 
 /// Time that each of `engines` takes to prefill its equal shard of `prompt`
--- a/components/gateway/src/answer.rs
+++ b/components/gateway/src/answer.rs
@@ -14,6 +14,10 @@
 use http_body_util::Full;
 use hyper::body::{Body, Frame, SizeHint};
 
+/// Time after which a caller that this node refuses since it stops is told to retry: at another
+/// node, which takes the request at once.
+const STOPPING_RETRY_AFTER: Duration = Duration::from_millis(20);
+
 type FrameStream = Pin<Box<dyn Stream<Item = io::Result<Bytes>>>>;
 
 /// Body of an answer to a caller.
@@ -29,6 +33,9 @@
 pub(crate) enum GatewayAnswer {
     /// The request did not run; the caller may retry after this time.
     Refused(Duration),
+    /// The request did not run, and this node stops before it could end. Another node takes it
+    /// at once.
+    Stopping,
     /// No route matches the request.
     NoRoute,
     /// The API key is missing or not valid for the route.
@@ -46,7 +53,7 @@
 impl GatewayAnswer {
     pub(crate) fn status(self) -> StatusCode {
         match self {
-            Self::Refused(_) => StatusCode::SERVICE_UNAVAILABLE,
+            Self::Refused(_) | Self::Stopping => StatusCode::SERVICE_UNAVAILABLE,
             Self::NoRoute => StatusCode::NOT_FOUND,
             Self::NoKey => StatusCode::UNAUTHORIZED,
             Self::Unreadable => StatusCode::BAD_REQUEST,
@@ -56,16 +63,28 @@
         }
     }
 
+    fn retry_after(self) -> Option<Duration> {
+        match self {
+            Self::Refused(after) => Some(after),
+            Self::Stopping => Some(STOPPING_RETRY_AFTER),
+            _ => None,
+        }
+    }
+
     pub(crate) fn into_response(self) -> Response<AnswerBody> {
         let mut response = Response::new(AnswerBody::from(Bytes::new()));
         *response.status_mut() = self.status();
-        if let Self::Refused(after) = self {
+        if let Some(after) = self.retry_after() {
             // Hundredths of a second, although HTTP allows only whole seconds here.
             let text = format!("{:.2}", after.as_secs_f64());
             if let Ok(value) = HeaderValue::from_str(&text) {
                 response.headers_mut().insert(header::RETRY_AFTER, value);
             }
         }
+        if self == Self::Stopping {
+            let close = HeaderValue::from_static("close");
+            response.headers_mut().insert(header::CONNECTION, close);
+        }
         response
     }
 }
--- a/components/gateway/src/attempt.rs
+++ b/components/gateway/src/attempt.rs
@@ -26,6 +26,7 @@
     relay::{StreamForwarder, stream_plain_answer},
     retries::{allows_retry, take_retry, take_retry_in_line},
     state::Gateway,
+    stop::can_end,
 };
 
 /// Time before the deadline at which the gateway answers at the latest, so that
@@ -117,6 +118,9 @@
             history.quarantine_left = Some(left);
             break "quarantined";
         }
+        if !history.may_have_run && !can_end(gateway, &job, Duration::ZERO) {
+            break "stopping";
+        }
         if history.sends > 0 && !take_retry_if_allowed(gateway, &job, &history).await {
             break "not_repeatable";
         }
@@ -138,6 +142,10 @@
         if gateway.now() + ANSWER_MARGIN >= job.deadline {
             break "deadline";
         }
+        let time_to_prefill = placed.placement.time_to_prefill;
+        if !history.may_have_run && !can_end(gateway, &job, time_to_prefill) {
+            break "stopping";
+        }
         let upstream = placed.placement.upstream.clone();
         let outcome = send_once(gateway, &job, *placed, &mut history).await;
         if !matches!(outcome, SendOutcome::NotReserved) {
@@ -183,7 +191,9 @@
     if let Some((parts, body)) = history.last_answer {
         return (Response::from_parts(parts, AnswerBody::from(body)), false);
     }
-    let answer = if !history.may_have_run {
+    let answer = if reason == "stopping" {
+        GatewayAnswer::Stopping
+    } else if !history.may_have_run {
         let left = job.time_left(now);
         GatewayAnswer::Refused(match reason {
             "quarantined" => history
--- a/components/gateway/src/daemon.rs
+++ b/components/gateway/src/daemon.rs
@@ -16,11 +16,12 @@
     GatewaySettings, WatchedTable, WireDialect,
     client::PlainCaller,
     crashes::keep_quarantine,
-    datagrams::{PeerDatagram, receive_datagrams, send_queued_datagrams},
+    datagrams::{receive_datagrams, send_queued_datagrams},
     evacuation::expire_evacuations,
-    listen::{ListenRole, is_closing, listen},
+    listen::{ListenRole, listen},
     reports::{is_relay, send_reports},
     state::Gateway,
+    stop::{StopNotices, stop_gracefully},
     sync::{ROW_WAIT, wait_for_fleet, watch_table},
 };
 
@@ -34,12 +35,6 @@
 const RELAY_CHECK_PAUSE: Duration = Duration::from_millis(500);
 /// Interval at which expired entries are removed.
 const EXPIRY_PAUSE: Duration = Duration::from_secs(1);
-/// Share of the grace period after which the process exits even if connections
-/// are open, so that it isn't killed first.
-const FORCED_END_SHARE: f64 = 0.92;
-/// Interval at which a stopping gateway checks whether it can take the next step of
-/// stopping.
-const STOP_CHECK_PAUSE: Duration = Duration::from_millis(50);
 
 /// Runs a gateway until SIGTERM, and then until it has stopped gracefully.
 ///
@@ -58,7 +53,7 @@
     executor: Rc<LocalExecutor<'static>>,
 ) -> io::Result<()> {
     let (outbox, queued) = channel::bounded(OUTBOX_CAPACITY);
-    let (idle_close_sender, idle_close_receiver) = channel::bounded(1);
+    let (stop_triggers, stop_notices) = StopNotices::new();
     let incarnation = SystemTime::now()
         .duration_since(UNIX_EPOCH)
         .map_or(0, |since| {
@@ -79,7 +74,7 @@
         incarnation,
         Rc::clone(&socket),
         outbox,
-        idle_close_receiver,
+        stop_notices,
     ));
     let mut signals = Signals::new([Signal::Term, Signal::Hup])?;
     spawn_listeners(&gateway)?;
@@ -119,7 +114,7 @@
             other => log::info!("event=reload signal={other:?} outcome=nothing_to_change"),
         }
     }
-    stop_gracefully(&gateway, idle_close_sender).await;
+    stop_gracefully(&gateway, stop_triggers).await;
     Ok(())
 }
 
@@ -205,42 +200,8 @@
     }
 }
 
-/// Removes this node from address answers at once and keeps serving callers that
-/// still use an older address answer. Waits until [`is_closing`] holds, then until no
-/// caller is connected, no connection is held for another node and no reservation is being
-/// released, or [`FORCED_END_SHARE`] of the grace period has passed since the stop began.
-async fn stop_gracefully(gateway: &Rc<Gateway>, idle_close_sender: channel::Sender<()>) {
-    let stop_started = gateway.now();
-    gateway.stopping_since.set(Some(stop_started));
-    log::info!("event=stopping node={}", gateway.settings.node);
-    let node = gateway.settings.node.clone();
-    gateway.queue_datagram(PeerDatagram::NodeLeft(node, gateway.incarnation));
-    if gateway.row_schedule.get().is_written() {
-        let removal = remove_own_row(Rc::clone(gateway));
-        gateway.executor.spawn(removal).detach();
-    }
-    while !is_closing(gateway) {
-        gateway.clock.sleep(STOP_CHECK_PAUSE).await;
-    }
-    drop(idle_close_sender);
-    let longest_stop = gateway.settings.grace_period.mul_f64(FORCED_END_SHARE);
-    let is_busy = || {
-        gateway.open_connections.get() > 0
-            || gateway.tunnels.get() > 0
-            || gateway.open_releases.get() > 0
-    };
-    while is_busy() && gateway.now().saturating_duration_since(stop_started) < longest_stop {
-        gateway.clock.sleep(STOP_CHECK_PAUSE).await;
-    }
-    log::info!(
-        "event=stopped node={} open_connections={} tunnels={}",
-        gateway.settings.node,
-        gateway.open_connections.get(),
-        gateway.tunnels.get()
-    );
-}
-
-async fn remove_own_row(gateway: Rc<Gateway>) {
+/// Removes this node's row from the store, so that no other meets it there.
+pub(crate) async fn remove_own_row(gateway: Rc<Gateway>) {
     let mut caller = PlainCaller::new(&gateway, gateway.settings.store);
     let node = &gateway.settings.node;
     let call = gateway.dialect.remove_row_call(WatchedTable::Nodes, node);
--- a/components/gateway/src/forward.rs
+++ b/components/gateway/src/forward.rs
@@ -9,6 +9,7 @@
 
 use bytes::Bytes;
 use dispatch::{CrashFingerprint, ForwardRoute, HomeRegions, RouteMatch};
+use futures_lite::future::or;
 use http::{Request, Response, header, request::Parts};
 use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::Incoming;
@@ -86,7 +87,13 @@
         }
     };
     let service = job.service.clone();
-    let (response, own) = run_attempts(&gateway, job).await;
+    let running = run_attempts(&gateway, job);
+    let stopping = async {
+        let answer = gateway.stop_notices.final_answer().await;
+        log::warn!("event=given_up request={caller_attempt_id} reason=stopped");
+        (answer.into_response(), true)
+    };
+    let (response, own) = or(running, stopping).await;
     let elapsed = gateway.now().saturating_duration_since(arrived);
     let status = response.status().as_u16();
     log::info!(
--- a/components/gateway/src/lib.rs
+++ b/components/gateway/src/lib.rs
@@ -34,6 +34,7 @@
 mod settings;
 mod start;
 mod state;
+mod stop;
 mod supplements;
 mod sync;
 mod tickets;
--- a/components/gateway/src/listen.rs
+++ b/components/gateway/src/listen.rs
@@ -20,7 +20,7 @@
 
 use crate::{
     answer::AnswerBody, evacuation::requests_in_evacuated_zones, forward::forward_request,
-    peers::answer_peer, state::Gateway,
+    peers::answer_peer, state::Gateway, stop::is_closing,
 };
 
 /// Smallest read buffer that hyper accepts.
@@ -30,12 +30,6 @@
 /// Time for which a connection stays open beyond the idle timeout that callers
 /// know, so that a request sent just before that timeout still finds it open.
 const IDLE_CLOSE_MARGIN: Duration = Duration::from_secs(2);
-/// Share of the grace period after which no connection from a caller is accepted and
-/// idle connections of all roles are closed. By then address answers that name this
-/// node should have expired, and a request that was just accepted has the rest of the
-/// period to complete.
-const CLOSING_START_SHARE: f64 = 0.45;
-
 /// Time for which bytes may wait for a peer that acknowledges none or has no room for
 /// them, before the connection is broken off and its request cancelled. Callers give a
 /// stream up much earlier. No keep-alive probes are sent, so it affects none.
@@ -83,15 +77,6 @@
     }
 }
 
-/// Returns whether [`CLOSING_START_SHARE`] of a stopping node's grace period has
-/// passed, when address answers that name it should have expired.
-pub(crate) fn is_closing(gateway: &Gateway) -> bool {
-    gateway.stopping_since.get().is_some_and(|since| {
-        let elapsed = gateway.now().saturating_duration_since(since);
-        elapsed >= gateway.settings.grace_period.mul_f64(CLOSING_START_SHARE)
-    })
-}
-
 async fn serve_connection(gateway: Rc<Gateway>, socket: Async<TcpStream>, role: ListenRole) {
     set_options(&socket);
     let limits = gateway.routes.borrow().state().limits;
@@ -113,7 +98,7 @@
     let ended = or(
         async { Some(poll_fn(|context| connection.as_mut().poll(context)).await) },
         async {
-            wait_for_idle_close(&gateway).await;
+            gateway.stop_notices.idle_close().await;
             None
         },
     )
@@ -157,11 +142,6 @@
     }
 }
 
-/// Waits until the stopping gateway closes idle connections.
-async fn wait_for_idle_close(gateway: &Gateway) {
-    gateway.idle_close_receiver.recv().await.ok();
-}
-
 async fn answer_request(
     gateway: Rc<Gateway>,
     request: Request<Incoming>,
--- a/components/gateway/src/place.rs
+++ b/components/gateway/src/place.rs
@@ -196,6 +196,21 @@
     place_on(&usable)
 }
 
+/// Returns how long a request takes after its placement if its engine's slots are all in use
+/// and its answer is as long as its caller allows; zero if no engine is described.
+pub(crate) fn expected_time(
+    gateway: &Gateway,
+    job: &ForwardJob,
+    time_to_prefill: Duration,
+) -> Duration {
+    let routes = gateway.routes.borrow();
+    let spec = routes.state().services.get(&job.service);
+    match (spec.and_then(|spec| spec.engine.as_ref()), job.request.size) {
+        (Some(engine), Some(size)) => time_to_prefill + engine.decode_time(size.answer),
+        _ => Duration::ZERO,
+    }
+}
+
 /// Returns the latency goals of the request's route, and the shortest token gap
 /// that any route of its service promises.
 pub(crate) fn prompt_goals(gateway: &Gateway, job: &ForwardJob) -> LatencyGoals {
--- a/components/gateway/src/state.rs
+++ b/components/gateway/src/state.rs
@@ -27,6 +27,7 @@
     metrics::GatewayMetrics,
     question::ReachAnswer,
     start::{StartPhase, StartTimes},
+    stop::StopNotices,
 };
 
 /// Hash of a node's id, in datagrams.
@@ -95,8 +96,7 @@
     pub(crate) stopping_since: Cell<Option<Instant>>,
     /// Number of open connections from callers.
     pub(crate) open_connections: Cell<usize>,
-    /// The channel is closed when idle connections are to be closed.
-    pub(crate) idle_close_receiver: smol::channel::Receiver<()>,
+    pub(crate) stop_notices: StopNotices,
     pub(crate) metrics: GatewayMetrics,
     start_times: StartTimes,
 }
@@ -109,7 +109,7 @@
         incarnation: u64,
         socket: Rc<Async<UdpSocket>>,
         outbox: smol::channel::Sender<PeerDatagram>,
-        idle_close_receiver: smol::channel::Receiver<()>,
+        stop_notices: StopNotices,
     ) -> Self {
         let fleet = FleetView::new(rand::random_range(1..=u64::MAX), settings.seeds.clone());
         let clock = ClockSource::System;
@@ -155,7 +155,7 @@
             row_schedule: Cell::default(),
             stopping_since: Cell::new(None),
             open_connections: Cell::new(0),
-            idle_close_receiver,
+            stop_notices,
             metrics: GatewayMetrics::new(),
             start_times: StartTimes::new(started),
         }
