Report a crash wherever an answer breaks off

Cause: only answers that broke off in their heads, and event streams, led to a check whether the server had ended. A buffered body counted as a failed attempt, one above 64 KiB as nothing. An answer without length or chunks ends in the same way whether it is whole or its server has crashed.

Change: all of these report the broken connection. At the end of an answer without length the process is checked before the end is passed on; without any body or event it is no success.

--- a/components/gateway/src/attempt.rs
+++ b/components/gateway/src/attempt.rs
@@ -7,7 +7,7 @@
 use dispatch::{CallKind, PlacementRefusal};
 use futures_lite::future::or;
 use http::{Request, Response, StatusCode, header};
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
 use hyper::body::Incoming;
 use types::UpstreamId;
 
@@ -438,7 +438,7 @@
     head: &AnswerHead,
 ) -> SendOutcome {
     let (mut parts, body) = response.into_parts();
-    let is_framed = is_framed(&parts.headers);
+    let is_framed = is_framed(&parts.headers, &body);
     remove_hop_by_hop_headers(&mut parts.headers);
     let content_length = parts.headers.get(header::CONTENT_LENGTH);
     let content_length: Option<usize> = content_length
@@ -446,8 +446,7 @@
         .and_then(|length| length.parse().ok());
     if content_length.is_some_and(|length| length > BUFFERED_LENGTH_MAX_BYTES) {
         attempt.record_success(gateway);
-        let deadline = job.deadline;
-        let body = stream_plain_answer(Rc::clone(gateway), body, attempt, connection, deadline);
+        let body = stream_plain_answer(gateway, job, body, attempt, connection);
         return SendOutcome::Answered(Response::from_parts(parts, body));
     }
     let left = job.time_left(gateway.now());
@@ -456,15 +455,32 @@
         Limited::new(body, gateway.routes.borrow().state().limits.body_bytes).collect();
     let body = match gateway.clock.timeout(left, collecting).await {
         Some(Ok(body)) => body.to_bytes(),
+        Some(Err(error)) if error.is::<LengthLimitError>() => {
+            attempt.record_failure(gateway, job, "the answer exceeds the size limit");
+            return SendOutcome::Lost;
+        }
         Some(Err(error)) => {
-            attempt.record_failure(gateway, job, &format!("read answer: {error}"));
+            attempt.record_broken(gateway, job, &format!("read answer: {error}"));
             return SendOutcome::Lost;
         }
         None => {
-            attempt.record_failure(gateway, job, "answer incomplete at the deadline");
+            attempt.record_silence(gateway, job, "answer incomplete at the deadline");
             return SendOutcome::Lost;
         }
     };
+    if !is_framed {
+        if body.is_empty() && parts.status.is_success() {
+            attempt.record_broken(
+                gateway,
+                job,
+                "connection closed after the head of the answer",
+            );
+            return SendOutcome::Lost;
+        }
+        if attempt.has_crashed_at_end(gateway, job).await {
+            return SendOutcome::Lost;
+        }
+    }
     pool_connection(gateway, connection, head.keep_alive);
     if parts.status.is_server_error() {
         if implies_not_run(parts.status) {
--- a/components/gateway/src/crashes.rs
+++ b/components/gateway/src/crashes.rs
@@ -44,16 +44,19 @@
     /// Whether the upstream had answered for too long to have crashed on a part of the
     /// prompt.
     pub(crate) is_proven_sound: bool,
+    /// Whether an answer without length or chunks ended with its connection, as it does both
+    /// when it is whole and when the process has ended.
+    pub(crate) ended_properly: bool,
 }
 
-/// Checks whether the upstream of `broken` has ended, and if so reports the request as a
+/// Checks whether the upstream of `broken` has crashed, and if so reports the request as a
 /// suspect. An upstream that is alive or out of reach has not crashed on a prompt, and one
 /// that was to leave has ended as planned.
 pub(crate) async fn check_upstream(
     gateway: Rc<Gateway>,
     job: Rc<ForwardJob>,
     broken: BrokenAttempt,
-) {
+) -> bool {
     let was_staying = gateway
         .upstreams
         .borrow()
@@ -63,6 +66,10 @@
         ProbeOutcome::Refused => ProcessState::Ended,
         ProbeOutcome::Unknown => ProcessState::OutOfReach,
     };
+    let has_crashed = state == ProcessState::Ended && was_staying;
+    if broken.ended_properly && !has_crashed {
+        return false;
+    }
     log::warn!(
         "event=connection_broken request={} upstream={} process={state:?} staying={was_staying} \
          answered_ms={} {}",
@@ -73,7 +80,7 @@
             .map_or_else(|| "-".to_owned(), |time| time.as_millis().to_string()),
         job.prompt_label(),
     );
-    if state == ProcessState::Ended && was_staying {
+    if has_crashed {
         let report = build_report(&gateway, &job, broken);
         if record_crash(&gateway, &report) {
             let mut quarantine = gateway.quarantine.borrow_mut();
@@ -82,6 +89,7 @@
             gateway.queue_datagram(PeerDatagram::UpstreamCrashed(report));
         }
     }
+    has_crashed
 }
 
 fn build_report(gateway: &Gateway, job: &ForwardJob, broken: BrokenAttempt) -> CrashReport {
--- a/components/gateway/src/leg.rs
+++ b/components/gateway/src/leg.rs
@@ -14,6 +14,7 @@
 };
 use http::{HeaderMap, Request, Uri, header};
 use http_body_util::Full;
+use hyper::body::{Body, Incoming};
 use rand::RngExt;
 use types::{ServiceName, TokenCount, UpstreamId};
 
@@ -372,6 +373,31 @@
     /// request, and begins to find out whether the upstream has ended.
     pub(crate) fn record_broken(&self, gateway: &Rc<Gateway>, job: &Rc<ForwardJob>, reason: &str) {
         self.record_silence(gateway, job, reason);
+        let broken = self.broken_attempt(gateway, false);
+        let checking = check_upstream(Rc::clone(gateway), Rc::clone(job), broken);
+        gateway
+            .executor
+            .spawn(async { _ = checking.await })
+            .detach();
+    }
+
+    /// Returns whether the upstream crashed on an answer without length or chunks, which then
+    /// need not be whole although its connection ended properly.
+    pub(crate) async fn has_crashed_at_end(
+        &self,
+        gateway: &Rc<Gateway>,
+        job: &Rc<ForwardJob>,
+    ) -> bool {
+        let ended = self.broken_attempt(gateway, true);
+        let has_crashed = check_upstream(Rc::clone(gateway), Rc::clone(job), ended).await;
+        if has_crashed {
+            let reason = "the process ended with an answer without length";
+            self.record_failure(gateway, job, reason);
+        }
+        has_crashed
+    }
+
+    fn broken_attempt(&self, gateway: &Gateway, ended_properly: bool) -> BrokenAttempt {
         let now = gateway.now();
         let together_with = gateway
             .quarantine
@@ -379,15 +405,14 @@
             .crash_log_mut()
             .record_loss(now, &self.upstream);
         let answered_for = self.answered_for(now);
-        let broken = BrokenAttempt {
+        BrokenAttempt {
             upstream: self.upstream.clone(),
             started_ms: self.started_ms,
             together_with,
             answered_for,
             is_proven_sound: answered_for.is_some_and(|time| time >= SOUND_ANSWER_TIME),
-        };
-        let checking = check_upstream(Rc::clone(gateway), Rc::clone(job), broken);
-        gateway.executor.spawn(checking).detach();
+            ended_properly,
+        }
     }
 
     /// Records that events of the answer have arrived. An upstream that still sends some
@@ -461,9 +486,12 @@
     gateway.pool.borrow_mut().put(now, connection, idle_timeout);
 }
 
-/// Returns whether an answer with these headers states where its body ends.
-pub(crate) fn is_framed(headers: &HeaderMap) -> bool {
-    headers.contains_key(header::CONTENT_LENGTH) || headers.contains_key(header::TRANSFER_ENCODING)
+/// Returns whether an answer states where its body ends: by a length, chunks or a status that
+/// allows no body.
+pub(crate) fn is_framed(headers: &HeaderMap, body: &Incoming) -> bool {
+    headers.contains_key(header::CONTENT_LENGTH)
+        || headers.contains_key(header::TRANSFER_ENCODING)
+        || body.is_end_stream()
 }
 
 /// Removes hop-by-hop headers, including those that `Connection` names.
--- a/components/gateway/src/relay.rs
+++ b/components/gateway/src/relay.rs
@@ -81,7 +81,7 @@
         sends: u32,
     ) -> Self {
         let (mut response_head, body) = response.into_parts();
-        let is_framed = is_framed(&response_head.headers);
+        let is_framed = is_framed(&response_head.headers, &body);
         remove_hop_by_hop_headers(&mut response_head.headers);
         // Another upstream may complete the stream, so its length isn't known.
         response_head.headers.remove(header::CONTENT_LENGTH);
@@ -206,10 +206,7 @@
                     return Err(io::Error::other(error));
                 }
                 Some(None) if self.cursor.at_boundary() => {
-                    if self.is_framed {
-                        record_sound_answer(&self.gateway, &self.job);
-                    }
-                    return Ok(None);
+                    return self.check_end().await;
                 }
                 Some(None) => {
                     self.attempt.record_broken(
@@ -240,6 +237,28 @@
         }
     }
 
+    /// Finds out whether a stream that ended between two events is whole. One without length
+    /// or chunks ends in the same way if its upstream stops after the head or crashes.
+    async fn check_end(&self) -> io::Result<Option<Bytes>> {
+        if self.is_framed {
+            record_sound_answer(&self.gateway, &self.job);
+            return Ok(None);
+        }
+        if self.response_head.is_some() {
+            let reason = "connection closed before the first event";
+            self.attempt.record_broken(&self.gateway, &self.job, reason);
+            return Err(io::ErrorKind::UnexpectedEof.into());
+        }
+        if self
+            .attempt
+            .has_crashed_at_end(&self.gateway, &self.job)
+            .await
+        {
+            return Err(io::ErrorKind::UnexpectedEof.into());
+        }
+        Ok(None)
+    }
+
     fn record_events(&mut self) {
         let now = self.gateway.now();
         if self.response_head.is_none() {
@@ -344,7 +363,7 @@
             attempt.upstream,
         );
         self.cursor.resume();
-        self.is_framed = is_framed(response.headers());
+        self.is_framed = is_framed(response.headers(), response.body());
         self.body = response.into_body();
         self.attempt = attempt;
         self.connection = connection;
@@ -362,29 +381,64 @@
     content_type.is_none_or(|value| value.as_bytes().starts_with(b"text/event-stream"))
 }
 
-/// Streams a large plain answer to the caller until `deadline`.
-pub(crate) fn stream_plain_answer(
+/// Large plain answer that is passed on as it arrives.
+struct PlainForwarder {
     gateway: Rc<Gateway>,
+    job: Rc<ForwardJob>,
+    body: Incoming,
+    attempt: UpstreamAttempt,
+    /// Keeps the connection open.
+    _connection: ClientConnection,
+}
+
+impl PlainForwarder {
+    /// Returns the next bytes; `None` at the end of the answer.
+    async fn next_bytes(&mut self) -> io::Result<Option<Bytes>> {
+        let left = self.job.time_left(self.gateway.now());
+        match self.gateway.clock.timeout(left, self.body.frame()).await {
+            Some(Some(Ok(frame))) => Ok(Some(frame.into_data().unwrap_or_default())),
+            Some(Some(Err(error))) => {
+                let reason = "connection lost while reading the answer";
+                self.attempt.record_broken(&self.gateway, &self.job, reason);
+                Err(io::Error::other(error))
+            }
+            Some(None) => {
+                record_sound_answer(&self.gateway, &self.job);
+                Ok(None)
+            }
+            None => {
+                let reason = "answer incomplete at the deadline";
+                self.attempt
+                    .record_silence(&self.gateway, &self.job, reason);
+                Err(io::ErrorKind::TimedOut.into())
+            }
+        }
+    }
+}
+
+/// Streams a large plain answer with a length to the caller until the deadline.
+pub(crate) fn stream_plain_answer(
+    gateway: &Rc<Gateway>,
+    job: &Rc<ForwardJob>,
     body: Incoming,
     attempt: UpstreamAttempt,
     connection: ClientConnection,
-    deadline: Instant,
 ) -> AnswerBody {
-    let state = Some((gateway, body, attempt, connection));
-    AnswerBody::streamed(stream::unfold(state, move |state| async move {
-        let (gateway, mut body, attempt, connection) = state?;
-        let left = deadline.saturating_duration_since(gateway.now());
-        match gateway.clock.timeout(left, body.frame()).await {
-            Some(Some(Ok(frame))) => {
-                let data = frame.into_data().unwrap_or_default();
-                Some((Ok(data), Some((gateway, body, attempt, connection))))
-            }
-            Some(None) => None,
-            Some(Some(Err(error))) => {
+    let forwarder = PlainForwarder {
+        gateway: Rc::clone(gateway),
+        job: Rc::clone(job),
+        body,
+        attempt,
+        _connection: connection,
+    };
+    AnswerBody::streamed(stream::unfold(Some(forwarder), |forwarder| async move {
+        let mut forwarder = forwarder?;
+        match forwarder.next_bytes().await {
+            Ok(bytes) => bytes.map(|bytes| (Ok(bytes), Some(forwarder))),
+            Err(error) => {
                 yield_now().await;
-                Some((Err(io::Error::other(error)), None))
+                Some((Err(error), None))
             }
-            None => Some((Err(io::ErrorKind::TimedOut.into()), None)),
         }
     }))
 }
