Wait on for a silent upstream beside the next attempt

Callers saw requests given up, mostly with a 502, after a part of their time while all servers were sound and only silent for a second; users report LOST around planned stops with retry_denied in the logs beside it.

Cause: an attempt was dropped as soon as its upstream had been silent for its limit, and only then a retry was asked for. If the fleet's retry budget was used up by then, no other upstream was to be had, or the next one had no room, nothing was left to wait for. A stream that was to go on elsewhere was not read meanwhile, and left its upstream for one that had sent a head and no event.

Change: silence ends no attempt. It allows another one beside it, and the first answer counts (gateway::race); a stream goes on with whichever upstream sends first (gateway::resume). A retry that was granted and not sent is kept. Only an attempt that holds memory on several engines is given up, if its upstream accepts no connection either.

--- a/components/gateway/src/attempt.rs
+++ b/components/gateway/src/attempt.rs
@@ -1,15 +1,14 @@
 //! Sends a request to one upstream after another until one answers it or no
 //! further attempt is allowed.
 
-use std::{rc::Rc, time::Duration};
+use std::{pin::pin, rc::Rc, time::Duration};
 
 use bytes::Bytes;
-use dispatch::{CallKind, PlacementRefusal};
+use dispatch::{CallKind, PlacementRefusal, ProbeOutcome};
 use futures_lite::future::or;
 use http::{Request, Response, StatusCode, header};
 use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
 use hyper::body::Incoming;
-use types::UpstreamId;
 
 use crate::{
     AnswerHead,
@@ -21,8 +20,9 @@
     forward::ForwardJob,
     leg::{UpstreamAttempt, is_framed, pool_connection, remove_hop_by_hop_headers},
     place::{PLACEMENT_RETRY_PAUSE, PlacedRequest, find_placement},
+    race::{AttemptHistory, AttemptRace, EndedAttempt, RaceHandle, RaceStep},
     rates::record_rate,
-    reach::suspect_cut,
+    reach::{find_outcome, suspect_cut},
     relay::{StreamForwarder, stream_plain_answer},
     retries::{allows_retry, take_retry, take_retry_in_line},
     state::Gateway,
@@ -60,26 +60,8 @@
 /// below two seconds for less than 500 ms each.
 const STREAM_READ_TIMEOUT_MIN: Duration = Duration::from_millis(1300);
 
-/// Outcome of a request's attempts so far.
-#[derive(Debug, Default)]
-struct AttemptHistory {
-    /// Upstreams that were tried, which later placements avoid.
-    tried: Vec<UpstreamId>,
-    /// Attempts counted against the route's limit: those that had a connection to an
-    /// upstream, pooled or new. [`StreamForwarder`] goes on from this number and adds
-    /// every attempt to resume the stream.
-    sends: u32,
-    /// Whether any upstream may have run the request.
-    may_have_run: bool,
-    /// Latest complete server error (5xx) of an upstream.
-    last_answer: Option<(http::response::Parts, Bytes)>,
-    /// Time until the first upstream takes requests again, if all asked for a pause.
-    pause_left: Option<Duration>,
-    /// Time after which another node may take the request, if this one is cut off.
-    cut_off_left: Option<Duration>,
-    /// Time until the request's quarantine ends, if it has crashed upstreams.
-    quarantine_left: Option<Duration>,
-}
+/// Pause between two looks whether a retry is possible beside silent attempts.
+const SILENT_LOOK_PAUSE: Duration = Duration::from_millis(250);
 
 /// Outcome of one attempt.
 pub(crate) enum SendOutcome {
@@ -112,51 +94,26 @@
         .borrow_mut()
         .record_request(now, &job.service);
     let job = Rc::new(job);
-    let mut history = AttemptHistory::default();
+    let mut race = AttemptRace::default();
+    let handle = race.handle().clone();
     let reason = loop {
-        if let Some(left) = quarantine_left(gateway, &job) {
-            history.quarantine_left = Some(left);
-            break "quarantined";
-        }
-        if !history.may_have_run && !can_end(gateway, &job, Duration::ZERO) {
-            break "stopping";
-        }
-        if history.sends > 0 && !take_retry_if_allowed(gateway, &job, &history).await {
-            break "not_repeatable";
-        }
-        let placed = match find_placement(gateway, &job, &history.tried).await {
-            Ok(placed) => placed,
-            Err(refusal) => match refusal {
-                PlacementRefusal::NoUpstream => break "no_upstream",
-                PlacementRefusal::Paused(left) => {
-                    history.pause_left = Some(left);
-                    break "paused";
-                }
-                PlacementRefusal::OutsideHomes => break "outside_homes",
-                PlacementRefusal::Evacuated => break "evacuated",
-                PlacementRefusal::Full => break "full",
-                PlacementRefusal::NeedsIdleEngines => break "needs_quiet",
-                PlacementRefusal::TooLarge => break "too_large",
-            },
+        let (upstream, outcome) = match take_step(gateway, &job, &mut race).await {
+            Ok(Some(ended)) => ended,
+            Ok(None) => continue,
+            Err(reason) => break reason,
         };
-        if gateway.now() + ANSWER_MARGIN >= job.deadline {
-            break "deadline";
-        }
-        let time_to_prefill = placed.placement.time_to_prefill;
-        if !history.may_have_run && !can_end(gateway, &job, time_to_prefill) {
-            break "stopping";
-        }
-        let upstream = placed.placement.upstream.clone();
-        let outcome = send_once(gateway, &job, *placed, &mut history).await;
+        let mut history = handle.history_mut();
         if !matches!(outcome, SendOutcome::NotReserved) {
-            history.tried.push(upstream);
+            history.record_tried(upstream);
         }
         match outcome {
             SendOutcome::Answered(response) => return (response, false),
             SendOutcome::NotReserved | SendOutcome::NotSent | SendOutcome::NotRun => {}
             SendOutcome::CutOff(left) => {
                 history.cut_off_left = Some(left);
-                break "cut_off";
+                if race.is_empty() {
+                    break "cut_off";
+                }
             }
             SendOutcome::Lost => history.may_have_run = true,
             SendOutcome::Failed(parts, body) => {
@@ -165,7 +122,95 @@
             }
         }
     };
-    final_answer(gateway, &job, history, reason)
+    final_answer(gateway, &job, handle.take_history(), reason)
+}
+
+/// Waits for the attempts that are under way, or begins another one. Returns the attempt that
+/// has ended, if any; the error says why none is under way and none is begun.
+async fn take_step(
+    gateway: &Rc<Gateway>,
+    job: &Rc<ForwardJob>,
+    race: &mut AttemptRace,
+) -> Result<Option<EndedAttempt>, &'static str> {
+    if race.awaits_newest() {
+        return Ok(race.next_end_or_silence().await);
+    }
+    let handle = race.handle().clone();
+    let reason = match race.next_end_or(begin_attempt(gateway, job, &handle)).await {
+        RaceStep::Ended(ended) => return Ok(Some(ended)),
+        RaceStep::Other(Ok(placed)) => {
+            let upstream = placed.placement.upstream.clone();
+            let sending = send_once(Rc::clone(gateway), Rc::clone(job), *placed, handle);
+            race.add(upstream, sending);
+            return Ok(None);
+        }
+        RaceStep::Other(Err(reason)) => reason,
+    };
+    if race.is_empty() {
+        return Err(reason);
+    }
+    match race
+        .next_end_or(wait_for_retry(gateway, job, &handle))
+        .await
+    {
+        RaceStep::Ended(ended) => Ok(Some(ended)),
+        RaceStep::Other(()) => Ok(None),
+    }
+}
+
+/// Looks whether another attempt is allowed, and for its upstream. The error says why there is
+/// none.
+async fn begin_attempt(
+    gateway: &Rc<Gateway>,
+    job: &Rc<ForwardJob>,
+    race: &RaceHandle,
+) -> Result<Box<PlacedRequest>, &'static str> {
+    if let Some(left) = quarantine_left(gateway, job) {
+        race.history_mut().quarantine_left = Some(left);
+        return Err("quarantined");
+    }
+    if !race.history().may_have_run && !can_end(gateway, job, Duration::ZERO) {
+        return Err("stopping");
+    }
+    if !take_retry_if_needed(gateway, job, race).await {
+        return Err("not_repeatable");
+    }
+    let tried = race.history().tried.clone();
+    let placed = find_placement(gateway, job, &tried).await;
+    let placed = placed.map_err(|refusal| match refusal {
+        PlacementRefusal::NoUpstream => "no_upstream",
+        PlacementRefusal::Paused(left) => {
+            race.history_mut().pause_left = Some(left);
+            "paused"
+        }
+        PlacementRefusal::OutsideHomes => "outside_homes",
+        PlacementRefusal::Evacuated => "evacuated",
+        PlacementRefusal::Full => "full",
+        PlacementRefusal::NeedsIdleEngines => "needs_quiet",
+        PlacementRefusal::TooLarge => "too_large",
+    })?;
+    if gateway.now() + ANSWER_MARGIN >= job.deadline {
+        return Err("deadline");
+    }
+    let time_to_prefill = placed.placement.time_to_prefill;
+    if !race.history().may_have_run && !can_end(gateway, job, time_to_prefill) {
+        return Err("stopping");
+    }
+    Ok(placed)
+}
+
+/// Waits until another attempt may be possible beside those whose upstreams are silent.
+async fn wait_for_retry(gateway: &Gateway, job: &ForwardJob, race: &RaceHandle) {
+    loop {
+        gateway.clock.sleep(SILENT_LOOK_PAUSE).await;
+        let (sends, holds_retry) = {
+            let history = race.history();
+            (history.sends, history.holds_retry)
+        };
+        if holds_retry || can_retry(gateway, job, sends) {
+            return;
+        }
+    }
 }
 
 /// Logs why no further attempt is made, and returns the answer: the last server
@@ -226,34 +271,43 @@
         .time_left(gateway.now(), job.fingerprint, &job.request.shared_parts)
 }
 
-/// Returns whether another attempt is allowed, and takes it from the retry budget.
-/// The route's kind and its limit of upstreams apply only once the request may have
-/// run; the budget always applies. The log reports all three as `not_repeatable`.
-async fn take_retry_if_allowed(
-    gateway: &Rc<Gateway>,
-    job: &ForwardJob,
-    history: &AttemptHistory,
-) -> bool {
-    if history.may_have_run && !job.route.call_kind.is_repeatable() {
-        return false;
+/// Returns whether another attempt is allowed, and takes it from the retry budget. The first one
+/// needs no retry, nor does one after an attempt that sent nothing. The route's kind and its
+/// limit of upstreams apply only once the request may have run; the budget always applies. The
+/// log reports all three as `not_repeatable`.
+async fn take_retry_if_needed(gateway: &Rc<Gateway>, job: &ForwardJob, race: &RaceHandle) -> bool {
+    let (sends, may_have_run, holds_retry) = {
+        let history = race.history();
+        (history.sends, history.may_have_run, history.holds_retry)
+    };
+    if sends == 0 {
+        return true;
     }
-    if history.sends >= job.route.max_upstreams.max(1) && history.may_have_run {
+    if may_have_run && !job.route.call_kind.is_repeatable() {
         return false;
     }
-    if history.may_have_run {
-        take_retry(gateway, job)
-    } else {
-        take_retry_in_line(gateway, job).await
+    if may_have_run && sends >= job.route.max_upstreams.max(1) {
+        return false;
     }
+    let is_taken = holds_retry
+        || if may_have_run {
+            take_retry(gateway, job)
+        } else {
+            take_retry_in_line(gateway, job).await
+        };
+    race.history_mut().holds_retry = is_taken;
+    is_taken
 }
 
-/// Sends the request once, to the upstream where it is placed.
+/// Sends the request once, to the upstream where it is placed. Reports once if that is silent,
+/// and goes on waiting for it until the deadline.
 async fn send_once(
-    gateway: &Rc<Gateway>,
-    job: &Rc<ForwardJob>,
+    gateway: Rc<Gateway>,
+    job: Rc<ForwardJob>,
     placed: PlacedRequest,
-    history: &mut AttemptHistory,
+    race: RaceHandle,
 ) -> SendOutcome {
+    let (gateway, job) = (&gateway, &job);
     let PlacedRequest {
         placement,
         mut attempt,
@@ -288,7 +342,8 @@
             .as_millis(),
         job.prompt_label(),
     );
-    let mut connection = match attempt.connect(gateway, job, history.sends == 0).await {
+    let is_first = race.history().sends == 0;
+    let mut connection = match attempt.connect(gateway, job, is_first).await {
         Ok(connection) => connection,
         Err(error) => {
             attempt.record_unconnected(gateway, job, &error);
@@ -301,7 +356,7 @@
     if !attempt.may_send(gateway) {
         return SendOutcome::NotSent;
     }
-    history.sends += 1;
+    let sends = race.record_send();
     let request = match attempt.build_request(gateway, job, None) {
         Ok(request) => request,
         Err(error) => {
@@ -312,9 +367,22 @@
             return SendOutcome::NotSent;
         }
     };
-    let limit = answer_timeout(gateway, job, placement.time_to_prefill, history);
-    let sending = send_watched(gateway, job, &attempt, &mut connection, request);
-    let response = match gateway.clock.timeout(limit, sending).await {
+    let limit = answer_timeout(gateway, job, placement.time_to_prefill, sends);
+    let response = {
+        let sending = send_watched(gateway, job, &attempt, &mut connection, request);
+        let mut sending = pin!(sending);
+        match gateway.clock.timeout(limit, sending.as_mut()).await {
+            Some(response) => Some(response),
+            None if may_wait_on(gateway, job, &attempt).await => {
+                race.report_silence();
+                let left = job.time_left(gateway.now());
+                let left = left.saturating_sub(ANSWER_MARGIN);
+                gateway.clock.timeout(left, sending).await
+            }
+            None => None,
+        }
+    };
+    let response = match response {
         Some(Ok(response)) => response,
         Some(Err(ExchangeError::NotSent(error))) => {
             attempt.record_failure(gateway, job, &error);
@@ -324,12 +392,26 @@
             attempt.record_broken(gateway, job, &error);
             return SendOutcome::Lost;
         }
-        None => {
-            attempt.record_silence(gateway, job, "silent");
-            return SendOutcome::Lost;
-        }
+        None => return SendOutcome::Lost,
     };
-    handle_answer(gateway, job, attempt, connection, response, history.sends).await
+    handle_answer(gateway, job, attempt, connection, response, race).await
+}
+
+/// Records that the upstream of an attempt has been silent for its limit, and returns whether it
+/// may still answer in time. An attempt that holds memory on other engines is given up if its
+/// upstream accepts no connection either: the next one needs that memory.
+async fn may_wait_on(
+    gateway: &Rc<Gateway>,
+    job: &Rc<ForwardJob>,
+    attempt: &UpstreamAttempt,
+) -> bool {
+    attempt.record_silence(gateway, job, "silent");
+    let left = job.time_left(gateway.now());
+    if left <= ANSWER_MARGIN {
+        return false;
+    }
+    !attempt.holds_reservations()
+        || find_outcome(gateway, &attempt.upstream).await == ProbeOutcome::Reached
 }
 
 /// Sends a request on a connection and returns the head of the answer. If that takes longer
@@ -359,11 +441,11 @@
     gateway: &Gateway,
     job: &ForwardJob,
     prefill_time: Duration,
-    history: &AttemptHistory,
+    sends: u32,
 ) -> Duration {
     let left = job.time_left(gateway.now());
     let left = left.saturating_sub(ANSWER_MARGIN);
-    if !can_retry(gateway, job, history.sends) {
+    if !can_retry(gateway, job, sends) {
         return left;
     }
     let limit = if job.route.call_kind == CallKind::Idempotent {
@@ -381,7 +463,7 @@
     attempt: UpstreamAttempt,
     connection: ClientConnection,
     response: Response<Incoming>,
-    sends: u32,
+    race: RaceHandle,
 ) -> SendOutcome {
     let status = response.status();
     let head = gateway.dialect.decode_answer(status, response.headers());
@@ -420,8 +502,8 @@
         return SendOutcome::Lost;
     }
     if status.is_success() && job.route.call_kind.is_stream() {
-        let forwarder = StreamForwarder::new(gateway, job, attempt, connection, response, sends);
-        return forwarder.into_outcome().await;
+        let forwarder = StreamForwarder::new(gateway, job, attempt, connection, response);
+        return forwarder.into_outcome(race).await;
     }
     handle_plain_answer(gateway, job, attempt, connection, response, &head).await
 }
--- a/components/gateway/src/leg.rs
+++ b/components/gateway/src/leg.rs
@@ -162,6 +162,11 @@
         Ok(())
     }
 
+    /// Returns whether memory is reserved for the attempt on several engines.
+    pub(crate) fn holds_reservations(&self) -> bool {
+        self.reservations.is_some()
+    }
+
     /// Takes a pooled connection for the first attempt of an idempotent request if there is
     /// one. Any other attempt gets a new connection: the upstream may close a pooled one
     /// just as the request is sent, and if one was silent, all may hang.
--- a/components/gateway/src/relay.rs
+++ b/components/gateway/src/relay.rs
@@ -1,5 +1,4 @@
-//! Streams answers to callers, and continues an interrupted stream at another
-//! upstream.
+//! Streams answers to callers.
 
 use std::{
     io,
@@ -8,30 +7,27 @@
 };
 
 use bytes::Bytes;
-use futures_lite::{future::yield_now, stream};
-use http::{HeaderMap, Response, header, response::Parts};
+use futures_lite::{
+    future::{or, yield_now},
+    stream,
+};
+use http::{Response, header, response::Parts};
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
-use types::UpstreamId;
 
 use crate::{
     EventBatch, EventCursor, EventError,
     answer::AnswerBody,
-    attempt::{SendOutcome, can_retry, quarantine_left, stream_read_timeout, take_resume_retry},
-    client::{ClientConnection, ExchangeError},
-    cold::record_answer,
+    attempt::{SendOutcome, can_retry, stream_read_timeout},
+    client::ClientConnection,
     crashes::record_sound_answer,
     forward::ForwardJob,
-    leg::{UpstreamAttempt, is_framed, remove_hop_by_hop_headers},
-    place::resume_placement,
-    rates::record_rate,
+    leg::{UpstreamAttempt, remove_hop_by_hop_headers},
+    race::RaceHandle,
+    resume::{EventSource, NextFrame, StreamResumption},
     state::Gateway,
 };
 
-/// Timeout for the head of an answer that continues a stream, in addition to
-/// twice the prefill time.
-const RESUME_TIMEOUT: Duration = Duration::from_millis(900);
-
 /// Stream of server-sent events from an upstream to a caller.
 pub(crate) struct StreamForwarder {
     gateway: Rc<Gateway>,
@@ -41,16 +37,8 @@
     malformed: Option<EventError>,
     /// Head of the answer until it is returned, with the first event, to the caller.
     response_head: Option<Parts>,
-    body: Incoming,
-    /// Whether the body has a length or chunks, so that its end is told from a crash.
-    is_framed: bool,
-    attempt: UpstreamAttempt,
-    connection: ClientConnection,
-    /// Upstreams that served the stream or were tried, which resumes avoid.
-    tried: Vec<UpstreamId>,
-    /// Attempts counted against the route's limit: those that had a connection, and
-    /// every attempt to resume, even if no upstream was found.
-    sends: u32,
+    source: EventSource,
+    resumption: StreamResumption,
     /// Whether the stream has ended with an error.
     ended: bool,
     last_event_at: Instant,
@@ -63,8 +51,8 @@
         log::info!(
             "event=stream_over request={} upstream={} sends={} last_event={:?} longest_gap_ms={}",
             self.job.request.caller_attempt_id,
-            self.attempt.upstream,
-            self.sends,
+            self.source.attempt.upstream,
+            self.resumption.sends,
             self.cursor.last(),
             self.longest_gap.as_millis(),
         );
@@ -78,10 +66,9 @@
         attempt: UpstreamAttempt,
         connection: ClientConnection,
         response: Response<Incoming>,
-        sends: u32,
     ) -> Self {
         let (mut response_head, body) = response.into_parts();
-        let is_framed = is_framed(&response_head.headers, &body);
+        let source = EventSource::new(&response_head.headers, body, attempt, connection);
         remove_hop_by_hop_headers(&mut response_head.headers);
         // Another upstream may complete the stream, so its length isn't known.
         response_head.headers.remove(header::CONTENT_LENGTH);
@@ -92,12 +79,8 @@
             gateway: Rc::clone(gateway),
             job: Rc::clone(job),
             response_head: Some(response_head),
-            body,
-            is_framed,
-            tried: vec![attempt.upstream.clone()],
-            attempt,
-            connection,
-            sends,
+            source,
+            resumption: StreamResumption::new(gateway, job),
             ended: false,
             last_event_at: gateway.now(),
             longest_gap: Duration::ZERO,
@@ -105,16 +88,24 @@
     }
 
     /// Waits for the first event and returns the stream as the answer. Until that
-    /// event the whole request can still be retried at another upstream.
-    pub(crate) async fn into_outcome(mut self) -> SendOutcome {
-        let first = match self.next_events().await {
+    /// event the whole request can still be retried at another upstream: beside this one if it
+    /// is only silent.
+    pub(crate) async fn into_outcome(mut self, race: RaceHandle) -> SendOutcome {
+        self.resumption.sends = race.history().sends;
+        let mut first = self.next_events(ReadLimit::Retry).await;
+        if first.as_ref().is_err_and(is_timeout) && !self.time_left().is_zero() {
+            race.report_silence();
+            first = self.next_events(ReadLimit::Deadline).await;
+        }
+        let first = match first {
             Ok(first) => first,
             Err(error) => {
                 log::debug!("event=no_first_event error=\"{error}\"");
                 return SendOutcome::Lost;
             }
         };
-        self.attempt.record_first_event(&self.gateway);
+        self.resumption.take_over(&race, &self.source);
+        self.source.attempt.record_first_event(&self.gateway);
         let Some(response_head) = self.response_head.take() else {
             return SendOutcome::Lost;
         };
@@ -147,81 +138,80 @@
         ))
     }
 
-    /// Returns the next complete events. If the upstream disconnects, sends no data in
-    /// time or sends malformed events, another one continues the stream. If no other
-    /// may and the upstream is only silent (connection open, no error), waits for it
-    /// until the deadline.
+    /// Returns the next complete events. If the upstream disconnects or sends malformed events,
+    /// another one continues the stream. If it is only silent (connection open, no error),
+    /// whichever sends first continues it: this one, which is awaited until the deadline, or
+    /// another one that may take over.
     async fn next_events_or_resume(&mut self) -> io::Result<Option<Bytes>> {
         loop {
-            let error = match self.next_events().await {
+            let error = match self.next_events(ReadLimit::Retry).await {
                 Ok(events) => return Ok(events),
                 Err(error) => error,
             };
-            let timed_out = error.kind() == io::ErrorKind::TimedOut;
+            let timed_out = is_timeout(&error);
             log::warn!(
                 "event=stream_broken request={} upstream={} last_event={:?} error=\"{error}\"",
                 self.job.request.caller_attempt_id,
-                self.attempt.upstream,
+                self.source.attempt.upstream,
                 self.cursor.last(),
             );
             if timed_out && self.time_left().is_zero() {
                 return Err(error);
             }
-            let resumed = self.resume().await;
-            if !resumed && !timed_out {
-                return Err(error);
+            let last = self.cursor.last();
+            let resuming = async { Continuation::Other(self.resumption.resume(last).await) };
+            let continuation = if timed_out {
+                let returning = async { Continuation::Same(self.source.next_frame().await) };
+                or(returning, resuming).await
+            } else {
+                resuming.await
+            };
+            match continuation {
+                Continuation::Same(frame) => self.source.early = Some(frame),
+                Continuation::Other(Some(source)) => {
+                    self.cursor.resume();
+                    self.source = source;
+                }
+                Continuation::Other(None) if timed_out => {}
+                Continuation::Other(None) => return Err(error),
             }
         }
     }
 
     /// Returns the next complete events of this upstream; `None` at the end of the
     /// stream. Parts of an event don't prolong the wait.
-    async fn next_events(&mut self) -> io::Result<Option<Bytes>> {
+    async fn next_events(&mut self, read_limit: ReadLimit) -> io::Result<Option<Bytes>> {
         let silent_since = self.gateway.now();
         loop {
             if let Some(error) = self.malformed.take() {
                 let reason = format!("malformed event stream: {error:?}");
-                self.attempt
-                    .record_failure(&self.gateway, &self.job, &reason);
+                let attempt = &self.source.attempt;
+                attempt.record_failure(&self.gateway, &self.job, &reason);
                 return Err(io::Error::other(reason));
             }
-            let left = self.time_left();
-            let limit = if can_retry(&self.gateway, &self.job, self.sends) {
-                let silent_for = self.gateway.now().saturating_duration_since(silent_since);
-                stream_read_timeout(&self.job)
-                    .saturating_sub(silent_for)
-                    .min(left)
-            } else {
-                left
-            };
-            let frame = self.gateway.clock.timeout(limit, self.body.frame());
-            let frame = match frame.await {
+            let limit = self.limit_left(read_limit, silent_since);
+            let frame = self.source.next_frame();
+            let frame = match self.gateway.clock.timeout(limit, frame).await {
                 Some(Some(Ok(frame))) => frame,
                 Some(Some(Err(error))) => {
-                    self.attempt.record_broken(
-                        &self.gateway,
-                        &self.job,
-                        "connection lost while reading the event stream",
-                    );
+                    let reason = "connection lost while reading the event stream";
+                    let attempt = &self.source.attempt;
+                    attempt.record_broken(&self.gateway, &self.job, reason);
                     return Err(io::Error::other(error));
                 }
                 Some(None) if self.cursor.at_boundary() => {
                     return self.check_end().await;
                 }
                 Some(None) => {
-                    self.attempt.record_broken(
-                        &self.gateway,
-                        &self.job,
-                        "the event stream ended inside an event",
-                    );
+                    let reason = "the event stream ended inside an event";
+                    let attempt = &self.source.attempt;
+                    attempt.record_broken(&self.gateway, &self.job, reason);
                     return Err(io::ErrorKind::UnexpectedEof.into());
                 }
                 None => {
-                    self.attempt.record_silence(
-                        &self.gateway,
-                        &self.job,
-                        "no data on the event stream within the limit",
-                    );
+                    let reason = "no data on the event stream within the limit";
+                    let attempt = &self.source.attempt;
+                    attempt.record_silence(&self.gateway, &self.job, reason);
                     return Err(io::ErrorKind::TimedOut.into());
                 }
             };
@@ -237,23 +227,31 @@
         }
     }
 
+    fn limit_left(&self, read_limit: ReadLimit, silent_since: Instant) -> Duration {
+        let left = self.time_left();
+        let may_retry = || can_retry(&self.gateway, &self.job, self.resumption.sends);
+        if read_limit == ReadLimit::Deadline || !may_retry() {
+            return left;
+        }
+        let silent_for = self.gateway.now().saturating_duration_since(silent_since);
+        let limit = stream_read_timeout(&self.job);
+        limit.saturating_sub(silent_for).min(left)
+    }
+
     /// Finds out whether a stream that ended between two events is whole. One without length
     /// or chunks ends in the same way if its upstream stops after the head or crashes.
     async fn check_end(&self) -> io::Result<Option<Bytes>> {
-        if self.is_framed {
+        let attempt = &self.source.attempt;
+        if self.source.is_framed {
             record_sound_answer(&self.gateway, &self.job);
             return Ok(None);
         }
         if self.response_head.is_some() {
             let reason = "connection closed before the first event";
-            self.attempt.record_broken(&self.gateway, &self.job, reason);
+            attempt.record_broken(&self.gateway, &self.job, reason);
             return Err(io::ErrorKind::UnexpectedEof.into());
         }
-        if self
-            .attempt
-            .has_crashed_at_end(&self.gateway, &self.job)
-            .await
-        {
+        if attempt.has_crashed_at_end(&self.gateway, &self.job).await {
             return Err(io::ErrorKind::UnexpectedEof.into());
         }
         Ok(None)
@@ -266,108 +264,7 @@
             self.longest_gap = self.longest_gap.max(gap);
         }
         self.last_event_at = now;
-        self.attempt.record_events(&self.gateway, &self.job);
-    }
-
-    /// Continues the stream at another upstream after the last complete event;
-    /// `false` if none can.
-    async fn resume(&mut self) -> bool {
-        while quarantine_left(&self.gateway, &self.job).is_none()
-            && take_resume_retry(&self.gateway, &self.job, self.sends)
-        {
-            self.sends += 1;
-            if self.resume_once().await {
-                return true;
-            }
-        }
-        false
-    }
-
-    async fn resume_once(&mut self) -> bool {
-        let Some(placement) = resume_placement(&self.gateway, &self.job, &self.tried) else {
-            return false;
-        };
-        self.tried.push(placement.upstream.clone());
-        let Some(mut attempt) = UpstreamAttempt::register(&self.gateway, &self.job, &placement)
-        else {
-            return false;
-        };
-        let reserved = attempt
-            .reserve(&self.gateway, &self.job, &placement.memory_shares)
-            .await;
-        if reserved.is_err() {
-            return false;
-        }
-        if !attempt.take_send(&self.gateway) {
-            return false;
-        }
-        let last = self.cursor.last().map(|id| id.to_string());
-        let Ok(request) = attempt.build_request(&self.gateway, &self.job, last.as_deref()) else {
-            return false;
-        };
-        let mut connection = match attempt.connect(&self.gateway, &self.job, false).await {
-            Ok(connection) => connection,
-            Err(error) => {
-                attempt.record_unconnected(&self.gateway, &self.job, &error);
-                return false;
-            }
-        };
-        if !attempt.may_send(&self.gateway) {
-            return false;
-        }
-        let limit = (RESUME_TIMEOUT + placement.time_to_prefill * 2).min(self.time_left());
-        let answer = self.gateway.clock.timeout(limit, connection.send(request));
-        let response = match answer.await {
-            Some(Ok(response)) => response,
-            Some(Err(ExchangeError::Sent(error))) => {
-                attempt.record_broken(&self.gateway, &self.job, &error);
-                return false;
-            }
-            Some(Err(ExchangeError::NotSent(error))) => {
-                attempt.record_failure(&self.gateway, &self.job, &error);
-                return false;
-            }
-            None => {
-                attempt.record_silence(
-                    &self.gateway,
-                    &self.job,
-                    "no answer head in time when resuming the stream",
-                );
-                return false;
-            }
-        };
-        let head = self
-            .gateway
-            .dialect
-            .decode_answer(response.status(), response.headers());
-        attempt.record_wish(&self.gateway, head.wish);
-        let caller_attempt_id = head.caller_attempt_id.as_ref();
-        let matches_request =
-            caller_attempt_id.is_none_or(|id| *id == self.job.request.caller_attempt_id);
-        if matches_request {
-            record_rate(&self.gateway, &attempt, &head);
-            record_answer(&self.gateway, &attempt, response.status(), &head);
-        }
-        if !response.status().is_success() || !head.signed || !matches_request {
-            attempt.back_off(&self.gateway);
-            return false;
-        }
-        if !is_event_stream(response.headers()) {
-            let reason = "what was to continue a stream is no event stream";
-            attempt.record_failure(&self.gateway, &self.job, reason);
-            return false;
-        }
-        log::info!(
-            "event=stream_resumed request={} upstream={} last_event={last:?}",
-            self.job.request.caller_attempt_id,
-            attempt.upstream,
-        );
-        self.cursor.resume();
-        self.is_framed = is_framed(response.headers(), response.body());
-        self.body = response.into_body();
-        self.attempt = attempt;
-        self.connection = connection;
-        true
+        self.source.attempt.record_events(&self.gateway, &self.job);
     }
 
     fn time_left(&self) -> Duration {
@@ -375,10 +272,25 @@
     }
 }
 
-/// Returns whether an answer with these headers is a stream of events, or doesn't say.
-fn is_event_stream(headers: &HeaderMap) -> bool {
-    let content_type = headers.get(header::CONTENT_TYPE);
-    content_type.is_none_or(|value| value.as_bytes().starts_with(b"text/event-stream"))
+/// How long a read waits for a silent upstream.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum ReadLimit {
+    /// Until another upstream is to be tried, if one may be.
+    Retry,
+    /// Until the deadline, as another attempt runs beside this one.
+    Deadline,
+}
+
+fn is_timeout(error: &io::Error) -> bool {
+    error.kind() == io::ErrorKind::TimedOut
+}
+
+/// What continues a stream whose upstream fell silent.
+enum Continuation {
+    /// The same upstream sends again, or its connection ends.
+    Same(NextFrame),
+    /// Another upstream; `None` if no other can.
+    Other(Option<EventSource>),
 }
 
 /// Large plain answer that is passed on as it arrives.
@@ -431,7 +343,7 @@
         attempt,
         _connection: connection,
     };
-    AnswerBody::streamed(stream::unfold(Some(forwarder), |forwarder| async move {
+    AnswerBody::streamed(stream::unfold(Some(forwarder), |forwarder| async {
         let mut forwarder = forwarder?;
         match forwarder.next_bytes().await {
             Ok(bytes) => bytes.map(|bytes| (Ok(bytes), Some(forwarder))),
