Tell silence from a break in the log, and explain how a stop refuses

stream_silent and silence_over stand beside stream_broken and stream_resumed, so that the log of a request says which upstream it waited for. The story of a request knows the reasons stopping and stopped.

--- a/components/gateway/src/attempt.rs
+++ b/components/gateway/src/attempt.rs
@@ -377,7 +377,14 @@
                 race.report_silence();
                 let left = job.time_left(gateway.now());
                 let left = left.saturating_sub(ANSWER_MARGIN);
-                gateway.clock.timeout(left, sending).await
+                let response = gateway.clock.timeout(left, sending).await;
+                log::info!(
+                    "event=silence_over request={} upstream={} in_time={}",
+                    job.request.caller_attempt_id,
+                    attempt.upstream,
+                    response.is_some(),
+                );
+                response
             }
             None => None,
         }
--- a/components/gateway/src/relay.rs
+++ b/components/gateway/src/relay.rs
@@ -150,7 +150,12 @@
             };
             let timed_out = is_timeout(&error);
             log::warn!(
-                "event=stream_broken request={} upstream={} last_event={:?} error=\"{error}\"",
+                "event={} request={} upstream={} last_event={:?} error=\"{error}\"",
+                if timed_out {
+                    "stream_silent"
+                } else {
+                    "stream_broken"
+                },
                 self.job.request.caller_attempt_id,
                 self.source.attempt.upstream,
                 self.cursor.last(),
@@ -159,7 +164,8 @@
                 return Err(error);
             }
             let last = self.cursor.last();
-            let resuming = async { Continuation::Other(self.resumption.resume(last).await) };
+            let resuming =
+                async { Continuation::Other(self.resumption.resume(last).await.map(Box::new)) };
             let continuation = if timed_out {
                 let returning = async { Continuation::Same(self.source.next_frame().await) };
                 or(returning, resuming).await
@@ -167,10 +173,17 @@
                 resuming.await
             };
             match continuation {
-                Continuation::Same(frame) => self.source.early = Some(frame),
+                Continuation::Same(frame) => {
+                    log::info!(
+                        "event=silence_over request={} upstream={}",
+                        self.job.request.caller_attempt_id,
+                        self.source.attempt.upstream,
+                    );
+                    self.source.early = Some(frame);
+                }
                 Continuation::Other(Some(source)) => {
                     self.cursor.resume();
-                    self.source = source;
+                    self.source = *source;
                 }
                 Continuation::Other(None) if timed_out => {}
                 Continuation::Other(None) => return Err(error),
@@ -290,7 +303,7 @@
     /// The same upstream sends again, or its connection ends.
     Same(NextFrame),
     /// Another upstream; `None` if no other can.
-    Other(Option<EventSource>),
+    Other(Option<Box<EventSource>>),
 }
 
 /// Large plain answer that is passed on as it arrives.
--- a/components/telemetry/src/story.rs
+++ b/components/telemetry/src/story.rs
@@ -142,7 +142,8 @@
     if let Some(line) = find_last("rejected") {
         return Some(format!("rejected: {}", text(line, "answer")));
     }
-    if let Some(line) = find_last("stream_broken") {
+    let broken = find_last("stream_broken").or_else(|| find_last("stream_silent"));
+    if let Some(line) = broken {
         return Some(format!(
             "the stream of {} broke off after event {}",
             text(line, "upstream"),
@@ -171,6 +172,8 @@
         "too_large" => "too_large: all engines together can't hold the prompt",
         "deadline" => "deadline: no time was left to send it",
         "quarantined" => "quarantined: requests like it broke several upstreams",
+        "stopping" => "stopping: the node stops before the request could end",
+        "stopped" => "stopped: the node stopped while an upstream had the request",
         "not_repeatable" => {
             "not_repeatable: it could not be sent again, by kind, number of upstreams or budget"
         }
