--- a/components/gateway/src/assist.rs
+++ b/components/gateway/src/assist.rs
@@ -1,6 +1,6 @@
 //! Holds connections to upstreams for nodes that are cut off from them.
 
-use std::{cell::Cell, io, net::TcpStream, rc::Rc, time::Duration};
+use std::{cell::Cell, io, net::TcpStream, pin::pin, rc::Rc, time::Duration};
 
 use bytes::Bytes;
 use futures_lite::{AsyncReadExt, AsyncWriteExt, future::or, io::split};
@@ -117,8 +117,9 @@
 ) {
     let opened = gateway.now();
     let passed_bytes = Cell::new(0);
-    let passing = pass_on(&gateway, upstream, upgrade, &passed_bytes);
-    let end = match gateway.clock.timeout(lifetime, passing).await {
+    // Outlives the log line, so that a connection that is seen to end has been logged.
+    let mut passing = pin!(pass_on(&gateway, upstream, upgrade, &passed_bytes));
+    let end = match gateway.clock.timeout(lifetime, passing.as_mut()).await {
         Some(Ok(())) => "closed".to_owned(),
         Some(Err(error)) => error.to_string(),
         None => "lifetime over".to_owned(),
