Keep the upstream that is about to continue a stream

A stream whose upstream was silent and then ended, or sent parts of an event now and then, was cut although another upstream was about to go on with it: found by reading the change that reads both at once. What the silent one sent first ended the other's turn, also a part of an event or the end of its connection.

Change: the other upstream's turn ends with whole events of the silent one, and goes on after its end. Reading events (EventReader) stands apart from the choice of who sends them (StreamForwarder).

--- a/components/gateway/src/relay.rs
+++ b/components/gateway/src/relay.rs
@@ -2,6 +2,7 @@
 
 use std::{
     io,
+    pin::pin,
     rc::Rc,
     time::{Duration, Instant},
 };
@@ -24,37 +25,29 @@
     forward::ForwardJob,
     leg::{UpstreamAttempt, remove_hop_by_hop_headers},
     race::RaceHandle,
-    resume::{EventSource, NextFrame, StreamResumption},
+    resume::{EventSource, StreamResumption},
     state::Gateway,
 };
 
 /// Stream of server-sent events from an upstream to a caller.
 pub(crate) struct StreamForwarder {
-    gateway: Rc<Gateway>,
-    job: Rc<ForwardJob>,
-    cursor: EventCursor,
-    /// Why the upstream's bytes after the last returned events can't be forwarded.
-    malformed: Option<EventError>,
+    reader: EventReader,
+    resumption: StreamResumption,
     /// Head of the answer until it is returned, with the first event, to the caller.
     response_head: Option<Parts>,
-    source: EventSource,
-    resumption: StreamResumption,
     /// Whether the stream has ended with an error.
     ended: bool,
-    last_event_at: Instant,
-    /// Longest time between two groups of events forwarded to the caller.
-    longest_gap: Duration,
 }
 
 impl Drop for StreamForwarder {
     fn drop(&mut self) {
         log::info!(
             "event=stream_over request={} upstream={} sends={} last_event={:?} longest_gap_ms={}",
-            self.job.request.caller_attempt_id,
-            self.source.attempt.upstream,
+            self.reader.job.request.caller_attempt_id,
+            self.reader.source.attempt.upstream,
             self.resumption.sends,
-            self.cursor.last(),
-            self.longest_gap.as_millis(),
+            self.reader.cursor.last(),
+            self.reader.longest_gap.as_millis(),
         );
     }
 }
@@ -72,18 +65,11 @@
         remove_hop_by_hop_headers(&mut response_head.headers);
         // Another upstream may complete the stream, so its length isn't known.
         response_head.headers.remove(header::CONTENT_LENGTH);
-        let last = job.request.resume_after.as_deref();
         Self {
-            cursor: EventCursor::new(last.and_then(|id| id.parse().ok())),
-            malformed: None,
-            gateway: Rc::clone(gateway),
-            job: Rc::clone(job),
-            response_head: Some(response_head),
-            source,
+            reader: EventReader::new(gateway, job, source),
             resumption: StreamResumption::new(gateway, job),
+            response_head: Some(response_head),
             ended: false,
-            last_event_at: gateway.now(),
-            longest_gap: Duration::ZERO,
         }
     }
 
@@ -92,10 +78,11 @@
     /// is only silent.
     pub(crate) async fn into_outcome(mut self, race: RaceHandle) -> SendOutcome {
         self.resumption.sends = race.history().sends;
-        let mut first = self.next_events(ReadLimit::Retry).await;
-        if first.as_ref().is_err_and(is_timeout) && !self.time_left().is_zero() {
+        let limit = self.read_limit();
+        let mut first = self.reader.next_events(limit).await;
+        if first.as_ref().is_err_and(is_timeout) && !self.reader.time_left().is_zero() {
             race.report_silence();
-            first = self.next_events(ReadLimit::Deadline).await;
+            first = self.reader.next_events(Duration::MAX).await;
         }
         let first = match first {
             Ok(first) => first,
@@ -104,8 +91,9 @@
                 return SendOutcome::Lost;
             }
         };
-        self.resumption.take_over(&race, &self.source);
-        self.source.attempt.record_first_event(&self.gateway);
+        let attempt = &self.reader.source.attempt;
+        self.resumption.take_over(&race, &attempt.upstream);
+        attempt.record_first_event(&self.reader.gateway);
         let Some(response_head) = self.response_head.take() else {
             return SendOutcome::Lost;
         };
@@ -138,63 +126,121 @@
         ))
     }
 
+    /// Returns how long a silent upstream is read before another one is tried; without end if
+    /// none may be.
+    fn read_limit(&self) -> Duration {
+        let EventReader { gateway, job, .. } = &self.reader;
+        if can_retry(gateway, job, self.resumption.sends) {
+            stream_read_timeout(job)
+        } else {
+            Duration::MAX
+        }
+    }
+
     /// Returns the next complete events. If the upstream disconnects or sends malformed events,
     /// another one continues the stream. If it is only silent (connection open, no error),
     /// whichever sends first continues it: this one, which is awaited until the deadline, or
     /// another one that may take over.
     async fn next_events_or_resume(&mut self) -> io::Result<Option<Bytes>> {
         loop {
-            let error = match self.next_events(ReadLimit::Retry).await {
+            let limit = self.read_limit();
+            let error = match self.reader.next_events(limit).await {
                 Ok(events) => return Ok(events),
                 Err(error) => error,
             };
-            let timed_out = is_timeout(&error);
+            let is_silent = is_timeout(&error);
             log::warn!(
                 "event={} request={} upstream={} last_event={:?} error=\"{error}\"",
-                if timed_out {
+                if is_silent {
                     "stream_silent"
                 } else {
                     "stream_broken"
                 },
-                self.job.request.caller_attempt_id,
-                self.source.attempt.upstream,
-                self.cursor.last(),
+                self.reader.job.request.caller_attempt_id,
+                self.reader.source.attempt.upstream,
+                self.reader.cursor.last(),
             );
-            if timed_out && self.time_left().is_zero() {
-                return Err(error);
-            }
-            let last = self.cursor.last();
-            let resuming =
-                async { Continuation::Other(self.resumption.resume(last).await.map(Box::new)) };
-            let continuation = if timed_out {
-                let returning = async { Continuation::Same(self.source.next_frame().await) };
-                or(returning, resuming).await
+            let mut resuming = pin!(self.resumption.resume(self.reader.cursor.last()));
+            let resumed = if !is_silent {
+                resuming.await.ok_or(error)
+            } else if self.reader.time_left().is_zero() {
+                Err(error)
             } else {
-                resuming.await
-            };
-            match continuation {
-                Continuation::Same(frame) => {
-                    log::info!(
-                        "event=silence_over request={} upstream={}",
-                        self.job.request.caller_attempt_id,
-                        self.source.attempt.upstream,
-                    );
-                    self.source.early = Some(frame);
-                }
-                Continuation::Other(Some(source)) => {
-                    self.cursor.resume();
-                    self.source = *source;
+                let returning =
+                    async { Continuation::Same(self.reader.next_events(Duration::MAX).await) };
+                let other = async { Continuation::Other(resuming.as_mut().await.map(Box::new)) };
+                match or(returning, other).await {
+                    Continuation::Same(Ok(events)) => {
+                        log::info!(
+                            "event=silence_over request={} upstream={}",
+                            self.reader.job.request.caller_attempt_id,
+                            self.reader.source.attempt.upstream,
+                        );
+                        return Ok(events);
+                    }
+                    Continuation::Same(Err(error)) => resuming.await.ok_or(error),
+                    Continuation::Other(Some(source)) => Ok(*source),
+                    // The silent upstream is read on.
+                    Continuation::Other(None) => continue,
                 }
-                Continuation::Other(None) if timed_out => {}
-                Continuation::Other(None) => return Err(error),
-            }
+            };
+            self.reader.switch(resumed?);
+        }
+    }
+}
+
+/// What continues a stream whose upstream fell silent.
+enum Continuation {
+    /// Events of the same upstream, or its end.
+    Same(io::Result<Option<Bytes>>),
+    /// Another upstream; `None` if no other can.
+    Other(Option<Box<EventSource>>),
+}
+
+fn is_timeout(error: &io::Error) -> bool {
+    error.kind() == io::ErrorKind::TimedOut
+}
+
+/// Reads the events of one stream, which several upstreams may serve in turn.
+struct EventReader {
+    gateway: Rc<Gateway>,
+    job: Rc<ForwardJob>,
+    cursor: EventCursor,
+    /// Why the upstream's bytes after the last returned events can't be forwarded.
+    malformed: Option<EventError>,
+    source: EventSource,
+    /// When events were last returned; `None` before the first.
+    last_event_at: Option<Instant>,
+    /// Longest time between two groups of events.
+    longest_gap: Duration,
+}
+
+impl EventReader {
+    fn new(gateway: &Rc<Gateway>, job: &Rc<ForwardJob>, source: EventSource) -> Self {
+        let last = job.request.resume_after.as_deref();
+        Self {
+            gateway: Rc::clone(gateway),
+            job: Rc::clone(job),
+            cursor: EventCursor::new(last.and_then(|id| id.parse().ok())),
+            malformed: None,
+            source,
+            last_event_at: None,
+            longest_gap: Duration::ZERO,
         }
     }
 
+    /// Goes on with another upstream after the last complete event.
+    fn switch(&mut self, source: EventSource) {
+        self.cursor.resume();
+        self.malformed = None;
+        self.source = source;
+    }
+
     /// Returns the next complete events of this upstream; `None` at the end of the
-    /// stream. Parts of an event don't prolong the wait.
-    async fn next_events(&mut self, read_limit: ReadLimit) -> io::Result<Option<Bytes>> {
-        let silent_since = self.gateway.now();
+    /// stream. An error of [`io::ErrorKind::TimedOut`] says that none came within `limit` or
+    /// until the deadline; parts of an event don't prolong the wait.
+    async fn next_events(&mut self, limit: Duration) -> io::Result<Option<Bytes>> {
+        let began = self.gateway.now();
         loop {
             if let Some(error) = self.malformed.take() {
                 let reason = format!("malformed event stream: {error:?}");
@@ -202,9 +248,10 @@
                 attempt.record_failure(&self.gateway, &self.job, &reason);
                 return Err(io::Error::other(reason));
             }
-            let limit = self.limit_left(read_limit, silent_since);
+            let elapsed = self.gateway.now().saturating_duration_since(began);
+            let left = limit.saturating_sub(elapsed).min(self.time_left());
             let frame = self.source.next_frame();
-            let frame = match self.gateway.clock.timeout(limit, frame).await {
+            let frame = match self.gateway.clock.timeout(left, frame).await {
                 Some(Some(Ok(frame))) => frame,
                 Some(Some(Err(error))) => {
                     let reason = "connection lost while reading the event stream";
@@ -240,17 +287,6 @@
         }
     }
 
-    fn limit_left(&self, read_limit: ReadLimit, silent_since: Instant) -> Duration {
-        let left = self.time_left();
-        let may_retry = || can_retry(&self.gateway, &self.job, self.resumption.sends);
-        if read_limit == ReadLimit::Deadline || !may_retry() {
-            return left;
-        }
-        let silent_for = self.gateway.now().saturating_duration_since(silent_since);
-        let limit = stream_read_timeout(&self.job);
-        limit.saturating_sub(silent_for).min(left)
-    }
-
     /// Finds out whether a stream that ended between two events is whole. One without length
     /// or chunks ends in the same way if its upstream stops after the head or crashes.
     async fn check_end(&self) -> io::Result<Option<Bytes>> {
@@ -259,7 +295,7 @@
             record_sound_answer(&self.gateway, &self.job);
             return Ok(None);
         }
-        if self.response_head.is_some() {
+        if self.last_event_at.is_none() {
             let reason = "connection closed before the first event";
             attempt.record_broken(&self.gateway, &self.job, reason);
             return Err(io::ErrorKind::UnexpectedEof.into());
@@ -272,11 +308,11 @@
 
     fn record_events(&mut self) {
         let now = self.gateway.now();
-        if self.response_head.is_none() {
-            let gap = now.saturating_duration_since(self.last_event_at);
+        if let Some(last_event_at) = self.last_event_at {
+            let gap = now.saturating_duration_since(last_event_at);
             self.longest_gap = self.longest_gap.max(gap);
         }
-        self.last_event_at = now;
+        self.last_event_at = Some(now);
         self.source.attempt.record_events(&self.gateway, &self.job);
     }
 
@@ -285,27 +321,6 @@
     }
 }
 
-/// How long a read waits for a silent upstream.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-enum ReadLimit {
-    /// Until another upstream is to be tried, if one may be.
-    Retry,
-    /// Until the deadline, as another attempt runs beside this one.
-    Deadline,
-}
-
-fn is_timeout(error: &io::Error) -> bool {
-    error.kind() == io::ErrorKind::TimedOut
-}
-
-/// What continues a stream whose upstream fell silent.
-enum Continuation {
-    /// The same upstream sends again, or its connection ends.
-    Same(NextFrame),
-    /// Another upstream; `None` if no other can.
-    Other(Option<Box<EventSource>>),
-}
-
 /// Large plain answer that is passed on as it arrives.
 struct PlainForwarder {
     gateway: Rc<Gateway>,
--- a/components/gateway/src/resume.rs
+++ b/components/gateway/src/resume.rs
@@ -25,7 +25,7 @@
 const RESUME_TIMEOUT: Duration = Duration::from_millis(900);
 
 /// Next part of an answer's body; `None` at its end.
-pub(crate) type NextFrame = Option<Result<Frame<Bytes>, hyper::Error>>;
+type NextFrame = Option<Result<Frame<Bytes>, hyper::Error>>;
 
 /// Answer of an upstream from which events are read.
 pub(crate) struct EventSource {
@@ -33,7 +33,7 @@
     /// Whether the body has a length or chunks, so that its end is told from a crash.
     pub(crate) is_framed: bool,
     /// What was received before the source became the current one.
-    pub(crate) early: Option<NextFrame>,
+    early: Option<NextFrame>,
     pub(crate) attempt: UpstreamAttempt,
     /// Keeps the connection open.
     _connection: ClientConnection,
@@ -85,12 +85,12 @@
         }
     }
 
-    /// Goes on from the attempts of the race that `source` has won.
-    pub(crate) fn take_over(&mut self, race: &RaceHandle, source: &EventSource) {
+    /// Goes on from the attempts of the race that `winner` has won.
+    pub(crate) fn take_over(&mut self, race: &RaceHandle, winner: &UpstreamId) {
         let history = race.history();
         self.sends = history.sends;
         self.tried.clone_from(&history.tried);
-        self.tried.push(source.attempt.upstream.clone());
+        self.tried.push(winner.clone());
     }
 
     /// Continues the stream after event `last` at another upstream, which has sent its first
