Charge buffered bodies by what their buffers occupy

entry::BodyBudget counted the bytes of a body, not the buffer that holds them, which a vector doubles as it grows. Another daemon needs the same budget.

The budget moves to a component of its own, memory. A charge belongs to what holds the memory and gives it back when that is dropped, on every way out. Bulk may use a part of the budget, so that ordinary requests always find the rest.

--- a/components/entry/src/body.rs
+++ b/components/entry/src/body.rs
@@ -1,88 +1,64 @@
-//! Buffered request bodies and the memory budget that they share.
+//! Buffered request bodies, charged to the memory budget that they share.
 
-use std::sync::{
-    Arc,
-    atomic::{AtomicU64, Ordering},
-};
+use std::sync::Arc;
 
-/// Memory budget for the request bodies that the node buffers at the same time.
-#[derive(Debug)]
-pub struct BodyBudget {
-    limit: u64,
-    held_bytes: AtomicU64,
-}
+use memory::{ChargeKind, MemoryBudget, MemoryCharge, ORDINARY_BODY_BYTES};
 
-impl BodyBudget {
-    /// Creates a budget of `limit` bytes.
-    #[must_use]
-    pub fn new(limit: u64) -> Arc<Self> {
-        Arc::new(Self {
-            limit,
-            held_bytes: AtomicU64::new(0),
-        })
-    }
+/// Smallest buffer of a body.
+const BUFFER_MIN_BYTES: usize = 4 << 10;
 
-    /// Number of bytes that buffered bodies reserve now.
-    #[must_use]
-    pub fn held_bytes(&self) -> u64 {
-        self.held_bytes.load(Ordering::Relaxed)
-    }
-
-    fn try_reserve(&self, bytes: u64) -> bool {
-        let previous = self.held_bytes.fetch_add(bytes, Ordering::Relaxed);
-        if previous + bytes <= self.limit {
-            return true;
-        }
-        self.held_bytes.fetch_sub(bytes, Ordering::Relaxed);
-        false
-    }
-}
-
-/// Request body in memory; its size counts against the budget until it is dropped.
+/// Request body in memory; its buffer counts against the budget until it is dropped.
 #[derive(Debug)]
 pub struct BufferedBody {
-    budget: Arc<BodyBudget>,
     bytes: Vec<u8>,
-    reserved_bytes: u64,
+    charge: MemoryCharge,
 }
 
 impl BufferedBody {
-    pub(crate) fn new(budget: Arc<BodyBudget>) -> Self {
+    pub(crate) fn new(budget: &Arc<MemoryBudget>) -> Self {
         Self {
-            budget,
             bytes: Vec::new(),
-            reserved_bytes: 0,
+            charge: budget.charge(),
         }
     }
 
-    /// Appends `chunk`; returns `false` when it would exceed the budget.
+    /// Appends `chunk`; returns `false` when its buffer would exceed the budget.
     pub(crate) fn extend(&mut self, chunk: &[u8]) -> bool {
-        let count = chunk.len() as u64;
-        if !self.budget.try_reserve(count) {
-            return false;
+        let needed = self.bytes.len() + chunk.len();
+        let capacity = self.bytes.capacity();
+        if needed > capacity {
+            let doubled = needed.max(capacity * 2).max(BUFFER_MIN_BYTES);
+            if !self.try_grow(doubled) && !self.try_grow(needed) {
+                return false;
+            }
         }
-        self.reserved_bytes += count;
         self.bytes.extend_from_slice(chunk);
         true
     }
 
+    fn try_grow(&mut self, capacity: usize) -> bool {
+        let kind = if capacity as u64 <= ORDINARY_BODY_BYTES {
+            ChargeKind::Ordinary
+        } else {
+            ChargeKind::Bulk
+        };
+        let added = capacity - self.bytes.capacity();
+        let is_charged = self.charge.try_grow(added as u64, kind);
+        if is_charged {
+            self.bytes.reserve_exact(capacity - self.bytes.len());
+        }
+        is_charged
+    }
+
     /// Content received so far; empty after `clear`.
     #[must_use]
     pub fn bytes(&self) -> &[u8] {
         &self.bytes
     }
 
-    /// Frees the content but keeps its size reserved in the budget. For a handler
+    /// Frees the content but keeps its size charged to the budget. For a handler
     /// that keeps the same amount of data in another form.
     pub fn clear(&mut self) {
         self.bytes = Vec::new();
     }
 }
-
-impl Drop for BufferedBody {
-    fn drop(&mut self) {
-        self.budget
-            .held_bytes
-            .fetch_sub(self.reserved_bytes, Ordering::Relaxed);
-    }
-}
--- a/components/entry/src/connection.rs
+++ b/components/entry/src/connection.rs
@@ -6,10 +6,10 @@
 use futures_lite::{AsyncWriteExt, io};
 use http_types::{Method, Request, Response};
 use kernel::{CancellationToken, ClockSource};
+use memory::MemoryBudget;
 
 use crate::{
-    ApiFailure, BodyBudget, EntryHandler, EntryLimits, EntryRequest, FailureKind,
-    stream::CallerStream,
+    ApiFailure, EntryHandler, EntryLimits, EntryRequest, FailureKind, stream::CallerStream,
 };
 
 /// Maximum number of bytes read for one request head. async-h1 rejects heads over
@@ -22,7 +22,7 @@
     pub(crate) stream: CallerStream,
     pub(crate) handler: EntryHandler,
     pub(crate) limits: EntryLimits,
-    pub(crate) budget: Arc<BodyBudget>,
+    pub(crate) budget: Arc<MemoryBudget>,
     pub(crate) clock: ClockSource,
 }
 
--- a/components/entry/src/lib.rs
+++ b/components/entry/src/lib.rs
@@ -12,7 +12,7 @@
 mod sse;
 mod stream;
 
-pub use body::{BodyBudget, BufferedBody};
+pub use body::BufferedBody;
 pub use failure::{ApiFailure, FailureKind};
 pub use keys::{bearer_digest, digest_matches, key_digest};
 pub use request::{EntryRequest, HeaderName};
--- a/components/entry/src/request.rs
+++ b/components/entry/src/request.rs
@@ -5,8 +5,9 @@
 use futures_lite::AsyncReadExt;
 use http_types::{Method, Request};
 use kernel::{CancellationToken, ClockSource};
+use memory::MemoryBudget;
 
-use crate::{ApiFailure, BodyBudget, BufferedBody, FailureKind, bearer_digest};
+use crate::{ApiFailure, BufferedBody, FailureKind, bearer_digest};
 
 const READ_BUFFER_BYTES: usize = 64 * 1024;
 /// The whole body may take this many times the time limit of a single read.
@@ -50,7 +51,7 @@
     pub disconnected: CancellationToken,
     pub(crate) body_read: CancellationToken,
     pub(crate) clock: ClockSource,
-    pub(crate) budget: Arc<BodyBudget>,
+    pub(crate) budget: Arc<MemoryBudget>,
     pub(crate) body_limit: u64,
     pub(crate) body_timeout: Duration,
 }
@@ -59,7 +60,7 @@
     pub(crate) fn new(
         request: Request,
         clock: ClockSource,
-        budget: Arc<BodyBudget>,
+        budget: Arc<MemoryBudget>,
         body_limit: u64,
         body_timeout: Duration,
     ) -> Self {
@@ -160,7 +161,7 @@
     }
 
     async fn read_body(&mut self) -> Result<BufferedBody, ApiFailure> {
-        let mut body = BufferedBody::new(Arc::clone(&self.budget));
+        let mut body = BufferedBody::new(&self.budget);
         let mut buffer = vec![0_u8; READ_BUFFER_BYTES];
         loop {
             let count = match self.request.read(&mut buffer).await {
--- a/components/entry/src/server.rs
+++ b/components/entry/src/server.rs
@@ -13,9 +13,10 @@
 
 use http_types::Response;
 use kernel::{CancellationToken, ClockSource};
+use memory::MemoryBudget;
 use smol::net::{TcpListener, TcpStream};
 
-use crate::{BodyBudget, EntryRequest, connection::CallerConnection, stream::CallerStream};
+use crate::{EntryRequest, connection::CallerConnection, stream::CallerStream};
 
 /// Polling interval while the connection limit is reached, after a failed accept
 /// and while open connections finish at shutdown.
@@ -47,7 +48,7 @@
     listener: TcpListener,
     handler: Option<EntryHandler>,
     limits: EntryLimits,
-    budget: Arc<BodyBudget>,
+    budget: Arc<MemoryBudget>,
     clock: ClockSource,
     open_connections: Arc<AtomicU32>,
 }
@@ -71,7 +72,7 @@
     pub async fn bind(
         address: &str,
         limits: EntryLimits,
-        budget: Arc<BodyBudget>,
+        budget: Arc<MemoryBudget>,
         clock: ClockSource,
     ) -> io::Result<Self> {
         let listener = TcpListener::bind(address).await?;
--- a/components/entry/tests/bad_input.rs
+++ b/components/entry/tests/bad_input.rs
@@ -9,12 +9,11 @@
     time::Duration,
 };
 
-use entry::{
-    ApiFailure, BodyBudget, EntryHandler, EntryLimits, EntryServer, FailureKind, event_stream,
-};
+use entry::{ApiFailure, EntryHandler, EntryLimits, EntryServer, FailureKind, event_stream};
 use futures_lite::{AsyncReadExt, AsyncWriteExt};
 use http_types::{Response, StatusCode};
 use kernel::{CancellationToken, ClockSource, PausedClock};
+use memory::MemoryBudget;
 use smol::{future::yield_now, net::TcpStream};
 
 const MAX_BODY_BYTES: u64 = 4_096;
@@ -22,7 +21,7 @@
 struct TestServer {
     address: String,
     clock: Arc<PausedClock>,
-    budget: Arc<BodyBudget>,
+    budget: Arc<MemoryBudget>,
     connections: Arc<AtomicU32>,
     token: CancellationToken,
 }
@@ -80,7 +79,7 @@
 
 async fn start() -> (TestServer, smol::channel::Receiver<()>) {
     let clock = PausedClock::new();
-    let budget = BodyBudget::new(MAX_BODY_BYTES * 2);
+    let budget = MemoryBudget::new(MAX_BODY_BYTES * 2, MAX_BODY_BYTES * 2);
     let (ended, handler_ended) = smol::channel::unbounded();
     let limits = EntryLimits {
         body_bytes: MAX_BODY_BYTES,
--- a/components/node/src/api/parts.rs
+++ b/components/node/src/api/parts.rs
@@ -2,9 +2,9 @@
 
 use std::sync::{Arc, Mutex, atomic::AtomicU32};
 
-use entry::BodyBudget;
 use kernel::ClockSource;
 use membership::AddressPlanner;
+use memory::MemoryBudget;
 use settings::NodeSettings;
 use telemetry::{HopTracer, NodeMetrics};
 
@@ -46,7 +46,7 @@
     /// Metrics that `/metrics` serves.
     pub metrics: Arc<NodeMetrics>,
     /// Memory budget for request bodies, in bytes.
-    pub budget: Arc<BodyBudget>,
+    pub budget: Arc<MemoryBudget>,
     /// Number of open connections of the HTTP server.
     pub connections: Arc<AtomicU32>,
 }
--- a/components/node/src/daemon/base.rs
+++ b/components/node/src/daemon/base.rs
@@ -6,9 +6,9 @@
     time::Duration,
 };
 
-use entry::BodyBudget;
 use kernel::{CancellationToken, ClockSource, ServiceKernel};
 use membership::{AddressPlanner, AddressSettings, DrainSettings, MemberSettings};
+use memory::MemoryBudget;
 use notes::AdopterSettings;
 use settings::NodeSettings;
 use stores::{HostList, HttpHosts, HttpObjects, HttpTable, HttpWeights, ObjectStore, TableService};
@@ -46,7 +46,7 @@
     pub(super) clock: ClockSource,
     pub(super) ring: Arc<KeyRing>,
     pub(super) metrics: Arc<NodeMetrics>,
-    pub(super) budget: Arc<BodyBudget>,
+    pub(super) budget: Arc<MemoryBudget>,
     pub(super) tracer: HopTracer,
     pub(super) directory: Arc<UpstreamDirectory>,
     pub(super) ownership: Arc<EngineOwnership>,
@@ -91,7 +91,10 @@
             ownership: EngineOwnership::new(&settings.node.id, &settings.node.zone),
             draining: Arc::default(),
             orders_token: CancellationToken::new(),
-            budget: BodyBudget::new(settings.limits.held_body_bytes),
+            budget: MemoryBudget::new(
+                settings.limits.held_body_bytes,
+                settings.limits.held_body_bytes,
+            ),
             hosts: Arc::new(hosts),
             table,
             objects: Arc::new(objects),
--- a/tests/streams.rs
+++ b/tests/streams.rs
@@ -7,7 +7,7 @@
     time::Duration,
 };
 
-use entry::{BodyBudget, EntryHandler, EntryLimits, EntryRequest, EntryServer};
+use entry::{EntryHandler, EntryLimits, EntryRequest, EntryServer};
 use gentiantally::cmd::{
     client::NodeClient,
     local::{
@@ -16,6 +16,7 @@
 };
 use http_types::{Method, Response, StatusCode};
 use kernel::{CancellationToken, ClockSource};
+use memory::MemoryBudget;
 use serde_json::{Value, json};
 use stores::{HostEntry, HostKind, HostRegistrar, HostState};
 use transport::HttpClient;
@@ -181,7 +182,7 @@
         body_timeout: CALL_TIMEOUT,
         write_timeout: CALL_TIMEOUT,
     };
-    let budget = BodyBudget::new(1 << 24);
+    let budget = MemoryBudget::new(1 << 24, 1 << 24);
     let server = EntryServer::bind("127.0.0.1:0", limits, budget, ClockSource::System)
         .await
         .unwrap()
