Give connections and requests a limited number of places

What callers saw: nothing, until a process had no descriptor left for its own calls, or no memory. Any number of connections could say nothing for 17 s, or send a part of a head for as long.

Cause: accepted connections were only counted, for the planned stop.

Each listener has a number of places, from the descriptors and the memory that the settings name. A newcomer takes the place of a connection that says nothing, then of one whose head is not whole, of the address that has most; a request under way keeps its place. Requests have places as well, of which one organisation leaves a third to others. memory::find_victim decides, without a network, and has tests for each load. A watch closes what no deadline ends: heads over their time limit, which was the idle limit so far, answers of which the caller takes less than 4 KB in 10 s, and connections that send on while they are answered, if more than an eighth of the memory waits unread. Lines about callers that are turned away are bounded to 20 a second; new metrics count them.

The five tests of platform/tests/crowds/connections.rs fail before and pass after.

--- a/components/gateway/src/answer.rs
+++ b/components/gateway/src/answer.rs
@@ -14,6 +14,8 @@
 use http_body_util::Full;
 use hyper::body::{Body, Frame, SizeHint};
 
+use crate::callers::RequestPlace;
+
 /// Time after which a caller that this node refuses since it stops is told to retry: at another
 /// node, which takes the request at once.
 const STOPPING_RETRY_AFTER: Duration = Duration::from_millis(20);
@@ -21,7 +23,13 @@
 type FrameStream = Pin<Box<dyn Stream<Item = io::Result<Bytes>>>>;
 
 /// Body of an answer to a caller.
-pub(crate) enum AnswerBody {
+pub(crate) struct AnswerBody {
+    content: AnswerContent,
+    /// Place of the request, which ends with its answer.
+    _place: Option<Box<RequestPlace>>,
+}
+
+enum AnswerContent {
     /// The complete body.
     Buffered(Full<Bytes>),
     /// Bytes streamed from an upstream; an error closes the caller's connection.
@@ -91,13 +99,30 @@
 
 impl AnswerBody {
     pub(crate) fn streamed(stream: impl Stream<Item = io::Result<Bytes>> + 'static) -> Self {
-        Self::Streamed(Box::pin(stream))
+        AnswerContent::Streamed(Box::pin(stream)).into()
+    }
+
+    /// Keeps the place of the request until the answer has been written.
+    pub(crate) fn with_place(self, place: RequestPlace) -> Self {
+        Self {
+            _place: Some(Box::new(place)),
+            ..self
+        }
+    }
+}
+
+impl From<AnswerContent> for AnswerBody {
+    fn from(content: AnswerContent) -> Self {
+        Self {
+            content,
+            _place: None,
+        }
     }
 }
 
 impl From<Bytes> for AnswerBody {
     fn from(bytes: Bytes) -> Self {
-        Self::Buffered(Full::new(bytes))
+        AnswerContent::Buffered(Full::new(bytes)).into()
     }
 }
 
@@ -109,11 +134,11 @@
         self: Pin<&mut Self>,
         context: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, io::Error>>> {
-        match self.get_mut() {
-            Self::Buffered(buffered) => Pin::new(buffered)
+        match &mut self.get_mut().content {
+            AnswerContent::Buffered(buffered) => Pin::new(buffered)
                 .poll_frame(context)
                 .map_err(|never: Infallible| match never {}),
-            Self::Streamed(stream) => stream
+            AnswerContent::Streamed(stream) => stream
                 .as_mut()
                 .poll_next(context)
                 .map(|item| item.map(|bytes| bytes.map(Frame::data))),
@@ -121,16 +146,16 @@
     }
 
     fn is_end_stream(&self) -> bool {
-        match self {
-            Self::Buffered(buffered) => buffered.is_end_stream(),
-            Self::Streamed(_) => false,
+        match &self.content {
+            AnswerContent::Buffered(buffered) => buffered.is_end_stream(),
+            AnswerContent::Streamed(_) => false,
         }
     }
 
     fn size_hint(&self) -> SizeHint {
-        match self {
-            Self::Buffered(buffered) => buffered.size_hint(),
-            Self::Streamed(_) => SizeHint::default(),
+        match &self.content {
+            AnswerContent::Buffered(buffered) => buffered.size_hint(),
+            AnswerContent::Streamed(_) => SizeHint::default(),
         }
     }
 }
--- a/components/gateway/src/assist.rs
+++ b/components/gateway/src/assist.rs
@@ -12,6 +12,7 @@
 
 use crate::{
     answer::AnswerBody,
+    caller_socket::SharedSocket,
     client::connect_from,
     connect::{CONNECT_TIMEOUT, ConnectTarget},
     reach::suspect_cut,
@@ -139,7 +140,7 @@
 ) -> io::Result<()> {
     let upgraded = upgrade.await.map_err(io::Error::other)?;
     let parts = upgraded
-        .downcast::<FuturesIo<Async<TcpStream>>>()
+        .downcast::<FuturesIo<SharedSocket>>()
         .map_err(|_| io::Error::other("not the connection of another node"))?;
     upstream.get_ref().set_nodelay(true)?;
     let (mut from_node, mut to_node) = split(parts.io.into_inner());
--- a/components/gateway/src/daemon.rs
+++ b/components/gateway/src/daemon.rs
@@ -14,11 +14,12 @@
 
 use crate::{
     GatewaySettings, WatchedTable, WireDialect,
+    callers::watch_connections,
     client::PlainCaller,
     crashes::keep_quarantine,
     datagrams::{receive_datagrams, send_queued_datagrams},
     evacuation::expire_evacuations,
-    listen::{ListenRole, listen},
+    listen::{ListenRole, limit_receive_buffer, listen},
     reports::{is_relay, send_reports},
     state::Gateway,
     stop::{StopNotices, stop_gracefully},
@@ -108,6 +109,9 @@
     executor
         .spawn(expire_periodically(Rc::clone(&gateway)))
         .detach();
+    executor
+        .spawn(watch_connections(Rc::clone(&gateway)))
+        .detach();
     while let Some(signal) = signals.next().await {
         match signal? {
             Signal::Term => break,
@@ -140,6 +144,7 @@
                 format!("listen as {role:?} on {address}: {error}"),
             )
         })?;
+        limit_receive_buffer(&listener);
         bound.push((listener, role));
     }
     for (listener, role) in bound {
--- a/components/gateway/src/forward.rs
+++ b/components/gateway/src/forward.rs
@@ -13,6 +13,7 @@
 use http::{Request, Response, header, request::Parts};
 use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::Incoming;
+use rand::RngExt;
 use types::{OrganisationId, ServiceName};
 use xxhash_rust::xxh3::Xxh3;
 
@@ -20,6 +21,8 @@
     RequestHead,
     answer::{AnswerBody, GatewayAnswer},
     attempt::run_attempts,
+    caller_metrics::TurnedAway,
+    callers::RequestPlace,
     state::Gateway,
 };
 
@@ -32,6 +35,10 @@
 const START_HOLD_TIME: Duration = Duration::from_millis(500);
 /// Pause between two looks whether the node has started.
 const START_CHECK_PAUSE: Duration = Duration::from_millis(10);
+/// Shortest time after which a caller is told to retry if there is no place or no memory for its
+/// request: as long as a body that makes no progress keeps its memory. The longest is twice that,
+/// so that callers don't come back together.
+const NO_ROOM_RETRY_AFTER: Duration = Duration::from_secs(1);
 /// Timeout of a request whose caller sent none.
 const DEFAULT_TIMEOUT: Duration = Duration::from_mins(1);
 
@@ -70,20 +77,24 @@
 /// Forwards a caller's request and returns the answer.
 pub(crate) async fn forward_request(
     gateway: Rc<Gateway>,
+    mut place: RequestPlace,
     request: Request<Incoming>,
 ) -> Response<AnswerBody> {
     let arrived = gateway.now();
     let (head, body) = request.into_parts();
     let request = gateway.dialect.decode_request(&head);
     let caller_attempt_id = request.caller_attempt_id.clone();
-    let job = match parse_request(&gateway, arrived, head, body, request).await {
+    let job = match parse_request(&gateway, &mut place, arrived, head, body, request).await {
         Ok(job) => job,
         Err(refusal) => {
-            log::info!("event=rejected request={caller_attempt_id} answer={refusal:?}");
+            gateway.refusal_log.write(gateway.now(), || {
+                format!("event=rejected request={caller_attempt_id} answer={refusal:?}")
+            });
             gateway
                 .metrics
                 .record_answer("", refusal.status().as_u16(), true, Duration::ZERO);
-            return refusal.into_response();
+            place.record_answer();
+            return refusal.into_response().map(|body| body.with_place(place));
         }
     };
     let service = job.service.clone();
@@ -103,13 +114,14 @@
     gateway
         .metrics
         .record_answer(&service, status, own, elapsed);
-    response
+    response.map(|body| body.with_place(place))
 }
 
 /// Reads the body and finds the route, organisation, service and deadline; the
 /// error is the answer for a request that can't be forwarded.
 async fn parse_request(
     gateway: &Gateway,
+    place: &mut RequestPlace,
     arrived: Instant,
     head: Parts,
     body: Incoming,
@@ -119,6 +131,13 @@
     if !gateway.has_valid_state() {
         return Err(GatewayAnswer::Refused(NO_STATE_RETRY_AFTER));
     }
+    if !place.claim(gateway) {
+        gateway
+            .metrics
+            .callers
+            .record_turned_away(TurnedAway::NoPlace);
+        return Err(GatewayAnswer::Refused(no_room_retry_after(gateway)));
+    }
     let timeout = request.timeout.unwrap_or(DEFAULT_TIMEOUT);
     let body_limit = gateway.routes.borrow().state().limits.body_bytes;
     let collecting = Limited::new(body, body_limit).collect();
@@ -128,6 +147,7 @@
         Some(Err(_)) => return Err(GatewayAnswer::Unreadable),
         None => return Err(GatewayAnswer::Refused(Duration::ZERO)),
     };
+    place.record_answer();
     // The route is looked up after the body has arrived, so that the newest desired
     // state applies.
     let routes = Rc::clone(&gateway.routes.borrow());
@@ -166,6 +186,11 @@
     })
 }
 
+fn no_room_retry_after(gateway: &Gateway) -> Duration {
+    let factor = gateway.rng.borrow_mut().random_range(1.0..2.0);
+    NO_ROOM_RETRY_AFTER.mul_f64(factor)
+}
+
 /// Waits while this node has just started and doesn't know yet what it needs to serve, for a
 /// part of the request's time.
 async fn wait_for_start(gateway: &Gateway, arrived: Instant, timeout: Option<Duration>) {
--- a/components/gateway/src/lib.rs
+++ b/components/gateway/src/lib.rs
@@ -7,6 +7,9 @@
 mod answer;
 mod assist;
 mod attempt;
+mod caller_metrics;
+mod caller_socket;
+mod callers;
 mod client;
 mod cold;
 mod connect;
@@ -29,6 +32,7 @@
 mod race;
 mod rates;
 mod reach;
+mod refusals;
 mod relay;
 mod reports;
 mod resume;
--- a/components/gateway/src/listen.rs
+++ b/components/gateway/src/listen.rs
@@ -13,14 +13,21 @@
 use futures_lite::future::{or, poll_fn};
 use http::{Request, Response, StatusCode, header};
 use hyper::{body::Incoming, server::conn::http1::Builder, service::service_fn};
-use rustix::net::sockopt::set_tcp_user_timeout;
+use rustix::net::sockopt::{set_socket_recv_buffer_size, set_tcp_user_timeout};
 use smol::Async;
 use smol_hyper::rt::{FuturesIo, SmolTimer};
 use types::ZoneId;
 
 use crate::{
-    answer::AnswerBody, evacuation::requests_in_evacuated_zones, forward::forward_request,
-    peers::answer_peer, state::Gateway, stop::is_closing,
+    answer::AnswerBody,
+    caller_metrics::{CallerLoad, TurnedAway},
+    caller_socket::CallerSocket,
+    callers::ConnectionPlace,
+    evacuation::requests_in_evacuated_zones,
+    forward::forward_request,
+    peers::answer_peer,
+    state::Gateway,
+    stop::is_closing,
 };
 
 /// Smallest read buffer that hyper accepts.
@@ -34,11 +41,15 @@
 /// them, before the connection is broken off and its request cancelled. Callers give a
 /// stream up much earlier. No keep-alive probes are sent, so it affects none.
 const SILENT_PEER_TIMEOUT: Duration = Duration::from_secs(10);
+/// Bytes of a connection that may have arrived without being read; the system allows twice
+/// that. It bounds what a peer makes the host hold while its request is answered, and lets a
+/// body through at 1 MB/s over 60 ms.
+const RECEIVE_BUFFER_BYTES: usize = 64 << 10;
 /// Time after which an idle connection of another node is closed.
 const PEER_IDLE_TIMEOUT: Duration = Duration::from_secs(10);
 
 /// Purpose of a listener.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
 pub(crate) enum ListenRole {
     /// Requests of callers, forwarded to upstreams.
     Callers,
@@ -57,17 +68,23 @@
 pub(crate) async fn listen(gateway: Rc<Gateway>, listener: Async<TcpListener>, role: ListenRole) {
     loop {
         match listener.accept().await {
-            Ok((socket, _)) => {
+            Ok((socket, peer)) => {
                 if role == ListenRole::Callers && is_closing(&gateway) {
                     return;
                 }
-                if role == ListenRole::Peers {
-                    let serving = serve_peer(Rc::clone(&gateway), socket);
-                    gateway.executor.spawn(serving).detach();
-                } else {
-                    let serving = serve_connection(Rc::clone(&gateway), socket, role);
-                    gateway.executor.spawn(serving).detach();
-                }
+                set_options(&socket);
+                let table = gateway.connections(role);
+                let Some(place) = table.admit(&gateway, socket, peer.ip()) else {
+                    gateway.turn_away(TurnedAway::NoPlace, || {
+                        format!(
+                            "event=connection_refused listener={role:?} peer={}",
+                            peer.ip()
+                        )
+                    });
+                    continue;
+                };
+                let serving = serve_connection(Rc::clone(&gateway), place, role);
+                gateway.executor.spawn(serving).detach();
             }
             Err(error) => {
                 log::warn!("event=accept_failed role={role:?} error=\"{error}\"");
@@ -77,13 +94,37 @@
     }
 }
 
-async fn serve_connection(gateway: Rc<Gateway>, socket: Async<TcpStream>, role: ListenRole) {
-    set_options(&socket);
+async fn serve_connection(gateway: Rc<Gateway>, place: ConnectionPlace, role: ListenRole) {
+    let connection = Rc::clone(&place.connection);
+    let serving = async {
+        let place = Rc::new(place);
+        if role == ListenRole::Peers {
+            serve_peer(&gateway, place).await
+        } else {
+            serve_requests(&gateway, place, role).await
+        }
+    };
+    let closing = async {
+        connection.closed().await;
+        Ok(())
+    };
+    if let Err(error) = or(closing, serving).await {
+        log::debug!("event=connection_ended role={role:?} error=\"{error}\"");
+    }
+}
+
+async fn serve_requests(
+    gateway: &Rc<Gateway>,
+    place: Rc<ConnectionPlace>,
+    role: ListenRole,
+) -> hyper::Result<()> {
+    let socket = CallerSocket::new(gateway, &place.connection);
     let limits = gateway.routes.borrow().state().limits;
-    let answering = Rc::clone(&gateway);
+    let answering = Rc::clone(gateway);
     let service = service_fn(move |request| {
         let gateway = Rc::clone(&answering);
-        async move { Ok::<_, Infallible>(answer_request(gateway, request, role).await) }
+        let place = Rc::clone(&place);
+        async move { Ok::<_, Infallible>(answer_request(gateway, place, request, role).await) }
     });
     let connection = Builder::new()
         .timer(SmolTimer::new())
@@ -94,7 +135,6 @@
         .auto_date_header(false)
         .serve_connection(FuturesIo::new(socket), service);
     let mut connection = pin!(connection);
-    let _connection_guard = (role == ListenRole::Callers).then(|| ConnectionGuard::new(&gateway));
     let ended = or(
         async { Some(poll_fn(|context| connection.as_mut().poll(context)).await) },
         async {
@@ -103,15 +143,11 @@
         },
     )
     .await;
-    let result = if let Some(result) = ended {
-        result
-    } else {
-        connection.as_mut().graceful_shutdown();
-        connection.await
-    };
-    if let Err(error) = result {
-        log::debug!("event=caller_connection_ended role={role:?} error=\"{error}\"");
+    if let Some(result) = ended {
+        return result;
     }
+    connection.as_mut().graceful_shutdown();
+    connection.await
 }
 
 /// Sets the limits of an accepted connection.
@@ -123,37 +159,48 @@
     }
 }
 
+/// Bounds what may arrive on connections to a listener without being read.
+pub(crate) fn limit_receive_buffer(listener: &Async<TcpListener>) {
+    if let Err(error) = set_socket_recv_buffer_size(listener, RECEIVE_BUFFER_BYTES) {
+        log::debug!("event=option_failed error=\"{error}\"");
+    }
+}
+
 /// Serves another node, whose connection may become one to an upstream.
-async fn serve_peer(gateway: Rc<Gateway>, socket: Async<TcpStream>) {
-    set_options(&socket);
+async fn serve_peer(gateway: &Rc<Gateway>, place: Rc<ConnectionPlace>) -> hyper::Result<()> {
+    let socket = place.connection.socket.clone();
+    let answering = Rc::clone(gateway);
     let service = service_fn(move |request| {
-        let gateway = Rc::clone(&gateway);
-        async move { Ok::<_, Infallible>(answer_peer(gateway, request).await) }
+        let gateway = Rc::clone(&answering);
+        let place = Rc::clone(&place);
+        let role = ListenRole::Peers;
+        async move { Ok::<_, Infallible>(answer_request(gateway, place, request, role).await) }
     });
-    let connection = Builder::new()
+    Builder::new()
         .timer(SmolTimer::new())
         .header_read_timeout(PEER_IDLE_TIMEOUT)
         .max_buf_size(READ_BUFFER_MIN_BYTES)
         .auto_date_header(false)
         .serve_connection(FuturesIo::new(socket), service)
-        .with_upgrades();
-    if let Err(error) = connection.await {
-        log::debug!("event=peer_connection_ended error=\"{error}\"");
-    }
+        .with_upgrades()
+        .await
 }
 
 async fn answer_request(
     gateway: Rc<Gateway>,
+    place: Rc<ConnectionPlace>,
     request: Request<Incoming>,
     role: ListenRole,
 ) -> Response<AnswerBody> {
-    match role {
-        ListenRole::Callers => forward_request(gateway, request).await,
+    let place = place.begin_request();
+    let response = match role {
+        ListenRole::Callers => return forward_request(gateway, place, request).await,
         ListenRole::Readiness => answer_readiness(&gateway, &request),
         ListenRole::Directory => answer_addresses(&gateway, &request),
-        ListenRole::Peers => answer_peer(gateway, request).await,
         ListenRole::Metrics => answer_metrics(&gateway),
-    }
+        ListenRole::Peers => answer_peer(gateway, request).await,
+    };
+    response.map(|body| body.with_place(place))
 }
 
 fn answer_readiness(gateway: &Gateway, request: &Request<Incoming>) -> Response<AnswerBody> {
@@ -198,7 +245,15 @@
 
 fn answer_metrics(gateway: &Gateway) -> Response<AnswerBody> {
     let running = requests_in_evacuated_zones(gateway);
-    let text = gateway.metrics.encode(&running);
+    let connections = gateway.connection_tables();
+    let load = CallerLoad {
+        held_bytes: gateway.limits.budget.held_bytes(),
+        requests: gateway.callers.requests(),
+        connections: connections
+            .map(|table| (format!("{:?}", table.role()).to_lowercase(), table.len()))
+            .collect(),
+    };
+    let text = gateway.metrics.encode(&running, &load);
     Response::new(AnswerBody::from(Bytes::from(text)))
 }
 
@@ -207,26 +262,3 @@
     *response.status_mut() = status;
     response
 }
-
-/// Counts a connection from a caller until it is dropped.
-struct ConnectionGuard {
-    gateway: Rc<Gateway>,
-}
-
-impl ConnectionGuard {
-    fn new(gateway: &Rc<Gateway>) -> Self {
-        gateway
-            .open_connections
-            .set(gateway.open_connections.get() + 1);
-        Self {
-            gateway: Rc::clone(gateway),
-        }
-    }
-}
-
-impl Drop for ConnectionGuard {
-    fn drop(&mut self) {
-        let open = self.gateway.open_connections.get();
-        self.gateway.open_connections.set(open.saturating_sub(1));
-    }
-}
--- a/components/gateway/src/metrics.rs
+++ b/components/gateway/src/metrics.rs
@@ -14,6 +14,8 @@
 };
 use types::ZoneId;
 
+use crate::caller_metrics::{CallerLoad, CallerMetrics};
+
 /// Labels of the counter of answered requests.
 #[derive(Clone, Debug, Eq, Hash, PartialEq)]
 #[derive(EncodeLabelSet)]
@@ -82,6 +84,8 @@
     pub(crate) cold_holds: Counter,
     /// This node's requests in flight at upstreams of each evacuated zone.
     evacuated_requests: Family<ZoneLabels, Gauge>,
+    /// What callers make the process hold.
+    pub(crate) callers: CallerMetrics,
 }
 
 impl GatewayMetrics {
@@ -157,6 +161,7 @@
             "Requests in flight at upstreams of an evacuated zone",
             evacuated_requests.clone(),
         );
+        let callers = CallerMetrics::new(&mut registry);
         Self {
             registry,
             requests,
@@ -172,6 +177,7 @@
             cold_upstreams,
             cold_holds,
             evacuated_requests,
+            callers,
         }
     }
 
@@ -221,7 +227,8 @@
 
     /// Encodes all metrics. `evacuated` are the requests in flight in each evacuated zone;
     /// zones that are not among them are not evacuated, and are left out.
-    pub(crate) fn encode(&self, evacuated: &[(ZoneId, i64)]) -> String {
+    pub(crate) fn encode(&self, evacuated: &[(ZoneId, i64)], load: &CallerLoad) -> String {
+        self.callers.set_load(load);
         self.evacuated_requests.clear();
         for (zone, running) in evacuated {
             let labels = ZoneLabels { zone: zone.clone() };
--- a/components/gateway/src/settings.rs
+++ b/components/gateway/src/settings.rs
@@ -17,6 +17,10 @@
     /// Processor and network share of the entry host; nodes with more of it gather and
     /// pass on what others report.
     pub capacity: u32,
+    /// Memory that the host grants the process, in bytes; callers may make it hold a part.
+    pub memory_bytes: u64,
+    /// File descriptors that the host grants the process.
+    pub descriptors: u64,
     /// Listen address for callers' requests.
     pub callers: SocketAddr,
     /// Listen address for the platform's readiness checks; `None` for no listener.
--- a/components/gateway/src/state.rs
+++ b/components/gateway/src/state.rs
@@ -15,17 +15,23 @@
     RetryLimit, RosterEntry, RouteTable, RowSchedule, TableFreshness, UpstreamTable,
 };
 use kernel::ClockSource;
+use memory::CallerLimits;
 use rand::{SeedableRng, rngs::SmallRng};
+use rustix::process::{Resource, getrlimit};
 use smol::{Async, LocalExecutor};
 use types::UpstreamId;
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::{
     GatewaySettings, RevokePolicy, WireDialect,
+    caller_metrics::TurnedAway,
+    callers::ConnectionTable,
     client::ConnectionPool,
     datagrams::PeerDatagram,
+    listen::ListenRole,
     metrics::GatewayMetrics,
     question::ReachAnswer,
+    refusals::RefusalLog,
     start::{StartPhase, StartTimes},
     stop::StopNotices,
 };
@@ -37,6 +43,14 @@
 /// that starts as a whole start within less, and their clocks differ little.
 const START_MARGIN: Duration = Duration::from_secs(5);
 
+/// Listeners to which callers send no requests.
+const OTHER_LISTENERS: [ListenRole; 4] = [
+    ListenRole::Readiness,
+    ListenRole::Directory,
+    ListenRole::Peers,
+    ListenRole::Metrics,
+];
+
 /// State of one gateway.
 pub(crate) struct Gateway {
     pub(crate) settings: GatewaySettings,
@@ -94,8 +108,13 @@
     pub(crate) row_schedule: Cell<RowSchedule>,
     /// When SIGTERM arrived.
     pub(crate) stopping_since: Cell<Option<Instant>>,
-    /// Number of open connections from callers.
-    pub(crate) open_connections: Cell<usize>,
+    /// How much callers may make this process hold.
+    pub(crate) limits: CallerLimits,
+    /// Connections of callers that send requests.
+    pub(crate) callers: Rc<ConnectionTable>,
+    /// Connections to the other listeners.
+    other_connections: Vec<Rc<ConnectionTable>>,
+    pub(crate) refusal_log: RefusalLog,
     pub(crate) stop_notices: StopNotices,
     pub(crate) metrics: GatewayMetrics,
     start_times: StartTimes,
@@ -120,11 +139,12 @@
             extra_retries: settings.retry_allowance,
         };
         let retry_budget = RetryBudget::new(started, retry_limit, rand::random());
+        let limits = caller_limits(&settings);
         Self {
             settings,
             dialect,
             executor,
-            clock,
+            clock: clock.clone(),
             incarnation,
             hasher: RandomState::new(),
             rng: RefCell::new(SmallRng::seed_from_u64(rand::random())),
@@ -154,7 +174,19 @@
             fetch_started: Cell::new(None),
             row_schedule: Cell::default(),
             stopping_since: Cell::new(None),
-            open_connections: Cell::new(0),
+            callers: ConnectionTable::new(
+                ListenRole::Callers,
+                clock.clone(),
+                limits.connections,
+                limits.requests,
+            ),
+            other_connections: OTHER_LISTENERS
+                .map(|role| {
+                    ConnectionTable::new(role, clock.clone(), limits.listener_connections, 0)
+                })
+                .to_vec(),
+            limits,
+            refusal_log: RefusalLog::default(),
             stop_notices,
             metrics: GatewayMetrics::new(),
             start_times: StartTimes::new(started),
@@ -186,6 +218,32 @@
         }
     }
 
+    /// Returns the connections to the listener for `role`.
+    pub(crate) fn connections(&self, role: ListenRole) -> &Rc<ConnectionTable> {
+        let others = self.other_connections.iter();
+        let mut matching = others.filter(|table| table.role() == role);
+        matching.next().unwrap_or(&self.callers)
+    }
+
+    /// Returns the connections of all listeners.
+    pub(crate) fn connection_tables(&self) -> impl Iterator<Item = &Rc<ConnectionTable>> {
+        std::iter::once(&self.callers).chain(&self.other_connections)
+    }
+
+    /// Returns the largest body of a request or a held answer, in bytes: the limit of the
+    /// desired state, unless the process has too little memory for one.
+    pub(crate) fn body_limit(&self) -> usize {
+        let limit = self.routes.borrow().state().limits.body_bytes;
+        let memory = self.limits.budget.bulk_limit();
+        limit.min(usize::try_from(memory).unwrap_or(usize::MAX))
+    }
+
+    /// Counts that something was turned away, and logs it within bounds.
+    pub(crate) fn turn_away(&self, reason: TurnedAway, line: impl FnOnce() -> String) {
+        self.metrics.callers.record_turned_away(reason);
+        self.refusal_log.write(self.now(), line);
+    }
+
     /// Returns whether callers may be sent to this node.
     pub(crate) fn ready(&self) -> bool {
         self.stopping_since.get().is_none()
@@ -294,6 +352,26 @@
     }
 }
 
+/// Derives what callers may make the process hold from its settings, and from what the system
+/// allows it where that is less.
+fn caller_limits(settings: &GatewaySettings) -> CallerLimits {
+    let allowed = getrlimit(Resource::Nofile).current;
+    let descriptors = allowed.map_or(settings.descriptors, |allowed| {
+        settings.descriptors.min(allowed)
+    });
+    let limits = CallerLimits::new(settings.memory_bytes, descriptors);
+    log::info!(
+        "event=caller_limits memory_bytes={} descriptors={descriptors} body_bytes={} \
+         connections={} requests={} listener_connections={}",
+        settings.memory_bytes,
+        limits.budget.bulk_limit(),
+        limits.connections,
+        limits.requests,
+        limits.listener_connections,
+    );
+    limits
+}
+
 /// Counts a request as in flight at its engines until it is dropped.
 pub(crate) struct InFlightGuard {
     gateway: Rc<Gateway>,
--- a/components/gateway/src/stop.rs
+++ b/components/gateway/src/stop.rs
@@ -126,7 +126,7 @@
     log::info!(
         "event=stopped node={} open_connections={} tunnels={}",
         gateway.settings.node,
-        gateway.open_connections.get(),
+        gateway.callers.len(),
         gateway.tunnels.get()
     );
 }
@@ -134,9 +134,7 @@
 /// Waits until nothing is open any more, or `share` of the grace period has passed.
 async fn wait_while_busy(gateway: &Gateway, share: f64) {
     let is_busy = || {
-        gateway.open_connections.get() > 0
-            || gateway.tunnels.get() > 0
-            || gateway.open_releases.get() > 0
+        gateway.callers.len() > 0 || gateway.tunnels.get() > 0 || gateway.open_releases.get() > 0
     };
     while is_busy() && !has_reached(gateway, share) {
         gateway.clock.sleep(STOP_CHECK_PAUSE).await;
