Hold bodies in memory of their own, within one budget

What callers saw: a process that ended, out of memory. Reported by users: many large bodies of legal size at once, whole or in pieces, most of which stop just short of their end.

Cause: nothing bounded what all callers together make a process hold, and a body cost far more than what was sent. Each part of a body kept the buffer alive that it was read into, 8 to 16 KB for a single byte, and each chunk an entry of a list. A whole body was copied once more into the buffer of each connection that it was sent on, and a caller ended its own body's time by the deadline that it announced.

Evidence, on with 64 MB in the settings, bodies of 1 MB and 128 clients: a peak of 151 MB for bodies without their last byte, 131 MB for 150 bytes in pieces, 114 MB for 40,000 chunks of one byte, 362 MB for whole bodies at silent servers, 215 MB for answers that nobody reads. With a release build, 260 MB, bodies of 4 MB and 500 clients, bodies without their last byte took 2.1 GB.

A body is copied into segments, which are charged to the callers' budget before they are allocated. If the budget is used up, a body that has made no progress for a second gives way and is answered 503, or the newcomer is. Large bodies leave half of the budget to ordinary requests. A body is shared by all its attempts and passed on in slices; answers that are held whole are charged too, and wait for memory, as their requests may have run. A body that is late is refused with 408, which promises as much as the 503 before.

The tests in bodies.rs, waiting.rs, answers.rs and disruptions.rs of platform/tests/crowds fail before, but for four that guard what held already; all pass after.

--- a/components/gateway/src/answer.rs
+++ b/components/gateway/src/answer.rs
@@ -4,6 +4,7 @@
     convert::Infallible,
     io,
     pin::Pin,
+    rc::Rc,
     task::{Context, Poll},
     time::Duration,
 };
@@ -11,10 +12,12 @@
 use bytes::Bytes;
 use futures_lite::Stream;
 use http::{HeaderValue, Response, StatusCode, header};
-use http_body_util::Full;
 use hyper::body::{Body, Frame, SizeHint};
 
-use crate::callers::RequestPlace;
+use crate::{
+    callers::RequestPlace,
+    held::{HeldBody, SlicedBody},
+};
 
 /// Time after which a caller that this node refuses since it stops is told to retry: at another
 /// node, which takes the request at once.
@@ -31,7 +34,7 @@
 
 enum AnswerContent {
     /// The complete body.
-    Buffered(Full<Bytes>),
+    Buffered(SlicedBody),
     /// Bytes streamed from an upstream; an error closes the caller's connection.
     Streamed(FrameStream),
 }
@@ -52,6 +55,10 @@
     Unreadable,
     /// The body exceeds the size limit.
     TooLarge,
+    /// The body has not arrived in the time that the request has.
+    LateBody,
+    /// The body made no progress while others needed its memory; the request did not run.
+    GaveWay(Duration),
     /// The request may have run, and its outcome is unknown.
     Unknown,
     /// The deadline passed after the request was sent.
@@ -61,11 +68,12 @@
 impl GatewayAnswer {
     pub(crate) fn status(self) -> StatusCode {
         match self {
-            Self::Refused(_) | Self::Stopping => StatusCode::SERVICE_UNAVAILABLE,
+            Self::Refused(_) | Self::GaveWay(_) | Self::Stopping => StatusCode::SERVICE_UNAVAILABLE,
             Self::NoRoute => StatusCode::NOT_FOUND,
             Self::NoKey => StatusCode::UNAUTHORIZED,
             Self::Unreadable => StatusCode::BAD_REQUEST,
             Self::TooLarge => StatusCode::PAYLOAD_TOO_LARGE,
+            Self::LateBody => StatusCode::REQUEST_TIMEOUT,
             Self::Unknown => StatusCode::BAD_GATEWAY,
             Self::Overdue => StatusCode::GATEWAY_TIMEOUT,
         }
@@ -73,12 +81,21 @@
 
     fn retry_after(self) -> Option<Duration> {
         match self {
-            Self::Refused(after) => Some(after),
+            Self::Refused(after) | Self::GaveWay(after) => Some(after),
             Self::Stopping => Some(STOPPING_RETRY_AFTER),
             _ => None,
         }
     }
 
+    /// Returns whether the connection ends with this answer: what the caller still sends is not
+    /// read to its end.
+    fn ends_connection(self) -> bool {
+        matches!(
+            self,
+            Self::Stopping | Self::TooLarge | Self::LateBody | Self::GaveWay(_)
+        )
+    }
+
     pub(crate) fn into_response(self) -> Response<AnswerBody> {
         let mut response = Response::new(AnswerBody::from(Bytes::new()));
         *response.status_mut() = self.status();
@@ -89,7 +106,7 @@
                 response.headers_mut().insert(header::RETRY_AFTER, value);
             }
         }
-        if self == Self::Stopping {
+        if self.ends_connection() {
             let close = HeaderValue::from_static("close");
             response.headers_mut().insert(header::CONNECTION, close);
         }
@@ -122,7 +139,13 @@
 
 impl From<Bytes> for AnswerBody {
     fn from(bytes: Bytes) -> Self {
-        AnswerContent::Buffered(Full::new(bytes)).into()
+        AnswerContent::Buffered(bytes.into()).into()
+    }
+}
+
+impl From<Rc<HeldBody>> for AnswerBody {
+    fn from(body: Rc<HeldBody>) -> Self {
+        AnswerContent::Buffered(body.into()).into()
     }
 }
 
--- a/components/gateway/src/attempt.rs
+++ b/components/gateway/src/attempt.rs
@@ -3,11 +3,9 @@
 
 use std::{pin::pin, rc::Rc, time::Duration};
 
-use bytes::Bytes;
 use dispatch::{CallKind, PlacementRefusal, ProbeOutcome};
 use futures_lite::future::or;
 use http::{Request, Response, StatusCode, header};
-use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
 use hyper::body::Incoming;
 
 use crate::{
@@ -18,6 +16,7 @@
     connect::ConnectError,
     crashes::record_sound_answer,
     forward::ForwardJob,
+    held::{BodyFailure, HeldBody, SlicedBody, read_answer_body},
     leg::{UpstreamAttempt, is_framed, pool_connection, remove_hop_by_hop_headers},
     place::{PLACEMENT_RETRY_PAUSE, PlacedRequest, find_placement},
     race::{AttemptHistory, AttemptRace, EndedAttempt, RaceHandle, RaceStep},
@@ -79,7 +78,7 @@
     /// The upstream may have run the request, but no usable answer arrived.
     Lost,
     /// The upstream answered with a server error (5xx).
-    Failed(http::response::Parts, Bytes),
+    Failed(http::response::Parts, Rc<HeldBody>),
 }
 
 /// Runs attempts until the request is answered. Returns the answer, and `true` if
@@ -429,7 +428,7 @@
     job: &ForwardJob,
     attempt: &UpstreamAttempt,
     connection: &mut ClientConnection,
-    request: Request<Full<Bytes>>,
+    request: Request<SlicedBody>,
 ) -> Result<Response<Incoming>, ExchangeError> {
     let is_reused = connection.reused;
     let watch = async {
@@ -540,19 +539,27 @@
     }
     let left = job.time_left(gateway.now());
     let left = left.saturating_sub(ANSWER_MARGIN);
-    let collecting =
-        Limited::new(body, gateway.routes.borrow().state().limits.body_bytes).collect();
-    let body = match gateway.clock.timeout(left, collecting).await {
-        Some(Ok(body)) => body.to_bytes(),
-        Some(Err(error)) if error.is::<LengthLimitError>() => {
+    let limit = gateway.body_limit();
+    let body = match read_answer_body(gateway, &job.connection, body, limit, left).await {
+        Ok(body) => Rc::new(body),
+        Err(BodyFailure::Broken(error)) => {
+            attempt.record_broken(gateway, job, &format!("read answer: {error}"));
+            return SendOutcome::Lost;
+        }
+        Err(BodyFailure::TooLarge) => {
             attempt.record_failure(gateway, job, "the answer exceeds the size limit");
             return SendOutcome::Lost;
         }
-        Some(Err(error)) => {
-            attempt.record_broken(gateway, job, &format!("read answer: {error}"));
+        // Not the upstream's fault.
+        Err(BodyFailure::NoMemory | BodyFailure::GaveWay) => {
+            log::warn!(
+                "event=answer_not_held request={} upstream={}",
+                job.request.caller_attempt_id,
+                attempt.upstream
+            );
             return SendOutcome::Lost;
         }
-        None => {
+        Err(BodyFailure::Late) => {
             attempt.record_silence(gateway, job, "answer incomplete at the deadline");
             return SendOutcome::Lost;
         }
--- a/components/gateway/src/client.rs
+++ b/components/gateway/src/client.rs
@@ -11,7 +11,7 @@
 use bytes::Bytes;
 use futures_lite::{AsyncRead, AsyncWrite};
 use http::{Request, Response, header};
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::{BodyExt, Limited};
 use hyper::{
     body::Incoming,
     client::conn::http1::{Builder, SendRequest},
@@ -24,7 +24,7 @@
 use smol_hyper::rt::FuturesIo;
 use types::NodeId;
 
-use crate::{PlainCall, state::Gateway, tunnel::TunnelStream};
+use crate::{PlainCall, held::SlicedBody, state::Gateway, tunnel::TunnelStream};
 
 /// Read buffer of a connection: the smallest that hyper accepts.
 pub(crate) const READ_BUFFER_BYTES: usize = 8 << 10;
@@ -40,7 +40,7 @@
 /// Open connection; dropping it closes the socket at once.
 #[derive(Debug)]
 pub(crate) struct ClientConnection {
-    sender: SendRequest<Full<Bytes>>,
+    sender: SendRequest<SlicedBody>,
     _driver: Task<()>,
     address: SocketAddr,
     /// Whether the connection was taken from the pool.
@@ -109,7 +109,7 @@
     /// Sends a request and returns the head of its answer.
     pub(crate) async fn send(
         &mut self,
-        request: Request<Full<Bytes>>,
+        request: Request<SlicedBody>,
     ) -> Result<Response<Incoming>, ExchangeError> {
         if let Err(error) = self.sender.ready().await {
             return Err(ExchangeError::NotSent(error.to_string()));
@@ -133,7 +133,7 @@
             .uri(call.target)
             .header(header::HOST, self.address.to_string())
             .header(header::CONTENT_TYPE, "application/json")
-            .body(Full::new(call.body))
+            .body(SlicedBody::from(call.body))
             .map_err(io::Error::other)?;
         let response = self.send(request).await.map_err(|error| match error {
             ExchangeError::NotSent(text) | ExchangeError::Sent(text) => io::Error::other(text),
--- a/components/gateway/src/forward.rs
+++ b/components/gateway/src/forward.rs
@@ -7,11 +7,11 @@
     time::{Duration, Instant},
 };
 
-use bytes::Bytes;
-use dispatch::{CrashFingerprint, ForwardRoute, HomeRegions, RouteMatch};
+use dispatch::{
+    CrashFingerprint, ForwardRoute, HomeRegions, OrganisationEntry, RouteMatch, RouteTable,
+};
 use futures_lite::future::or;
 use http::{Request, Response, header, request::Parts};
-use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::Incoming;
 use rand::RngExt;
 use types::{OrganisationId, ServiceName};
@@ -22,7 +22,8 @@
     answer::{AnswerBody, GatewayAnswer},
     attempt::run_attempts,
     caller_metrics::TurnedAway,
-    callers::RequestPlace,
+    callers::{CallerConnection, RequestPlace},
+    held::{BodyFailure, HeldBody, read_request_body},
     state::Gateway,
 };
 
@@ -46,7 +47,9 @@
 #[derive(Debug)]
 pub(crate) struct ForwardJob {
     pub(crate) head: Parts,
-    pub(crate) body: Bytes,
+    pub(crate) body: Rc<HeldBody>,
+    /// Connection of the caller, on whose account memory is held.
+    pub(crate) connection: Rc<CallerConnection>,
     pub(crate) request: RequestHead,
     pub(crate) route: Arc<ForwardRoute>,
     pub(crate) service: ServiceName,
@@ -81,10 +84,11 @@
     request: Request<Incoming>,
 ) -> Response<AnswerBody> {
     let arrived = gateway.now();
-    let (head, body) = request.into_parts();
+    let (head, mut body) = request.into_parts();
     let request = gateway.dialect.decode_request(&head);
     let caller_attempt_id = request.caller_attempt_id.clone();
-    let job = match parse_request(&gateway, &mut place, arrived, head, body, request).await {
+    let parsing = parse_request(&gateway, &mut place, arrived, head, &mut body, request);
+    let job = match parsing.await {
         Ok(job) => job,
         Err(refusal) => {
             gateway.refusal_log.write(gateway.now(), || {
@@ -124,44 +128,19 @@
     place: &mut RequestPlace,
     arrived: Instant,
     head: Parts,
-    body: Incoming,
+    body: &mut Incoming,
     request: RequestHead,
 ) -> Result<ForwardJob, GatewayAnswer> {
     wait_for_start(gateway, arrived, request.timeout).await;
     if !gateway.has_valid_state() {
         return Err(GatewayAnswer::Refused(NO_STATE_RETRY_AFTER));
     }
-    if !place.claim(gateway) {
-        gateway
-            .metrics
-            .callers
-            .record_turned_away(TurnedAway::NoPlace);
-        return Err(GatewayAnswer::Refused(no_room_retry_after(gateway)));
-    }
     let timeout = request.timeout.unwrap_or(DEFAULT_TIMEOUT);
-    let body_limit = gateway.routes.borrow().state().limits.body_bytes;
-    let collecting = Limited::new(body, body_limit).collect();
-    let body = match gateway.clock.timeout(timeout, collecting).await {
-        Some(Ok(body)) => body.to_bytes(),
-        Some(Err(error)) if error.is::<LengthLimitError>() => return Err(GatewayAnswer::TooLarge),
-        Some(Err(_)) => return Err(GatewayAnswer::Unreadable),
-        None => return Err(GatewayAnswer::Refused(Duration::ZERO)),
-    };
-    place.record_answer();
+    let body = receive_body(gateway, place, body, timeout).await?;
     // The route is looked up after the body has arrived, so that the newest desired
     // state applies.
     let routes = Rc::clone(&gateway.routes.borrow());
-    let host = head
-        .headers
-        .get(header::HOST)
-        .and_then(|host| host.to_str().ok())
-        .or_else(|| head.uri.host())
-        .unwrap_or_default();
-    let (route, organisation) = match routes.find(host, head.uri.path(), request.key.as_deref()) {
-        RouteMatch::NoRoute => return Err(GatewayAnswer::NoRoute),
-        RouteMatch::NoKey => return Err(GatewayAnswer::NoKey),
-        RouteMatch::Found(route, organisation) => (route, organisation),
-    };
+    let (route, organisation) = find_route(&routes, &head, &request)?;
     let service = route.pick_service(&request.caller_attempt_id, &gateway.hasher);
     let service = service.unwrap_or_default().to_owned();
     let organisation_id = organisation.map(|entry| entry.id.clone());
@@ -180,12 +159,72 @@
         organisation: organisation_id,
         fingerprint,
         head,
-        body,
+        body: Rc::new(body),
+        connection: Rc::clone(&place.connection),
         request,
         arrived,
     })
 }
 
+/// Finds the route and the organisation of a request in a desired state.
+fn find_route<'a>(
+    routes: &'a RouteTable,
+    head: &Parts,
+    request: &RequestHead,
+) -> Result<(&'a Arc<ForwardRoute>, Option<&'a OrganisationEntry>), GatewayAnswer> {
+    let host = head
+        .headers
+        .get(header::HOST)
+        .and_then(|host| host.to_str().ok())
+        .or_else(|| head.uri.host())
+        .unwrap_or_default();
+    match routes.find(host, head.uri.path(), request.key.as_deref()) {
+        RouteMatch::NoRoute => Err(GatewayAnswer::NoRoute),
+        RouteMatch::NoKey => Err(GatewayAnswer::NoKey),
+        RouteMatch::Found(route, organisation) => Ok((route, organisation)),
+    }
+}
+
+/// Takes a place for a request and reads its body within `time`.
+async fn receive_body(
+    gateway: &Gateway,
+    place: &mut RequestPlace,
+    body: &mut Incoming,
+    time: Duration,
+) -> Result<HeldBody, GatewayAnswer> {
+    let limit = gateway.body_limit();
+    if !place.claim(gateway) {
+        gateway
+            .metrics
+            .callers
+            .record_turned_away(TurnedAway::NoPlace);
+        return Err(GatewayAnswer::Refused(no_room_retry_after(gateway)));
+    }
+    let received = read_request_body(gateway, &place.connection, body, limit, time).await;
+    let (reason, answer) = match received {
+        Ok(body) => {
+            place.record_answer();
+            return Ok(body);
+        }
+        Err(BodyFailure::Broken(error)) => {
+            log::debug!("event=body_unreadable error=\"{error}\"");
+            return Err(GatewayAnswer::Unreadable);
+        }
+        // Counted where the decision was made.
+        Err(BodyFailure::GaveWay) => {
+            return Err(GatewayAnswer::GaveWay(no_room_retry_after(gateway)));
+        }
+        Err(BodyFailure::TooLarge) => (TurnedAway::TooLarge, GatewayAnswer::TooLarge),
+        Err(BodyFailure::Late) => (TurnedAway::LateBody, GatewayAnswer::LateBody),
+        Err(BodyFailure::NoMemory) => (
+            TurnedAway::NoMemory,
+            GatewayAnswer::Refused(no_room_retry_after(gateway)),
+        ),
+    };
+    gateway.metrics.callers.record_turned_away(reason);
+    Err(answer)
+}
+
 fn no_room_retry_after(gateway: &Gateway) -> Duration {
     let factor = gateway.rng.borrow_mut().random_range(1.0..2.0);
     NO_ROOM_RETRY_AFTER.mul_f64(factor)
@@ -205,11 +244,13 @@
 fn request_fingerprint(
     head: &Parts,
     organisation: Option<&OrganisationId>,
-    body: &Bytes,
+    body: &HeldBody,
 ) -> CrashFingerprint {
     let mut hash = Xxh3::new();
     hash.update(head.uri.path().as_bytes());
     hash.update(organisation.map_or(&[][..], |id| id.as_bytes()));
-    hash.update(body);
+    for segment in body.segments() {
+        hash.update(segment);
+    }
     hash.digest()
 }
--- a/components/gateway/src/leg.rs
+++ b/components/gateway/src/leg.rs
@@ -8,12 +8,10 @@
     time::{Duration, Instant},
 };
 
-use bytes::Bytes;
 use dispatch::{
     CallKind, InFlightRequest, LatencyGoals, MemoryShare, Placement, PrefillNotice, PromptSize,
 };
 use http::{HeaderMap, Request, Uri, header};
-use http_body_util::Full;
 use hyper::body::{Body, Incoming};
 use rand::RngExt;
 use types::{ServiceName, TokenCount, UpstreamId};
@@ -25,6 +23,7 @@
     crashes::{BrokenAttempt, check_upstream, record_sound_answer},
     datagrams::PeerDatagram,
     forward::ForwardJob,
+    held::SlicedBody,
     news::record_leaving,
     place::prompt_goals,
     reach::{is_cut_suspected, suspect_cut},
@@ -208,7 +207,7 @@
         gateway: &Gateway,
         job: &ForwardJob,
         resume_after: Option<&str>,
-    ) -> http::Result<Request<Full<Bytes>>> {
+    ) -> http::Result<Request<SlicedBody>> {
         let target = job
             .head
             .uri
@@ -217,7 +216,7 @@
         let mut request = Request::builder()
             .method(job.head.method.clone())
             .uri(target.parse::<Uri>()?)
-            .body(Full::new(job.body.clone()))?;
+            .body(SlicedBody::from(Rc::clone(&job.body)))?;
         let headers = request.headers_mut();
         headers.clone_from(&job.head.headers);
         remove_hop_by_hop_headers(headers);
--- a/components/gateway/src/lib.rs
+++ b/components/gateway/src/lib.rs
@@ -21,6 +21,7 @@
 mod events;
 mod formats;
 mod forward;
+mod held;
 mod leg;
 mod listen;
 mod metrics;
--- a/components/gateway/src/race.rs
+++ b/components/gateway/src/race.rs
@@ -12,11 +12,10 @@
     time::Duration,
 };
 
-use bytes::Bytes;
 use futures_lite::future::or;
 use types::UpstreamId;
 
-use crate::attempt::SendOutcome;
+use crate::{attempt::SendOutcome, held::HeldBody};
 
 /// Outcome of a request's attempts so far.
 #[derive(Debug, Default)]
@@ -32,7 +31,7 @@
     /// Whether a retry was taken from the budget and not used, as nothing was sent.
     pub(crate) holds_retry: bool,
     /// Latest complete server error (5xx) of an upstream.
-    pub(crate) last_answer: Option<(http::response::Parts, Bytes)>,
+    pub(crate) last_answer: Option<(http::response::Parts, Rc<HeldBody>)>,
     /// Time until the first upstream takes requests again, if all asked for a pause.
     pub(crate) pause_left: Option<Duration>,
     /// Time after which another node may take the request, if this one is cut off.
--- a/components/gateway/src/tunnel.rs
+++ b/components/gateway/src/tunnel.rs
@@ -18,7 +18,6 @@
 use dispatch::HelperNode;
 use futures_lite::{AsyncRead, AsyncWrite};
 use http::{HeaderValue, Request, Response, StatusCode, header};
-use http_body_util::Full;
 use hyper::{body::Incoming, client::conn::http1::Builder};
 use smol::Async;
 use smol_hyper::rt::FuturesIo;
@@ -26,6 +25,7 @@
 use crate::{
     client::{ClientConnection, READ_BUFFER_BYTES, connect_from},
     connect::{CONNECT_TIMEOUT, ConnectTarget},
+    held::SlicedBody,
     state::Gateway,
 };
 
@@ -139,7 +139,7 @@
         .header(header::UPGRADE, TUNNEL_PROTOCOL)
         .header(TUNNEL_UPSTREAM, upstream)
         .header(TUNNEL_LIFETIME, lifetime.as_millis().to_string())
-        .body(Full::<Bytes>::default())
+        .body(SlicedBody::from(Bytes::new()))
         .map_err(io::Error::other)?;
     sender.send_request(request).await.map_err(io::Error::other)
 }
