Refuse what the head shows before the body is read

What callers saw: a request for an unknown host, path or key, or with a length over the limit, was answered only after its body had come, and held it until then. Its caller set the time for that.

Cause: route, key and size were looked at behind the body, so that the newest desired state applies.

They are looked at in the head as well. The rest of a refused body is read and dropped for up to a second, so that the caller can read the answer, and a short rest costs it no connection.

--- a/components/gateway/src/forward.rs
+++ b/components/gateway/src/forward.rs
@@ -12,7 +12,8 @@
 };
 use futures_lite::future::or;
 use http::{Request, Response, header, request::Parts};
-use hyper::body::Incoming;
+use http_body_util::BodyExt;
+use hyper::body::{Body, Incoming};
 use rand::RngExt;
 use types::{OrganisationId, ServiceName};
 use xxhash_rust::xxh3::Xxh3;
@@ -40,6 +41,9 @@
 /// request: as long as a body that makes no progress keeps its memory. The longest is twice that,
 /// so that callers don't come back together.
 const NO_ROOM_RETRY_AFTER: Duration = Duration::from_secs(1);
+/// Time for which the rest of a refused body is read and dropped, so that its caller can read
+/// the answer before the connection ends, and keep the connection if it sends the rest.
+const DISCARD_TIME: Duration = Duration::from_secs(1);
 /// Timeout of a request whose caller sent none.
 const DEFAULT_TIMEOUT: Duration = Duration::from_mins(1);
 
@@ -87,6 +91,8 @@
     let (head, mut body) = request.into_parts();
     let request = gateway.dialect.decode_request(&head);
     let caller_attempt_id = request.caller_attempt_id.clone();
+    // Reading on would ask such a caller for the body.
+    let awaits_permission = head.headers.contains_key(header::EXPECT);
     let parsing = parse_request(&gateway, &mut place, arrived, head, &mut body, request);
     let job = match parsing.await {
         Ok(job) => job,
@@ -97,6 +103,9 @@
             gateway
                 .metrics
                 .record_answer("", refusal.status().as_u16(), true, Duration::ZERO);
+            if !awaits_permission && !matches!(refusal, GatewayAnswer::GaveWay(_)) {
+                discard_rest(&gateway, &place.connection, body);
+            }
             place.record_answer();
             return refusal.into_response().map(|body| body.with_place(place));
         }
@@ -121,8 +130,34 @@
     response.map(|body| body.with_place(place))
 }
 
+/// Reads and drops the rest of a body whose request has been refused.
+fn discard_rest(gateway: &Rc<Gateway>, connection: &Rc<CallerConnection>, mut body: Incoming) {
+    if body.is_end_stream() {
+        return;
+    }
+    let mut left = gateway.body_limit();
+    let clock = gateway.clock.clone();
+    let discarding = async move {
+        while let Some(Ok(frame)) = body.frame().await {
+            let length = frame.data_ref().map_or(0, bytes::Bytes::len);
+            if length > left {
+                return;
+            }
+            left -= length;
+        }
+    };
+    let connection = Rc::clone(connection);
+    connection.set_discarding(true);
+    let discarding = async move {
+        clock.timeout(DISCARD_TIME, discarding).await;
+        connection.set_discarding(false);
+    };
+    gateway.executor.spawn(discarding).detach();
+}
+
 /// Reads the body and finds the route, organisation, service and deadline; the
-/// error is the answer for a request that can't be forwarded.
+/// error is the answer for a request that can't be forwarded. What the head shows is refused
+/// before the body is read.
 async fn parse_request(
     gateway: &Gateway,
     place: &mut RequestPlace,
@@ -136,8 +171,12 @@
         return Err(GatewayAnswer::Refused(NO_STATE_RETRY_AFTER));
     }
     let timeout = request.timeout.unwrap_or(DEFAULT_TIMEOUT);
-    let body = receive_body(gateway, place, body, timeout).await?;
-    // The route is looked up after the body has arrived, so that the newest desired
+    let routes = Rc::clone(&gateway.routes.borrow());
+    let (route, organisation) = find_route(&routes, &head, &request)?;
+    let body_time = timeout.min(route.time_limit);
+    place.set_organisation(organisation.map(|entry| entry.id.clone()));
+    let body = receive_body(gateway, place, body, body_time).await?;
+    // The route is looked up again after the body has arrived, so that the newest desired
     // state applies.
     let routes = Rc::clone(&gateway.routes.borrow());
     let (route, organisation) = find_route(&routes, &head, &request)?;
@@ -193,6 +232,13 @@
     time: Duration,
 ) -> Result<HeldBody, GatewayAnswer> {
     let limit = gateway.body_limit();
+    if body.size_hint().lower() > limit as u64 {
+        gateway
+            .metrics
+            .callers
+            .record_turned_away(TurnedAway::TooLarge);
+        return Err(GatewayAnswer::TooLarge);
+    }
     if !place.claim(gateway) {
         gateway
             .metrics
