Blame no upstream for the node's own want of descriptors

A connection that fails since this node has no descriptor or no memory for it counted as a failure of the upstream, and as a sign that the node is cut off. It now counts as neither: the request is not sent there, and connect_shortage is logged. The places of callers are to keep this from happening; no test brings it about.

--- a/components/gateway/src/attempt.rs
+++ b/components/gateway/src/attempt.rs
@@ -347,7 +347,7 @@
         Err(error) => {
             attempt.record_unconnected(gateway, job, &error);
             return match error {
-                ConnectError::Upstream(_) => SendOutcome::NotSent,
+                ConnectError::Upstream(_) | ConnectError::Shortage(_) => SendOutcome::NotSent,
                 ConnectError::NoHelper(retry_after) => SendOutcome::CutOff(retry_after),
             };
         }
--- a/components/gateway/src/connect.rs
+++ b/components/gateway/src/connect.rs
@@ -5,6 +5,7 @@
 
 use dispatch::{HomeRegions, UpstreamEntry};
 use futures_lite::future::or;
+use rustix::io::Errno;
 use types::{NodeId, ServiceName, UpstreamId};
 
 use crate::{
@@ -51,6 +52,8 @@
 pub(crate) enum ConnectError {
     /// The upstream was not reached.
     Upstream(io::Error),
+    /// This node has no descriptor or memory for a connection. Says nothing of the upstream.
+    Shortage(io::Error),
     /// This node is cut off, and no other node takes the connection now. Says nothing of the
     /// upstream.
     NoHelper(Duration),
@@ -60,6 +63,7 @@
     fn fmt(&self, formatter: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
         match self {
             Self::Upstream(error) => write!(formatter, "connect: {error}"),
+            Self::Shortage(error) => write!(formatter, "no connection on this node: {error}"),
             Self::NoHelper(_) => write!(formatter, "cut off, and no other node helps"),
         }
     }
@@ -81,6 +85,7 @@
         };
         match or(connecting, cut).await {
             Ok(connection) => return Ok(connection),
+            Err(error) if is_shortage(&error) => return Err(ConnectError::Shortage(error)),
             Err(error) if !gateway.is_cut_off(&target.service) => {
                 return Err(ConnectError::Upstream(error));
             }
@@ -91,6 +96,12 @@
     connect_through_helper(gateway, target, time_left.saturating_sub(elapsed)).await
 }
 
+/// Returns whether an error is this node's own want of descriptors or memory.
+fn is_shortage(error: &io::Error) -> bool {
+    let own = [Errno::MFILE, Errno::NFILE, Errno::NOBUFS, Errno::NOMEM];
+    Errno::from_io_error(error).is_some_and(|error| own.contains(&error))
+}
+
 async fn connect_directly(
     gateway: &Rc<Gateway>,
     target: &ConnectTarget,
@@ -110,7 +121,7 @@
         let now = gateway.now();
         let mut upstreams = gateway.upstreams.borrow_mut();
         upstreams.record_contact(now, &target.upstream);
-    } else {
+    } else if !opened.as_ref().is_err_and(is_shortage) {
         suspect_cut(gateway, &target.service, Some(&target.upstream));
         wait_for_check(gateway, &target.service).await;
     }
--- a/components/gateway/src/leg.rs
+++ b/components/gateway/src/leg.rs
@@ -365,6 +365,10 @@
     ) {
         match error {
             ConnectError::Upstream(_) => self.record_failure(gateway, job, &error.to_string()),
+            ConnectError::Shortage(error) => log::error!(
+                "event=connect_shortage request={} error=\"{error}\"",
+                job.request.caller_attempt_id
+            ),
             ConnectError::NoHelper(_) => log::warn!(
                 "event=no_helper request={} upstream={}",
                 job.request.caller_attempt_id,
