review: case 6 inside the doses, and scripts that leave nothing behind

Cause: answers without length came from all servers, and at each more often than the site's dose; a script that was broken off left its processes running until their time limit.

--- a/review/standin-2/leaving.rs
+++ b/review/standin-2/leaving.rs
@@ -27,6 +27,8 @@
 const REQUESTS: usize = 252;
 /// One in so many answers has no length: `x = 0.05` in the site file.
 const UNFRAMED: usize = 20;
+/// Servers that give such answers, the first one among them: less than `share (.5)`.
+const UNFRAMED_SERVERS: u8 = 3;
 /// Parts of an answer, and the pause between two: an answer takes three seconds.
 const PARTS: usize = 12;
 const PART_PAUSE: Duration = Duration::from_millis(250);
@@ -46,19 +48,25 @@
     Leaves,
 }
 
-/// Runs one server: `standin serve ID ADDRESS`. It prints what it does.
-pub fn serve(id: &str, address: &str) -> io::Result<()> {
+/// Runs one server: `standin serve ID ADDRESS FRAMING`. It prints what it does.
+pub fn serve(id: &str, address: &str, framing: &str) -> io::Result<()> {
+    let is_sometimes_unframed = framing == "unframed";
     let listener = TcpListener::bind(address)?;
     println!("at {}", listener.local_addr()?);
     let runs = Arc::new(AtomicUsize::new(0));
     for socket in listener.incoming().flatten() {
         let (id, runs) = (id.to_owned(), Arc::clone(&runs));
-        thread::spawn(move || answer_requests(&id, &runs, socket).ok());
+        thread::spawn(move || answer_requests(&id, &runs, is_sometimes_unframed, socket).ok());
     }
     Ok(())
 }
 
-fn answer_requests(id: &str, runs: &AtomicUsize, socket: TcpStream) -> io::Result<()> {
+fn answer_requests(
+    id: &str,
+    runs: &AtomicUsize,
+    is_sometimes_unframed: bool,
+    socket: TcpStream,
+) -> io::Result<()> {
     socket.set_nodelay(true)?;
     let mut wire = Wire::new(socket);
     while let Some(head) = wire.head()? {
@@ -72,7 +80,8 @@
             wire.send(&format!("HTTP/1.1 421 X\r\n{own}content-length: 0\r\n\r\n"))?;
             continue;
         }
-        let is_framed = runs.fetch_add(1, Ordering::Relaxed) % UNFRAMED != 0;
+        let number = runs.fetch_add(1, Ordering::Relaxed) + 1;
+        let is_framed = !is_sometimes_unframed || number % UNFRAMED != 0;
         println!("runs {attempt}, length known: {is_framed}");
         let own = format!("{own}x-response-signature: s.{id}.{attempt}\r\n");
         let is_stream = head.second.starts_with("/sweep/");
@@ -139,10 +148,16 @@
 }
 
 impl ServerProcess {
-    fn start(number: u8, store: &Store, record: &Record) -> io::Result<Self> {
+    fn start(index: u8, store: &Store, record: &Record) -> io::Result<Self> {
+        let number = 11 + index;
         let id = format!("i-{number:08x}");
+        let framing = if index < UNFRAMED_SERVERS {
+            "unframed"
+        } else {
+            "framed"
+        };
         let mut child = Command::new(std::env::current_exe()?)
-            .args(["serve", &id, &format!("{}:0", own_address(number))])
+            .args(["serve", &id, &format!("{}:0", own_address(number)), framing])
             .stdin(Stdio::null())
             .stdout(Stdio::piped())
             .spawn()?;
@@ -239,7 +254,7 @@
     let store = Store::start(own_address(1));
     store.put("op", "config", &desired_state(1));
     let servers: io::Result<Vec<ServerProcess>> = (0..SERVERS)
-        .map(|number| ServerProcess::start(11 + number, &store, record))
+        .map(|number| ServerProcess::start(number, &store, record))
         .collect();
     let servers = servers.map_err(|error| eprintln!("server: {error}")).ok()?;
     let host = own_address(31);
--- a/review/standin-2/main.rs
+++ b/review/standin-2/main.rs
@@ -14,11 +14,12 @@
 mod wire;
 
 use std::{
+    os::unix::process::parent_id,
     path::PathBuf,
     process::exit,
     sync::{Mutex, PoisonError},
     thread,
-    time::Duration,
+    time::{Duration, Instant},
 };
 
 use leaving::Trouble;
@@ -40,26 +41,31 @@
     children.retain(|known| *known != pid);
 }
 
-/// Ends the case and its processes if it takes too long.
-fn watch_time() {
-    thread::sleep(TIME_LIMIT);
-    eprintln!("the case took too long");
+/// Ends the case and its processes if it takes too long, or if who started it has gone.
+fn watch() {
+    let (began, parent) = (Instant::now(), parent_id());
+    while began.elapsed() < TIME_LIMIT && parent_id() == parent {
+        thread::sleep(Duration::from_millis(100));
+    }
+    eprintln!("the case took too long or was broken off");
     let children = CHILDREN.lock().unwrap_or_else(PoisonError::into_inner);
     for pid in children.iter() {
         send_signal(*pid, SIGKILL);
     }
+    site::remove_folder();
     exit(2);
 }
 
 fn main() {
     let mut words = std::env::args().skip(1);
     let case = words.next().unwrap_or_default();
+    thread::spawn(watch);
     if case == "serve" {
-        let (id, address) = (words.next(), words.next());
-        let served = leaving::serve(&id.unwrap_or_default(), &address.unwrap_or_default());
+        let mut next = || words.next().unwrap_or_default();
+        let (id, address, framing) = (next(), next(), next());
+        let served = leaving::serve(&id, &address, &framing);
         exit(i32::from(served.is_err()));
     }
-    thread::spawn(watch_time);
     let folder = PathBuf::from(words.next().unwrap_or_default());
     let trouble = std::env::var("TROUBLE").unwrap_or_default();
     let has_trouble = trouble != "0";
--- a/review/standin-2/site.rs
+++ b/review/standin-2/site.rs
@@ -13,7 +13,7 @@
 
 impl Folder {
     pub fn create() -> std::io::Result<Self> {
-        let path = std::env::temp_dir().join(format!("review-2-{}", std::process::id()));
+        let path = folder_path();
         std::fs::create_dir_all(&path)?;
         Ok(Self(path))
     }
@@ -29,6 +29,15 @@
     }
 }
 
+fn folder_path() -> PathBuf {
+    std::env::temp_dir().join(format!("review-2-{}", std::process::id()))
+}
+
+/// Removes the temporary folder of a case that is broken off.
+pub fn remove_folder() {
+    std::fs::remove_dir_all(folder_path()).ok();
+}
+
 /// Loopback address number `number` of this process.
 pub fn own_address(number: u8) -> Ipv4Addr {
     let [_, _, high, low] = std::process::id().to_be_bytes();
